Foundations: error kinds, resources, the text, platform and worker interfaces, stand-ins

The interfaces are owned here and the wires kept in one adapter package each. The worker's Sync carries an epoch, a sequence number and an absolute lease end in the worker's own clock, so that nothing late on the wire can harm.

--- /dev/null
+++ b/internal/fault/kind.go
@@ -0,0 +1,28 @@
+package fault
+
+// Kind names one entry of the closed list of error kinds. The list and the
+// answer that belongs to each kind stand in table.go.
+type Kind string
+
+// The closed list. Add a kind only together with its row in the table.
+const (
+	BadRequest          Kind = "bad_request"
+	Unauthorized        Kind = "unauthorized"
+	TooLarge            Kind = "too_large"
+	UnknownService      Kind = "unknown_service"
+	UnknownRun          Kind = "unknown_run"
+	UnknownPath         Kind = "unknown_path"
+	Conflict            Kind = "conflict"
+	KeyInProgress       Kind = "key_in_progress"
+	AlreadyRan          Kind = "already_ran"
+	OutcomeUnknown      Kind = "outcome_unknown"
+	QuotaExceeded       Kind = "quota_exceeded"
+	Overloaded          Kind = "overloaded"
+	DeadlineExceeded    Kind = "deadline_exceeded"
+	UpstreamFailed      Kind = "upstream_failed"
+	UpstreamUnreachable Kind = "upstream_unreachable"
+	PlatformUnavailable Kind = "platform_unavailable"
+	NotOwner            Kind = "not_owner"
+	Stopping            Kind = "stopping"
+	Internal            Kind = "internal"
+)
--- /dev/null
+++ b/internal/platform/settle.go
@@ -0,0 +1,60 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// settleBackoff is the wait between two attempts of one transaction.
+const settleBackoff = 50 * time.Millisecond
+
+// Settle commits tx and returns only when the result is known or ctx ends.
+//
+// A write may take effect although its answer is lost. Without care the
+// repeat would find its own first attempt as a conflict and report a failure
+// that did not happen. Settle repeats the same conditional transaction, so at
+// most one attempt takes effect, and on a conflict looks for its own
+// transaction id in the rows it put. tx must therefore put at least one row
+// that nobody else overwrites at once.
+func Settle(ctx context.Context, t Table, tx Tx) error {
+	doubtful := false
+	for {
+		err := t.Commit(ctx, tx)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, ErrConflict):
+			if !doubtful {
+				return err
+			}
+			mine, lookErr := wroteAny(ctx, t, tx)
+			if lookErr == nil && mine {
+				return nil
+			}
+			if lookErr == nil {
+				return err
+			}
+		default:
+			doubtful = true
+		}
+		select {
+		case <-ctx.Done():
+			return ErrUnavailable
+		case <-time.After(settleBackoff):
+		}
+	}
+}
+
+func wroteAny(ctx context.Context, t Table, tx Tx) (bool, error) {
+	for _, put := range tx.Puts {
+		row, err := t.Get(ctx, put.Key)
+		if err != nil {
+			return false, err
+		}
+		if row.Tx == tx.ID {
+			return true, nil
+		}
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/spec/check.go
@@ -0,0 +1,93 @@
+package spec
+
+import (
+	"strings"
+
+	"gentianstand/internal/resource"
+)
+
+// check finds mistakes that need the whole text.
+func (r *reader) check(doc *document) {
+	for _, w := range doc.text.Workloads {
+		r.checkTeam(doc, w)
+		r.checkNeed(doc, w)
+		r.checkDependencies(doc, w)
+		r.checkTimes(doc, w)
+	}
+	r.checkCycles(doc)
+}
+
+func (r *reader) checkTeam(doc *document, w Workload) {
+	if w.Team == "" {
+		return
+	}
+	team, ok := doc.text.Team(w.Team)
+	at := doc.places[w.Name]
+	if !ok {
+		r.fail(at, "%s %q names the unknown team %q", w.Kind, w.Name, w.Team)
+		return
+	}
+	if need := smallestUse(w); !need.Fits(team.Quota) {
+		r.fail(at, "%s %q needs at least %s at once, above the quota of team %q: %s", w.Kind, w.Name, need, w.Team, team.Quota)
+	}
+}
+
+// smallestUse is what must fit the quota for the workload to make progress:
+// all tasks of a service or job, one task of a batch run.
+func smallestUse(w Workload) resource.Amount {
+	if w.Kind == Batch {
+		return w.Need
+	}
+	return w.Need.Times(int64(w.Tasks))
+}
+
+func (r *reader) checkNeed(doc *document, w Workload) {
+	if w.Need.IsZero() {
+		r.fail(doc.places[w.Name], "%s %q needs nothing; allowed: some cpu, memory or accelerators", w.Kind, w.Name)
+	}
+}
+
+func (r *reader) checkDependencies(doc *document, w Workload) {
+	for i, name := range w.DependsOn {
+		at := doc.dependsAt[w.Name][i]
+		if _, ok := doc.text.Workload(name); !ok && name != "" {
+			r.fail(at, "%q depends on the unknown %q", w.Name, name)
+		}
+	}
+}
+
+func (r *reader) checkTimes(doc *document, w Workload) {
+	if w.RunTime > 0 && w.RunTimeLimit > 0 && w.RunTime > w.RunTimeLimit {
+		r.fail(doc.places[w.Name], "%q declares run_time %s above its run_time_limit %s", w.Name, w.RunTime, w.RunTimeLimit)
+	}
+}
+
+// checkCycles reports each workload from which a depth-first walk comes back
+// to itself, once per cycle.
+func (r *reader) checkCycles(doc *document) {
+	done := map[string]bool{}
+	for _, w := range doc.text.Workloads {
+		r.walk(doc, w.Name, nil, done)
+	}
+}
+
+func (r *reader) walk(doc *document, name string, path []string, done map[string]bool) {
+	for i, seen := range path {
+		if seen == name {
+			cycle := append(append([]string{}, path[i:]...), name)
+			r.fail(doc.places[name], "dependency cycle: %s", strings.Join(cycle, " -> "))
+			return
+		}
+	}
+	if done[name] {
+		return
+	}
+	done[name] = true
+	w, ok := doc.text.Workload(name)
+	if !ok {
+		return
+	}
+	for _, next := range w.DependsOn {
+		r.walk(doc, next, append(path, name), done)
+	}
+}
--- /dev/null
+++ b/internal/standin/worker/record.go
@@ -0,0 +1,53 @@
+package worker
+
+import (
+	"sync"
+	"time"
+)
+
+// Record is the judge of every proof: it remembers each start and end of a
+// task and each executed request, over all workers that share it.
+type Record struct {
+	mu     sync.Mutex
+	events []Event
+}
+
+// Event is one thing that happened on a worker.
+type Event struct {
+	At     time.Time `json:"at"`
+	Worker string    `json:"worker"`
+	Type   EventType `json:"type"`
+	// Task is run/index for tasks; Key is the idempotency key of a request.
+	Task    string `json:"task,omitempty"`
+	Attempt int    `json:"attempt,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Request string `json:"request,omitempty"`
+}
+
+// EventType is the kind of an Event.
+type EventType string
+
+// The events of a record.
+const (
+	TaskStarted   EventType = "task_started"
+	TaskEnded     EventType = "task_ended"
+	RequestRan    EventType = "request_ran"
+	OverCapacity  EventType = "over_capacity"
+	OverSlots     EventType = "over_slots"
+	LeaseLapsed   EventType = "lease_lapsed"
+	RefusedEpochs EventType = "refused_epoch"
+)
+
+// Add appends an event.
+func (r *Record) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
+// Events returns a copy of all events so far.
+func (r *Record) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Event(nil), r.events...)
+}
--- /dev/null
+++ b/internal/standin/worker/server.go
@@ -0,0 +1,155 @@
+package worker
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"gentianstand/internal/worker"
+	"gentianstand/internal/worker/httpwire"
+)
+
+// The control paths of the stand-in; they are no part of the worker's wire.
+const (
+	PathFault   = "/standin/fault"
+	PathRecord  = "/standin/record"
+	PathRestart = "/standin/restart"
+)
+
+// Server puts a Worker on the wire.
+type Server struct {
+	worker *Worker
+	record *Record
+}
+
+// NewServer returns a server for w.
+func NewServer(w *Worker, record *Record) *Server { return &Server{worker: w, record: record} }
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(httpwire.PathSync, s.sync)
+	mux.HandleFunc(httpwire.PathServe, s.serve)
+	mux.HandleFunc(PathFault, s.setFault)
+	mux.HandleFunc(PathRecord, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(s.record.Events())
+	})
+	mux.HandleFunc(PathRestart, func(http.ResponseWriter, *http.Request) { s.worker.Restart() })
+	return s.silence(mux)
+}
+
+// silence swallows what arrives on connections that were told to go silent:
+// it neither answers nor closes, as a network element that lost its state.
+func (s *Server) silence(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.worker.silent(r.RemoteAddr) {
+			<-r.Context().Done()
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// silent notes the connection and reports whether it has gone silent.
+func (w *Worker) silent(remote string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silentSeen == nil {
+		w.silentSeen = map[string]bool{}
+	}
+	if _, seen := w.silentSeen[remote]; !seen {
+		w.silentSeen[remote] = false
+	}
+	return w.silentSeen[remote]
+}
+
+func (w *Worker) silenceOpen() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for remote := range w.silentSeen {
+		w.silentSeen[remote] = true
+	}
+}
+
+func (s *Server) sync(w http.ResponseWriter, r *http.Request) {
+	var req worker.SyncRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply, err := s.worker.Sync(r.Context(), req)
+	switch {
+	case errors.Is(err, worker.ErrStaleEpoch):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, worker.ErrOutOfOrder):
+		http.Error(w, err.Error(), http.StatusTooEarly)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		_ = json.NewEncoder(w).Encode(reply)
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, httpwire.PathServe), "/")
+	id := r.Header.Get(httpwire.HeaderRequest)
+	epoch, _ := strconv.ParseUint(r.Header.Get(httpwire.HeaderEpoch), 10, 64)
+	if refused := s.worker.admit(id, r.Header.Get("Idempotency-Key"), service, epoch); refused != "" {
+		w.Header().Set(httpwire.HeaderRefused, refused)
+		http.Error(w, refused, http.StatusServiceUnavailable)
+		return
+	}
+	defer s.worker.release(id)
+	if s.worker.currentFault().Nonsense {
+		writeNonsense(w)
+		return
+	}
+	if !s.work(r) {
+		return
+	}
+	w.Header().Set("X-Served-By", s.worker.cfg.ID)
+	fmt.Fprintf(w, "%s %s from %s\n", r.Method, path, s.worker.cfg.ID)
+	_, _ = io.Copy(w, r.Body)
+}
+
+// work waits as long as a request takes and reports whether to answer.
+func (s *Server) work(r *http.Request) bool {
+	if s.worker.currentFault().Hang {
+		<-r.Context().Done()
+		return false
+	}
+	wait := s.worker.serveTime()
+	if d, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
+		wait = d
+	}
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	return true
+}
+
+func (s *Server) setFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if f.SilenceConnections {
+		s.worker.silenceOpen()
+	}
+	s.worker.SetFault(f)
+}
+
+func writeNonsense(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = conn.Write([]byte("\x00\x01 this is no HTTP\r\n\r\n"))
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/standin/worker/sync.go
@@ -0,0 +1,133 @@
+package worker
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"gentianstand/internal/worker"
+)
+
+// Sync implements worker.Agent.
+func (w *Worker) Sync(_ context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advanceLocked()
+	if w.fault.DropAgent {
+		return worker.SyncReply{}, worker.ErrUnreachable
+	}
+	if req.Epoch < w.epoch {
+		w.record.Add(Event{At: w.now(), Worker: w.cfg.ID, Type: RefusedEpochs})
+		return worker.SyncReply{}, worker.ErrStaleEpoch
+	}
+	if req.Epoch == w.epoch && req.Seq <= w.seq {
+		return worker.SyncReply{}, worker.ErrOutOfOrder
+	}
+	w.epoch, w.seq = req.Epoch, req.Seq
+	w.applyLocked(req)
+	return w.replyLocked(), nil
+}
+
+func (w *Worker) applyLocked(req worker.SyncRequest) {
+	for _, ref := range req.Ack {
+		if t, ok := w.tasks[ref]; ok && t.status.State.Ended() {
+			delete(w.tasks, ref)
+		}
+	}
+	for _, id := range req.Revoke {
+		w.revoked[id] = true
+	}
+	for _, stop := range req.Stop {
+		w.stopLocked(stop)
+	}
+	if req.Boot != w.boot {
+		return
+	}
+	if req.LeaseUntil > w.clockLocked() {
+		w.leaseUntil = max(w.leaseUntil, req.LeaseUntil)
+	}
+	for _, start := range req.Start {
+		w.startLocked(start)
+	}
+}
+
+func (w *Worker) startLocked(start worker.TaskStart) {
+	if _, known := w.tasks[start.Ref]; known {
+		return
+	}
+	status := worker.TaskStatus{Ref: start.Ref, Workload: start.Workload, Need: start.Need, Service: start.Service, State: worker.Running}
+	t := &task{status: status, ends: worker.Succeeded}
+	w.tasks[start.Ref] = t
+	if w.leaseUntil == 0 {
+		t.status.State, t.status.Reason = worker.Refused, "no lease"
+		return
+	}
+	w.used = w.used.Add(start.Need)
+	if !w.used.Fits(w.cfg.Capacity) {
+		w.record.Add(Event{At: w.now(), Worker: w.cfg.ID, Type: OverCapacity})
+	}
+	w.record.Add(Event{At: w.now(), Worker: w.cfg.ID, Type: TaskStarted, Task: taskName(start.Ref), Attempt: start.Ref.Attempt})
+	t.status.Used = start.Need
+	if !start.Service {
+		w.scheduleEnd(t, start)
+	}
+	if w.fault.FailAll {
+		w.endLocked(t, worker.Failed, "fails everything")
+	}
+}
+
+// scheduleEnd reads the pretended run time and end from the command, as in
+// ["sleep", "200ms"] or ["fail", "10ms"].
+func (w *Worker) scheduleEnd(t *task, start worker.TaskStart) {
+	runs := w.cfg.Work
+	if len(start.Command) == 2 {
+		if d, err := time.ParseDuration(start.Command[1]); err == nil {
+			runs = d
+		}
+		if start.Command[0] == "fail" {
+			t.ends = worker.Failed
+		}
+	}
+	t.status.Result = fmt.Sprintf("%s done", strings.Join(start.Command, " "))
+	limit := time.Duration(start.LimitMillis) * time.Millisecond
+	if limit > 0 && runs > limit {
+		runs, t.ends = limit, worker.Failed
+		t.status.Result = "run-time limit reached"
+	}
+	t.endsAt = w.now().Add(runs)
+}
+
+func (w *Worker) stopLocked(stop worker.TaskStop) {
+	t, ok := w.tasks[stop.Ref]
+	if !ok || t.status.State != worker.Running {
+		return
+	}
+	switch stop.Action {
+	case worker.Drain:
+		t.draining = true
+		if !t.status.Service || len(w.requests) == 0 {
+			w.endLocked(t, worker.Stopped, "drained")
+		}
+	case worker.Checkpoint, worker.Kill:
+		w.endLocked(t, worker.Stopped, string(stop.Action))
+	case worker.Throttle:
+		t.status.Used = t.status.Need
+	}
+}
+
+func (w *Worker) replyLocked() worker.SyncReply {
+	reply := worker.SyncReply{
+		Boot: w.boot, Now: w.clockLocked(), Capacity: w.cfg.Capacity, Slots: w.cfg.Slots,
+		Finished: append([]string(nil), w.finished...),
+	}
+	for _, t := range w.tasks {
+		reply.Tasks = append(reply.Tasks, t.status)
+	}
+	for id := range w.requests {
+		reply.Requests = append(reply.Requests, id)
+	}
+	return reply
+}
+
+func taskName(ref worker.TaskRef) string { return fmt.Sprintf("%s/%d", ref.Run, ref.Index) }
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,132 @@
+// Package worker is a small stand-in for the platform's agent on a worker. It
+// pretends to run tasks, serves requests, enforces epochs and leases, records
+// everything that happens and can be told to fail.
+package worker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"gentianstand/internal/resource"
+	"gentianstand/internal/worker"
+)
+
+// finishedKept is how many ended requests a worker remembers.
+const finishedKept = 256
+
+// Worker is one stand-in worker. It implements worker.Agent directly, and
+// Server puts it on the wire.
+type Worker struct {
+	cfg    Config
+	record *Record
+	now    func() time.Time
+
+	mu         sync.Mutex
+	fault      Fault
+	boot       string
+	started    time.Time
+	epoch      uint64
+	seq        uint64
+	leaseUntil int64
+	tasks      map[worker.TaskRef]*task
+	used       resource.Amount
+	requests   map[string]bool
+	finished   []string
+	revoked    map[string]bool
+	silentSeen map[string]bool
+}
+
+type task struct {
+	status   worker.TaskStatus
+	slots    int
+	endsAt   time.Time
+	draining bool
+	ends     worker.TaskState
+}
+
+// New returns a worker that uses now as its clock.
+func New(cfg Config, record *Record, now func() time.Time) *Worker {
+	w := &Worker{cfg: cfg, record: record, now: now}
+	w.Restart()
+	return w
+}
+
+// Restart makes the worker a new process with nothing running.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tasks {
+		w.endLocked(t, worker.Failed, "worker restarted")
+	}
+	w.boot = uuid.NewString()
+	w.started = w.now()
+	w.epoch, w.seq, w.leaseUntil = 0, 0, 0
+	w.tasks = map[worker.TaskRef]*task{}
+	w.used = resource.Amount{}
+	w.requests = map[string]bool{}
+	w.revoked = map[string]bool{}
+	w.finished = nil
+}
+
+// SetFault replaces the current faults.
+func (w *Worker) SetFault(f Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// Epoch returns the highest epoch seen.
+func (w *Worker) Epoch() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.epoch
+}
+
+// RunningTasks returns the attempts running now.
+func (w *Worker) RunningTasks() []worker.TaskRef {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advanceLocked()
+	var refs []worker.TaskRef
+	for ref, t := range w.tasks {
+		if t.status.State == worker.Running {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+func (w *Worker) clockLocked() int64 { return w.now().Sub(w.started).Milliseconds() }
+
+// advanceLocked ends tasks whose time has come and enforces the lease.
+func (w *Worker) advanceLocked() {
+	now := w.now()
+	lapsed := w.leaseUntil > 0 && w.clockLocked() >= w.leaseUntil
+	if lapsed {
+		w.leaseUntil = 0
+		w.record.Add(Event{At: now, Worker: w.cfg.ID, Type: LeaseLapsed})
+	}
+	for _, t := range w.tasks {
+		switch {
+		case t.status.State != worker.Running:
+		case lapsed:
+			w.endLocked(t, worker.Stopped, "lease lapsed")
+		case t.draining && len(w.requests) == 0:
+			w.endLocked(t, worker.Stopped, "drained")
+		case !t.endsAt.IsZero() && !now.Before(t.endsAt):
+			w.endLocked(t, t.ends, "")
+		}
+	}
+}
+
+func (w *Worker) endLocked(t *task, state worker.TaskState, reason string) {
+	if t.status.State != worker.Running {
+		return
+	}
+	t.status.State = state
+	t.status.Reason = reason
+	w.used = w.used.Sub(t.status.Need)
+	w.record.Add(Event{At: w.now(), Worker: w.cfg.ID, Type: TaskEnded, Task: taskName(t.status.Ref), Attempt: t.status.Ref.Attempt})
+}
