--- /dev/null
+++ b/internal/config/diff.go
@@ -0,0 +1,17 @@
+package config
+
+import "github.com/pmezard/go-difflib/difflib"
+
+// diffContext is how many unchanged lines stand around a difference.
+const diffContext = 2
+
+// Diff returns the difference between two texts in the unified format.
+func Diff(from, to string) string {
+	diff, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(from), B: difflib.SplitLines(to), Context: diffContext,
+	})
+	if err != nil {
+		return err.Error()
+	}
+	return diff
+}
--- /dev/null
+++ b/internal/membership/observer.go
@@ -0,0 +1,53 @@
+package membership
+
+import (
+	"time"
+
+	"gentianstand/internal/live"
+)
+
+// Observer tells from successive reads of the table which processes are alive.
+// It is not safe for concurrent use.
+type Observer struct {
+	timing   Timing
+	lastRead time.Time
+	seen     map[string]observation
+}
+
+type observation struct {
+	version uint64
+	process live.Process
+	since   time.Time
+}
+
+// NewObserver returns an Observer that has seen nothing.
+func NewObserver(timing Timing) *Observer {
+	return &Observer{timing: timing, seen: map[string]observation{}}
+}
+
+// Observe takes in a read of the table that was begun at now.
+//
+// After a time in which the table did not answer, everybody's row is old,
+// because nobody could renew. Expiring them all at once would make every
+// instance overtake every other the moment the table returns. So after a gap
+// in the reads every row starts afresh.
+func (o *Observer) Observe(view live.View, now time.Time) {
+	gap := !o.lastRead.IsZero() && now.Sub(o.lastRead) > o.timing.SessionTTL/2
+	o.lastRead = now
+	next := make(map[string]observation, len(view.Instances))
+	for id, inst := range view.Instances {
+		old, known := o.seen[id]
+		if gap || !known || old.version != inst.Version {
+			old = observation{version: inst.Version, process: inst.Process, since: now}
+		}
+		next[id] = old
+	}
+	o.seen = next
+}
+
+// Alive reports whether process p held its session at the last read. A
+// process is not alive when its instance has a new incarnation.
+func (o *Observer) Alive(p live.Process) bool {
+	seen, ok := o.seen[p.Instance]
+	return ok && seen.process == p && o.lastRead.Sub(seen.since) < o.timing.SessionTTL
+}
--- /dev/null
+++ b/internal/owner/minder.go
@@ -0,0 +1,191 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/routing"
+	"gentianstand/internal/worker"
+)
+
+// The periods of a minder.
+const (
+	// beatPeriod is how often an idle worker is called, claimPeriod how often
+	// one that has not been claimed yet.
+	beatPeriod  = time.Second
+	claimPeriod = 200 * time.Millisecond
+	// coalesce is how long an assignment waits for others to travel along.
+	coalesce = 3 * time.Millisecond
+	// doubtAfter is how long a request may go without any sign of an answer
+	// before the worker is asked about it.
+	doubtAfter = 1500 * time.Millisecond
+)
+
+// minder runs the loop of one worker: it turns a Tracker's messages into
+// calls, right after asking the gate.
+type minder struct {
+	id    string
+	epoch uint64
+	// address and shard do not change in a minder's life.
+	address string
+	shard   string
+
+	owner *Owner
+	agent worker.Agent
+	kick  chan struct{}
+	quit  context.CancelFunc
+
+	mu       sync.Mutex
+	tracker  *Tracker
+	held     ownership.Held
+	dirty    bool
+	leaving  bool
+	draining bool
+}
+
+func (m *minder) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.sync(ctx)
+		m.rest(ctx)
+	}
+}
+
+// rest waits for the next beat, or for something to send.
+func (m *minder) rest(ctx context.Context) {
+	timer := time.NewTimer(m.period())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.kick:
+		time.Sleep(coalesce)
+	}
+}
+
+func (m *minder) period() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tracker.State() == fleet.Claiming {
+		return claimPeriod
+	}
+	return beatPeriod
+}
+
+func (m *minder) wake() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// sync makes one call, unless this process has lost the right to: then it
+// must not extend the lease, and lets the time decide.
+func (m *minder) sync(ctx context.Context) {
+	now := time.Now()
+	if !m.mayAct(now) {
+		m.tick(now)
+		return
+	}
+	doubt := m.owner.router.Doubtful(m.id, now.Add(-doubtAfter))
+	m.mu.Lock()
+	req := m.tracker.Next(doubt)
+	m.mu.Unlock()
+	reply, err := m.agent.Sync(ctx, req)
+	m.owner.metrics.syncs.Inc()
+	received := time.Now()
+	if err != nil {
+		m.failed(err, received)
+		return
+	}
+	m.replied(reply, received)
+	for i, state := range reply.Doubts {
+		if i < len(doubt) {
+			m.owner.router.Resolve(m.id, doubt[i], state, received)
+		}
+	}
+}
+
+// mayAct also covers a shard that was handed over: its workers are served a
+// little longer, until the next owner has claimed them.
+func (m *minder) mayAct(now time.Time) bool {
+	if !m.owner.gate.MayAct(now) {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	given := m.held.GivenAt
+	return given.IsZero() || now.Sub(given) < m.owner.timing.HandOver
+}
+
+func (m *minder) replied(reply worker.SyncReply, now time.Time) {
+	m.mu.Lock()
+	changed := m.tracker.Replied(reply, now)
+	m.dirty = m.dirty || changed
+	m.mu.Unlock()
+	m.changed(changed, now)
+}
+
+func (m *minder) failed(err error, now time.Time) {
+	m.mu.Lock()
+	before := m.tracker.State()
+	changed := m.tracker.Failed(err, now)
+	m.dirty = m.dirty || changed
+	after, stale := m.tracker.State(), m.tracker.Stale()
+	m.mu.Unlock()
+	if stale {
+		m.owner.overtaken(m)
+		return
+	}
+	if changed {
+		m.log().WithError(err).WithFields(logrus.Fields{"from": before, "to": after}).Warn("worker_state")
+	}
+	m.changed(changed, now)
+}
+
+func (m *minder) tick(now time.Time) {
+	m.mu.Lock()
+	changed := m.tracker.Tick(now)
+	m.dirty = m.dirty || changed
+	m.mu.Unlock()
+	m.changed(changed, now)
+}
+
+// changed brings news to the router, and to the planner if there are any.
+func (m *minder) changed(news bool, now time.Time) {
+	m.owner.router.Set(m.info(), now)
+	if news {
+		m.owner.wakeReporter()
+	}
+}
+
+// info is the worker as routing sees it. A worker whose drain was asked for
+// or that the platform lists as leaving is not open for new requests.
+func (m *minder) info() routing.WorkerInfo {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.tracker
+	return routing.WorkerInfo{
+		ID: m.id, Address: t.site.Instance.Address, Epoch: m.epoch,
+		Slots: t.slots, Older: t.older, Services: t.Services(),
+		Open: t.state == fleet.Ready && !m.closedLocked(),
+	}
+}
+
+func (m *minder) closedLocked() bool { return m.draining || m.tracker.site.Instance.Leaving }
+
+func (m *minder) report() fleet.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.tracker.Report()
+	r.Draining = m.closedLocked()
+	return r
+}
+
+func (m *minder) log() *logrus.Entry {
+	return m.owner.log.WithFields(logrus.Fields{"worker": m.id, "epoch": m.epoch})
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,347 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/live"
+	"gentianstand/internal/membership"
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/platform"
+	"gentianstand/internal/routing"
+	"gentianstand/internal/worker"
+)
+
+// reportPeriod is how often all workers are reported although nothing
+// changed; it repairs whatever got lost.
+const reportPeriod = 5 * time.Second
+
+// Owner looks after all workers of the shards that this process holds. It is
+// safe for concurrent use.
+type Owner struct {
+	id      string
+	timing  membership.Timing
+	gate    Gate
+	dial    Dialer
+	router  *routing.Router
+	planner Planner
+	log     *logrus.Entry
+	metrics ownerMetrics
+	news    chan struct{}
+	base    context.Context
+	quit    context.CancelFunc
+
+	mu           sync.Mutex
+	minders      map[string]*minder
+	held         map[string]ownership.Held
+	directory    []platform.Instance
+	drains       map[string]live.Drain
+	plannerEpoch uint64
+}
+
+type ownerMetrics struct {
+	syncs   *metrics.Counter
+	reports *metrics.Counter
+}
+
+// New returns an Owner that holds nothing. id is this instance's.
+func New(id string, timing membership.Timing, gate Gate, dial Dialer, router *routing.Router, planner Planner, set *metrics.Set, log *logrus.Entry) *Owner {
+	base, quit := context.WithCancel(context.Background())
+	o := &Owner{
+		id: id, timing: timing, gate: gate, dial: dial, router: router, planner: planner, log: log,
+		news: make(chan struct{}, 1), base: base, quit: quit,
+		minders: map[string]*minder{}, held: map[string]ownership.Held{}, drains: map[string]live.Drain{},
+		metrics: ownerMetrics{
+			syncs:   set.NewCounter("gentianstand_worker_syncs_total"),
+			reports: set.NewCounter("gentianstand_reports_sent_total"),
+		},
+	}
+	set.NewGauge("gentianstand_workers_owned", func() float64 { return float64(o.count(fleet.Ready)) })
+	set.NewGauge("gentianstand_workers_lost", func() float64 { return float64(o.count(fleet.Lost)) })
+	return o
+}
+
+// Run reports to the planner until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	defer o.quit()
+	for ctx.Err() == nil {
+		all := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.news:
+			time.Sleep(coalesce)
+		case <-ticker.C:
+			all = true
+		}
+		o.reportOnce(ctx, all)
+	}
+}
+
+// reportOnce sends what changed, or all. What could not be brought stays
+// marked and goes with the next report.
+func (o *Owner) reportOnce(ctx context.Context, all bool) {
+	minders := o.list()
+	var sent []*minder
+	var reports []fleet.Report
+	for _, m := range minders {
+		if m.clean() || all {
+			sent = append(sent, m)
+			reports = append(reports, m.report())
+		}
+	}
+	if len(reports) == 0 {
+		return
+	}
+	acked, err := o.planner.Report(ctx, reports)
+	o.metrics.reports.Inc()
+	if err != nil {
+		for _, m := range sent {
+			m.soil()
+		}
+		o.log.WithError(err).Debug("report_failed")
+		return
+	}
+	o.acknowledge(acked, minders)
+}
+
+// clean takes the mark that there is news and returns whether it was set.
+func (m *minder) clean() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	was := m.dirty
+	m.dirty = false
+	return was
+}
+
+func (m *minder) soil() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dirty = true
+}
+
+func (o *Owner) acknowledge(refs []worker.TaskRef, minders []*minder) {
+	for _, m := range minders {
+		m.mu.Lock()
+		for _, ref := range refs {
+			m.tracker.Acknowledge(ref)
+		}
+		m.mu.Unlock()
+	}
+}
+
+func (o *Owner) wakeReporter() {
+	select {
+	case o.news <- struct{}{}:
+	default:
+	}
+}
+
+// ReportAll makes the next report hold all workers, because the planner has
+// changed.
+func (o *Owner) ReportAll() {
+	for _, m := range o.list() {
+		m.soil()
+	}
+	o.wakeReporter()
+}
+
+// SetHeld takes in which shards this process holds now.
+func (o *Owner) SetHeld(held []ownership.Held) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held = map[string]ownership.Held{}
+	for _, h := range held {
+		if h.Shard.Name != live.PlannerShard {
+			o.held[h.Shard.Name] = h
+		}
+	}
+	o.reconcileLocked()
+}
+
+// SetDirectory takes in the platform's list of instances. It lags, so it adds
+// workers and marks leaving ones; a worker that is no longer listed is kept
+// until its leases have lapsed.
+func (o *Owner) SetDirectory(list []platform.Instance) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.directory = list
+	o.reconcileLocked()
+}
+
+// SetDrains takes in which planned stops are asked for.
+func (o *Owner) SetDrains(drains map[string]live.Drain) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.drains = drains
+	o.reconcileLocked()
+}
+
+func (o *Owner) reconcileLocked() {
+	listed := map[string]bool{}
+	for _, inst := range o.directory {
+		if inst.Role != platform.RoleWorker {
+			continue
+		}
+		listed[inst.ID] = true
+		if h, ok := o.held[inst.Rack]; ok {
+			o.mindLocked(inst, h)
+		}
+	}
+	for id, m := range o.minders {
+		if m.over(o.held, listed[id]) {
+			o.dropLocked(id, m)
+		}
+	}
+}
+
+// mindLocked starts or refreshes the minder of a worker.
+func (o *Owner) mindLocked(inst platform.Instance, h ownership.Held) {
+	m, ok := o.minders[inst.ID]
+	if ok && m.epoch == h.Shard.Epoch && m.address == inst.Address {
+		m.refresh(inst, h, o.drains)
+		return
+	}
+	if ok {
+		o.dropLocked(inst.ID, m)
+	}
+	if !h.GivenAt.IsZero() {
+		return
+	}
+	ctx, quit := context.WithCancel(o.base)
+	site := Site{Instance: inst, Shard: inst.Rack, Epoch: h.Shard.Epoch}
+	_, draining := o.drains[inst.ID]
+	m = &minder{
+		id: inst.ID, epoch: h.Shard.Epoch, address: inst.Address, shard: inst.Rack,
+		owner: o, agent: o.dial(inst.Address), kick: make(chan struct{}, 1), quit: quit, draining: draining,
+		tracker: NewTracker(site, o.id, o.timing, h.OldLeasesEnd(o.timing)), held: h, dirty: true,
+	}
+	o.minders[inst.ID] = m
+	go m.run(ctx)
+}
+
+// refresh takes in what may have changed around a worker.
+func (m *minder) refresh(inst platform.Instance, h ownership.Held, drains map[string]live.Drain) {
+	_, draining := drains[inst.ID]
+	m.mu.Lock()
+	changed := m.draining != draining || m.tracker.site.Instance.Leaving != inst.Leaving
+	m.draining = draining
+	m.tracker.site.Instance = inst
+	m.held = h
+	m.tracker.SetOldLeasesEnd(h.OldLeasesEnd(m.owner.timing))
+	m.dirty = m.dirty || changed
+	m.mu.Unlock()
+	if changed {
+		m.changed(true, time.Now())
+	}
+}
+
+// over reports whether the worker needs no minding any more: its shard is not
+// held, or it left the list and nothing of it can be running.
+func (m *minder) over(held map[string]ownership.Held, listed bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, ok := held[m.shard]
+	if !ok || h.Shard.Epoch != m.epoch {
+		return true
+	}
+	return !listed && m.tracker.State() == fleet.Lost && !m.dirty
+}
+
+func (o *Owner) dropLocked(id string, m *minder) {
+	m.quit()
+	delete(o.minders, id)
+	o.router.Remove(id)
+}
+
+// overtaken drops a worker that a later owner has claimed.
+func (o *Owner) overtaken(m *minder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.minders[m.id] == m {
+		o.dropLocked(m.id, m)
+		m.log().Info("worker_overtaken")
+	}
+}
+
+// Assign takes in what the planner of an epoch decided. A planner that was
+// overtaken is refused with NotOwner, however late its message arrives.
+func (o *Owner) Assign(plannerEpoch uint64, assignments []fleet.Assignment) error {
+	if err := o.MeetPlanner(plannerEpoch); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range assignments {
+		if m, ok := o.minders[a.Worker]; ok {
+			m.assign(a)
+		}
+	}
+	return nil
+}
+
+func (m *minder) assign(a fleet.Assignment) {
+	m.mu.Lock()
+	changed := m.tracker.Assign(a)
+	waiting := m.tracker.Waiting()
+	m.dirty = m.dirty || changed
+	m.mu.Unlock()
+	if changed && waiting {
+		m.wake()
+	}
+	if changed {
+		m.changed(true, time.Now())
+	}
+}
+
+// MeetPlanner notes the epoch of a planner and refuses a lower one than seen
+// before.
+func (o *Owner) MeetPlanner(epoch uint64) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if epoch < o.plannerEpoch {
+		return fault.New(fault.NotOwner, "planner epoch %d was overtaken by %d", epoch, o.plannerEpoch)
+	}
+	o.plannerEpoch = epoch
+	return nil
+}
+
+// Reports returns the owner's word on all its workers.
+func (o *Owner) Reports() []fleet.Report {
+	minders := o.list()
+	reports := make([]fleet.Report, 0, len(minders))
+	for _, m := range minders {
+		reports = append(reports, m.report())
+	}
+	return reports
+}
+
+func (o *Owner) list() []*minder {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := make([]*minder, 0, len(o.minders))
+	for _, m := range o.minders {
+		list = append(list, m)
+	}
+	return list
+}
+
+func (o *Owner) count(state fleet.WorkerState) int {
+	n := 0
+	for _, m := range o.list() {
+		m.mu.Lock()
+		if m.tracker.State() == state {
+			n++
+		}
+		m.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/ownership/decide.go
@@ -0,0 +1,95 @@
+package ownership
+
+import (
+	"slices"
+	"strings"
+
+	"gentianstand/internal/live"
+)
+
+// Input is what Decide looks at.
+type Input struct {
+	Me     live.Process
+	View   live.View
+	Places []Place
+	// Alive tells whether a process holds its session.
+	Alive func(live.Process) bool
+}
+
+// Decide returns the changes that Me should write: shards to take because
+// their owner is gone, and shards to hand over because another instance
+// should have them. Several instances may decide on different views; the
+// conditional write lets one of them win.
+func Decide(in Input) []Action {
+	alive := aliveInstances(in)
+	current := currentOwners(in)
+	desired := Desired(alive, in.Places, current)
+	var actions []Action
+	for _, p := range in.Places {
+		if a, ok := decidePlace(in, p.Name, desired[p.Name], current[p.Name]); ok {
+			actions = append(actions, a)
+		}
+	}
+	return actions
+}
+
+func decidePlace(in Input, name, wanted, holder string) (Action, bool) {
+	row := in.View.Shards[name]
+	mine := row.Owner == in.Me
+	switch {
+	case wanted == "" || wanted == holder:
+		return Action{}, false
+	case mine:
+		return in.change(name, row, in.View.Instances[wanted].Process, true), true
+	case holder == "" && wanted == in.Me.Instance:
+		return in.change(name, row, in.Me, false), true
+	default:
+		return Action{}, false
+	}
+}
+
+func (in Input) change(name string, row live.Shard, to live.Process, handedOver bool) Action {
+	next := live.Shard{Name: name, Owner: to, Epoch: row.Epoch + 1, Predecessors: slices.Clone(row.Predecessors)}
+	if row.Owner != (live.Process{}) {
+		old := live.Predecessor{Process: row.Owner, HandedOver: handedOver, Electors: in.electorsOf(row.Owner)}
+		next.Predecessors = append(next.Predecessors, old)
+	}
+	return Action{Shard: next, Was: row.Version}
+}
+
+// electorsOf returns the electors that p's row named when it was last seen.
+// An empty list can never give a majority, so p then cannot be fenced.
+func (in Input) electorsOf(p live.Process) []live.Process {
+	row := in.View.Instances[p.Instance]
+	switch p {
+	case row.Process:
+		return row.Electors
+	case row.Replaced:
+		return row.ReplacedElectors
+	default:
+		return nil
+	}
+}
+
+func aliveInstances(in Input) []live.Instance {
+	var alive []live.Instance
+	for _, inst := range in.View.Instances {
+		if !inst.Stopping && in.Alive(inst.Process) {
+			alive = append(alive, inst)
+		}
+	}
+	slices.SortFunc(alive, func(x, y live.Instance) int { return strings.Compare(x.Instance, y.Instance) })
+	return alive
+}
+
+// currentOwners returns the instance that holds each shard, leaving out
+// shards whose owner is gone. A stopping owner that is alive still holds.
+func currentOwners(in Input) map[string]string {
+	owners := map[string]string{}
+	for name, row := range in.View.Shards {
+		if in.Alive(row.Owner) {
+			owners[name] = row.Owner.Instance
+		}
+	}
+	return owners
+}
--- /dev/null
+++ b/internal/ownership/desired.go
@@ -0,0 +1,129 @@
+package ownership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianstand/internal/live"
+)
+
+// Desired returns which instance should own each place. It keeps owners that
+// are alive as long as nobody has clearly more than others, so that one
+// change of the membership moves few shards.
+//
+// An owner should stand in another availability zone of the same region than
+// its workers. If a zone goes, its workers and their owner then do not go
+// together: the owner lives, knows that it let the leases lapse, and starts
+// the work elsewhere within seconds. If both went, a newcomer could not tell
+// a dead owner from one that still renews the leases behind a cut.
+func Desired(alive []live.Instance, places []Place, current map[string]string) map[string]string {
+	if len(alive) == 0 {
+		return map[string]string{}
+	}
+	a := newAssigner(alive, len(places))
+	ordered := slices.Clone(places)
+	slices.SortFunc(ordered, func(x, y Place) int { return strings.Compare(x.Name, y.Name) })
+	var open []Place
+	for _, p := range ordered {
+		if !a.keep(p, current[p.Name]) {
+			open = append(open, p)
+		}
+	}
+	for _, p := range open {
+		a.assign(p)
+	}
+	return a.owner
+}
+
+type assigner struct {
+	alive []live.Instance
+	byID  map[string]live.Instance
+	load  map[string]int
+	most  int
+	owner map[string]string
+}
+
+func newAssigner(alive []live.Instance, places int) *assigner {
+	a := &assigner{alive: alive, byID: map[string]live.Instance{}, load: map[string]int{}, owner: map[string]string{}}
+	for _, inst := range alive {
+		a.byID[inst.Instance] = inst
+	}
+	a.most = (places + len(alive) - 1) / len(alive)
+	return a
+}
+
+func (a *assigner) keep(p Place, owner string) bool {
+	inst, ok := a.byID[owner]
+	if !ok || a.load[owner] >= a.most || distance(p, inst) > a.nearest(p) {
+		return false
+	}
+	a.give(p, owner)
+	return true
+}
+
+func (a *assigner) assign(p Place) {
+	best := slices.MinFunc(a.alive, func(x, y live.Instance) int { return a.compare(p, x, y) })
+	a.give(p, best.Instance)
+}
+
+func (a *assigner) give(p Place, owner string) {
+	a.owner[p.Name] = owner
+	a.load[owner]++
+}
+
+// compare prefers an instance with room, then the right zone, then the least
+// loaded, then the highest hash.
+func (a *assigner) compare(p Place, x, y live.Instance) int {
+	if fx, fy := a.load[x.Instance] >= a.most, a.load[y.Instance] >= a.most; fx != fy {
+		return boolOrder(fx)
+	}
+	if d := distance(p, x) - distance(p, y); d != 0 {
+		return d
+	}
+	if d := a.load[x.Instance] - a.load[y.Instance]; d != 0 {
+		return d
+	}
+	if hash(p.Name, x.Instance) > hash(p.Name, y.Instance) {
+		return -1
+	}
+	return 1
+}
+
+func (a *assigner) nearest(p Place) int {
+	best := farAway
+	for _, inst := range a.alive {
+		best = min(best, distance(p, inst))
+	}
+	return best
+}
+
+// The order of preference between an instance and a place.
+const (
+	otherZone = iota
+	sameZone
+	farAway
+)
+
+func distance(p Place, inst live.Instance) int {
+	switch {
+	case p.Zone == "":
+		return otherZone
+	case p.Region != inst.Region:
+		return farAway
+	case p.Zone == inst.Zone:
+		return sameZone
+	default:
+		return otherZone
+	}
+}
+
+func hash(place, instance string) uint64 { return xxhash.Sum64String(place + "|" + instance) }
+
+func boolOrder(x bool) int {
+	if x {
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/ownership/peers.go
@@ -0,0 +1,15 @@
+package ownership
+
+import (
+	"context"
+
+	"gentianstand/internal/live"
+)
+
+// Peers is how a Keeper reaches electors.
+type Peers interface {
+	// Vouch asks an elector to vouch for subject.
+	Vouch(ctx context.Context, elector, subject live.Process) (bool, error)
+	// Fence asks an elector never again to vouch for subject.
+	Fence(ctx context.Context, elector, subject live.Process) error
+}
--- /dev/null
+++ b/internal/placement/batch/batch.go
@@ -0,0 +1,70 @@
+// Package batch places single tasks tightly, so that large holes stay whole
+// for work that needs them.
+package batch
+
+import (
+	"gentianstand/internal/placement/cluster"
+	"gentianstand/internal/placement/policy"
+	"gentianstand/internal/resource"
+)
+
+// scale makes fractions of a worker integers, so that equal scores are equal.
+const scale = 1 << 16
+
+// acceleratorPenalty keeps tasks without accelerators off workers that have
+// some, as long as there is room elsewhere.
+const acceleratorPenalty = 8 * scale
+
+// Policy is best fit over all dimensions. It implements policy.Policy.
+type Policy struct{}
+
+// Place chooses the worker that the task leaves most tightly filled; of equal
+// ones the first.
+func (Policy) Place(c *cluster.Cluster, req policy.Request) policy.Decision {
+	best := -1
+	var lowest int64
+	c.EachFit(req.Need, func(i int, n *cluster.Node) {
+		if !req.Need.Fits(req.Room(n.Free, n.Late)) || (req.Avoid != nil && req.Avoid(n.ID)) {
+			return
+		}
+		score := Score(n, req.Need)
+		if best < 0 || score < lowest {
+			best, lowest = i, score
+		}
+	})
+	if best < 0 {
+		return policy.Decision{Reason: policy.NoRoom}
+	}
+	return policy.Decision{Nodes: []int{best}, Reason: policy.Found}
+}
+
+// Score is lower for a worker that need fits more tightly. It adds up what
+// stays free as a share of the worker, and how uneven that is: processors
+// left without memory, or the reverse, can hold nothing.
+func Score(n *cluster.Node, need resource.Amount) int64 {
+	left := n.Free.Sub(need)
+	cpu := share(left.MilliCPU, n.Capacity.MilliCPU)
+	memory := share(left.MemoryMiB, n.Capacity.MemoryMiB)
+	score := cpu + memory + abs(cpu-memory)
+	if n.Capacity.Accelerators > 0 {
+		score += share(left.Accelerators, n.Capacity.Accelerators)
+		if need.Accelerators == 0 {
+			score += acceleratorPenalty
+		}
+	}
+	return score
+}
+
+func share(part, whole int64) int64 {
+	if whole == 0 {
+		return 0
+	}
+	return part * scale / whole
+}
+
+func abs(x int64) int64 {
+	if x < 0 {
+		return -x
+	}
+	return x
+}
--- /dev/null
+++ b/internal/placement/cluster/cluster.go
@@ -0,0 +1,192 @@
+package cluster
+
+import "gentianstand/internal/resource"
+
+// Cluster is a set of workers. It is not safe for concurrent use.
+type Cluster struct {
+	nodes  []Node
+	racks  []group
+	zones  []group
+	byID   map[string]int
+	rackOf map[string]int
+	zoneOf map[string]int
+	counts map[string]*Counts
+}
+
+// group is a rack (members are nodes) or a zone (members are racks).
+type group struct {
+	name    string
+	members []int
+	zone    int
+	// most is the largest free amount in each dimension of any open member.
+	most resource.Amount
+}
+
+// New returns a Cluster of the given nodes.
+func New(nodes []Node) *Cluster {
+	c := &Cluster{byID: map[string]int{}, rackOf: map[string]int{}, zoneOf: map[string]int{}, counts: map[string]*Counts{}}
+	for _, n := range nodes {
+		c.add(n)
+	}
+	c.Refresh()
+	return c
+}
+
+func (c *Cluster) add(n Node) {
+	zone, ok := c.zoneOf[n.Region+"/"+n.Zone]
+	if !ok {
+		zone = len(c.zones)
+		c.zoneOf[n.Region+"/"+n.Zone] = zone
+		c.zones = append(c.zones, group{name: n.Zone})
+	}
+	rackKey := n.Region + "/" + n.Zone + "/" + n.Rack
+	rack, ok := c.rackOf[rackKey]
+	if !ok {
+		rack = len(c.racks)
+		c.rackOf[rackKey] = rack
+		c.racks = append(c.racks, group{name: n.Rack, zone: zone})
+		c.zones[zone].members = append(c.zones[zone].members, rack)
+	}
+	n.rack, n.zone = rack, zone
+	i := len(c.nodes)
+	c.nodes = append(c.nodes, n)
+	c.byID[n.ID] = i
+	c.racks[rack].members = append(c.racks[rack].members, i)
+}
+
+// Len returns the number of workers.
+func (c *Cluster) Len() int { return len(c.nodes) }
+
+// Racks returns the number of racks.
+func (c *Cluster) Racks() int { return len(c.racks) }
+
+// Node returns worker i.
+func (c *Cluster) Node(i int) *Node { return &c.nodes[i] }
+
+// Find returns the index of a worker.
+func (c *Cluster) Find(id string) (int, bool) {
+	i, ok := c.byID[id]
+	return i, ok
+}
+
+// Take gives need on worker i to a task of workload.
+func (c *Cluster) Take(i int, workload string, need resource.Amount) {
+	n := &c.nodes[i]
+	n.Free = n.Free.Sub(need)
+	n.Late = n.Late.Sub(need)
+	c.Counts(workload).add(n, i, 1)
+	c.refresh(n)
+}
+
+// Load is Take for filling a new cluster: Refresh must follow before the next
+// placement.
+func (c *Cluster) Load(i int, workload string, need resource.Amount) {
+	n := &c.nodes[i]
+	n.Free = n.Free.Sub(need)
+	n.Late = n.Late.Sub(need)
+	c.Counts(workload).add(n, i, 1)
+}
+
+// Refresh brings the index up to date after Load.
+func (c *Cluster) Refresh() {
+	for r := range c.racks {
+		c.refreshRack(r)
+	}
+	for z := range c.zones {
+		c.refreshZone(z)
+	}
+}
+
+// Give returns need on worker i from a task of workload.
+func (c *Cluster) Give(i int, workload string, need resource.Amount) {
+	n := &c.nodes[i]
+	n.Free = n.Free.Add(need)
+	n.Late = n.Late.Add(need)
+	c.Counts(workload).add(n, i, -1)
+	c.refresh(n)
+}
+
+// Hold reserves need on worker i for later: long tasks may not take it.
+func (c *Cluster) Hold(i int, need resource.Amount) {
+	c.nodes[i].Late = c.nodes[i].Late.Sub(need)
+}
+
+// SetLate sets what long tasks may take on worker i.
+func (c *Cluster) SetLate(i int, late resource.Amount) { c.nodes[i].Late = late }
+
+// SetClosed opens or closes worker i.
+func (c *Cluster) SetClosed(i int, closed bool) {
+	c.nodes[i].Closed = closed
+	c.refresh(&c.nodes[i])
+}
+
+// Counts returns where tasks of a workload stand.
+func (c *Cluster) Counts(workload string) *Counts {
+	counts, ok := c.counts[workload]
+	if !ok {
+		counts = &Counts{zone: make([]int, len(c.zones)), rack: make([]int, len(c.racks)), node: map[int]int{}}
+		c.counts[workload] = counts
+	}
+	return counts
+}
+
+// EachFit calls visit for every open worker with need free, skipping racks and
+// zones in which none has.
+func (c *Cluster) EachFit(need resource.Amount, visit func(i int, n *Node)) {
+	for z := range c.zones {
+		if !need.Fits(c.zones[z].most) {
+			continue
+		}
+		for _, r := range c.zones[z].members {
+			c.EachFitInRack(r, need, visit)
+		}
+	}
+}
+
+// EachFitInRack is EachFit for one rack.
+func (c *Cluster) EachFitInRack(rack int, need resource.Amount, visit func(i int, n *Node)) {
+	g := &c.racks[rack]
+	if !need.Fits(g.most) {
+		return
+	}
+	for _, i := range g.members {
+		n := &c.nodes[i]
+		if !n.Closed && need.Fits(n.Free) {
+			visit(i, n)
+		}
+	}
+}
+
+// RackMayFit reports whether some worker of a rack may have need free.
+func (c *Cluster) RackMayFit(rack int, need resource.Amount) bool {
+	return need.Fits(c.racks[rack].most)
+}
+
+// ZoneOfRack returns the zone of a rack.
+func (c *Cluster) ZoneOfRack(rack int) int { return c.racks[rack].zone }
+
+// RackNodes returns the workers of a rack.
+func (c *Cluster) RackNodes(rack int) []int { return c.racks[rack].members }
+
+func (c *Cluster) refresh(n *Node) {
+	c.refreshRack(n.rack)
+	c.refreshZone(n.zone)
+}
+
+func (c *Cluster) refreshRack(r int) {
+	var most resource.Amount
+	for _, i := range c.racks[r].members {
+		if !c.nodes[i].Closed {
+			most = most.Max(c.nodes[i].Free)
+		}
+	}
+	c.racks[r].most = most
+}
+
+func (c *Cluster) refreshZone(z int) {
+	var most resource.Amount
+	for _, r := range c.zones[z].members {
+		most = most.Max(c.racks[r].most)
+	}
+	c.zones[z].most = most
+}
--- /dev/null
+++ b/internal/placement/explain/explain.go
@@ -0,0 +1,68 @@
+// Package explain tells why work can never run: which worker comes nearest to
+// holding a task, and what it lacks.
+package explain
+
+import (
+	"fmt"
+
+	"gentianstand/internal/placement/cluster"
+	"gentianstand/internal/resource"
+)
+
+// Never reports whether no worker could hold need even when empty, and if so
+// names the nearest worker and what is missing there. With no workers at all
+// it reports false: nothing is known yet.
+func Never(c *cluster.Cluster, need resource.Amount) (string, bool) {
+	nearest := -1
+	var least float64
+	for i := range c.Len() {
+		n := c.Node(i)
+		if need.Fits(n.Capacity) {
+			return "", false
+		}
+		if lack := lackShare(need, n.Capacity); nearest < 0 || lack < least {
+			nearest, least = i, lack
+		}
+	}
+	if nearest < 0 {
+		return "", false
+	}
+	n := c.Node(nearest)
+	return fmt.Sprintf("no worker can hold a task of %s; the nearest, %s, lacks %s", need, n.ID, missing(need, n.Capacity)), true
+}
+
+// NeverAll reports the same for a gang: whether all workers together, when
+// empty, have too few places for its tasks.
+func NeverAll(c *cluster.Cluster, need resource.Amount, tasks int) (string, bool) {
+	if c.Len() == 0 {
+		return "", false
+	}
+	if why, never := Never(c, need); never {
+		return why, true
+	}
+	var places int64
+	for i := range c.Len() {
+		places += need.CountIn(c.Node(i).Capacity, int64(tasks))
+	}
+	if places >= int64(tasks) {
+		return "", false
+	}
+	return fmt.Sprintf("all %d tasks must run at once, but the workers have only %d places for a task of %s", tasks, places, need), true
+}
+
+// lackShare adds up what is missing as a share of what is needed.
+func lackShare(need, have resource.Amount) float64 {
+	short := need.Sub(have)
+	return part(short.MilliCPU, need.MilliCPU) + part(short.MemoryMiB, need.MemoryMiB) + part(short.Accelerators, need.Accelerators)
+}
+
+func part(short, need int64) float64 {
+	if short <= 0 || need == 0 {
+		return 0
+	}
+	return float64(short) / float64(need)
+}
+
+func missing(need, have resource.Amount) resource.Amount {
+	return need.Sub(have).Max(resource.Amount{})
+}
--- /dev/null
+++ b/internal/placement/order/item.go
@@ -0,0 +1,19 @@
+// Package order decides whose work is placed first.
+package order
+
+import "time"
+
+// Item is pending work of one run.
+type Item struct {
+	Run  string
+	Team string
+	// Rank is the urgency, 0 first.
+	Rank int
+	// Due is when the run must have been started to finish by its deadline;
+	// zero if it has none.
+	Due time.Time
+	// Since is when the work became ready.
+	Since time.Time
+	// Gang says that the tasks must start together.
+	Gang bool
+}
--- /dev/null
+++ b/internal/placement/order/order.go
@@ -0,0 +1,66 @@
+package order
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gentianstand/internal/resource"
+)
+
+// dueSoon is how close a due time must be to go before fairness.
+const dueSoon = 10 * time.Minute
+
+// Sort orders items: the urgent first; then work that would miss its deadline;
+// then teams within their quota before borrowers; then the team with the
+// smallest share; then the longest waiting. Teams without work take nothing,
+// so what they leave goes to the others.
+func Sort(items []Item, shares map[string]Share, total resource.Amount, now time.Time) {
+	dominant := make(map[string]float64, len(shares))
+	over := make(map[string]bool, len(shares))
+	for team, s := range shares {
+		dominant[team] = s.Dominant(total)
+		over[team] = s.Over()
+	}
+	slices.SortStableFunc(items, func(a, b Item) int {
+		if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
+			return c
+		}
+		if c := compareDue(a, b, now); c != 0 {
+			return c
+		}
+		if c := compareBool(over[a.Team], over[b.Team]); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(dominant[a.Team], dominant[b.Team]); c != 0 {
+			return c
+		}
+		if c := a.Since.Compare(b.Since); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Run, b.Run)
+	})
+}
+
+func compareDue(a, b Item, now time.Time) int {
+	soonA, soonB := isSoon(a, now), isSoon(b, now)
+	if soonA && soonB {
+		return a.Due.Compare(b.Due)
+	}
+	return -compareBool(soonA, soonB)
+}
+
+func isSoon(i Item, now time.Time) bool {
+	return !i.Due.IsZero() && i.Due.Sub(now) <= dueSoon
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- /dev/null
+++ b/internal/placement/order/share.go
@@ -0,0 +1,30 @@
+package order
+
+import "gentianstand/internal/resource"
+
+// Share is what a team uses against what it is entitled to.
+type Share struct {
+	Used   resource.Amount
+	Quota  resource.Amount
+	Weight int64
+}
+
+// Dominant returns the largest used part of any dimension of total, divided by
+// the team's weight (dominant resource fairness: Ghodsi et al., NSDI 2011).
+func (s Share) Dominant(total resource.Amount) float64 {
+	most := 0.0
+	most = max(most, ratio(s.Used.MilliCPU, total.MilliCPU))
+	most = max(most, ratio(s.Used.MemoryMiB, total.MemoryMiB))
+	most = max(most, ratio(s.Used.Accelerators, total.Accelerators))
+	return most / float64(max(s.Weight, 1))
+}
+
+// Over reports whether the team uses more than its quota in some dimension.
+func (s Share) Over() bool { return !s.Used.Fits(s.Quota) }
+
+func ratio(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/placement/policy/reason.go
@@ -0,0 +1,24 @@
+package policy
+
+// Reason says why a request was placed or not.
+type Reason string
+
+// The reasons.
+const (
+	Found Reason = "found"
+	// NoRoom means that no worker has the room now.
+	NoRoom Reason = "no_room"
+	// NotEnough means that some tasks of a gang would have room, but not all.
+	NotEnough Reason = "not_enough_room_for_all"
+	// Never means that no worker could hold the task even when empty.
+	Never Reason = "no_worker_is_large_enough"
+	// OverQuota means that the team's quota is used up.
+	OverQuota Reason = "team_quota_used_up"
+	// WaitsFor means that a dependency is not ready.
+	WaitsFor Reason = "waits_for_dependency"
+	// BackingOff means that a failed attempt is to be repeated later.
+	BackingOff Reason = "backing_off_after_failure"
+	// Recovering means that workers have not been accounted for since the
+	// planner changed.
+	Recovering Reason = "recovering"
+)
--- /dev/null
+++ b/internal/placement/service/service.go
@@ -0,0 +1,77 @@
+// Package service places replicas of services apart from one another, so that
+// the loss of a rack or an availability zone takes as few as possible.
+package service
+
+import (
+	"gentianstand/internal/placement/batch"
+	"gentianstand/internal/placement/cluster"
+	"gentianstand/internal/placement/policy"
+	"gentianstand/internal/spec"
+)
+
+// Policy implements policy.Policy.
+type Policy struct{}
+
+// rank orders workers for a replica; the lower is better, field by field.
+type rank struct {
+	zone, rack, node int
+	score            int64
+}
+
+func (a rank) less(b rank) bool {
+	switch {
+	case a.zone != b.zone:
+		return a.zone < b.zone
+	case a.rack != b.rack:
+		return a.rack < b.rack
+	case a.node != b.node:
+		return a.node < b.node
+	default:
+		return a.score < b.score
+	}
+}
+
+// Place chooses a worker where the levels of spreading hold the fewest
+// replicas; of equal ones the tightest fit, then the first. Racks that cannot
+// beat the best found so far are passed over whole.
+func (Policy) Place(c *cluster.Cluster, req policy.Request) policy.Decision {
+	counts := c.Counts(req.Workload)
+	best := -1
+	var lowest rank
+	for r := range c.Racks() {
+		floor := floorRank(c, counts, req.Spread, r)
+		if best >= 0 && !floor.less(lowest) || !c.RackMayFit(r, req.Need) {
+			continue
+		}
+		c.EachFitInRack(r, req.Need, func(i int, n *cluster.Node) {
+			if !req.Need.Fits(req.Room(n.Free, n.Late)) || (req.Avoid != nil && req.Avoid(n.ID)) {
+				return
+			}
+			at := floor
+			at.node = counts.Node(i)
+			if req.Spread == spec.SpreadNone {
+				at.node = 0
+			}
+			at.score = batch.Score(n, req.Need)
+			if best < 0 || at.less(lowest) {
+				best, lowest = i, at
+			}
+		})
+	}
+	if best < 0 {
+		return policy.Decision{Reason: policy.NoRoom}
+	}
+	return policy.Decision{Nodes: []int{best}, Reason: policy.Found}
+}
+
+// floorRank is the best rank that a worker of a rack can have.
+func floorRank(c *cluster.Cluster, counts *cluster.Counts, spread spec.Spread, r int) rank {
+	var floor rank
+	if spread == spec.SpreadZone {
+		floor.zone = counts.InZone(c.ZoneOfRack(r))
+	}
+	if spread == spec.SpreadZone || spread == spec.SpreadRack {
+		floor.rack = counts.InRack(r)
+	}
+	return floor
+}
--- /dev/null
+++ b/internal/planner/core.go
@@ -0,0 +1,130 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/estimate"
+	"gentianstand/internal/health"
+	"gentianstand/internal/placement/cluster"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
+	"gentianstand/internal/worker"
+)
+
+// Core is the planner's state and decisions. It is not safe for concurrent
+// use; time is passed in.
+type Core struct {
+	text   *spec.Text
+	number uint64
+
+	runs    map[string]*entry
+	active  map[string]*entry
+	workers map[string]*workerView
+	// cluster is rebuilt when the set of workers or their state changes.
+	cluster      *cluster.Cluster
+	clusterStale bool
+	fleetVersion int
+
+	used    map[string]resource.Amount
+	history map[string]*estimate.History
+	board   *health.Board
+
+	recovery recovery
+	// claims keeps workers for urgent runs while victims make room.
+	claims map[string]claim
+	hold   reservation
+
+	changed map[string]*entry
+	// decided are starts that have not gone into a batch; unwritten also holds
+	// those whose batch is under way.
+	decided   []start
+	unwritten map[taskKey]int
+	outbox    *outbox
+	events    []Event
+}
+
+// NewCore returns a Core with the runs that the table holds.
+func NewCore(runs []*run.Run, now time.Time) *Core {
+	c := &Core{
+		text: &spec.Text{}, runs: map[string]*entry{}, active: map[string]*entry{},
+		workers: map[string]*workerView{}, clusterStale: true,
+		used: map[string]resource.Amount{}, history: map[string]*estimate.History{}, board: health.NewBoard(),
+		claims: map[string]claim{}, changed: map[string]*entry{}, unwritten: map[taskKey]int{}, outbox: newOutbox(),
+	}
+	c.recovery = newRecovery(now)
+	for _, r := range runs {
+		c.load(r, now)
+	}
+	return c
+}
+
+func (c *Core) load(r *run.Run, now time.Time) {
+	e := newEntry(r)
+	e.stored = run.Chunks(len(r.Tasks))
+	e.since = now
+	c.runs[r.ID] = e
+	if r.State.Final() {
+		return
+	}
+	e.old = e.pending > 0
+	c.active[r.ID] = e
+	for i := range r.Tasks {
+		if r.Tasks[i].State == run.TaskAssigned {
+			c.book(e, i)
+		}
+	}
+}
+
+// book enters an assigned task in the books of its worker and team.
+func (c *Core) book(e *entry, index int) {
+	t := &e.run.Tasks[index]
+	v := c.view(t.Worker)
+	v.tasks[taskKey{e.run.ID, index}] = true
+	c.used[e.run.Workload.Team] = c.used[e.run.Workload.Team].Add(t.Need)
+}
+
+// unbook removes a task that no longer uses its worker.
+func (c *Core) unbook(e *entry, index int) {
+	t := &e.run.Tasks[index]
+	v := c.view(t.Worker)
+	key := taskKey{e.run.ID, index}
+	if !v.tasks[key] {
+		return
+	}
+	delete(v.tasks, key)
+	c.used[e.run.Workload.Team] = c.used[e.run.Workload.Team].Sub(t.Need)
+	if i, ok := c.findNode(t.Worker); ok {
+		c.cluster.Give(i, e.run.Workload.Name, t.Need)
+	}
+}
+
+func (c *Core) view(id string) *workerView {
+	v, ok := c.workers[id]
+	if !ok {
+		v = &workerView{tasks: map[taskKey]bool{}, orphans: map[worker.TaskRef]worker.TaskStatus{}}
+		v.report.Worker = id
+		c.workers[id] = v
+	}
+	return v
+}
+
+// findNode returns the worker's place in the cluster, if that is current.
+func (c *Core) findNode(id string) (int, bool) {
+	if c.clusterStale || c.cluster == nil {
+		return 0, false
+	}
+	return c.cluster.Find(id)
+}
+
+func (c *Core) touch(e *entry) { c.changed[e.run.ID] = e }
+
+func (c *Core) touchTask(e *entry, index int) {
+	e.touchTask(index)
+	c.touch(e)
+}
+
+func (c *Core) touchHead(e *entry) {
+	e.head = true
+	c.touch(e)
+}
--- /dev/null
+++ b/internal/planner/entry.go
@@ -0,0 +1,79 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/resource"
+	"gentianstand/internal/run"
+	"gentianstand/internal/worker"
+)
+
+// entry is a run in the planner's memory.
+type entry struct {
+	run *run.Run
+	// head and chunks tell what has changed since the last write.
+	head   bool
+	chunks map[int]bool
+	// stored is how many chunks the table has.
+	stored int
+	// pending counts tasks that wait for a worker.
+	pending int
+	// old says that pending tasks may have been started by an earlier
+	// planner in an outage; they wait for recovery.
+	old bool
+	// since is when the run's work became ready; reason why it waits.
+	since  time.Time
+	reason string
+	// never says that no worker could hold the run, as of fleetVersion.
+	never        bool
+	fleetVersion int
+	// writing says that rows of the run are being written; acks wait for that.
+	writing bool
+	acks    []ack
+	// removed says that the rows of the finished run are to go.
+	removed bool
+	// waiters are told when the run has been written.
+	waiters []func(error)
+}
+
+// ack is an ended attempt that its worker may forget once that is kept.
+type ack struct {
+	worker, boot string
+	ref          worker.TaskRef
+}
+
+func newEntry(r *run.Run) *entry {
+	e := &entry{run: r, chunks: map[int]bool{}}
+	for i := range r.Tasks {
+		if r.Tasks[i].State == run.TaskPending {
+			e.pending++
+		}
+	}
+	return e
+}
+
+func (e *entry) touchTask(index int) { e.chunks[index/run.ChunkSize] = true }
+
+func (e *entry) touchAll() {
+	e.head = true
+	for c := range run.Chunks(len(e.run.Tasks)) {
+		e.chunks[c] = true
+	}
+}
+
+func (e *entry) dirty() bool { return e.head || len(e.chunks) > 0 }
+
+// need is what each task of the run gets: what is declared, or more if tasks
+// of this workload have shown to use more.
+func (c *Core) need(e *entry) resource.Amount {
+	declared := e.run.Workload.Need
+	if h, ok := c.history[e.run.Workload.Name]; ok {
+		if peak, trust := h.Peak(declared); trust >= sizeTrust {
+			return declared.Max(peak)
+		}
+	}
+	return declared
+}
+
+// sizeTrust is how far history must be trusted before it enlarges a task.
+const sizeTrust = 0.5
--- /dev/null
+++ b/internal/planner/fleet.go
@@ -0,0 +1,63 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/placement/cluster"
+	"gentianstand/internal/resource"
+)
+
+// snapshot returns the cluster to place on, rebuilt if workers have changed.
+func (c *Core) snapshot(now time.Time) *cluster.Cluster {
+	if !c.clusterStale && c.cluster != nil {
+		return c.cluster
+	}
+	var nodes []cluster.Node
+	for _, v := range c.workers {
+		if v.usable() {
+			nodes = append(nodes, c.nodeOf(v, now))
+		}
+	}
+	sortNodes(nodes)
+	c.cluster = cluster.New(nodes)
+	for i := range nodes {
+		c.loadBooks(i, c.workers[nodes[i].ID])
+	}
+	c.cluster.Refresh()
+	c.clusterStale = false
+	return c.cluster
+}
+
+func (c *Core) nodeOf(v *workerView, now time.Time) cluster.Node {
+	r := v.report
+	return cluster.Node{
+		ID: r.Worker, Region: r.Region, Zone: r.Zone, Rack: r.Rack,
+		Capacity: r.Capacity, Free: r.Capacity, Late: r.Capacity,
+		Closed: c.board.Out(r.Worker, now), Trial: c.board.Trial(r.Worker),
+	}
+}
+
+// loadBooks takes what the books and orphans use on a worker.
+func (c *Core) loadBooks(i int, v *workerView) {
+	for key := range v.tasks {
+		e := c.runs[key.run]
+		c.cluster.Load(i, e.run.Workload.Name, e.run.Tasks[key.index].Need)
+	}
+	for _, status := range v.orphans {
+		c.cluster.Load(i, status.Workload, status.Need)
+	}
+}
+
+// total returns the capacity of all usable workers.
+func (c *Core) total() resource.Amount {
+	var sum resource.Amount
+	for i := range c.cluster.Len() {
+		sum = sum.Add(c.cluster.Node(i).Capacity)
+	}
+	return sum
+}
+
+func (c *Core) fleetChanged() {
+	c.clusterStale = true
+	c.fleetVersion++
+}
--- /dev/null
+++ b/internal/planner/outbox.go
@@ -0,0 +1,88 @@
+package planner
+
+import (
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/run"
+	"gentianstand/internal/worker"
+)
+
+// outbox gathers what to tell the owners of workers.
+type outbox struct {
+	byWorker map[string]*fleet.Assignment
+}
+
+func newOutbox() *outbox { return &outbox{byWorker: map[string]*fleet.Assignment{}} }
+
+func (o *outbox) of(workerID, boot string) *fleet.Assignment {
+	a, ok := o.byWorker[workerID]
+	if !ok || a.Boot != boot {
+		a = &fleet.Assignment{Worker: workerID, Boot: boot}
+		o.byWorker[workerID] = a
+	}
+	return a
+}
+
+func (o *outbox) start(workerID, boot string, s worker.TaskStart) {
+	a := o.of(workerID, boot)
+	for _, known := range a.Start {
+		if known.Ref == s.Ref {
+			return
+		}
+	}
+	a.Start = append(a.Start, s)
+}
+
+func (o *outbox) stop(workerID, boot string, s worker.TaskStop) {
+	a := o.of(workerID, boot)
+	for _, known := range a.Stop {
+		if known == s {
+			return
+		}
+	}
+	a.Stop = append(a.Stop, s)
+}
+
+func (o *outbox) ack(workerID, boot string, ref worker.TaskRef) {
+	a := o.of(workerID, boot)
+	a.Ack = append(a.Ack, ref)
+}
+
+// Outbox returns what to tell owners and empties it. What does not arrive is
+// noticed from the next report and sent again.
+func (c *Core) Outbox() []fleet.Assignment {
+	list := make([]fleet.Assignment, 0, len(c.outbox.byWorker))
+	for _, id := range sortedKeys(c.outbox.byWorker) {
+		list = append(list, *c.outbox.byWorker[id])
+	}
+	c.outbox = newOutbox()
+	return list
+}
+
+// sendStart puts the start of a booked task in the outbox.
+func (c *Core) sendStart(key taskKey) {
+	e, ok := c.active[key.run]
+	if !ok {
+		return
+	}
+	w := e.run.Workload
+	t := &e.run.Tasks[key.index]
+	if t.State != run.TaskAssigned || !c.view(t.Worker).tasks[key] || t.Stopping {
+		return
+	}
+	c.outbox.start(t.Worker, t.Boot, worker.TaskStart{
+		Ref: c.ref(key), Workload: w.Name, Need: t.Need, Service: w.Kind == "service",
+		Command: w.Command, LimitMillis: w.RunTimeLimit.Milliseconds(),
+	})
+}
+
+// stopTask asks for the end of a booked task.
+func (c *Core) stopTask(e *entry, index int, action worker.StopAction) {
+	t := &e.run.Tasks[index]
+	t.Stopping = true
+	c.outbox.stop(t.Worker, t.Boot, worker.TaskStop{Ref: c.ref(taskKey{e.run.ID, index}), Action: action})
+}
+
+func (c *Core) ref(key taskKey) worker.TaskRef {
+	t := &c.runs[key.run].run.Tasks[key.index]
+	return worker.TaskRef{Run: key.run, Index: key.index, Attempt: t.Attempt}
+}
--- /dev/null
+++ b/internal/planner/persist.go
@@ -0,0 +1,179 @@
+package planner
+
+import (
+	"gentianstand/internal/platform"
+	"gentianstand/internal/run"
+)
+
+// maxRows bounds the rows of one write.
+const maxRows = 400
+
+// Batch is one group commit: rows of many runs, and what may be done once they
+// are written.
+type Batch struct {
+	Puts    []platform.Put
+	Deletes []string
+	// starts wait for the rows; waiters want to hear; acks are for owners.
+	starts  []start
+	waiters []func(error)
+	acks    []ack
+	runs    []string
+	removed []string
+}
+
+// Empty reports whether there is nothing to write.
+func (b *Batch) Empty() bool { return len(b.Puts)+len(b.Deletes) == 0 }
+
+// Changes returns the rows to write next and what hangs on them. At most one
+// batch may be under way; a batch that fails goes to Failed.
+func (c *Core) Changes() (*Batch, error) {
+	b := &Batch{}
+	for _, id := range sortedKeys(c.changed) {
+		if len(b.Puts) >= maxRows {
+			break
+		}
+		e := c.changed[id]
+		if err := c.collect(b, e); err != nil {
+			return nil, err
+		}
+		delete(c.changed, id)
+	}
+	b.starts = c.takeStarts(b.runs)
+	return b, nil
+}
+
+func (c *Core) collect(b *Batch, e *entry) error {
+	if e.removed {
+		c.collectRemoval(b, e)
+		return nil
+	}
+	if e.head {
+		value, err := e.run.HeadValue()
+		if err != nil {
+			return err
+		}
+		b.Puts = append(b.Puts, platform.Put{Key: run.HeadKey(e.run.ID), Value: value})
+	}
+	chunks := run.Chunks(len(e.run.Tasks))
+	for chunk := range e.chunks {
+		if chunk >= chunks {
+			continue
+		}
+		value, err := e.run.ChunkValue(chunk)
+		if err != nil {
+			return err
+		}
+		b.Puts = append(b.Puts, platform.Put{Key: run.ChunkKey(e.run.ID, chunk), Value: value})
+	}
+	for chunk := chunks; chunk < e.stored; chunk++ {
+		b.Deletes = append(b.Deletes, run.ChunkKey(e.run.ID, chunk))
+	}
+	e.stored = chunks
+	e.head = false
+	e.chunks = map[int]bool{}
+	b.waiters = append(b.waiters, e.waiters...)
+	b.acks = append(b.acks, e.acks...)
+	e.waiters, e.acks, e.writing = nil, nil, true
+	b.runs = append(b.runs, e.run.ID)
+	return nil
+}
+
+func (c *Core) collectRemoval(b *Batch, e *entry) {
+	b.Deletes = append(b.Deletes, run.HeadKey(e.run.ID))
+	for chunk := range e.stored {
+		b.Deletes = append(b.Deletes, run.ChunkKey(e.run.ID, chunk))
+	}
+	b.removed = append(b.removed, e.run.ID)
+	b.runs = append(b.runs, e.run.ID)
+}
+
+// takeStarts returns the decided starts whose runs are in the batch.
+func (c *Core) takeStarts(runs []string) []start {
+	in := make(map[string]bool, len(runs))
+	for _, id := range runs {
+		in[id] = true
+	}
+	var now, later []start
+	for _, s := range c.decided {
+		if in[s.task.run] {
+			now = append(now, s)
+		} else {
+			later = append(later, s)
+		}
+	}
+	c.decided = later
+	return now
+}
+
+// Committed notes that a batch has been written: its starts may leave, and
+// workers may forget what it holds.
+func (c *Core) Committed(b *Batch) {
+	c.written(b)
+	c.release(b.starts)
+	for _, id := range b.removed {
+		c.Forget(id)
+	}
+	for _, a := range b.acks {
+		c.outbox.ack(a.worker, a.boot, a.ref)
+	}
+	for _, tell := range b.waiters {
+		tell(nil)
+	}
+}
+
+// Failed puts a batch back that may not have been written. In a confirmed
+// outage its starts may leave all the same: nobody else can plan now, and
+// whoever does later accounts for the workers first. Who waits to hear that
+// something new is kept is told that it is not known.
+func (c *Core) Failed(b *Batch, outage bool, err error) {
+	c.written(b)
+	for _, id := range b.runs {
+		if e, ok := c.runs[id]; ok {
+			if !e.removed {
+				e.touchAll()
+			}
+			c.touch(e)
+		}
+	}
+	for _, a := range b.acks {
+		e := c.runs[a.ref.Run]
+		e.acks = append(e.acks, a)
+	}
+	for _, tell := range b.waiters {
+		tell(err)
+	}
+	if outage {
+		c.release(b.starts)
+	} else {
+		c.decided = append(b.starts, c.decided...)
+	}
+}
+
+func (c *Core) written(b *Batch) {
+	for _, id := range b.runs {
+		if e, ok := c.runs[id]; ok {
+			e.writing = false
+		}
+	}
+}
+
+// release lets starts leave. A start whose task has moved on to another
+// attempt since stays: the row of that attempt has not been written yet.
+func (c *Core) release(starts []start) {
+	for _, s := range starts {
+		if c.unwritten[s.task] == s.attempt {
+			delete(c.unwritten, s.task)
+			c.sendStart(s.task)
+		}
+	}
+}
+
+// ReleaseUnwritten lets all decided starts leave in a confirmed outage, when
+// nothing can be written.
+func (c *Core) ReleaseUnwritten() {
+	c.release(c.decided)
+	c.decided = nil
+}
+
+// Dirty reports whether something waits to be written.
+func (c *Core) Dirty() bool { return len(c.changed) > 0 }
--- /dev/null
+++ b/internal/planner/recovery.go
@@ -0,0 +1,57 @@
+package planner
+
+import "time"
+
+// recovery tells when a new planner knows of everything that an earlier one
+// may have started without writing it down.
+//
+// In a confirmed outage a planner starts accepted tasks although the table
+// cannot take the record. If it then dies, its successor finds those tasks
+// pending in the table. Starting them would run them twice. The workers know
+// what they run, so the successor waits until every owner has reported all
+// its workers and every one of them has answered or is lost for certain. Once
+// an owner has reported to the new planner it refuses starts of the old one.
+type recovery struct {
+	since time.Time
+	done  bool
+	// owners holds the instances that have reported all their workers.
+	owners map[string]bool
+}
+
+func newRecovery(now time.Time) recovery {
+	return recovery{since: now, owners: map[string]bool{}}
+}
+
+// OwnerReported notes that an owner has reported all its workers.
+func (c *Core) OwnerReported(instance string) { c.recovery.owners[instance] = true }
+
+// CheckRecovery ends the recovery once all owners in the table have reported
+// and all listed workers are accounted for.
+func (c *Core) CheckRecovery(owners, listed []string) {
+	if c.recovery.done {
+		return
+	}
+	for _, owner := range owners {
+		if !c.recovery.owners[owner] {
+			return
+		}
+	}
+	for _, id := range listed {
+		if v, ok := c.workers[id]; !ok || !v.accounted() {
+			return
+		}
+	}
+	for _, v := range c.workers {
+		if v.seen && !v.accounted() {
+			return
+		}
+	}
+	c.recovery.done = true
+	for _, e := range c.active {
+		e.old = false
+	}
+	c.event("planner_recovered", "", 0, "", "")
+}
+
+// Recovered reports whether the recovery is over.
+func (c *Core) Recovered() bool { return c.recovery.done }
--- /dev/null
+++ b/internal/planner/report.go
@@ -0,0 +1,164 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
+	"gentianstand/internal/worker"
+)
+
+// Report takes in an owner's word on a worker. A report of a lower epoch than
+// seen before comes from an owner that was overtaken and is dropped.
+func (c *Core) Report(r fleet.Report, now time.Time) {
+	v := c.view(r.Worker)
+	if r.Epoch < v.report.Epoch {
+		return
+	}
+	before := v.report
+	v.report, v.seen = r, true
+	if before.State != r.State || before.Draining != r.Draining || before.Capacity != r.Capacity || before.Boot != r.Boot {
+		c.fleetChanged()
+		c.event("worker_reported", "", 0, r.Worker, string(r.State))
+	}
+	reported := make(map[worker.TaskRef]bool, len(r.Tasks))
+	c.forgetOrphans(v)
+	for _, status := range r.Tasks {
+		reported[status.Ref] = true
+		c.status(v, status, now)
+	}
+	c.missing(v, reported, now)
+	if r.Draining {
+		c.drain(v)
+	}
+}
+
+func (c *Core) forgetOrphans(v *workerView) {
+	for ref, status := range v.orphans {
+		delete(v.orphans, ref)
+		if i, ok := c.findNode(v.report.Worker); ok {
+			c.cluster.Give(i, status.Workload, status.Need)
+		}
+	}
+}
+
+// status takes in what a worker says of one attempt.
+func (c *Core) status(v *workerView, status worker.TaskStatus, now time.Time) {
+	key := taskKey{status.Ref.Run, status.Ref.Index}
+	e, known := c.active[key.run]
+	if !known || key.index >= len(e.run.Tasks) {
+		c.stray(v, status)
+		return
+	}
+	t := &e.run.Tasks[key.index]
+	if c.startedInOutage(t, status) {
+		c.adopt(e, key.index, v, status, now)
+	}
+	if t.Attempt != status.Ref.Attempt || t.State != run.TaskAssigned || t.Worker != v.report.Worker {
+		c.stray(v, status)
+		return
+	}
+	t.Seen = true
+	if status.State == worker.Running {
+		c.running(e, key.index, status, now)
+		return
+	}
+	e.acks = append(e.acks, ack{worker: t.Worker, boot: t.Boot, ref: status.Ref})
+	c.ended(e, key.index, status, now)
+}
+
+// startedInOutage tells an attempt that an earlier planner started without
+// being able to write it down.
+func (c *Core) startedInOutage(t *run.Task, status worker.TaskStatus) bool {
+	return t.State == run.TaskPending && status.Ref.Attempt > t.Attempt && status.State != worker.Refused
+}
+
+func (c *Core) adopt(e *entry, index int, v *workerView, status worker.TaskStatus, now time.Time) {
+	t := &e.run.Tasks[index]
+	t.State, t.Attempt, t.Worker, t.Boot, t.Need = run.TaskAssigned, status.Ref.Attempt, v.report.Worker, v.report.Boot, status.Need
+	t.Definition, t.StartedAt = e.run.Definition, now
+	e.pending--
+	c.book(e, index)
+	if i, ok := c.findNode(t.Worker); ok {
+		c.cluster.Take(i, e.run.Workload.Name, t.Need)
+	}
+	c.setRunning(e)
+	c.touchTask(e, index)
+	c.event("task_adopted", e.run.ID, index, t.Worker, "")
+}
+
+// stray handles an attempt that the books do not have: it is stopped if it
+// runs, and may be forgotten if it has ended.
+func (c *Core) stray(v *workerView, status worker.TaskStatus) {
+	if status.State != worker.Running {
+		c.ackStray(v, status.Ref)
+		return
+	}
+	v.orphans[status.Ref] = status
+	if i, ok := c.findNode(v.report.Worker); ok {
+		c.cluster.Take(i, status.Workload, status.Need)
+	}
+	c.outbox.stop(v.report.Worker, v.report.Boot, worker.TaskStop{Ref: status.Ref, Action: worker.Kill})
+	c.event("task_stray", status.Ref.Run, status.Ref.Index, v.report.Worker, "")
+}
+
+func (c *Core) running(e *entry, index int, status worker.TaskStatus, now time.Time) {
+	t := &e.run.Tasks[index]
+	if t.StartedAt.IsZero() {
+		t.StartedAt = now
+	}
+	if !status.Used.Fits(t.Need) {
+		c.outgrown(e, index, status)
+	}
+}
+
+// missing handles booked attempts that a report does not hold: they have not
+// arrived yet, or went with the worker's process.
+func (c *Core) missing(v *workerView, reported map[worker.TaskRef]bool, now time.Time) {
+	for key := range v.tasks {
+		e := c.runs[key.run]
+		t := &e.run.Tasks[key.index]
+		if reported[c.ref(key)] {
+			continue
+		}
+		switch {
+		case v.report.State == fleet.Lost:
+			c.vanished(e, key.index, "the worker was lost", now)
+		case v.report.State != fleet.Ready:
+		case t.Boot != v.report.Boot:
+			c.vanished(e, key.index, "the worker restarted", now)
+		case c.unwritten[key] != t.Attempt:
+			c.sendStart(key)
+			if t.Stopping {
+				c.stopTask(e, key.index, worker.Kill)
+			}
+		}
+	}
+}
+
+// ackStray lets a worker forget an ended attempt, unless what is known of its
+// run has not been written yet: the worker is then the only one to remember.
+func (c *Core) ackStray(v *workerView, ref worker.TaskRef) {
+	if e, ok := c.runs[ref.Run]; ok && (e.dirty() || e.writing) {
+		return
+	}
+	c.outbox.ack(v.report.Worker, v.report.Boot, ref)
+}
+
+// drain ends what can be moved from a worker that is to stop. Tasks that must
+// not be repeated are left to finish.
+func (c *Core) drain(v *workerView) {
+	for key := range v.tasks {
+		e := c.runs[key.run]
+		if e.run.Tasks[key.index].Stopping {
+			continue
+		}
+		switch {
+		case e.run.Workload.Kind == spec.Service:
+			c.stopTask(e, key.index, worker.Drain)
+		case e.run.Workload.Idempotent:
+			c.stopTask(e, key.index, worker.Checkpoint)
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/reserve.go
@@ -0,0 +1,172 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gentianstand/internal/placement/cluster"
+	"gentianstand/internal/placement/gang"
+	"gentianstand/internal/placement/order"
+	"gentianstand/internal/placement/policy"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
+)
+
+// reservation holds room for the first gang that does not fit. Small work
+// flows around it: what ends before the gang can start may use the room, what
+// does not may use only what the gang leaves (EASY backfill: Lifka, JSSPP
+// 1995). Without it a stream of small tasks starves every gang.
+type reservation struct {
+	run string
+	// at is when the gang is expected to fit.
+	at time.Time
+	// madeAt bounds how often it is worked out anew.
+	madeAt time.Time
+	fleet  int
+}
+
+// The bounds of reservations.
+const (
+	reservationPeriod = time.Second
+	// unknownRunTime is assumed of tasks that declare none.
+	unknownRunTime = time.Hour
+)
+
+// release is room that a running task is expected to give back.
+type release struct {
+	at   time.Time
+	node int
+	need resource.Amount
+}
+
+// holdRoom keeps the reservation of the first gang in order up to date.
+func (c *Core) holdRoom(cl *cluster.Cluster, items []order.Item, now time.Time) {
+	first := c.firstGang(items, now)
+	if first == nil {
+		c.clearHold(cl)
+		return
+	}
+	fresh := c.hold.run == first.run.ID && c.hold.fleet == c.fleetVersion && now.Sub(c.hold.madeAt) < reservationPeriod
+	if fresh {
+		return
+	}
+	c.clearHold(cl)
+	c.reserve(cl, first, now)
+}
+
+func (c *Core) firstGang(items []order.Item, now time.Time) *entry {
+	gangs := slices.DeleteFunc(slices.Clone(items), func(i order.Item) bool { return !i.Gang })
+	if len(gangs) == 0 {
+		return nil
+	}
+	order.Sort(gangs, c.shares(), c.total(), now)
+	return c.active[gangs[0].Run]
+}
+
+func (c *Core) clearHold(cl *cluster.Cluster) {
+	if c.hold.run == "" {
+		return
+	}
+	c.hold = reservation{}
+	for i := range cl.Len() {
+		cl.SetLate(i, cl.Node(i).Free)
+	}
+}
+
+// reserve finds the earliest time at which the gang fits, as running tasks are
+// expected to end, and holds the workers it would get then.
+func (c *Core) reserve(cl *cluster.Cluster, e *entry, now time.Time) {
+	need := c.need(e)
+	free := make([]resource.Amount, cl.Len())
+	for i := range free {
+		free[i] = cl.Node(i).Free
+	}
+	at := now
+	seats := seatsIn(cl, free, need, len(e.run.Tasks))
+	for _, r := range c.releases(cl, now) {
+		if seats >= int64(len(e.run.Tasks)) {
+			break
+		}
+		before := need.CountIn(free[r.node], int64(len(e.run.Tasks)))
+		free[r.node] = free[r.node].Add(r.need)
+		seats += need.CountIn(free[r.node], int64(len(e.run.Tasks))) - before
+		at = r.at
+	}
+	if seats < int64(len(e.run.Tasks)) {
+		return
+	}
+	c.hold = reservation{run: e.run.ID, at: at, madeAt: now, fleet: c.fleetVersion}
+	for i, n := range placeOn(cl, free, need, len(e.run.Tasks)) {
+		cl.SetLate(i, free[i].Sub(need.Times(n)))
+	}
+}
+
+func seatsIn(cl *cluster.Cluster, free []resource.Amount, need resource.Amount, limit int) int64 {
+	var seats int64
+	for i := range free {
+		if !cl.Node(i).Closed {
+			seats += need.CountIn(free[i], int64(limit))
+		}
+	}
+	return seats
+}
+
+// placeOn returns how many tasks of the gang each worker would get if free was
+// what workers have.
+func placeOn(cl *cluster.Cluster, free []resource.Amount, need resource.Amount, tasks int) map[int]int64 {
+	nodes := make([]cluster.Node, cl.Len())
+	for i := range nodes {
+		nodes[i] = *cl.Node(i)
+		nodes[i].Free, nodes[i].Late = free[i], free[i]
+	}
+	then := cluster.New(nodes)
+	counts := map[int]int64{}
+	decision := gang.Policy{}.Place(then, policy.Request{Need: need, Tasks: tasks})
+	for _, node := range decision.Nodes {
+		counts[node]++
+	}
+	return counts
+}
+
+// releases returns when running tasks are expected to end, earliest first.
+func (c *Core) releases(cl *cluster.Cluster, now time.Time) []release {
+	var list []release
+	for _, e := range c.active {
+		if e.run.Workload.Kind == spec.Service {
+			continue
+		}
+		expected := c.expectedRunTime(e)
+		if expected == 0 {
+			expected = unknownRunTime
+		}
+		for i := range e.run.Tasks {
+			t := &e.run.Tasks[i]
+			if t.State != run.TaskAssigned {
+				continue
+			}
+			if node, ok := cl.Find(t.Worker); ok {
+				list = append(list, release{at: expectedEnd(t, expected, now), node: node, need: t.Need})
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b release) int {
+		if d := a.at.Compare(b.at); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.node, b.node)
+	})
+	return list
+}
+
+func expectedEnd(t *run.Task, expected time.Duration, now time.Time) time.Time {
+	if t.StartedAt.IsZero() {
+		return now.Add(expected)
+	}
+	end := t.StartedAt.Add(expected)
+	if end.Before(now) {
+		return now.Add(expected / 4)
+	}
+	return end
+}
--- /dev/null
+++ b/internal/planner/sequence.go
@@ -0,0 +1,101 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/google/uuid"
+
+	"gentianstand/internal/live"
+	"gentianstand/internal/platform"
+)
+
+// sequenceKey is the row that every write of a planner moves on.
+const sequenceKey = "planner/sequence"
+
+// errOvertaken says that a later planner writes now.
+var errOvertaken = errors.New("a later planner has taken over")
+
+// sequence orders the writes of planners. Each write checks and replaces one
+// row. A write that is late on the wire, of this planner or of one before,
+// then finds the row changed and has no effect; otherwise it could bring back
+// an older state of a run and have a task run twice.
+type sequence struct {
+	table   platform.Table
+	epoch   uint64
+	version uint64
+	// doubtful says that a write got no answer, so version may be old.
+	doubtful bool
+}
+
+// open fences all earlier planners. It must succeed before runs are read.
+func (s *sequence) open(ctx context.Context, shard live.Shard) error {
+	s.epoch = shard.Epoch
+	row, err := s.table.Get(ctx, sequenceKey)
+	if err != nil {
+		return err
+	}
+	tx := s.transaction(row.Version)
+	tx.Checks = append(tx.Checks, platform.Check{Key: live.ShardKey(shard.Name), Version: shard.Version})
+	if err := s.table.Commit(ctx, tx); err != nil {
+		return err
+	}
+	return s.refresh(ctx)
+}
+
+// commit writes rows. It returns errOvertaken if a later planner has opened
+// the sequence, and wraps platform.ErrUnavailable if the result is not known.
+func (s *sequence) commit(ctx context.Context, puts []platform.Put, deletes []string) error {
+	if s.doubtful {
+		if err := s.refresh(ctx); err != nil {
+			return err
+		}
+	}
+	tx := s.transaction(s.version)
+	tx.Puts = append(tx.Puts, puts...)
+	tx.Deletes = deletes
+	s.doubtful = true
+	err := s.table.Commit(ctx, tx)
+	if errors.Is(err, platform.ErrConflict) {
+		if err := s.refresh(ctx); err != nil {
+			return err
+		}
+		return platform.ErrUnavailable
+	}
+	if err != nil {
+		return err
+	}
+	return s.refresh(ctx)
+}
+
+func (s *sequence) transaction(version uint64) platform.Tx {
+	value, _ := json.Marshal(sequenceRow{Epoch: s.epoch})
+	return platform.Tx{
+		ID:     uuid.NewString(),
+		Checks: []platform.Check{{Key: sequenceKey, Version: version}},
+		Puts:   []platform.Put{{Key: sequenceKey, Value: value}},
+	}
+}
+
+// refresh reads the row's version and finds out about later planners.
+func (s *sequence) refresh(ctx context.Context) error {
+	row, err := s.table.Get(ctx, sequenceKey)
+	if err != nil {
+		return err
+	}
+	var value sequenceRow
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return err
+	}
+	if value.Epoch > s.epoch {
+		return errOvertaken
+	}
+	s.version, s.doubtful = row.Version, false
+	return nil
+}
+
+// sequenceRow is the value of the row.
+type sequenceRow struct {
+	Epoch uint64 `json:"epoch"`
+}
--- /dev/null
+++ b/internal/planner/submit.go
@@ -0,0 +1,68 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
+)
+
+// maxActiveRuns bounds the runs that wait or run at a time.
+const maxActiveRuns = 50_000
+
+// Submit makes a run of a workload that starts on submission. The same id
+// gives the same run. tell is called once it is known whether the run has been
+// written.
+func (c *Core) Submit(workload, id, by string, now time.Time, tell func(error)) {
+	w, ok := c.text.Workload(workload)
+	switch {
+	case !ok:
+		tell(fault.New(fault.UnknownRun, "no workload %q is in the configuration in force", workload))
+		return
+	case w.Kind == spec.Service:
+		tell(fault.New(fault.BadRequest, "%q is a service; send requests to it", workload))
+		return
+	}
+	e, known := c.runs[id]
+	if !known {
+		if len(c.active) >= maxActiveRuns {
+			tell(fault.New(fault.Overloaded, "%d runs wait or run already", len(c.active)).WithRetryAfter(time.Minute))
+			return
+		}
+		e = c.create(run.New(id, w, by, true, now), now)
+	}
+	if !e.dirty() && !e.writing {
+		tell(nil)
+		return
+	}
+	e.waiters = append(e.waiters, tell)
+	c.touch(e)
+	e.head = true
+}
+
+// Cancel ends the runs with the given ids, or all active runs of a workload.
+// It takes time linear in the tasks concerned. tell is called for each run
+// once its end has been written; the number of runs concerned is returned.
+func (c *Core) Cancel(ids []string, workload, by string, now time.Time, tell func(error)) int {
+	if workload != "" {
+		ids = nil
+		for _, id := range sortedKeys(c.active) {
+			if e := c.active[id]; e.run.Workload.Name == workload {
+				ids = append(ids, id)
+			}
+		}
+	}
+	n := 0
+	for _, id := range ids {
+		e, ok := c.active[id]
+		if !ok {
+			continue
+		}
+		n++
+		c.end(e, by, now)
+		e.waiters = append(e.waiters, tell)
+		c.touchHead(e)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/planner/text.go
@@ -0,0 +1,137 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
+	"gentianstand/internal/worker"
+)
+
+// Apply takes in the text in force. Every workload that starts on apply has
+// one run with an id that follows from its definition, so applying the same
+// text again, here or at another planner, starts nothing twice. Runs that the
+// text no longer asks for are ended.
+func (c *Core) Apply(number uint64, text *spec.Text, author string, now time.Time) {
+	if number < c.number {
+		return
+	}
+	c.number, c.text = number, text
+	wanted := map[string]bool{}
+	for _, w := range text.Workloads {
+		if w.Start != spec.StartOnApply {
+			continue
+		}
+		id := run.AppliedID(w)
+		wanted[id] = true
+		c.ensure(id, w, author, now)
+	}
+	for _, id := range sortedKeys(c.active) {
+		e := c.active[id]
+		if !wanted[id] && !e.run.Submitted {
+			c.end(e, author, now)
+		}
+	}
+}
+
+func (c *Core) ensure(id string, w spec.Workload, author string, now time.Time) {
+	e, ok := c.runs[id]
+	switch {
+	case !ok:
+		c.create(run.New(id, w, author, false, now), now)
+	case w.Kind == spec.Service && e.run.State.Final():
+		c.create(run.New(id, w, author, false, now), now)
+	case w.Kind == spec.Service:
+		c.updateService(e, w, now)
+	}
+}
+
+func (c *Core) create(r *run.Run, now time.Time) *entry {
+	e := newEntry(r)
+	if old, ok := c.runs[r.ID]; ok {
+		e.stored = old.stored
+	}
+	e.since = now
+	c.runs[r.ID] = e
+	c.active[r.ID] = e
+	e.touchAll()
+	c.touch(e)
+	c.event("run_created", r.ID, 0, "", r.By)
+	return e
+}
+
+// updateService takes over a changed definition. Replicas that run an older
+// one are replaced step by step in Decide.
+func (c *Core) updateService(e *entry, w spec.Workload, now time.Time) {
+	if e.run.State == run.Stopping {
+		e.run.State, e.run.CancelledBy = run.Waiting, ""
+		c.touchHead(e)
+	}
+	definition := run.Definition(w)
+	if definition == e.run.Definition && w.Tasks == e.run.Workload.Tasks {
+		return
+	}
+	e.run.Workload, e.run.Definition = w, definition
+	e.since, e.never = now, false
+	for len(e.run.Tasks) < w.Tasks {
+		e.run.Tasks = append(e.run.Tasks, run.Task{State: run.TaskPending})
+		e.pending++
+	}
+	e.touchAll()
+	c.touch(e)
+	c.shrink(e)
+}
+
+// shrink ends replicas beyond the wanted number and drops them once ended.
+func (c *Core) shrink(e *entry) {
+	for len(e.run.Tasks) > e.run.Workload.Tasks {
+		last := len(e.run.Tasks) - 1
+		t := &e.run.Tasks[last]
+		if t.State == run.TaskAssigned {
+			break
+		}
+		if t.State == run.TaskPending {
+			e.pending--
+		}
+		e.run.Tasks = e.run.Tasks[:last]
+		e.touchAll()
+		c.touch(e)
+	}
+	for i := e.run.Workload.Tasks; i < len(e.run.Tasks); i++ {
+		if t := &e.run.Tasks[i]; t.State == run.TaskAssigned && !t.Stopping {
+			c.stopTask(e, i, worker.Drain)
+		}
+	}
+}
+
+// replaceShare bounds how many replicas of a service are replaced at a time,
+// as one part of all.
+const replaceShare = 10
+
+// roll replaces replicas that run an older definition, a few at a time and
+// only while the others run.
+func (c *Core) roll(e *entry) {
+	if e.run.Workload.Kind != spec.Service || e.run.State == run.Stopping {
+		return
+	}
+	c.shrink(e)
+	budget := max(e.run.Workload.Tasks/replaceShare, 1) - e.pending
+	var old []int
+	for i := range e.run.Tasks {
+		t := &e.run.Tasks[i]
+		switch {
+		case t.State != run.TaskAssigned:
+		case t.Stopping || !t.Seen:
+			budget--
+		case t.Definition != e.run.Definition:
+			old = append(old, i)
+		}
+	}
+	for _, i := range old {
+		if budget <= 0 {
+			return
+		}
+		c.stopTask(e, i, worker.Drain)
+		budget--
+	}
+}
--- /dev/null
+++ b/internal/planner/transitions.go
@@ -0,0 +1,181 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/estimate"
+	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
+	"gentianstand/internal/worker"
+)
+
+// The waits between attempts of a task that failed.
+const (
+	retryFirst = time.Second
+	retryMost  = time.Minute
+)
+
+// ended takes in the end of a booked attempt.
+func (c *Core) ended(e *entry, index int, status worker.TaskStatus, now time.Time) {
+	t := &e.run.Tasks[index]
+	t.EndedAt, t.Result, t.Reason = now, status.Result, status.Reason
+	c.unbook(e, index)
+	switch status.State {
+	case worker.Succeeded:
+		c.board.Succeeded(t.Worker, e.run.Workload.Name)
+		c.learn(e, t, status)
+		c.finishTask(e, index, run.TaskSucceeded)
+	case worker.Failed:
+		c.failed(e, index, now)
+	case worker.Refused:
+		c.again(e, index, now)
+	case worker.Stopped:
+		c.stopped(e, index, now)
+	}
+	c.settle(e, now)
+}
+
+func (c *Core) learn(e *entry, t *run.Task, status worker.TaskStatus) {
+	h, ok := c.history[e.run.Workload.Name]
+	if !ok {
+		h = &estimate.History{}
+		c.history[e.run.Workload.Name] = h
+	}
+	h.Add(t.EndedAt.Sub(t.StartedAt), status.Used)
+}
+
+func (c *Core) failed(e *entry, index int, now time.Time) {
+	t := &e.run.Tasks[index]
+	if c.board.Failed(t.Worker, e.run.Workload.Name, now) {
+		c.fleetChanged()
+		c.event("worker_quarantined", e.run.ID, index, t.Worker, "")
+	}
+	t.Failures++
+	service := e.run.Workload.Kind == spec.Service
+	if !service && (t.Failures > e.run.Workload.Retries || !e.run.Workload.Idempotent) {
+		c.finishTask(e, index, run.TaskFailed)
+		return
+	}
+	t.NotBefore = now.Add(min(retryFirst<<min(t.Failures-1, 10), retryMost))
+	c.again(e, index, now)
+}
+
+// stopped handles an attempt that was ended before its work was complete.
+func (c *Core) stopped(e *entry, index int, now time.Time) {
+	if e.run.Workload.Kind != spec.Service && !e.run.Workload.Idempotent && e.run.CancelledBy == "" {
+		c.finishTask(e, index, run.TaskUnknown)
+		return
+	}
+	c.again(e, index, now)
+}
+
+// vanished handles an attempt that certainly runs no more and whose end is not
+// known. Only work that may be repeated is.
+func (c *Core) vanished(e *entry, index int, why string, now time.Time) {
+	t := &e.run.Tasks[index]
+	c.unbook(e, index)
+	t.EndedAt, t.Reason = now, why
+	c.event("task_vanished", e.run.ID, index, t.Worker, why)
+	if e.run.Workload.Kind != spec.Service && !e.run.Workload.Idempotent {
+		c.finishTask(e, index, run.TaskUnknown)
+	} else {
+		c.again(e, index, now)
+	}
+	c.settle(e, now)
+}
+
+// again makes a task pending, or ends it if its run is to end.
+func (c *Core) again(e *entry, index int, now time.Time) {
+	t := &e.run.Tasks[index]
+	t.Stopping, t.Seen, t.StartedAt = false, false, time.Time{}
+	if e.run.State == run.Stopping {
+		c.finishTask(e, index, run.TaskCancelled)
+		return
+	}
+	t.State = run.TaskPending
+	e.pending++
+	e.since = now
+	c.touchTask(e, index)
+}
+
+func (c *Core) finishTask(e *entry, index int, state run.TaskState) {
+	t := &e.run.Tasks[index]
+	if t.State == run.TaskPending {
+		e.pending--
+	}
+	t.State = state
+	t.Stopping = false
+	c.touchTask(e, index)
+	c.event("task_"+string(state), e.run.ID, index, t.Worker, t.Reason)
+}
+
+// settle moves the run on after one of its tasks has.
+func (c *Core) settle(e *entry, now time.Time) {
+	if e.run.State.Final() {
+		return
+	}
+	if e.run.Workload.Kind == spec.Job {
+		c.settleGang(e, now)
+	}
+	if e.run.Workload.Kind == spec.Service && e.run.State != run.Stopping {
+		return
+	}
+	for i := range e.run.Tasks {
+		if !e.run.Tasks[i].State.Final() {
+			return
+		}
+	}
+	c.finishRun(e, now)
+}
+
+// settleGang keeps a gang together: its tasks run all at once or not at all,
+// so when one has to start anew the others stop and start anew with it, and
+// when one has failed for good the others end.
+func (c *Core) settleGang(e *entry, now time.Time) {
+	failed := e.run.Count(run.TaskFailed)+e.run.Count(run.TaskUnknown) > 0
+	if failed && e.run.State != run.Stopping {
+		e.run.State = run.Stopping
+		c.touchHead(e)
+	}
+	broken := e.run.State == run.Stopping || e.pending > 0
+	if !broken {
+		return
+	}
+	for i := range e.run.Tasks {
+		t := &e.run.Tasks[i]
+		switch {
+		case t.State == run.TaskAssigned && !t.Stopping:
+			c.stopTask(e, i, worker.Checkpoint)
+		case t.State == run.TaskPending && e.run.State == run.Stopping:
+			c.finishTask(e, i, run.TaskCancelled)
+		case t.State == run.TaskSucceeded && e.run.State != run.Stopping:
+			c.again(e, i, now)
+		}
+	}
+}
+
+func (c *Core) finishRun(e *entry, now time.Time) {
+	r := e.run
+	switch {
+	case r.Count(run.TaskFailed) > 0:
+		r.State, r.Reason = run.Failed, "a task failed"
+	case r.Count(run.TaskUnknown) > 0:
+		r.State, r.Reason = run.Failed, "a task may have run or not and must not be repeated"
+	case r.CancelledBy != "":
+		r.State, r.Reason = run.Cancelled, "cancelled by "+r.CancelledBy
+	default:
+		r.State, r.Reason = run.Succeeded, ""
+	}
+	r.FinishedAt = now
+	delete(c.active, r.ID)
+	delete(c.claims, r.ID)
+	c.touchHead(e)
+	c.event("run_"+string(r.State), r.ID, 0, "", r.Reason)
+}
+
+func (c *Core) setRunning(e *entry) {
+	if e.run.State == run.Waiting {
+		e.run.State = run.Running
+		c.touchHead(e)
+	}
+}
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,218 @@
+package routing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gentianstand/internal/fault"
+)
+
+// pool is the upstreams and the queue of one service.
+type pool struct {
+	router  *Router
+	service string
+
+	mu        sync.Mutex
+	upstreams []*upstream
+	queue     queue
+	order     uint64
+	latency   time.Duration
+	budget    float64
+}
+
+func newPool(r *Router, service string) *pool {
+	return &pool{router: r, service: service, latency: firstLatency, budget: retryBurst}
+}
+
+// tryAcquire takes a slot if one is free and nobody waits for it.
+func (p *pool) tryAcquire(g *Grant, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.len() == 0 && p.pickLocked(g, now)
+}
+
+// acquire takes a slot or waits for one. It returns an error at once when the
+// queue is full or the wait is expected to outlast the deadline: a caller that
+// waits for a refusal has waited for nothing.
+func (p *pool) acquire(ctx context.Context, g *Grant, req Request, now time.Time) error {
+	w, err := p.enter(g, req, now)
+	if err != nil || w == nil {
+		return err
+	}
+	timer := time.NewTimer(req.Deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case err := <-w.answer:
+		return err
+	case <-timer.C:
+		return p.leave(w, fault.New(fault.DeadlineExceeded, "no slot of service %s became free in time", p.service))
+	case <-ctx.Done():
+		return p.leave(w, fault.New(fault.DeadlineExceeded, "the caller went away while waiting: %w", ctx.Err()))
+	}
+}
+
+// enter returns nil if the slot was taken, or the waiter to wait for.
+func (p *pool) enter(g *Grant, req Request, now time.Time) (*waiter, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget = min(p.budget+retryRatio, retryBurst)
+	if p.queue.len() == 0 && p.pickLocked(g, now) {
+		return nil, nil
+	}
+	p.order++
+	w := &waiter{grant: g, rank: req.Rank, deadline: req.Deadline, order: p.order, answer: make(chan error, 1)}
+	if wait := p.expectedWaitLocked(w); now.Add(wait).After(req.Deadline) {
+		return nil, p.overloaded(wait)
+	}
+	if p.queue.len() >= p.queueBoundLocked() && !p.evictLocked(w) {
+		return nil, p.overloaded(p.expectedWaitLocked(w))
+	}
+	p.queue.push(w)
+	return w, nil
+}
+
+// evictLocked refuses the last waiter in favour of a more urgent one.
+func (p *pool) evictLocked(w *waiter) bool {
+	last := p.queue.last()
+	if last == nil || last.rank <= w.rank {
+		return false
+	}
+	p.queue.remove(last)
+	last.answer <- p.overloaded(p.expectedWaitLocked(last))
+	return true
+}
+
+// leave gives up waiting. If the slot was granted at the same moment, it is
+// kept and the caller goes on.
+func (p *pool) leave(w *waiter, err error) error {
+	p.mu.Lock()
+	removed := p.queue.remove(w)
+	wait := p.expectedWaitLocked(w)
+	p.mu.Unlock()
+	if !removed {
+		return <-w.answer
+	}
+	return fault.From(err).WithRetryAfter(max(wait, time.Second))
+}
+
+func (p *pool) overloaded(wait time.Duration) error {
+	return fault.New(fault.Overloaded, "service %s is full; the expected wait is %s", p.service, wait.Round(time.Millisecond)).
+		WithRetryAfter(max(wait, time.Second))
+}
+
+// pickLocked takes a slot for g on the cheapest upstream. Ejected upstreams
+// are passed over unless that would leave out more than half of them: then
+// the fault is more likely here or in between, and all are tried.
+func (p *pool) pickLocked(g *Grant, now time.Time) bool {
+	skip := p.ejectedLocked(now)
+	if 2*len(skip) > len(p.upstreams) {
+		skip = nil
+	}
+	for {
+		best := p.cheapestLocked(skip)
+		if best == nil {
+			return false
+		}
+		g.GrantedAt, g.pool, g.upstream = now, p, best
+		// Another service's pool may have taken the slot meanwhile.
+		if best.take(g) {
+			return true
+		}
+	}
+}
+
+func (p *pool) ejectedLocked(now time.Time) map[*upstream]bool {
+	var skip map[*upstream]bool
+	for _, u := range p.upstreams {
+		u.mu.Lock()
+		if u.ejectedLocked(now) {
+			if skip == nil {
+				skip = map[*upstream]bool{}
+			}
+			skip[u] = true
+		}
+		u.mu.Unlock()
+	}
+	return skip
+}
+
+func (p *pool) cheapestLocked(skip map[*upstream]bool) *upstream {
+	var best *upstream
+	lowest := 0.0
+	for _, u := range p.upstreams {
+		if skip[u] {
+			continue
+		}
+		u.mu.Lock()
+		free, cost := u.freeLocked(), u.costLocked()
+		u.mu.Unlock()
+		if free > 0 && (best == nil || cost < lowest) {
+			best, lowest = u, cost
+		}
+	}
+	return best
+}
+
+// dispatch gives free slots to waiters, the most urgent first. A waiter whose
+// deadline leaves no time for the work itself is refused instead: serving it
+// would cost a slot and help nobody.
+func (p *pool) dispatch(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for w := p.queue.head(); w != nil; w = p.queue.head() {
+		if now.Add(p.latency / 2).After(w.deadline) {
+			p.queue.remove(w)
+			w.answer <- fault.New(fault.DeadlineExceeded, "a slot of service %s came too late", p.service)
+			continue
+		}
+		if !p.pickLocked(w.grant, now) {
+			return
+		}
+		p.queue.remove(w)
+		w.answer <- nil
+	}
+}
+
+// expectedWaitLocked estimates how long w would wait for its turn.
+func (p *pool) expectedWaitLocked(w *waiter) time.Duration {
+	ahead := 1
+	for _, other := range p.queue.items {
+		if other.before(w) {
+			ahead++
+		}
+	}
+	slots := max(p.slotsLocked(), 1)
+	return p.latency * time.Duration(ahead) / time.Duration(slots)
+}
+
+func (p *pool) queueBoundLocked() int { return max(queuePerSlot*p.slotsLocked(), minQueue) }
+
+func (p *pool) slotsLocked() int {
+	slots := 0
+	for _, u := range p.upstreams {
+		u.mu.Lock()
+		if u.info.Open {
+			slots += u.info.Slots
+		}
+		u.mu.Unlock()
+	}
+	return slots
+}
+
+func (p *pool) learn(sample time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.latency += time.Duration(latencyWeight * float64(sample-p.latency))
+}
+
+// mayRetry takes one retry from the budget if there is one left.
+func (p *pool) mayRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.budget < 1 {
+		return false
+	}
+	p.budget--
+	return true
+}
--- /dev/null
+++ b/internal/routing/result.go
@@ -0,0 +1,15 @@
+package routing
+
+// Result is how a granted request went, for the upstream's standing.
+type Result int
+
+// The results.
+const (
+	// Answered means that the upstream gave an answer, of whatever status.
+	Answered Result = iota
+	// Broken means that it failed to answer.
+	Broken
+	// Abandoned means that the caller went away; it says nothing about the
+	// upstream.
+	Abandoned
+)
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,208 @@
+package routing
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/worker"
+)
+
+// Router routes requests to the workers that this instance owns. It is safe
+// for concurrent use; each pool and each upstream has its own lock.
+type Router struct {
+	mu        sync.RWMutex
+	pools     map[string]*pool
+	upstreams map[string]*upstream
+}
+
+// NewRouter returns a Router without workers.
+func NewRouter() *Router {
+	return &Router{pools: map[string]*pool{}, upstreams: map[string]*upstream{}}
+}
+
+// Set adds a worker or replaces what is known of it.
+func (r *Router) Set(info WorkerInfo, now time.Time) {
+	r.mu.Lock()
+	u, ok := r.upstreams[info.ID]
+	if !ok {
+		u = newUpstream(info)
+		r.upstreams[info.ID] = u
+	}
+	u.mu.Lock()
+	before := u.info.Services
+	u.info = info
+	u.mu.Unlock()
+	if !ok || !slices.Equal(before, info.Services) {
+		r.relinkLocked(u, info.Services)
+	}
+	r.mu.Unlock()
+	r.freed(u, now)
+}
+
+// Remove forgets a worker. Requests in progress there go on to their end.
+func (r *Router) Remove(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u, ok := r.upstreams[id]; ok {
+		r.relinkLocked(u, nil)
+		delete(r.upstreams, id)
+	}
+}
+
+func (r *Router) relinkLocked(u *upstream, services []string) {
+	for name, p := range r.pools {
+		if !slices.Contains(services, name) {
+			p.unlink(u)
+		}
+	}
+	for _, name := range services {
+		r.poolLocked(name).link(u)
+	}
+}
+
+func (r *Router) poolLocked(service string) *pool {
+	p, ok := r.pools[service]
+	if !ok {
+		p = newPool(r, service)
+		r.pools[service] = p
+	}
+	return p
+}
+
+func (r *Router) pool(service string) *pool {
+	r.mu.RLock()
+	p, ok := r.pools[service]
+	r.mu.RUnlock()
+	if ok {
+		return p
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.poolLocked(service)
+}
+
+// TryAcquire takes a slot for the service if one is free now, else nil.
+func (r *Router) TryAcquire(ctx context.Context, service string, req Request, now time.Time) *Grant {
+	g := newGrant(ctx, req)
+	if !r.pool(service).tryAcquire(g, now) {
+		g.cancel(nil)
+		return nil
+	}
+	return g
+}
+
+// Acquire takes a slot for the service, waiting in the queue if need be. The
+// error is a fault.Error; it comes at once when waiting would be in vain.
+func (r *Router) Acquire(ctx context.Context, service string, req Request, now time.Time) (*Grant, error) {
+	if !now.Before(req.Deadline) {
+		return nil, fault.New(fault.DeadlineExceeded, "the deadline had passed on arrival")
+	}
+	g := newGrant(ctx, req)
+	if err := r.pool(service).acquire(ctx, g, req, now); err != nil {
+		g.cancel(nil)
+		return nil, err
+	}
+	return g, nil
+}
+
+func newGrant(ctx context.Context, req Request) *Grant {
+	g := &Grant{ID: req.ID}
+	g.ctx, g.cancel = context.WithCancelCause(ctx)
+	return g
+}
+
+// MayRetry takes one retry from the service's budget if there is one left.
+func (r *Router) MayRetry(service string) bool { return r.pool(service).mayRetry() }
+
+// Learn notes how long an answered request of the service took.
+func (r *Router) Learn(service string, took time.Duration) { r.pool(service).learn(took) }
+
+// Slots returns the free slots and all slots of each service here.
+func (r *Router) Slots() map[string]Slots {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	result := map[string]Slots{}
+	for name, p := range r.pools {
+		if s := p.slots(); s.Total > 0 {
+			result[name] = s
+		}
+	}
+	return result
+}
+
+// Doubtful returns the ids of requests on a worker that were granted before
+// since and show no sign of an answer.
+func (r *Router) Doubtful(id string, since time.Time) []string {
+	r.mu.RLock()
+	u, ok := r.upstreams[id]
+	r.mu.RUnlock()
+	if !ok {
+		return nil
+	}
+	return u.doubtful(since)
+}
+
+// Resolve ends a doubtful request by the worker's word on it. One that is
+// running is merely slow and is left alone. One that has finished gets a
+// little longer, because its answer may be on its way at this moment.
+func (r *Router) Resolve(workerID, request string, state worker.RequestState, now time.Time) {
+	r.mu.RLock()
+	u, ok := r.upstreams[workerID]
+	r.mu.RUnlock()
+	if !ok {
+		return
+	}
+	g := u.grant(request)
+	if g == nil || g.answering.Load() {
+		return
+	}
+	switch {
+	case state == worker.RequestRevoked:
+		g.cancel(ErrNeverArrived)
+	case state == worker.RequestFinished && g.finishedFor(now) >= answerGrace:
+		g.cancel(ErrAnswerLost)
+	}
+}
+
+// freed lets the services of a worker use a slot that became free.
+func (r *Router) freed(u *upstream, now time.Time) {
+	u.mu.Lock()
+	services := u.info.Services
+	u.mu.Unlock()
+	for _, name := range services {
+		r.pool(name).dispatch(now)
+	}
+}
+
+func (p *pool) link(u *upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Contains(p.upstreams, u) {
+		p.upstreams = append(p.upstreams, u)
+	}
+}
+
+func (p *pool) unlink(u *upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams = slices.DeleteFunc(p.upstreams, func(o *upstream) bool { return o == u })
+}
+
+func (p *pool) slots() Slots {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var s Slots
+	for _, u := range p.upstreams {
+		u.mu.Lock()
+		s.Free += u.freeLocked()
+		if u.info.Open {
+			s.Total += u.info.Slots
+		}
+		u.mu.Unlock()
+	}
+	s.Free = max(s.Free-p.queue.len(), 0)
+	return s
+}
--- /dev/null
+++ b/internal/routing/upstream.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+// upstream is one worker as requests see it. Its lock is taken after a pool's
+// and never the other way round.
+type upstream struct {
+	mu       sync.Mutex
+	info     WorkerInfo
+	inFlight map[string]*Grant
+	latency  time.Duration
+	failures int
+	ejected  time.Time
+	backoff  time.Duration
+	probing  bool
+}
+
+func newUpstream(info WorkerInfo) *upstream {
+	return &upstream{info: info, inFlight: map[string]*Grant{}, latency: firstLatency}
+}
+
+// free returns the slots that can be given now; the pool may pass over an
+// ejected upstream.
+func (u *upstream) freeLocked() int {
+	if !u.info.Open {
+		return 0
+	}
+	return max(u.info.Slots-u.info.Older-len(u.inFlight), 0)
+}
+
+// cost is lower for an upstream that is expected to answer sooner.
+func (u *upstream) costLocked() float64 {
+	load := float64(len(u.inFlight)+u.info.Older+1) / float64(max(u.info.Slots, 1))
+	return float64(u.latency) * load
+}
+
+func (u *upstream) ejectedLocked(now time.Time) bool {
+	return now.Before(u.ejected) || (u.backoff > 0 && u.probing)
+}
+
+// take gives a slot to g if there still is one.
+func (u *upstream) take(g *Grant) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.freeLocked() == 0 {
+		return false
+	}
+	u.inFlight[g.ID] = g
+	u.probing = u.backoff > 0
+	g.Worker, g.Address, g.Epoch = u.info.ID, u.info.Address, u.info.Epoch
+	return true
+}
+
+// giveBack returns the slot of g and learns from how it went.
+func (u *upstream) giveBack(g *Grant, result Result, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.inFlight, g.ID)
+	u.probing = false
+	switch result {
+	case Answered:
+		u.failures, u.backoff, u.ejected = 0, 0, time.Time{}
+		u.learn(now.Sub(g.GrantedAt))
+	case Broken:
+		u.failures++
+		if u.failures >= ejectAfter || u.backoff > 0 {
+			u.eject(now)
+		}
+	}
+}
+
+func (u *upstream) learn(sample time.Duration) {
+	u.latency += time.Duration(latencyWeight * float64(sample-u.latency))
+}
+
+// eject keeps a failing upstream out, longer each time. A worker that fails
+// fast is always free, so without this it would attract all requests.
+func (u *upstream) eject(now time.Time) {
+	u.backoff = min(max(2*u.backoff, ejectFirst), ejectMost)
+	u.ejected = now.Add(u.backoff)
+}
+
+// doubtful returns the ids of requests granted before since that have shown
+// no sign of an answer.
+func (u *upstream) doubtful(since time.Time) []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var ids []string
+	for id, g := range u.inFlight {
+		if g.GrantedAt.Before(since) && !g.answering.Load() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (u *upstream) grant(id string) *Grant {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.inFlight[id]
+}
--- /dev/null
+++ b/internal/run/task_state.go
@@ -0,0 +1,21 @@
+package run
+
+// TaskState is where a task stands.
+type TaskState string
+
+// The states of a task.
+const (
+	// TaskPending means that no attempt is running or may be running.
+	TaskPending TaskState = "pending"
+	// TaskAssigned means that an attempt is running or may be running.
+	TaskAssigned  TaskState = "assigned"
+	TaskSucceeded TaskState = "succeeded"
+	TaskFailed    TaskState = "failed"
+	TaskCancelled TaskState = "cancelled"
+	// TaskUnknown means that an attempt may have run to its end, or not, and
+	// must not be repeated.
+	TaskUnknown TaskState = "may_have_run"
+)
+
+// Final reports whether the task will not run again.
+func (s TaskState) Final() bool { return s != TaskPending && s != TaskAssigned }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -32,7 +32,8 @@
 	leaseUntil int64
 	tasks      map[worker.TaskRef]*task
 	used       resource.Amount
-	requests   map[string]bool
+	version    uint64
+	requests   map[string]uint64
 	finished   []string
 	revoked    map[string]bool
 	silentSeen map[string]bool
@@ -40,7 +41,7 @@
 
 type task struct {
 	status   worker.TaskStatus
-	slots    int
+	changed  uint64
 	endsAt   time.Time
 	draining bool
 	ends     worker.TaskState
@@ -65,7 +66,7 @@
 	w.epoch, w.seq, w.leaseUntil = 0, 0, 0
 	w.tasks = map[worker.TaskRef]*task{}
 	w.used = resource.Amount{}
-	w.requests = map[string]bool{}
+	w.requests = map[string]uint64{}
 	w.revoked = map[string]bool{}
 	w.finished = nil
 }
@@ -125,8 +126,14 @@
 	if t.status.State != worker.Running {
 		return
 	}
+	w.touchLocked(t)
 	t.status.State = state
 	t.status.Reason = reason
 	w.used = w.used.Sub(t.status.Need)
 	w.record.Add(Event{At: w.now(), Worker: w.cfg.ID, Type: TaskEnded, Task: taskName(t.status.Ref), Attempt: t.status.Ref.Attempt})
 }
+
+func (w *Worker) touchLocked(t *task) {
+	w.version++
+	t.changed = w.version
+}
--- a/internal/worker/sync_reply.go
+++ b/internal/worker/sync_reply.go
@@ -10,10 +10,14 @@
 	Now      int64           `json:"now"`
 	Capacity resource.Amount `json:"capacity"`
 	// Slots is the number of requests the worker serves at a time.
-	Slots int          `json:"slots"`
+	Slots int `json:"slots"`
+	// Version grows with each change of a task on this worker.
+	Version uint64 `json:"version"`
+	// Tasks holds those changed after SyncRequest.Since.
 	Tasks []TaskStatus `json:"tasks,omitempty"`
-	// Requests lists the ids of the requests in progress.
-	Requests []string `json:"requests,omitempty"`
-	// Finished lists the ids of requests that ended lately.
-	Finished []string `json:"finished,omitempty"`
+	// OlderRequests counts requests in progress that came under an epoch
+	// below the present one; they hold slots the owner does not know of.
+	OlderRequests int `json:"older_requests,omitempty"`
+	// Doubts answers SyncRequest.Doubt in its order.
+	Doubts []RequestState `json:"doubts,omitempty"`
 }
--- a/internal/worker/sync_request.go
+++ b/internal/worker/sync_request.go
@@ -22,7 +22,10 @@
 	Stop  []TaskStop  `json:"stop,omitempty"`
 	// Ack lists ended tasks that the worker may forget.
 	Ack []TaskRef `json:"ack,omitempty"`
-	// Revoke lists ids of requests that the worker must refuse if they
-	// arrive from now on.
-	Revoke []string `json:"revoke,omitempty"`
+	// Since is SyncReply.Version of the last reply; tasks that have not
+	// changed since are left out of the next one. 0 asks for all.
+	Since uint64 `json:"since"`
+	// Doubt lists ids of requests that were sent but not answered. One that
+	// the worker has not seen, it must refuse from now on.
+	Doubt []string `json:"doubt,omitempty"`
 }
