--- /dev/null
+++ b/internal/command/dev.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"gentianstand/internal/dev"
+	"gentianstand/internal/settings"
+)
+
+const devUsage = `Runs a platform in memory, entry instances and pretended workers in one process
+on loopback ports, until Ctrl-C. With -check it runs a sample text through the
+whole path by itself, prints a line for each step, and ends: exit code 0 if all
+steps held, 1 if not.`
+
+func devSettings(s *settings.Settings, c *dev.Settings) {
+	s.IntVar(&c.Instances, "instances", 3, "number of entry instances")
+	s.IntVar(&c.Workers, "workers", 6, "number of workers")
+	s.IntVar(&c.WorkersPerRack, "workers-per-rack", 2, "workers in a rack")
+	s.StringVar(&c.LogLevel, "log-level", "error", "least severe events to log: debug, info, warning or error")
+	s.Check("instances", "1 to 9", func() bool { return c.Instances >= 1 && c.Instances <= 9 })
+	s.Check("workers", "1 to 100", func() bool { return c.Workers >= 1 && c.Workers <= 100 })
+	s.Check("workers-per-rack", "1 to 100", func() bool { return c.WorkersPerRack >= 1 && c.WorkersPerRack <= 100 })
+}
+
+func devCommand(ctx context.Context, args []string, std Streams) int {
+	var c dev.Settings
+	s := settings.New("dev", devUsage, std.Err)
+	devSettings(s, &c)
+	check := s.Bool("check", false, "run the sample text through the whole path and end")
+	if code, done := parse(s, args, std); done {
+		return code
+	}
+	sys, err := dev.Start(ctx, c, std.Err)
+	defer sys.Stop()
+	if err != nil {
+		fmt.Fprintln(std.Err, err)
+		return exitFailed
+	}
+	if *check {
+		if !dev.Check(ctx, sys, std.Out) {
+			return exitFailed
+		}
+		return exitOK
+	}
+	describe(std.Out, sys)
+	<-ctx.Done()
+	return exitOK
+}
+
+func describe(out io.Writer, sys *dev.System) {
+	fmt.Fprintf(out, "platform:  %s\n", sys.Platform)
+	for _, address := range sys.Instances {
+		fmt.Fprintf(out, "instance:  %s\n", address)
+	}
+	server := sys.Instances[0]
+	fmt.Fprintf(out, "\nTry, in another terminal:\n")
+	fmt.Fprintf(out, "  gentianstand apply -server %s -file examples/dev.yaml\n", server)
+	fmt.Fprintf(out, "  gentianstand status -server %s\n", server)
+	fmt.Fprintf(out, "  curl http://%s/s/casedesk/cases/17\n\nCtrl-C stops it.\n", server)
+}
--- /dev/null
+++ b/internal/entry/errors.go
@@ -0,0 +1,10 @@
+package entry
+
+import "errors"
+
+var (
+	// errCallerGone says that the caller stopped reading.
+	errCallerGone = errors.New("the caller went away")
+	// errAnswerBroken says that an answer ended in its middle.
+	errAnswerBroken = errors.New("the answer broke off")
+)
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/peer"
+)
+
+// forward passes the request on to another instance.
+func (s *Server) forward(ctx context.Context, w http.ResponseWriter, c *call, to peer.Remote, mode string, keep *keeper) attempt {
+	out, err := c.outgoing(ctx, "http://"+to.Address+PathServices+c.service.Name+"/"+c.path)
+	if err != nil {
+		return attempt{err: err}
+	}
+	out.Header.Set(headerForwarded, mode)
+	out.Header.Set(HeaderTimeout, strconv.FormatFloat(max(time.Until(c.deadline).Seconds(), 0.001), 'f', 3, 64))
+	s.metrics.forwards.Inc()
+	resp, err := s.instances.RoundTrip(out)
+	if err != nil {
+		s.hub.Failed(to.Process.Instance)
+		if isDial(err) {
+			return attempt{err: fault.New(fault.UpstreamUnreachable, "instance %s: %w", to.Process.Instance, err)}
+		}
+		if !time.Now().Before(c.deadline) {
+			return attempt{err: fault.New(fault.DeadlineExceeded, "instance %s did not answer in time", to.Process.Instance).WithOutcome(fault.MayHaveRun)}
+		}
+		return attempt{err: fault.New(fault.UpstreamFailed, "instance %s: %w", to.Process.Instance, err)}
+	}
+	defer resp.Body.Close()
+	if mode == forwardTry && refusedForNow(resp) {
+		return attempt{err: fault.New(fault.UpstreamUnreachable, "instance %s had no slot left", to.Process.Instance)}
+	}
+	return s.deliver(w, c, resp, keep, fmt.Sprintf("instance %s", to.Process.Instance))
+}
+
+// refusedForNow reports whether another instance said that the request did not
+// run because it has no slot, so that it can be tried elsewhere.
+func refusedForNow(resp *http.Response) bool {
+	if fault.Outcome(resp.Header.Get(HeaderOutcome)) != fault.DidNotRun {
+		return false
+	}
+	switch fault.Kind(resp.Header.Get(HeaderKind)) {
+	case fault.Overloaded, fault.Stopping, fault.UpstreamUnreachable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/keeper.go
@@ -0,0 +1,18 @@
+package entry
+
+import "bytes"
+
+// keeper keeps a body up to a limit, and notes if there was more.
+type keeper struct {
+	limit    int
+	body     bytes.Buffer
+	overflow bool
+}
+
+func (k *keeper) add(p []byte) {
+	if k.body.Len()+len(p) > k.limit {
+		k.overflow = true
+		return
+	}
+	k.body.Write(p)
+}
--- /dev/null
+++ b/internal/entry/keyed.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/idempotency"
+	"gentianstand/internal/live"
+)
+
+// serveKeyed handles a request that must run at most once: at the home of its
+// key if that is here, else by passing it on to the home.
+func (s *Server) serveKeyed(ctx context.Context, w http.ResponseWriter, c *call) error {
+	view := s.view()
+	home := idempotency.HomeOf(c.service.Name, c.key, shardNames(view))
+	if home == "" {
+		return fault.New(fault.Overloaded, "no shard is known yet")
+	}
+	owner := view.Shards[home].Owner.Instance
+	if holder, epoch := s.hub.Holder(home); epoch > view.Shards[home].Epoch {
+		owner = holder
+	}
+	if owner == s.identity.Process.Instance || c.forwarded == forwardKey {
+		return s.serveAtHome(ctx, w, c, home)
+	}
+	remote, ok := s.hub.Remote(owner)
+	if !ok {
+		return fault.New(fault.UpstreamUnreachable, "the home of the key, instance %q, is not known here", owner)
+	}
+	a := s.forward(ctx, w, c, remote, forwardKey, nil)
+	if a.answered {
+		return nil
+	}
+	return a.err
+}
+
+// serveAtHome lets the request go once its key is kept, and notes how it
+// ended. Whatever is not certain is noted as unknown.
+func (s *Server) serveAtHome(ctx context.Context, w http.ResponseWriter, c *call, home string) error {
+	response, err := s.register.Begin(ctx, home, c.service.Name, c.key)
+	if response != nil {
+		replay(w, response)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	keep := &keeper{limit: idempotency.MaxKeptBody}
+	recorder := &statusRecorder{ResponseWriter: w}
+	ended := false
+	defer func() {
+		if !ended {
+			s.register.End(home, c.service.Name, c.key, idempotency.Unknown, nil)
+		}
+	}()
+	err = s.execute(ctx, recorder, c, keep)
+	ended = true
+	s.noteEnd(home, c, recorder, keep, err)
+	return err
+}
+
+func (s *Server) noteEnd(home string, c *call, recorder *statusRecorder, keep *keeper, err error) {
+	outcome := fault.Outcome(recorder.Header().Get(HeaderOutcome))
+	if err != nil {
+		outcome = fault.From(err).Answer().Outcome
+	}
+	name := c.service.Name
+	switch {
+	case outcome == fault.DidNotRun:
+		s.register.Release(home, name, c.key)
+	case outcome != "":
+		s.register.End(home, name, c.key, idempotency.Unknown, nil)
+	case keep.overflow:
+		s.register.End(home, name, c.key, idempotency.Ended, nil)
+	default:
+		kept := &idempotency.Response{Status: recorder.status, Header: recorder.Header().Clone(), Body: keep.body.Bytes()}
+		s.register.End(home, name, c.key, idempotency.Ended, kept)
+	}
+}
+
+// replay gives a repeat the answer of the first request.
+func replay(w http.ResponseWriter, response *idempotency.Response) {
+	for name, values := range response.Header {
+		if name != HeaderRequestID {
+			w.Header()[name] = values
+		}
+	}
+	w.Header().Set(HeaderReplayed, "true")
+	w.WriteHeader(response.Status)
+	_, _ = w.Write(response.Body)
+}
+
+func shardNames(view live.View) []string {
+	names := make([]string, 0, len(view.Shards))
+	for name := range view.Shards {
+		if name != live.PlannerShard {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"gentianstand/internal/audit"
+	"gentianstand/internal/config"
+	"gentianstand/internal/fault"
+	"gentianstand/internal/spec"
+)
+
+// HeaderOperator names who asks for a change.
+const HeaderOperator = "X-Operator"
+
+// anonymous stands for an operator or caller who gave no name.
+const anonymous = "anonymous"
+
+func (s *Server) routeOperators(g *gin.RouterGroup) {
+	g.GET("/config", s.handle(s.getConfig))
+	g.POST("/config", s.handle(s.applyConfig))
+	g.POST("/plan", s.handle(s.planConfig))
+	g.GET("/runs", s.handle(s.listRuns))
+	g.GET("/runs/:id", s.handle(s.getRun))
+	g.DELETE("/runs/:id", s.handle(s.cancelRun))
+	g.POST("/workloads/:name/runs", s.handle(s.submitRun))
+	g.DELETE("/workloads/:name/runs", s.handle(s.cancelWorkload))
+	g.POST("/drains/:id", s.handle(s.drain))
+	g.DELETE("/drains/:id", s.handle(s.resume))
+	g.GET("/status", s.handle(s.status))
+	g.GET("/audit", s.handle(s.audit))
+}
+
+// handle answers with the JSON that f returns, or with its error.
+func (s *Server) handle(f func(*gin.Context) (any, error)) gin.HandlerFunc {
+	return func(c *gin.Context) {
+		id := requestID(c.Request)
+		c.Header(HeaderRequestID, id)
+		body, err := f(c)
+		if err != nil {
+			writeError(c.Writer, id, err)
+			return
+		}
+		writeJSON(c.Writer, http.StatusOK, body)
+	}
+}
+
+func operator(c *gin.Context) string {
+	name := c.GetHeader(HeaderOperator)
+	if name == "" || len(name) > maxIDLength {
+		return anonymous
+	}
+	return name
+}
+
+func (s *Server) getConfig(c *gin.Context) (any, error) {
+	if number := c.Query("number"); number != "" {
+		n, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			return nil, fault.New(fault.BadRequest, "number is %q; allowed: a whole number", number)
+		}
+		return s.store.Load(c, n)
+	}
+	rec, _ := s.config.Get()
+	return rec, nil
+}
+
+// readText reads a text and checks it; nothing of a text with a mistake is
+// applied.
+func readText(c *gin.Context) (string, *spec.Text, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, spec.MaxTextBytes+1))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return "", nil, fault.New(fault.TooLarge, "the text is larger than %d bytes", spec.MaxTextBytes)
+	case err != nil:
+		return "", nil, fault.New(fault.BadRequest, "the text broke off: %w", err)
+	}
+	text, err := spec.Parse(string(data))
+	if err != nil {
+		return "", nil, fault.New(fault.BadRequest, "%w", err)
+	}
+	return string(data), text, nil
+}
+
+// base returns the configuration that a change builds on: the one the operator
+// names, or the one in force at the table.
+func (s *Server) base(c *gin.Context) (uint64, error) {
+	value := c.Query("base")
+	if value == "" {
+		head, err := s.store.Head(c)
+		return head.Number, err
+	}
+	n, err := strconv.ParseUint(value, 10, 64)
+	if err != nil {
+		return 0, fault.New(fault.BadRequest, "base is %q; allowed: the number of a configuration", value)
+	}
+	return n, nil
+}
+
+func (s *Server) applyConfig(c *gin.Context) (any, error) {
+	source, text, err := readText(c)
+	if err != nil {
+		return nil, err
+	}
+	base, err := s.base(c)
+	if err != nil {
+		return nil, err
+	}
+	rec, err := s.store.Apply(c, source, operator(c), base)
+	if err != nil {
+		s.noteRefused(c, audit.Apply, "configuration", base, err)
+		return nil, err
+	}
+	if err := s.config.Install(rec); err != nil {
+		s.log.WithError(err).Error("config_install_failed")
+	}
+	s.changed()
+	return ApplyResult{Number: rec.Number, Author: rec.Author, Warnings: s.warnings(text)}, nil
+}
+
+// noteRefused leaves an entry of a change that was not accepted, if the table
+// takes it.
+func (s *Server) noteRefused(c *gin.Context, action audit.Action, subject string, from uint64, err error) {
+	f := fault.From(err)
+	entry := audit.Entry{At: time.Now().UTC(), By: operator(c), Action: action, Subject: subject, From: from, Outcome: string(f.Kind)}
+	if err := s.trail.Add(c, entry); err != nil {
+		s.log.WithError(err).Warn("audit_entry_lost")
+	}
+}
+
+func (s *Server) planConfig(c *gin.Context) (any, error) {
+	source, text, err := readText(c)
+	if err != nil {
+		return nil, err
+	}
+	rec, _ := s.config.Get()
+	return PlanResult{Base: rec.Number, Diff: config.Diff(rec.Text, source), Changes: s.changes(text), Warnings: s.warnings(text)}, nil
+}
+
+func (s *Server) listRuns(c *gin.Context) (any, error) { return s.runs.Summaries(c) }
+
+func (s *Server) getRun(c *gin.Context) (any, error) { return s.runs.Run(c, c.Param("id")) }
+
+func (s *Server) submitRun(c *gin.Context) (any, error) {
+	key := c.GetHeader(HeaderKey)
+	if len(key) > maxKeyLength {
+		return nil, fault.New(fault.BadRequest, "header %s has %d characters; allowed: at most %d", HeaderKey, len(key), maxKeyLength)
+	}
+	id, err := s.runs.Submit(c, c.Param("name"), key, operator(c))
+	if err != nil {
+		return nil, err
+	}
+	s.note(c, audit.Submit, id)
+	return SubmitResult{Run: id}, nil
+}
+
+func (s *Server) cancelRun(c *gin.Context) (any, error) {
+	return s.cancel(c, []string{c.Param("id")}, "", c.Param("id"))
+}
+
+func (s *Server) cancelWorkload(c *gin.Context) (any, error) {
+	return s.cancel(c, nil, c.Param("name"), c.Param("name"))
+}
+
+func (s *Server) cancel(c *gin.Context, ids []string, workload, subject string) (any, error) {
+	n, err := s.runs.Cancel(c, ids, workload, operator(c))
+	if err != nil {
+		return nil, err
+	}
+	if n == 0 {
+		return nil, fault.New(fault.UnknownRun, "nothing named %q is waiting or running", subject)
+	}
+	s.note(c, audit.Cancel, subject)
+	return CancelResult{Cancelled: n}, nil
+}
+
+// note leaves an entry of a change that was kept elsewhere already.
+func (s *Server) note(c *gin.Context, action audit.Action, subject string) {
+	entry := audit.Entry{At: time.Now().UTC(), By: operator(c), Action: action, Subject: subject, Outcome: audit.Accepted}
+	if err := s.trail.Add(c, entry); err != nil {
+		s.log.WithError(err).Warn("audit_entry_lost")
+	}
+}
+
+func (s *Server) audit(c *gin.Context) (any, error) {
+	limit := 100
+	if value := c.Query("limit"); value != "" {
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 1 || n > 10_000 {
+			return nil, fault.New(fault.BadRequest, "limit is %q; allowed: 1 to 10000", value)
+		}
+		limit = n
+	}
+	var since time.Time
+	if value := c.Query("since"); value != "" {
+		t, err := time.Parse(time.RFC3339, value)
+		if err != nil {
+			return nil, fault.New(fault.BadRequest, "since is %q; allowed: a time such as 2026-12-02T06:30:00Z", value)
+		}
+		since = t
+	}
+	entries, err := s.trail.List(c, since, limit)
+	if err != nil {
+		return nil, fault.New(fault.PlatformUnavailable, "the audit trail cannot be read: %w", err)
+	}
+	return entries, nil
+}
+
+func encode(v any) []byte {
+	data, _ := json.Marshal(v)
+	return data
+}
--- /dev/null
+++ b/internal/entry/runs_api.go
@@ -0,0 +1,16 @@
+package entry
+
+import (
+	"context"
+
+	"gentianstand/internal/planner"
+	"gentianstand/internal/run"
+)
+
+// Runs is how callers' runs reach the planner.
+type Runs interface {
+	Submit(ctx context.Context, workload, key, by string) (string, error)
+	Cancel(ctx context.Context, ids []string, workload, by string) (int, error)
+	Run(ctx context.Context, id string) (run.Run, error)
+	Summaries(ctx context.Context) ([]planner.Summary, error)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/audit"
+	"gentianstand/internal/config"
+	"gentianstand/internal/fault"
+	"gentianstand/internal/idempotency"
+	"gentianstand/internal/live"
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/peer"
+	"gentianstand/internal/platform"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/routing"
+
+	vm "github.com/VictoriaMetrics/metrics"
+)
+
+// PathServices is where requests to services go: PathServices, the service's
+// name, a slash, and any path.
+const PathServices = "/s/"
+
+// Server is the callers' and operators' interface of one instance.
+type Server struct {
+	identity ownership.Identity
+	router   *routing.Router
+	hub      *peer.Hub
+	config   *config.Current
+	store    *config.Store
+	trail    *audit.Trail
+	table    platform.Table
+	register *idempotency.Register
+	runs     Runs
+	view     func() live.View
+	ready    func() error
+	largest  func() resource.Amount
+	changed  func()
+	token    string
+	set      *vm.Set
+	metrics  entryMetrics
+	log      *logrus.Entry
+
+	upstreams http.RoundTripper
+	instances http.RoundTripper
+	stopped   atomic.Bool
+	inFlight  atomic.Int64
+}
+
+// NewServer returns a Server.
+func NewServer(d Deps) *Server {
+	return &Server{
+		identity: d.Identity, router: d.Router, hub: d.Hub, config: d.Config, store: d.Store, trail: d.Trail,
+		table: d.Table, register: d.Register, runs: d.Runs, view: d.View, ready: d.Ready, largest: d.Largest, changed: d.Changed,
+		token: d.Token, set: d.Metrics, metrics: newEntryMetrics(d.Metrics), log: d.Log,
+		upstreams: newTransport(upstreamConnections), instances: newTransport(peerConnections),
+	}
+}
+
+// The connections kept to each worker and each other instance. A worker takes
+// about 60, and only its owner sends it requests.
+const (
+	upstreamConnections = 48
+	peerConnections     = 256
+	dialTimeout         = time.Second
+	idleTimeout         = 30 * time.Second
+)
+
+// newTransport returns a transport whose connections the kernel probes: one
+// whose other end has lost it is given up within seconds, also while a slow
+// answer is awaited. Requests are never compressed or repeated by it.
+func newTransport(perHost int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3,
+	}}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: perHost,
+		MaxConnsPerHost:     perHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.Use(s.count)
+	engine.Any(PathServices+":service/*path", s.handleService)
+	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	engine.GET("/readyz", s.handleReady)
+	engine.GET("/metrics", func(c *gin.Context) { s.set.WritePrometheus(c.Writer); vm.WriteProcessMetrics(c.Writer) })
+	s.routeOperators(engine.Group("/v1", s.authorize))
+	engine.NoRoute(func(c *gin.Context) {
+		id := requestID(c.Request)
+		c.Header(HeaderRequestID, id)
+		writeError(c.Writer, id, fault.New(fault.UnknownPath, "no such path; services are below %s<name>/", PathServices))
+	})
+	return engine
+}
+
+// count keeps the number of requests in progress, which a graceful stop waits
+// for.
+func (s *Server) count(c *gin.Context) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	c.Next()
+}
+
+func (s *Server) handleService(c *gin.Context) {
+	s.serveService(c.Writer, c.Request, c.Param("service"), passPath(c.Request, c.Param("path")))
+}
+
+func (s *Server) handleReady(c *gin.Context) {
+	if s.stopped.Load() {
+		c.String(http.StatusServiceUnavailable, "stopping\n")
+		return
+	}
+	if err := s.ready(); err != nil {
+		c.String(http.StatusServiceUnavailable, "%s\n", err)
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+// Stop makes the Server refuse new requests; those in progress go on.
+func (s *Server) Stop() { s.stopped.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+func (s *Server) authorize(c *gin.Context) {
+	if s.token == "" || strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ") == s.token {
+		return
+	}
+	id := requestID(c.Request)
+	c.Header(HeaderRequestID, id)
+	writeError(c.Writer, id, fault.New(fault.Unauthorized, "the Authorization header does not carry the operator token"))
+	c.Abort()
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/routing"
+	"gentianstand/internal/worker/httpwire"
+)
+
+// attempt is how one try to have a request executed ended.
+type attempt struct {
+	// answered says that the caller has got the answer, whole or broken.
+	answered bool
+	// err is a fault otherwise; its outcome tells whether the request ran.
+	err error
+}
+
+// serveService handles a request to a service.
+func (s *Server) serveService(w http.ResponseWriter, r *http.Request, service, path string) {
+	id := requestID(r)
+	w.Header().Set(HeaderRequestID, id)
+	started := time.Now()
+	c, err := s.checkCall(r, id, service, path, started)
+	if err == nil {
+		err = s.serve(w, c)
+	}
+	if err != nil {
+		s.refuse(w, r, id, service, err)
+	}
+	s.metrics.served(service, err, time.Since(started))
+}
+
+func (s *Server) checkCall(r *http.Request, id, service, path string, now time.Time) (*call, error) {
+	if s.stopped.Load() {
+		return nil, fault.New(fault.Stopping, "instance %s is stopping", s.identity.Process.Instance)
+	}
+	rec, text := s.config.Get()
+	if rec.Number == 0 {
+		return nil, fault.New(fault.PlatformUnavailable, "no configuration is in force here yet")
+	}
+	workload, ok := text.Workload(service)
+	if !ok || workload.Kind != "service" {
+		return nil, fault.New(fault.UnknownService, "no service %q is in configuration %d", service, rec.Number)
+	}
+	return newCall(r, id, workload, path, now)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id, service string, err error) {
+	f := fault.From(err)
+	s.log.WithFields(logrus.Fields{
+		"request": id, "service": service, "method": r.Method, "kind": f.Kind, "outcome": f.Answer().Outcome,
+	}).Info("request_refused")
+	writeError(w, id, f)
+}
+
+// serve has the request executed and returns an error if the caller has not
+// been answered yet.
+func (s *Server) serve(w http.ResponseWriter, c *call) error {
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	defer cancel()
+	if c.keyed() && c.forwarded != forwardTry && c.forwarded != forwardWait {
+		return s.serveKeyed(ctx, w, c)
+	}
+	return s.execute(ctx, w, c, nil)
+}
+
+// execute makes attempts until the caller is answered or no further attempt is
+// safe and useful. A request that did not run may be tried again; one that may
+// have run only if it is repeatable and the retry budget allows.
+func (s *Server) execute(ctx context.Context, w http.ResponseWriter, c *call, keep *keeper) error {
+	skip := map[string]bool{}
+	var last error
+	for n := range maxAttempts {
+		a := s.attempt(ctx, w, c, skip, keep)
+		if a.answered {
+			return nil
+		}
+		last = a.err
+		if n+1 == maxAttempts || !s.again(ctx, c, a.err) {
+			break
+		}
+		s.metrics.retries.Inc()
+	}
+	return last
+}
+
+func (s *Server) again(ctx context.Context, c *call, err error) bool {
+	f := fault.From(err)
+	if ctx.Err() != nil || !c.canRetry() {
+		return false
+	}
+	switch f.Kind {
+	case fault.UpstreamUnreachable:
+		return true
+	case fault.UpstreamFailed:
+		didNotRun := f.Answer().Outcome == fault.DidNotRun
+		return didNotRun || (c.repeatable() && s.router.MayRetry(c.service.Name))
+	default:
+		return false
+	}
+}
+
+// attempt takes a slot here, or passes the request on to an instance that has
+// one, or waits here if nobody has.
+func (s *Server) attempt(ctx context.Context, w http.ResponseWriter, c *call, skip map[string]bool, keep *keeper) attempt {
+	now := time.Now()
+	req := routing.Request{ID: uuid.NewString(), Rank: c.service.Urgency.Rank(), Deadline: c.deadline}
+	if g := s.router.TryAcquire(ctx, c.service.Name, req, now); g != nil {
+		return s.dispatch(w, c, g, keep)
+	}
+	if c.forwarded == forwardTry {
+		return attempt{err: fault.New(fault.Overloaded, "no slot is free at instance %s", s.identity.Process.Instance)}
+	}
+	own := s.router.Slots()[c.service.Name].Total
+	if c.forwarded != forwardWait {
+		if remote, free, ok := s.hub.Choose(c.service.Name, skip); ok && (free || own == 0) {
+			skip[remote.Process.Instance] = true
+			return s.forward(ctx, w, c, remote, forwardMode(free), keep)
+		}
+	}
+	if own == 0 {
+		return attempt{err: fault.New(fault.Overloaded, "no replica of service %s is running", c.service.Name)}
+	}
+	g, err := s.router.Acquire(ctx, c.service.Name, req, now)
+	if err != nil {
+		return attempt{err: err}
+	}
+	return s.dispatch(w, c, g, keep)
+}
+
+func forwardMode(free bool) string {
+	if free {
+		return forwardTry
+	}
+	return forwardWait
+}
+
+// dispatch sends the request to the worker whose slot it holds.
+func (s *Server) dispatch(w http.ResponseWriter, c *call, g *routing.Grant, keep *keeper) attempt {
+	result := routing.Abandoned
+	defer func() { g.Done(result, time.Now()) }()
+	out, err := c.outgoing(g.Context(), "http://"+g.Address+httpwire.PathServe+c.service.Name+"/"+c.path)
+	if err != nil {
+		return attempt{err: err}
+	}
+	out.Header.Set(httpwire.HeaderEpoch, strconv.FormatUint(g.Epoch, 10))
+	out.Header.Set(httpwire.HeaderRequest, g.ID)
+	resp, err := s.upstreams.RoundTrip(out)
+	if err != nil {
+		result = resultOf(c, err)
+		return attempt{err: s.broken(c, g, err)}
+	}
+	defer resp.Body.Close()
+	if reason := resp.Header.Get(httpwire.HeaderRefused); reason != "" {
+		result = routing.Broken
+		return attempt{err: fault.New(fault.UpstreamUnreachable, "worker %s refused: %s", g.Worker, reason)}
+	}
+	g.Answering()
+	result = routing.Answered
+	s.router.Learn(c.service.Name, time.Since(g.GrantedAt))
+	return s.deliver(w, c, resp, keep, g.Worker)
+}
+
+// deliver streams an answer to the caller.
+func (s *Server) deliver(w http.ResponseWriter, c *call, resp *http.Response, keep *keeper, from string) attempt {
+	if err := passAnswer(w, resp, keep); err != nil {
+		s.log.WithFields(logrus.Fields{"request": c.id, "from": from}).WithError(err).Info("answer_broken")
+		panic(http.ErrAbortHandler)
+	}
+	return attempt{answered: true}
+}
+
+func resultOf(c *call, err error) routing.Result {
+	if c.gone() && !errors.Is(err, routing.ErrNeverArrived) {
+		return routing.Abandoned
+	}
+	return routing.Broken
+}
+
+// broken says what is known after a worker failed to answer.
+func (s *Server) broken(c *call, g *routing.Grant, err error) error {
+	cause := context.Cause(g.Context())
+	switch {
+	case errors.Is(cause, routing.ErrNeverArrived):
+		return fault.New(fault.UpstreamFailed, "worker %s: %w", g.Worker, cause).WithOutcome(fault.DidNotRun)
+	case errors.Is(cause, routing.ErrAnswerLost):
+		return fault.New(fault.UpstreamFailed, "worker %s: %w", g.Worker, cause).WithOutcome(fault.Ran)
+	case isDial(err):
+		return fault.New(fault.UpstreamUnreachable, "worker %s: %w", g.Worker, err)
+	case !time.Now().Before(c.deadline):
+		return fault.New(fault.DeadlineExceeded, "worker %s did not answer in time", g.Worker).WithOutcome(fault.MayHaveRun)
+	default:
+		return fault.New(fault.UpstreamFailed, "worker %s: %w", g.Worker, err)
+	}
+}
+
+// isDial reports whether the connection was never made, so that nothing was
+// sent.
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// passPath joins what is left of the path with the query.
+func passPath(r *http.Request, rest string) string {
+	path := strings.TrimPrefix(rest, "/")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/gin-gonic/gin"
+
+	"gentianstand/internal/live"
+	"gentianstand/internal/planner"
+	"gentianstand/internal/routing"
+	"gentianstand/internal/spec"
+)
+
+// Status is what operators see of the whole system from one instance.
+type Status struct {
+	Instance  string                   `json:"instance"`
+	Config    uint64                   `json:"config"`
+	Planner   string                   `json:"planner"`
+	Instances []InstanceStatus         `json:"instances"`
+	Shards    []live.Shard             `json:"shards"`
+	Drains    []live.Drain             `json:"drains"`
+	Slots     map[string]routing.Slots `json:"slots"`
+	Runs      []planner.Summary        `json:"runs"`
+	// RunsError says why the runs could not be asked for.
+	RunsError string `json:"runs_error,omitempty"`
+}
+
+// status gathers a Status. It answers also while the table or the planner
+// cannot be reached, with what is known here.
+func (s *Server) status(c *gin.Context) (any, error) {
+	view := s.view()
+	st := Status{
+		Instance: s.identity.Process.Instance, Config: s.config.Number(),
+		Planner: view.Shards[live.PlannerShard].Owner.Instance, Slots: s.router.Slots(),
+	}
+	for _, inst := range view.Instances {
+		st.Instances = append(st.Instances, s.instanceStatus(inst))
+	}
+	sort.Slice(st.Instances, func(i, j int) bool { return st.Instances[i].Instance < st.Instances[j].Instance })
+	for _, shard := range view.Shards {
+		st.Shards = append(st.Shards, shard)
+	}
+	sort.Slice(st.Shards, func(i, j int) bool { return st.Shards[i].Name < st.Shards[j].Name })
+	for _, d := range view.Drains {
+		st.Drains = append(st.Drains, d)
+	}
+	runs, err := s.runs.Summaries(c)
+	if err != nil {
+		st.RunsError = err.Error()
+	}
+	st.Runs = runs
+	return st, nil
+}
+
+func (s *Server) instanceStatus(inst live.Instance) InstanceStatus {
+	st := InstanceStatus{Instance: inst.Instance, Zone: inst.Zone, Address: inst.Address, Config: inst.ConfigVersion, Stopping: inst.Stopping}
+	if inst.Process == s.identity.Process {
+		st.Heard, st.Config = true, s.config.Number()
+	} else if remote, ok := s.hub.Remote(inst.Instance); ok && !remote.HeardAt.IsZero() {
+		st.Heard = s.hub.HeardLately(inst.Instance)
+		st.Config = max(st.Config, remote.ConfigNumber)
+	}
+	return st
+}
+
+// warnings names work that no worker could hold, as far as this instance can
+// tell from the planner's runs. The fleet changes, so it is no mistake.
+func (s *Server) warnings(text *spec.Text) []string {
+	largest := s.largest()
+	if largest.IsZero() {
+		return nil
+	}
+	var list []string
+	for _, w := range text.Workloads {
+		if !w.Need.Fits(largest) {
+			list = append(list, fmt.Sprintf("%s %s: a task needs %s, more than any worker owned by this instance has (%s at most in each); it will wait", w.Kind, w.Name, w.Need, largest))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/transfer.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopHeaders belong to one connection and are not passed on (RFC 9110,
+// section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", headerForwarded,
+}
+
+// passedHeaders returns the headers to pass on, without those of the hop.
+func passedHeaders(in http.Header) http.Header {
+	out := in.Clone()
+	for _, field := range in.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// passAnswer streams an upstream's answer to the caller. If it breaks off, the
+// caller's connection is broken off too, so that a part is never taken for the
+// whole. keep, if not nil, gets a copy of the body as it passes.
+func passAnswer(w http.ResponseWriter, resp *http.Response, keep *keeper) error {
+	header := w.Header()
+	for name, values := range passedHeaders(resp.Header) {
+		header[name] = values
+	}
+	w.WriteHeader(resp.StatusCode)
+	flusher := http.NewResponseController(w)
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 {
+			if keep != nil {
+				keep.add(buffer[:n])
+			}
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return errCallerGone
+			}
+			if flushErr := flusher.Flush(); flushErr != nil {
+				return errCallerGone
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errAnswerBroken
+		}
+	}
+}
--- /dev/null
+++ b/internal/idempotency/keys.go
@@ -0,0 +1,24 @@
+package idempotency
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+)
+
+const rowPrefix = "key/"
+
+// nameOf returns the name of a key within its shard.
+func nameOf(service, key string) string {
+	sum := sha256.Sum256([]byte(service + "\x00" + key))
+	return hex.EncodeToString(sum[:16])
+}
+
+func shardPrefix(shard string) string { return rowPrefix + shard + "/" }
+
+func rowKey(shard, name string) string { return shardPrefix(shard) + name }
+
+// segmentKey names an object with keys that were written in an outage.
+func segmentKey(shard string, epoch uint64, n int) string {
+	return fmt.Sprintf("keys/%s/%d/%d", shard, epoch, n)
+}
--- /dev/null
+++ b/internal/idempotency/register.go
@@ -0,0 +1,158 @@
+package idempotency
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/live"
+	"gentianstand/internal/membership"
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/platform"
+)
+
+// Register keeps the keys of the shards that this process owns. It is safe for
+// concurrent use.
+type Register struct {
+	process string
+	timing  membership.Timing
+	table   platform.Table
+	objects platform.Objects
+	rights  Rights
+	log     *logrus.Entry
+	starts  chan start
+	writes  *metrics.Counter
+
+	mu     sync.Mutex
+	shards map[string]*shardKeys
+}
+
+// start is a key that waits to be written before its request may go.
+type start struct {
+	shard, name string
+	record      Record
+	written     chan error
+}
+
+// NewRegister returns a Register without shards.
+func NewRegister(process live.Process, timing membership.Timing, table platform.Table, objects platform.Objects, rights Rights, set *metrics.Set, log *logrus.Entry) *Register {
+	return &Register{
+		process: process.String(), timing: timing, table: table, objects: objects, rights: rights, log: log,
+		starts: make(chan start, 1024), shards: map[string]*shardKeys{},
+		writes: set.NewCounter("gentianstand_key_writes_total"),
+	}
+}
+
+// SetHeld takes in which shards this process owns.
+func (r *Register) SetHeld(held []ownership.Held) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := map[string]*shardKeys{}
+	for _, h := range held {
+		if !h.GivenAt.IsZero() || h.Shard.Name == live.PlannerShard {
+			continue
+		}
+		s, ok := r.shards[h.Shard.Name]
+		if !ok || s.held.Shard.Epoch != h.Shard.Epoch {
+			s = newShardKeys(h)
+		}
+		s.held = h
+		next[h.Shard.Name] = s
+	}
+	r.shards = next
+}
+
+// Begin asks to let the request of a key go. It returns nil if it may, once
+// the key is kept; the caller must then call End or Release. Otherwise the
+// error says what is known of the key, and the response, if not nil, is what
+// the first request was answered.
+func (r *Register) Begin(ctx context.Context, shard, service, key string) (*Response, error) {
+	s, name, err := r.enter(shard, service, key)
+	if err != nil {
+		return s, err
+	}
+	st := start{shard: shard, name: name, record: Record{State: Started, At: time.Now(), Process: r.process}, written: make(chan error, 1)}
+	select {
+	case r.starts <- st:
+	case <-ctx.Done():
+		r.Release(shard, service, key)
+		return nil, fault.New(fault.Overloaded, "too many keys wait to be kept")
+	}
+	if err := <-st.written; err != nil {
+		r.Release(shard, service, key)
+		return nil, err
+	}
+	return nil, nil
+}
+
+// enter marks a key as started in memory, or says why not.
+func (r *Register) enter(shard, service, key string) (*Response, string, error) {
+	now := time.Now()
+	name := nameOf(service, key)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.shards[shard]
+	switch {
+	case !ok || !r.rights.MayAct(now):
+		return nil, name, fault.New(fault.NotOwner, "this instance is not the home of the key")
+	case !s.ready:
+		return nil, name, fault.New(fault.Overloaded, "the home of the key is being taken over")
+	}
+	if known, ok := s.records[name]; ok {
+		return known.Response, name, r.known(known)
+	}
+	if len(s.records) >= maxKeys {
+		return nil, name, fault.New(fault.Overloaded, "%d keys are remembered already", len(s.records)).WithRetryAfter(time.Minute)
+	}
+	s.records[name] = &Record{State: Started, At: now, Process: r.process}
+	delete(s.gone, name)
+	return nil, name, nil
+}
+
+func (r *Register) known(rec *Record) error {
+	switch {
+	case rec.State == Ended:
+		return fault.New(fault.AlreadyRan, "the request of this key was executed at %s", rec.At.Format(time.RFC3339))
+	case rec.State == Started && rec.Process == r.process:
+		return fault.New(fault.KeyInProgress, "the request of this key is being executed")
+	default:
+		return fault.New(fault.OutcomeUnknown, "the request of this key was let go at %s and may have run", rec.At.Format(time.RFC3339))
+	}
+}
+
+// End notes how the request of a key ended: Ended if an upstream answered,
+// Unknown if it may have run. response may be nil; a large one is not kept.
+func (r *Register) End(shard, service, key string, state State, response *Response) {
+	r.update(shard, service, key, func(s *shardKeys, name string) {
+		rec, ok := s.records[name]
+		if !ok {
+			return
+		}
+		rec.State = state
+		if response != nil && len(response.Body) <= MaxKeptBody {
+			rec.Response = response
+		}
+		s.dirty[name] = true
+	})
+}
+
+// Release forgets a key whose request certainly did not run.
+func (r *Register) Release(shard, service, key string) {
+	r.update(shard, service, key, func(s *shardKeys, name string) {
+		delete(s.records, name)
+		delete(s.dirty, name)
+		s.gone[name] = true
+	})
+}
+
+func (r *Register) update(shard, service, key string, f func(*shardKeys, string)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.shards[shard]; ok {
+		f(s, nameOf(service, key))
+	}
+}
--- /dev/null
+++ b/internal/idempotency/writer.go
@@ -0,0 +1,183 @@
+package idempotency
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/platform"
+)
+
+// Run writes keys until ctx ends. Starts that arrive while a write is under
+// way go together with the next one, so a burst costs few writes.
+func (r *Register) Run(ctx context.Context) {
+	ticker := time.NewTicker(flushPeriod)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-r.starts:
+			r.writeStarts(ctx, r.gather(first))
+		case <-ticker.C:
+			r.loadShards(ctx)
+			r.flush(ctx)
+		}
+	}
+}
+
+func (r *Register) gather(first start) []start {
+	batch := []start{first}
+	for len(batch) < maxBatch {
+		select {
+		case next := <-r.starts:
+			batch = append(batch, next)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// writeStarts keeps keys in the table, or in the object store while an outage
+// of the table is confirmed. If neither takes them, the requests do not go.
+func (r *Register) writeStarts(ctx context.Context, batch []start) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	var err error
+	if r.rights.Outage(time.Now()) {
+		err = r.writeSegments(ctx, batch)
+	} else {
+		err = r.writeRows(ctx, batch)
+	}
+	r.writes.Inc()
+	if err == nil && !r.rights.MayAct(time.Now()) {
+		err = fault.New(fault.NotOwner, "the right to answer for the key was lost while it was written")
+	}
+	for _, st := range batch {
+		if err != nil {
+			st.written <- fault.New(fault.PlatformUnavailable, "the key could not be kept, so the request was not sent: %w", err)
+			continue
+		}
+		st.written <- nil
+	}
+}
+
+func (r *Register) writeRows(ctx context.Context, batch []start) error {
+	tx := platform.Tx{ID: uuid.NewString()}
+	for _, st := range batch {
+		value, err := json.Marshal(st.record)
+		if err != nil {
+			return err
+		}
+		tx.Puts = append(tx.Puts, platform.Put{Key: rowKey(st.shard, st.name), Value: value})
+	}
+	return r.table.Commit(ctx, tx)
+}
+
+// writeSegments writes one object for each shard in the batch. Each has a new
+// number, so nothing is overwritten; a new owner reads them until one is
+// missing, and numbers are only used up by objects that were written.
+func (r *Register) writeSegments(ctx context.Context, batch []start) error {
+	byShard := map[string]map[string]Record{}
+	for _, st := range batch {
+		if byShard[st.shard] == nil {
+			byShard[st.shard] = map[string]Record{}
+		}
+		byShard[st.shard][st.name] = st.record
+	}
+	for shard, records := range byShard {
+		if err := r.writeSegment(ctx, shard, records); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Register) writeSegment(ctx context.Context, shard string, records map[string]Record) error {
+	r.mu.Lock()
+	s, ok := r.shards[shard]
+	if !ok {
+		r.mu.Unlock()
+		return fault.New(fault.NotOwner, "the shard was lost")
+	}
+	key := segmentKey(shard, s.held.Shard.Epoch, s.segments)
+	for name := range records {
+		s.dirty[name] = true
+	}
+	r.mu.Unlock()
+	data, err := json.Marshal(records)
+	if err != nil {
+		return err
+	}
+	if err := r.objects.PutObject(ctx, key, data); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	s.segments++
+	r.mu.Unlock()
+	return nil
+}
+
+// flush writes ends to the table and removes old keys, in one write.
+func (r *Register) flush(ctx context.Context) {
+	now := time.Now()
+	if r.rights.Outage(now) || !r.rights.MayAct(now) {
+		return
+	}
+	tx, undo := r.pending(now)
+	if len(tx.Puts)+len(tx.Deletes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	r.writes.Inc()
+	if err := r.table.Commit(ctx, tx); err != nil {
+		undo()
+	}
+}
+
+// pending takes a batch of what is to be written; undo puts it back.
+func (r *Register) pending(now time.Time) (platform.Tx, func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tx := platform.Tx{ID: uuid.NewString()}
+	var back []func()
+	for shard, s := range r.shards {
+		s.expire(now)
+		for name := range s.dirty {
+			if len(tx.Puts) >= maxBatch {
+				break
+			}
+			rec, ok := s.records[name]
+			delete(s.dirty, name)
+			if !ok {
+				continue
+			}
+			value, err := json.Marshal(rec)
+			if err != nil {
+				continue
+			}
+			tx.Puts = append(tx.Puts, platform.Put{Key: rowKey(shard, name), Value: value})
+			back = append(back, func() { s.dirty[name] = true })
+		}
+		for name := range s.gone {
+			if len(tx.Deletes) >= maxBatch {
+				break
+			}
+			delete(s.gone, name)
+			tx.Deletes = append(tx.Deletes, rowKey(shard, name))
+			back = append(back, func() { s.gone[name] = true })
+		}
+	}
+	return tx, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, f := range back {
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/directory.go
@@ -0,0 +1,73 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/platform"
+
+	"gentianstand/internal/live"
+)
+
+// directoryPeriod is how often the platform's list is read.
+const directoryPeriod = time.Second
+
+// directory keeps the platform's list as last read, also while it cannot be.
+type directory struct {
+	source platform.Directory
+	log    *logrus.Entry
+
+	mu   sync.Mutex
+	list []platform.Instance
+}
+
+func (d *directory) run(ctx context.Context, changed func([]platform.Instance)) {
+	ticker := time.NewTicker(directoryPeriod)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		d.read(ctx, changed)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *directory) read(ctx context.Context, changed func([]platform.Instance)) {
+	list, err := d.source.Instances(ctx)
+	if err != nil {
+		d.log.WithError(err).Debug("instance_list_unreadable")
+		return
+	}
+	d.mu.Lock()
+	d.list = list
+	d.mu.Unlock()
+	changed(list)
+}
+
+func (d *directory) instances() []platform.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list
+}
+
+// places returns the shards that should have owners: the planner, and each
+// rack with a worker.
+func (d *directory) places() []ownership.Place {
+	seen := map[string]bool{}
+	places := []ownership.Place{{Name: live.PlannerShard}}
+	for _, inst := range d.instances() {
+		if inst.Role == platform.RoleWorker && !seen[inst.Rack] {
+			seen[inst.Rack] = true
+			places = append(places, ownership.Place{Name: inst.Rack, Region: inst.Region, Zone: inst.Zone})
+		}
+	}
+	slices.SortFunc(places, func(a, b ownership.Place) int { return strings.Compare(a.Name, b.Name) })
+	return places
+}
--- /dev/null
+++ b/internal/instance/listener.go
@@ -0,0 +1,71 @@
+package instance
+
+import (
+	"sync/atomic"
+	"time"
+
+	"gentianstand/internal/idempotency"
+	"gentianstand/internal/live"
+	"gentianstand/internal/owner"
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/peer"
+	"gentianstand/internal/planner"
+)
+
+// listener passes what the keeper finds on to who needs it. It implements
+// ownership.Listener.
+type listener struct {
+	me       live.Process
+	hub      *peer.Hub
+	owner    *owner.Owner
+	planner  *planner.Planner
+	register *idempotency.Register
+	follower *configFollower
+	readAt   atomic.Int64
+	shards   atomic.Pointer[map[string]uint64]
+	drained  func()
+	lost     func()
+}
+
+// ViewRead implements ownership.Listener.
+func (l *listener) ViewRead(view live.View) {
+	l.readAt.Store(time.Now().UnixNano())
+	l.hub.SetView(view)
+	l.owner.SetDrains(view.Drains)
+	l.follower.head(view.Config)
+	if _, ok := view.Drains[l.me.Instance]; ok {
+		l.drained()
+	}
+}
+
+// HeldChanged implements ownership.Listener.
+func (l *listener) HeldChanged(held []ownership.Held) {
+	shards := map[string]uint64{}
+	var planning *live.Shard
+	for _, h := range held {
+		if !h.GivenAt.IsZero() {
+			continue
+		}
+		shards[h.Shard.Name] = h.Shard.Epoch
+		if h.Shard.Name == live.PlannerShard {
+			planning = &h.Shard
+		}
+	}
+	l.shards.Store(&shards)
+	l.register.SetHeld(held)
+	l.owner.SetHeld(held)
+	l.planner.SetShard(planning)
+}
+
+// SessionLost implements ownership.Listener.
+func (l *listener) SessionLost() {
+	l.HeldChanged(nil)
+	l.lost()
+}
+
+func (l *listener) held() map[string]uint64 {
+	if p := l.shards.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/instance/module.go
@@ -0,0 +1,174 @@
+// Package instance puts an entry instance together with fx: it builds every
+// part, runs their loops and servers, and stops them gracefully.
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"gentianstand/internal/audit"
+	"gentianstand/internal/config"
+	"gentianstand/internal/entry"
+	"gentianstand/internal/idempotency"
+	"gentianstand/internal/live"
+	"gentianstand/internal/membership"
+	"gentianstand/internal/owner"
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/peer"
+	"gentianstand/internal/planner"
+	"gentianstand/internal/platform"
+	"gentianstand/internal/platform/httpwire"
+	"gentianstand/internal/routing"
+	"gentianstand/internal/worker"
+	workerwire "gentianstand/internal/worker/httpwire"
+)
+
+// agentTimeout bounds one call to a worker's agent.
+const agentTimeout = time.Second
+
+// Module returns the fx options of an instance.
+func Module(s Settings, log *logrus.Entry) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.StopTimeout(s.StopTimeout+5*time.Second),
+		fx.Supply(s, log, membership.DefaultTiming()),
+		fx.Provide(
+			newIdentity, newPlatform, newMetrics, newSession, newView,
+			membership.NewElector, config.NewCurrent, config.NewStore, routing.NewRouter,
+			newTrail, newDirectory, newConfigFollower, newHub, newPlannerClient, newOwner,
+			newPlanner, newRegister, newListener, newKeeper, newEntry, peer.NewServer, newProcess, newServers, newLazyShards,
+		),
+		fx.Invoke(run),
+	)
+}
+
+func newIdentity(s Settings) ownership.Identity {
+	caller, peerAddress := s.advertised()
+	return ownership.Identity{
+		Process: live.Process{Instance: s.ID, Incarnation: uuid.NewString()},
+		Address: caller, PeerAddress: peerAddress, Region: s.Region, Zone: s.Zone,
+	}
+}
+
+func newProcess(id ownership.Identity) live.Process { return id.Process }
+
+func newPlatform(s Settings) (platform.Table, platform.Objects, platform.Directory) {
+	client := httpwire.New(s.Platform, s.ID, s.PlatformTimeout)
+	return client, client, client
+}
+
+func newMetrics() *metrics.Set { return metrics.NewSet() }
+
+func newSession(timing membership.Timing) *membership.Session {
+	return membership.NewSession(timing, time.Now())
+}
+
+func newTrail(table platform.Table, s Settings) *audit.Trail { return audit.NewTrail(table, s.ID) }
+
+func newDirectory(source platform.Directory, log *logrus.Entry) *directory {
+	return &directory{source: source, log: log}
+}
+
+// view breaks the circle between the keeper and those who look at what it
+// read.
+type view struct{ keeper *ownership.Keeper }
+
+func newView() *view { return &view{} }
+
+func (v *view) get() live.View {
+	if v.keeper == nil {
+		return live.View{}
+	}
+	return v.keeper.View()
+}
+
+func newHub(id ownership.Identity, current *config.Current, follower *configFollower, router *routing.Router, session *membership.Session, l *lazyShards, set *metrics.Set, log *logrus.Entry) *peer.Hub {
+	state := func() peer.State {
+		return peer.State{
+			ConfigNumber: current.Number(), Shards: l.get(), Slots: router.Slots(),
+			Stopping: l.stopping.Load(), SilenceMillis: session.Silence(time.Now()).Milliseconds(),
+		}
+	}
+	hub := peer.NewHub(id, state, current, set, func() { follower.notify(0) }, log)
+	follower.hub = hub
+	return hub
+}
+
+func newPlannerClient(hub *peer.Hub, v *view) *peer.PlannerClient {
+	return peer.NewPlannerClient(hub, v.get)
+}
+
+func newOwner(s Settings, timing membership.Timing, session *membership.Session, router *routing.Router, client *peer.PlannerClient, set *metrics.Set, log *logrus.Entry) *owner.Owner {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.MaxIdleConnsPerHost = 2
+	agents := &http.Client{Transport: transport}
+	dial := func(address string) worker.Agent { return workerwire.NewAgent(agents, address, agentTimeout) }
+	return owner.New(s.ID, timing, session, dial, router, client, set, log)
+}
+
+func newPlanner(table platform.Table, objects platform.Objects, hub *peer.Hub, session *membership.Session, v *view, d *directory, current *config.Current, set *metrics.Set, log *logrus.Entry) *planner.Planner {
+	around := planner.Surroundings{View: v.get, Directory: d.instances, Config: current}
+	return planner.New(table, objects, hub, session, around, set, log)
+}
+
+func newRegister(process live.Process, timing membership.Timing, table platform.Table, objects platform.Objects, session *membership.Session, set *metrics.Set, log *logrus.Entry) *idempotency.Register {
+	return idempotency.NewRegister(process, timing, table, objects, session, set, log)
+}
+
+func newListener(process live.Process, hub *peer.Hub, o *owner.Owner, p *planner.Planner, r *idempotency.Register, f *configFollower, l *lazyShards, shutdown fx.Shutdowner, log *logrus.Entry) *listener {
+	lst := &listener{me: process, hub: hub, owner: o, planner: p, register: r, follower: f}
+	l.listener = lst
+	lst.lost = func() {
+		log.Error("replaced_by_another_process")
+		_ = shutdown.Shutdown(fx.ExitCode(3))
+	}
+	return lst
+}
+
+func newKeeper(id ownership.Identity, timing membership.Timing, table platform.Table, hub *peer.Hub, session *membership.Session, d *directory, l *listener, lazy *lazyShards, v *view, current *config.Current, log *logrus.Entry) *ownership.Keeper {
+	k := ownership.NewKeeper(id, timing, table, hub, session, d.places, l, log)
+	v.keeper = k
+	l.drained = func() {
+		if !lazy.stopping.Swap(true) {
+			log.Info("drain_requested")
+			k.SetStopping()
+		}
+	}
+	return k
+}
+
+func newEntry(s Settings, id ownership.Identity, router *routing.Router, hub *peer.Hub, current *config.Current, store *config.Store, trail *audit.Trail, table platform.Table, register *idempotency.Register, client *peer.PlannerClient, v *view, k *ownership.Keeper, l *listener, lazy *lazyShards, o *owner.Owner, set *metrics.Set, log *logrus.Entry) *entry.Server {
+	return entry.NewServer(entry.Deps{
+		Identity: id, Router: router, Hub: hub, Config: current, Store: store, Trail: trail, Table: table,
+		Register: register, Runs: client, View: v.get, Changed: k.Kick, Token: s.OperatorToken,
+		Largest: o.Largest, Metrics: set, Log: log,
+		Ready: func() error { return readiness(l, lazy) },
+	})
+}
+
+// run starts the loops and servers, and stops them in the reverse order.
+func run(lc fx.Lifecycle, p parts) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := p.Servers.listen(); err != nil {
+				cancel()
+				return err
+			}
+			p.start(ctx)
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			p.stop(stopCtx)
+			cancel()
+			return p.Servers.close()
+		},
+	})
+}
--- /dev/null
+++ b/internal/instance/settings.go
@@ -0,0 +1,91 @@
+package instance
+
+import (
+	"net"
+	"net/url"
+	"regexp"
+	"time"
+
+	"gentianstand/internal/settings"
+)
+
+// Settings is what an entry instance is told at its start. Addresses and the
+// availability zone come from here only.
+type Settings struct {
+	ID              string
+	Listen          string
+	Advertise       string
+	PeerListen      string
+	PeerAdvertise   string
+	Region          string
+	Zone            string
+	Platform        string
+	PlatformTimeout time.Duration
+	OperatorToken   string
+	LogLevel        string
+	StopTimeout     time.Duration
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// Register adds the flags of an instance to s.
+func (c *Settings) Register(s *settings.Settings) {
+	s.StringVar(&c.ID, "id", "", "id of this instance, the same as in the platform's list")
+	s.StringVar(&c.Listen, "listen", "127.0.0.1:8080", "`host:port` for callers and operators")
+	s.StringVar(&c.Advertise, "advertise", "", "`host:port` at which other instances reach -listen (default: the same)")
+	s.StringVar(&c.PeerListen, "peer-listen", "127.0.0.1:8081", "`host:port` for other instances")
+	s.StringVar(&c.PeerAdvertise, "peer-advertise", "", "`host:port` at which other instances reach -peer-listen (default: the same)")
+	s.StringVar(&c.Region, "region", "", "region of this instance")
+	s.StringVar(&c.Zone, "zone", "", "availability zone of this instance")
+	s.StringVar(&c.Platform, "platform", "", "`URL` of the platform's services")
+	s.DurationVar(&c.PlatformTimeout, "platform-timeout", time.Second, "longest wait for one call to the platform")
+	s.StringVar(&c.OperatorToken, "operator-token", "", "bearer token that operators' calls must carry; empty: none")
+	s.StringVar(&c.LogLevel, "log-level", "info", "least severe events to log: debug, info, warning or error")
+	s.DurationVar(&c.StopTimeout, "stop-timeout", 30*time.Second, "longest time for a graceful stop")
+	c.registerChecks(s)
+}
+
+func (c *Settings) registerChecks(s *settings.Settings) {
+	name := "1 to 63 letters, digits, dots, hyphens and underscores, a letter or digit first"
+	s.Check("id", name, func() bool { return namePattern.MatchString(c.ID) })
+	s.Check("region", name, func() bool { return namePattern.MatchString(c.Region) })
+	s.Check("zone", name, func() bool { return namePattern.MatchString(c.Zone) })
+	address := "an IP number and a port, such as 10.0.0.5:8080"
+	s.Check("listen", address, func() bool { return isAddress(c.Listen) })
+	s.Check("peer-listen", address, func() bool { return isAddress(c.PeerListen) })
+	s.Check("advertise", address+", or empty", func() bool { return c.Advertise == "" || isAddress(c.Advertise) })
+	s.Check("peer-advertise", address+", or empty", func() bool { return c.PeerAdvertise == "" || isAddress(c.PeerAdvertise) })
+	s.Check("platform", "an http URL with a host, such as http://10.0.0.2:9000", func() bool { return isURL(c.Platform) })
+	s.Check("platform-timeout", "50ms to 1m", func() bool { return c.PlatformTimeout >= 50*time.Millisecond && c.PlatformTimeout <= time.Minute })
+	s.Check("stop-timeout", "1s to 1h", func() bool { return c.StopTimeout >= time.Second && c.StopTimeout <= time.Hour })
+	s.Check("log-level", "debug, info, warning or error", func() bool { return isLevel(c.LogLevel) })
+}
+
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+func isLevel(s string) bool {
+	switch s {
+	case "debug", "info", "warning", "error":
+		return true
+	}
+	return false
+}
+
+func (c *Settings) advertised() (caller, peer string) {
+	caller, peer = c.Advertise, c.PeerAdvertise
+	if caller == "" {
+		caller = c.Listen
+	}
+	if peer == "" {
+		peer = c.PeerListen
+	}
+	return caller, peer
+}
--- a/internal/owner/minder.go
+++ b/internal/owner/minder.go
@@ -44,7 +44,6 @@
 	tracker  *Tracker
 	held     ownership.Held
 	dirty    bool
-	leaving  bool
 	draining bool
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,8 +15,8 @@
 	"gentianstand/internal/membership"
 	"gentianstand/internal/ownership"
 	"gentianstand/internal/platform"
+	"gentianstand/internal/resource"
 	"gentianstand/internal/routing"
-	"gentianstand/internal/worker"
 )
 
 // reportPeriod is how often all workers are reported although nothing
@@ -36,6 +37,8 @@
 	news    chan struct{}
 	base    context.Context
 	quit    context.CancelFunc
+	// all asks for a report of all workers next.
+	all atomic.Bool
 
 	mu           sync.Mutex
 	minders      map[string]*minder
@@ -79,6 +82,7 @@
 			return
 		case <-o.news:
 			time.Sleep(coalesce)
+			all = o.all.Swap(false)
 		case <-ticker.C:
 			all = true
 		}
@@ -98,19 +102,35 @@
 			reports = append(reports, m.report())
 		}
 	}
-	if len(reports) == 0 {
+	if len(reports) == 0 && !all {
 		return
 	}
-	acked, err := o.planner.Report(ctx, reports)
+	epoch, err := o.planner.Report(ctx, all, reports)
 	o.metrics.reports.Inc()
 	if err != nil {
 		for _, m := range sent {
 			m.soil()
 		}
+		if all {
+			o.all.Store(true)
+		}
 		o.log.WithError(err).Debug("report_failed")
 		return
 	}
-	o.acknowledge(acked, minders)
+	o.noteEpoch(epoch)
+}
+
+// noteEpoch makes everything known to a planner that reports have reached for
+// the first time.
+func (o *Owner) noteEpoch(epoch uint64) {
+	o.mu.Lock()
+	later := epoch > o.plannerEpoch
+	o.plannerEpoch = max(o.plannerEpoch, epoch)
+	o.mu.Unlock()
+	if later {
+		o.all.Store(true)
+		o.wakeReporter()
+	}
 }
 
 // clean takes the mark that there is news and returns whether it was set.
@@ -128,16 +148,6 @@
 	m.dirty = true
 }
 
-func (o *Owner) acknowledge(refs []worker.TaskRef, minders []*minder) {
-	for _, m := range minders {
-		m.mu.Lock()
-		for _, ref := range refs {
-			m.tracker.Acknowledge(ref)
-		}
-		m.mu.Unlock()
-	}
-}
-
 func (o *Owner) wakeReporter() {
 	select {
 	case o.news <- struct{}{}:
@@ -145,15 +155,6 @@
 	}
 }
 
-// ReportAll makes the next report hold all workers, because the planner has
-// changed.
-func (o *Owner) ReportAll() {
-	for _, m := range o.list() {
-		m.soil()
-	}
-	o.wakeReporter()
-}
-
 // SetHeld takes in which shards this process holds now.
 func (o *Owner) SetHeld(held []ownership.Held) {
 	o.mu.Lock()
@@ -345,3 +346,12 @@
 	}
 	return n
 }
+
+// Largest returns the most of each dimension that any worker here has.
+func (o *Owner) Largest() resource.Amount {
+	var largest resource.Amount
+	for _, r := range o.Reports() {
+		largest = largest.Max(r.Capacity)
+	}
+	return largest
+}
--- a/internal/owner/planner.go
+++ b/internal/owner/planner.go
@@ -4,11 +4,11 @@
 	"context"
 
 	"gentianstand/internal/fleet"
-	"gentianstand/internal/worker"
 )
 
 // Planner is how an Owner reaches the planner, wherever it is.
 type Planner interface {
-	// Report brings reports and returns the ended attempts that are kept.
-	Report(ctx context.Context, reports []fleet.Report) ([]worker.TaskRef, error)
+	// Report brings reports and returns the planner's epoch; full says that
+	// they are all this owner has.
+	Report(ctx context.Context, full bool, reports []fleet.Report) (uint64, error)
 }
--- a/internal/owner/tracker.go
+++ b/internal/owner/tracker.go
@@ -209,6 +209,9 @@
 // worker in either case. A start that is refused is reported as such.
 func (t *Tracker) Assign(a fleet.Assignment) bool {
 	changed := false
+	for _, ref := range a.Ack {
+		t.Acknowledge(ref)
+	}
 	for _, stop := range a.Stop {
 		changed = t.assignStop(stop) || changed
 	}
--- a/internal/ownership/held.go
+++ b/internal/ownership/held.go
@@ -33,6 +33,17 @@
 	return end
 }
 
+// PredecessorsStop returns when all owners before have certainly stopped.
+func (h Held) PredecessorsStop(t membership.Timing) time.Time {
+	end := h.TakenAt
+	for _, p := range h.Shard.Predecessors {
+		if stops := h.stopsRenewing(p, t); stops.After(end) {
+			end = stops
+		}
+	}
+	return end
+}
+
 // stopsRenewing returns when predecessor p has certainly stopped.
 func (h Held) stopsRenewing(p live.Predecessor, t membership.Timing) time.Time {
 	if p.HandedOver {
--- /dev/null
+++ b/internal/peer/calls.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"context"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/live"
+	"gentianstand/internal/peer/peerpb"
+)
+
+// Vouch implements ownership.Peers. An elector that was replaced by another
+// process does not count.
+func (h *Hub) Vouch(ctx context.Context, elector, subject live.Process) (bool, error) {
+	client, err := h.clientOf(elector.Instance)
+	if err != nil {
+		return false, err
+	}
+	reply, err := client.Vouch(ctx, &peerpb.VouchRequest{Subject: processToMessage(subject)})
+	if err != nil {
+		return false, err
+	}
+	return reply.GetVouched() && processFromMessage(reply.GetFrom()) == elector, nil
+}
+
+// Fence implements ownership.Peers.
+func (h *Hub) Fence(ctx context.Context, elector, subject live.Process) error {
+	client, err := h.clientOf(elector.Instance)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Fence(ctx, &peerpb.FenceRequest{Subject: processToMessage(subject)})
+	if err != nil {
+		return err
+	}
+	if processFromMessage(reply.GetFrom()) != elector {
+		return fault.New(fault.NotOwner, "%s was replaced", elector)
+	}
+	return nil
+}
+
+// clientOf returns a client of an instance; this one is reached by its own
+// peer address like any other.
+func (h *Hub) clientOf(instance string) (peerpb.Peer, error) {
+	if instance == h.id.Process.Instance {
+		return h.clientFor(h.id.PeerAddress), nil
+	}
+	r, ok := h.Remote(instance)
+	if !ok {
+		return nil, fault.New(fault.UpstreamUnreachable, "no address of instance %q is known", instance)
+	}
+	return h.clientFor(r.PeerAddress), nil
+}
+
+// Assign implements planner.Owners.
+func (h *Hub) Assign(ctx context.Context, instance string, epoch uint64, list []fleet.Assignment) error {
+	client, err := h.clientOf(instance)
+	if err != nil {
+		return err
+	}
+	req := &peerpb.AssignRequest{PlannerEpoch: epoch}
+	for _, a := range list {
+		req.Workers = append(req.Workers, assignmentToMessage(a))
+	}
+	_, err = client.Assign(ctx, req)
+	return fromTwirp(err)
+}
--- /dev/null
+++ b/test/e2e/process_test.go
@@ -0,0 +1,78 @@
+package e2e
+
+import (
+	"bytes"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// process is one program that a test started.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	log  lockedBuffer
+	once sync.Once
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func start(t *testing.T, name, binary string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...)}
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", name, tail(p.log.String()))
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits until it is gone.
+func (p *process) kill() {
+	p.once.Do(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+}
+
+// stop asks for a graceful stop and returns the exit code.
+func (p *process) stop() int {
+	p.signal(syscall.SIGTERM)
+	p.once.Do(func() { _ = p.cmd.Wait() })
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func tail(s string) string {
+	const most = 6000
+	if len(s) > most {
+		return s[len(s)-most:]
+	}
+	return s
+}
--- /dev/null
+++ b/test/e2e/site_test.go
@@ -0,0 +1,314 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"gentianstand/internal/entry"
+	"gentianstand/internal/planner"
+	"gentianstand/internal/platform"
+	standplatform "gentianstand/internal/standin/platform"
+	standworker "gentianstand/internal/standin/worker"
+)
+
+// patience bounds every wait; it is far above what is expected, so that a slow
+// machine does not change a verdict.
+const patience = 60 * time.Second
+
+// site is a whole system of separate processes.
+type site struct {
+	t         *testing.T
+	platform  *process
+	address   string
+	workers   []*node
+	instances []*node
+}
+
+// node is a worker or an instance with its process.
+type node struct {
+	*process
+	id      string
+	address string
+	args    []string
+}
+
+func newSite(t *testing.T, instances, workers, perRack int) *site {
+	t.Helper()
+	s := &site{t: t, address: freePort(t)}
+	s.platform = start(t, "platform", "standin", "-kind", "platform", "-listen", s.address)
+	s.await("platform", func() error { return s.getJSON(s.address, standplatform.PathCounts, &standplatform.Counts{}) })
+	for n := range workers {
+		s.addWorker(n, perRack)
+	}
+	for n := range instances {
+		s.addInstance(n)
+	}
+	for _, inst := range s.instances {
+		s.await(inst.id+" ready", func() error { return s.getJSON(inst.address, "/readyz", nil) })
+	}
+	return s
+}
+
+func (s *site) addWorker(n, perRack int) {
+	id, address := fmt.Sprintf("worker-%d", n), freePort(s.t)
+	args := []string{"-kind", "worker", "-id", id, "-listen", address}
+	s.workers = append(s.workers, &node{process: start(s.t, id, "standin", args...), id: id, address: address, args: args})
+	rack := n / perRack
+	s.list(platform.Instance{
+		ID: id, Role: platform.RoleWorker, Address: address, Region: "r", Zone: fmt.Sprintf("z%d", rack%3), Rack: fmt.Sprintf("rack-%d", rack),
+	})
+}
+
+func (s *site) addInstance(n int) {
+	id, address, peer := fmt.Sprintf("entry-%d", n), freePort(s.t), freePort(s.t)
+	zone := fmt.Sprintf("z%d", n%3)
+	args := []string{
+		"serve", "-id", id, "-listen", address, "-peer-listen", peer, "-region", "r", "-zone", zone,
+		"-platform", "http://" + s.address, "-platform-timeout", "500ms", "-stop-timeout", "20s",
+	}
+	s.instances = append(s.instances, &node{process: start(s.t, id, "gentianstand", args...), id: id, address: address, args: args})
+	s.list(platform.Instance{ID: id, Role: platform.RoleEntry, Address: peer, Region: "r", Zone: zone})
+}
+
+// restart starts a new process in the place of a node's old one.
+func (s *site) restart(n *node) {
+	n.kill()
+	n.process = start(s.t, n.id+"'", "gentianstand", n.args...)
+}
+
+func (s *site) list(inst platform.Instance) {
+	s.post(s.address, standplatform.PathInstance, inst)
+}
+
+func (s *site) fault(f standplatform.Fault) { s.post(s.address, standplatform.PathFault, f) }
+
+func (s *site) workerFault(n *node, f standworker.Fault) { s.post(n.address, standworker.PathFault, f) }
+
+func (s *site) post(address, path string, body any) {
+	s.t.Helper()
+	data, _ := json.Marshal(body)
+	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		s.t.Fatalf("post %s: %v", path, err)
+	}
+	_ = resp.Body.Close()
+}
+
+func (s *site) getJSON(address, path string, into any) error {
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + address + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, data)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(data, into)
+}
+
+// run runs an operators' command against an instance and returns what it
+// printed.
+func (s *site) run(on *node, stdin string, args ...string) (string, error) {
+	all := append([]string{args[0], "-server", on.address}, args[1:]...)
+	cmd := exec.Command(filepath.Join(binaries, "gentianstand"), all...)
+	cmd.Stdin = strings.NewReader(stdin)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+func (s *site) apply(on *node, text string) {
+	s.t.Helper()
+	if out, err := s.run(on, text, "apply", "-by", "test"); err != nil {
+		s.t.Fatalf("apply: %v\n%s", err, out)
+	}
+}
+
+func (s *site) await(what string, f func() error) {
+	s.t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (s *site) runs(on *node) (map[string]planner.Summary, error) {
+	var list []planner.Summary
+	if err := s.getJSON(on.address, "/v1/runs", &list); err != nil {
+		return nil, err
+	}
+	byWorkload := map[string]planner.Summary{}
+	for _, r := range list {
+		byWorkload[r.Workload] = r
+	}
+	return byWorkload, nil
+}
+
+func (s *site) awaitState(on *node, workload, state string) {
+	s.t.Helper()
+	s.await(workload+" "+state, func() error {
+		runs, err := s.runs(on)
+		if err != nil {
+			return err
+		}
+		if r := runs[workload]; string(r.State) != state {
+			return fmt.Errorf("%+v", r)
+		}
+		return nil
+	})
+}
+
+func (s *site) awaitRunning(on *node, workload string, tasks int) {
+	s.t.Helper()
+	s.await(workload+" running", func() error {
+		runs, err := s.runs(on)
+		if err != nil {
+			return err
+		}
+		if r := runs[workload]; r.Running != tasks {
+			return fmt.Errorf("%+v", r)
+		}
+		return nil
+	})
+}
+
+// answer is an answer to a request to a service.
+type answer struct {
+	status  int
+	body    string
+	kind    string
+	outcome string
+	retry   string
+	header  http.Header
+}
+
+func (s *site) request(on *node, method, path, key string) (answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+on.address+"/s/"+path, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	if key != "" {
+		req.Header.Set(entry.HeaderKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode, body: string(body), kind: resp.Header.Get(entry.HeaderKind),
+		outcome: resp.Header.Get(entry.HeaderOutcome), retry: resp.Header.Get("Retry-After"), header: resp.Header,
+	}, err
+}
+
+func (s *site) awaitAnswered(on *node, path string) {
+	s.t.Helper()
+	s.await("answer from "+on.id, func() error {
+		a, err := s.request(on, http.MethodGet, path, "")
+		if err != nil {
+			return err
+		}
+		if a.status != http.StatusOK {
+			return fmt.Errorf("%+v", a)
+		}
+		return nil
+	})
+}
+
+// events returns the record of all workers in the order of time.
+func (s *site) events() []standworker.Event {
+	s.t.Helper()
+	var all []standworker.Event
+	for _, w := range s.workers {
+		var events []standworker.Event
+		s.await("record of "+w.id, func() error { return s.getJSON(w.address, standworker.PathRecord, &events) })
+		all = append(all, events...)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
+	return all
+}
+
+// judge fails the test if the workers' record shows a broken promise.
+func (s *site) judge() []standworker.Event {
+	s.t.Helper()
+	events := s.events()
+	if broken := standworker.Violations(events); len(broken) > 0 {
+		s.t.Fatalf("broken promises:\n%s", strings.Join(broken, "\n"))
+	}
+	return events
+}
+
+func (s *site) status(on *node) (entry.Status, error) {
+	var st entry.Status
+	err := s.getJSON(on.address, "/v1/status", &st)
+	return st, err
+}
+
+// planner returns the instance that plans.
+func (s *site) planner(from *node) *node {
+	s.t.Helper()
+	var found *node
+	s.await("planner known", func() error {
+		st, err := s.status(from)
+		if err != nil {
+			return err
+		}
+		for _, inst := range s.instances {
+			if inst.id == st.Planner {
+				found = inst
+				return nil
+			}
+		}
+		return fmt.Errorf("planner %q", st.Planner)
+	})
+	return found
+}
+
+// others returns the instances but one.
+func (s *site) others(not *node) []*node {
+	var list []*node
+	for _, inst := range s.instances {
+		if inst != not {
+			list = append(list, inst)
+		}
+	}
+	return list
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/test/standin/main.go
@@ -0,0 +1,46 @@
+// Command standin runs one stand-in as a process of its own: a platform or a
+// worker. Tests use it where the death or freeze of a process is the point.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"gentianstand/internal/resource"
+	standplatform "gentianstand/internal/standin/platform"
+	standworker "gentianstand/internal/standin/worker"
+)
+
+func main() {
+	kind := flag.String("kind", "", "platform or worker")
+	listen := flag.String("listen", "", "host:port")
+	id := flag.String("id", "", "id of a worker")
+	cpu := flag.Int64("cpu", 16_000, "processor time of a worker, in thousandths of a core")
+	memory := flag.Int64("memory", 32<<10, "memory of a worker, in MiB")
+	slots := flag.Int("slots", 8, "requests that a worker serves at a time")
+	serve := flag.Duration("serve", 2*time.Millisecond, "how long a request takes")
+	flag.Parse()
+	var handler http.Handler
+	switch *kind {
+	case "platform":
+		store := standplatform.NewStore()
+		handler = standplatform.NewServer(store, standplatform.NewFaulty(store)).Handler()
+	case "worker":
+		record := &standworker.Record{}
+		w := standworker.New(standworker.Config{
+			ID: *id, Slots: *slots, Work: time.Second, Serve: *serve,
+			Capacity: resource.Amount{MilliCPU: *cpu, MemoryMiB: *memory},
+		}, record, time.Now)
+		handler = standworker.NewServer(w, record).Handler()
+	default:
+		fmt.Fprintln(os.Stderr, "-kind must be platform or worker")
+		os.Exit(2)
+	}
+	if err := http.ListenAndServe(*listen, handler); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
