Services are placed before batch runs of the same urgency; a planner waits for its first reports

Cause: with 60 letters and 6 replicas applied together, the letters came first and filled one rack tightly, so all replicas stood on the other two; the owner of both was then killed in an outage and no replica could be reached. Ruled out: lost rights (the log of rights shows session, then confirmed_outage), reports that arrive late. Reports that fail are now repeated after 200 ms, not 5 s.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -23,6 +23,9 @@
 // changed; it repairs whatever got lost.
 const reportPeriod = 5 * time.Second
 
+// reportRetry is the wait after a report that did not arrive.
+const reportRetry = 200 * time.Millisecond
+
 // Owner looks after all workers of the shards that this process holds. It is
 // safe for concurrent use.
 type Owner struct {
@@ -115,6 +118,7 @@
 			o.all.Store(true)
 		}
 		o.log.WithError(err).Debug("report_failed")
+		time.AfterFunc(reportRetry, o.wakeReporter)
 		return
 	}
 	o.noteEpoch(epoch)
--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -41,6 +41,7 @@
 	// The fields below belong to Run.
 	observer *membership.Observer
 	beat     uint64
+	rights   string
 	replaced live.Predecessor
 	held     map[string]Held
 	given    map[string]Held
@@ -117,6 +118,23 @@
 	k.fencePredecessors(ctx)
 	k.settle(ctx)
 	k.publish()
+	k.noteRights(time.Now())
+}
+
+// noteRights logs when this process gains, loses or changes the ground of its
+// right to act.
+func (k *Keeper) noteRights(now time.Time) {
+	rights := "none"
+	switch {
+	case k.session.Valid(now):
+		rights = "session"
+	case k.session.Outage(now):
+		rights = "confirmed_outage"
+	}
+	if rights != k.rights {
+		k.log.WithFields(logrus.Fields{"from": k.rights, "to": rights, "table_silence": k.session.Silence(now)}).Warn("rights_changed")
+		k.rights = rights
+	}
 }
 
 func (k *Keeper) read(ctx context.Context) (live.View, error) {
@@ -251,6 +269,7 @@
 		}
 	}
 	k.session.Confirmed(now)
+	k.log.WithField("vouched", len(vouched)).Debug("outage_confirmed")
 }
 
 // ask calls every elector at once and returns those that said yes.
--- a/internal/placement/order/item.go
+++ b/internal/placement/order/item.go
@@ -14,6 +14,8 @@
 	Due time.Time
 	// Since is when the work became ready.
 	Since time.Time
+	// Service says that the tasks answer requests; people wait for them.
+	Service bool
 	// Gang says that the tasks must start together.
 	Gang bool
 }
--- a/internal/placement/order/order.go
+++ b/internal/placement/order/order.go
@@ -11,8 +11,9 @@
 // dueSoon is how close a due time must be to go before fairness.
 const dueSoon = 10 * time.Minute
 
-// Sort orders items: the urgent first; then work that would miss its deadline;
-// then teams within their quota before borrowers; then the team with the
+// Sort orders items: the urgent first; then services, whose replicas must not
+// be squeezed onto what a batch run leaves; then work that would miss its
+// deadline; then teams within their quota before borrowers; then the team with the
 // smallest share; then the longest waiting. Teams without work take nothing,
 // so what they leave goes to the others.
 func Sort(items []Item, shares map[string]Share, total resource.Amount, now time.Time) {
@@ -26,6 +27,9 @@
 		if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
 			return c
 		}
+		if c := compareBool(!a.Service, !b.Service); c != 0 {
+			return c
+		}
 		if c := compareDue(a, b, now); c != 0 {
 			return c
 		}
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -42,6 +42,9 @@
 		c.roll(e)
 	}
 	c.reopen(now)
+	if c.settling(now) {
+		return false
+	}
 	cl := c.snapshot(now)
 	items := c.gather(now)
 	if len(items) == 0 {
@@ -87,7 +90,7 @@
 
 func (c *Core) item(e *entry) order.Item {
 	w := e.run.Workload
-	item := order.Item{Run: e.run.ID, Team: w.Team, Rank: w.Urgency.Rank(), Since: e.since, Gang: w.Kind == spec.Job}
+	item := order.Item{Run: e.run.ID, Team: w.Team, Rank: w.Urgency.Rank(), Since: e.since, Service: w.Kind == spec.Service, Gang: w.Kind == spec.Job}
 	if w.Deadline > 0 && w.Kind != spec.Service {
 		item.Due = e.run.SubmittedAt.Add(w.Deadline).Add(-c.expectedRunTime(e))
 	}
--- a/internal/planner/recovery.go
+++ b/internal/planner/recovery.go
@@ -53,5 +53,14 @@
 	c.event("planner_recovered", "", 0, "", "")
 }
 
+// settleTime is how long a new planner waits for workers to be reported before
+// it places anything. What it placed on the first few would stand too close.
+const settleTime = 2 * time.Second
+
+// settling reports whether it is too early to place anything.
+func (c *Core) settling(now time.Time) bool {
+	return !c.recovery.done && now.Sub(c.recovery.since) < settleTime
+}
+
 // Recovered reports whether the recovery is over.
 func (c *Core) Recovered() bool { return c.recovery.done }
--- a/internal/planner/sequence.go
+++ b/internal/planner/sequence.go
@@ -29,15 +29,28 @@
 	doubtful bool
 }
 
-// open fences all earlier planners. It must succeed before runs are read.
-func (s *sequence) open(ctx context.Context, shard live.Shard) error {
-	s.epoch = shard.Epoch
-	row, err := s.table.Get(ctx, sequenceKey)
+// open fences all earlier planners. It must succeed before runs are read. The
+// write also checks that the planner's shard still has this epoch.
+func (s *sequence) open(ctx context.Context, epoch uint64) error {
+	s.epoch = epoch
+	key := live.ShardKey(live.PlannerShard)
+	row, err := s.table.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	var shard live.Shard
+	if err := json.Unmarshal(row.Value, &shard); err != nil {
+		return err
+	}
+	if shard.Epoch != epoch {
+		return errOvertaken
+	}
+	last, err := s.table.Get(ctx, sequenceKey)
 	if err != nil {
 		return err
 	}
-	tx := s.transaction(row.Version)
-	tx.Checks = append(tx.Checks, platform.Check{Key: live.ShardKey(shard.Name), Version: shard.Version})
+	tx := s.transaction(last.Version)
+	tx.Checks = append(tx.Checks, platform.Check{Key: key, Version: row.Version})
 	if err := s.table.Commit(ctx, tx); err != nil {
 		return err
 	}
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -41,6 +41,8 @@
 	calls   chan func(*Core)
 	results chan commitResult
 	writing bool
+	// retryAt is when to write again after a write that failed.
+	retryAt time.Time
 	swept   time.Time
 	quit    context.CancelFunc
 	done    chan struct{}
@@ -93,15 +95,12 @@
 		case <-ctx.Done():
 		case <-time.After(idlePeriod):
 		}
-		if row, ok := t.planner.around.View().Shards[live.PlannerShard]; ok && row.Epoch == t.shard.Epoch {
-			t.shard = row
-		}
 	}
 	return false
 }
 
 func (t *term) load(ctx context.Context) error {
-	if err := t.seq.open(ctx, t.shard); err != nil {
+	if err := t.seq.open(ctx, t.shard.Epoch); err != nil {
 		return err
 	}
 	rows, err := scanAll(ctx, t.planner.table, run.Prefix)
@@ -194,8 +193,7 @@
 		}
 	}
 	for _, inst := range t.planner.around.Directory() {
-		_, sharded := view.Shards[inst.Rack]
-		if inst.Role == platform.RoleWorker && sharded {
+		if inst.Role == platform.RoleWorker {
 			listed = append(listed, inst.ID)
 		}
 	}
@@ -212,7 +210,7 @@
 		t.core.ReleaseUnwritten()
 		return
 	}
-	if !t.core.Dirty() {
+	if !t.core.Dirty() || now.Before(t.retryAt) {
 		return
 	}
 	batch, err := t.core.Changes()
@@ -248,6 +246,7 @@
 		return false
 	default:
 		t.log.WithError(result.err).Warn("planner_commit_failed")
+		t.retryAt = time.Now().Add(idlePeriod)
 		t.core.Failed(result.batch, t.planner.rights.Outage(time.Now()), doubtfulWrite(result.err))
 	}
 	return true
--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -17,8 +17,9 @@
 	t.Helper()
 	t.Parallel()
 	s := newSite(t, 3, 6, 2)
+	s.awaitOwned()
 	s.apply(s.instances[0], serviceText)
-	s.awaitRunning(s.instances[0], "casedesk", 3)
+	s.awaitRunning(s.instances[0], "casedesk", 6)
 	s.awaitRunning(s.instances[0], "watch", 3)
 	for _, inst := range s.instances {
 		s.awaitAnswered(inst, "casedesk/first")
@@ -228,7 +229,7 @@
 	s.restart(replaced)
 	s.awaitAnswered(replaced, "casedesk/replaced")
 	s.awaitRunning(s.instances[0], "watch", 3)
-	s.awaitRunning(s.instances[0], "casedesk", 3)
+	s.awaitRunning(s.instances[0], "casedesk", 6)
 	s.workers = s.workers[:5]
 	s.judge()
 }
@@ -333,7 +334,7 @@
 		return s.emptyWorker(target)
 	})
 	quiet := time.Now()
-	s.awaitRunning(s.instances[0], "casedesk", 3)
+	s.awaitRunning(s.instances[0], "casedesk", 6)
 	s.awaitState(s.instances[0], "letters", "succeeded")
 	for _, inst := range s.instances {
 		s.awaitAnswered(inst, "casedesk/drained")
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -69,8 +70,17 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// tail returns the end of a log, without the lines that only repeat what
+// callers were told.
 func tail(s string) string {
-	const most = 6000
+	const most = 8000
+	var kept strings.Builder
+	for line := range strings.Lines(s) {
+		if !strings.Contains(line, "msg=request_refused") {
+			kept.WriteString(line)
+		}
+	}
+	s = kept.String()
 	if len(s) > most {
 		return s[len(s)-most:]
 	}
--- a/test/e2e/requests_test.go
+++ b/test/e2e/requests_test.go
@@ -188,7 +188,7 @@
 	var wg sync.WaitGroup
 	for i, replicas := range []string{"replicas: 4", "replicas: 5"} {
 		wg.Go(func() {
-			changed := strings.Replace(serviceText, "replicas: 3", replicas, 1)
+			changed := strings.Replace(serviceText, "replicas: 6", replicas, 1)
 			out, err := s.run(s.instances[i], changed, "apply", "-base", "1", "-by", fmt.Sprintf("operator-%d", i))
 			results[i], failed[i] = out, err != nil
 		})
--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -142,6 +142,47 @@
 	}
 }
 
+// describe logs what each instance says of the system.
+func (s *site) describe() {
+	for _, inst := range s.instances {
+		var st json.RawMessage
+		err := s.getJSON(inst.address, "/v1/status", &st)
+		s.t.Logf("status of %s: %v %s", inst.id, err, st)
+	}
+}
+
+// awaitOwned waits until every worker has been claimed by an owner.
+func (s *site) awaitOwned() {
+	s.t.Helper()
+	s.await("all workers owned", func() error {
+		owned := 0
+		for _, inst := range s.instances {
+			owned += s.metric(inst, "gentianstand_workers_owned")
+		}
+		if owned != len(s.workers) {
+			return fmt.Errorf("%d of %d", owned, len(s.workers))
+		}
+		return nil
+	})
+}
+
+// metric returns the value of one of an instance's metrics, 0 if it has none.
+func (s *site) metric(inst *node, name string) int {
+	resp, err := http.Get("http://" + inst.address + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	for line := range strings.Lines(string(data)) {
+		var value int
+		if n, _ := fmt.Sscanf(line, name+" %d", &value); n == 1 {
+			return value
+		}
+	}
+	return 0
+}
+
 func (s *site) await(what string, f func() error) {
 	s.t.Helper()
 	deadline := time.Now().Add(patience)
@@ -151,6 +192,7 @@
 			return
 		}
 		if time.Now().After(deadline) {
+			s.describe()
 			s.t.Fatalf("%s: %v", what, err)
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/test/e2e/texts_test.go
+++ b/test/e2e/texts_test.go
@@ -9,7 +9,7 @@
 services:
   - name: casedesk
     team: wards
-    replicas: 3
+    replicas: 6
     resources: {cpu: 1, memory: 512MiB}
 batches:
   - name: letters
