Mixed failures over fakes with a controlled clock; three faults found by it

test/cell runs whole instances in a synctest bubble through random failures. Found and mended: (1) an owner that woke from a freeze reported as lost a worker that its successor kept (only an owner with the right to act may say so); (2) shards were handed to a frozen instance right after a gap in the reads; (3) work that must not be repeated was started unwritten in an outage, and forgotten when its worker restarted and the planner died.

--- a/internal/membership/observer.go
+++ b/internal/membership/observer.go
@@ -18,6 +18,8 @@
 	version uint64
 	process live.Process
 	since   time.Time
+	// renewed says that the version was seen to change.
+	renewed bool
 }
 
 // NewObserver returns an Observer that has seen nothing.
@@ -38,7 +40,8 @@
 	for id, inst := range view.Instances {
 		old, known := o.seen[id]
 		if gap || !known || old.version != inst.Version {
-			old = observation{version: inst.Version, process: inst.Process, since: now}
+			renewed := known && old.version != inst.Version && old.process == inst.Process
+			old = observation{version: inst.Version, process: inst.Process, since: now, renewed: renewed}
 		}
 		next[id] = old
 	}
@@ -51,3 +54,8 @@
 	seen, ok := o.seen[p.Instance]
 	return ok && seen.process == p && o.lastRead.Sub(seen.since) < o.timing.SessionTTL
 }
+
+// Renewing reports whether process p is alive and was seen to renew its
+// session since the table was last out of reach. A frozen process counts as
+// alive for a while after such a gap, but not as renewing.
+func (o *Observer) Renewing(p live.Process) bool { return o.Alive(p) && o.seen[p.Instance].renewed }
--- a/internal/owner/minder.go
+++ b/internal/owner/minder.go
@@ -130,9 +130,10 @@
 }
 
 func (m *minder) failed(err error, now time.Time) {
+	mayAct := m.mayAct(now)
 	m.mu.Lock()
 	before := m.tracker.State()
-	changed := m.tracker.Failed(err, now)
+	changed := m.tracker.Failed(err, now, mayAct)
 	m.dirty = m.dirty || changed
 	after, stale := m.tracker.State(), m.tracker.Stale()
 	m.mu.Unlock()
@@ -146,9 +147,10 @@
 	m.changed(changed, now)
 }
 
+// tick lets time pass for a worker that this process may not call.
 func (m *minder) tick(now time.Time) {
 	m.mu.Lock()
-	changed := m.tracker.Tick(now)
+	changed := m.tracker.Tick(now, false)
 	m.dirty = m.dirty || changed
 	m.mu.Unlock()
 	m.changed(changed, now)
--- a/internal/owner/tracker.go
+++ b/internal/owner/tracker.go
@@ -149,12 +149,12 @@
 
 // Failed takes in that the last message got no answer, and reports whether
 // the state changed.
-func (t *Tracker) Failed(err error, now time.Time) bool {
+func (t *Tracker) Failed(err error, now time.Time, mayAct bool) bool {
 	if errors.Is(err, worker.ErrStaleEpoch) {
 		t.stale = true
 		return true
 	}
-	return t.Tick(now)
+	return t.Tick(now, mayAct)
 }
 
 // Tick moves a worker that does not answer to Silent and then to Lost, and
@@ -163,11 +163,16 @@
 // Lost means that nothing can run there: no lease of this owner or an earlier
 // one is still running. Starting its tasks elsewhere any sooner could make a
 // task run in two places.
-func (t *Tracker) Tick(now time.Time) bool {
+//
+// An owner without the right to act cannot say Lost: it may have been
+// overtaken, and the leases of later owners are not known to it. Before this
+// was checked, an owner that woke after a freeze reported a worker as lost
+// which its successor kept running.
+func (t *Tracker) Tick(now time.Time, mayAct bool) bool {
 	before := t.state
 	switch {
 	case t.state == fleet.Lost:
-	case !now.Before(t.leasesEnd()):
+	case mayAct && !now.Before(t.leasesEnd()):
 		t.state = fleet.Lost
 		t.forget()
 	case t.state == fleet.Ready && now.Sub(t.stampAt) >= silentAfter:
--- a/internal/ownership/decide.go
+++ b/internal/ownership/decide.go
@@ -14,6 +14,9 @@
 	Places []Place
 	// Alive tells whether a process holds its session.
 	Alive func(live.Process) bool
+	// Renewing tells whether a process has been seen to renew it since the
+	// table was last out of reach; only such a one is given more.
+	Renewing func(live.Process) bool
 }
 
 // Decide returns the changes that Me should write: shards to take because
@@ -74,7 +77,7 @@
 func aliveInstances(in Input) []live.Instance {
 	var alive []live.Instance
 	for _, inst := range in.View.Instances {
-		if !inst.Stopping && in.Alive(inst.Process) {
+		if !inst.Stopping && in.Alive(inst.Process) && (inst.Process == in.Me || in.Renewing(inst.Process)) {
 			alive = append(alive, inst)
 		}
 	}
--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -108,6 +108,10 @@
 func (k *Keeper) cycle(ctx context.Context) {
 	view, err := k.read(ctx)
 	if err == nil {
+		// What was lost to others is dropped before the session counts as
+		// valid again, or this process would act on it in between.
+		k.adopt(view)
+		k.publish()
 		err = k.renew(ctx, view)
 	}
 	if err != nil {
@@ -302,8 +306,7 @@
 	if !k.session.Valid(time.Now()) {
 		return
 	}
-	k.adopt(view)
-	actions := Decide(Input{Me: k.id.Process, View: view, Places: k.places(), Alive: k.observer.Alive})
+	actions := Decide(Input{Me: k.id.Process, View: view, Places: k.places(), Alive: k.observer.Alive, Renewing: k.observer.Renewing})
 	if len(actions) == 0 {
 		return
 	}
--- a/internal/placement/policy/reason.go
+++ b/internal/placement/policy/reason.go
@@ -16,6 +16,9 @@
 	OverQuota Reason = "team_quota_used_up"
 	// WaitsFor means that a dependency is not ready.
 	WaitsFor Reason = "waits_for_dependency"
+	// WaitsForTable means that the work must not be repeated, so its start has
+	// to be written down first, and the table does not answer.
+	WaitsForTable Reason = "waits_for_table"
 	// BackingOff means that a failed attempt is to be repeated later.
 	BackingOff Reason = "backing_off_after_failure"
 	// Recovering means that workers have not been accounted for since the
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -31,6 +31,8 @@
 	board   *health.Board
 
 	recovery recovery
+	// outage says that nothing can be written at present.
+	outage bool
 	// claims keeps workers for urgent runs while victims make room.
 	claims map[string]claim
 	hold   reservation
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -37,7 +37,10 @@
 // The cycle: gather the runs with work that may start, order them, place a
 // quantum of each in turn until nothing more fits; then reserve room for the
 // first gang that did not fit, and make room for urgent work.
-func (c *Core) Decide(now time.Time) bool {
+//
+// In a confirmed outage of the table only work that may be repeated is placed.
+func (c *Core) Decide(now time.Time, outage bool) bool {
+	c.outage = outage
 	for _, e := range c.active {
 		c.roll(e)
 	}
@@ -105,6 +108,8 @@
 		return e.reason, false
 	case !c.dependenciesReady(e):
 		return string(policy.WaitsFor), false
+	case c.outage && !e.repeatable():
+		return string(policy.WaitsForTable), false
 	case !c.gangWhole(e):
 		return "waits_for_all_tasks_to_stop", false
 	case c.nextReady(e, now) < 0:
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -5,6 +5,7 @@
 
 	"gentianstand/internal/resource"
 	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
 	"gentianstand/internal/worker"
 )
 
@@ -52,6 +53,12 @@
 	return e
 }
 
+// repeatable reports whether a task of the run may be executed once more after
+// an attempt whose end is not known.
+func (e *entry) repeatable() bool {
+	return e.run.Workload.Kind == spec.Service || e.run.Workload.Idempotent
+}
+
 func (e *entry) touchTask(index int) { e.chunks[index/run.ChunkSize] = true }
 
 func (e *entry) touchAll() {
--- a/internal/planner/persist.go
+++ b/internal/planner/persist.go
@@ -142,10 +142,9 @@
 	for _, tell := range b.waiters {
 		tell(err)
 	}
+	c.decided = append(b.starts, c.decided...)
 	if outage {
-		c.release(b.starts)
-	} else {
-		c.decided = append(b.starts, c.decided...)
+		c.ReleaseUnwritten()
 	}
 }
 
@@ -168,11 +167,25 @@
 	}
 }
 
-// ReleaseUnwritten lets all decided starts leave in a confirmed outage, when
-// nothing can be written.
+// ReleaseUnwritten lets decided starts leave in a confirmed outage, when
+// nothing can be written. Only work that may be repeated goes: if its worker
+// restarts and this planner dies, nobody is left who knows that it was
+// started, and a successor starts it once more.
 func (c *Core) ReleaseUnwritten() {
-	c.release(c.decided)
-	c.decided = nil
+	var kept []start
+	for _, s := range c.decided {
+		if !c.repeatable(s.task) {
+			kept = append(kept, s)
+			continue
+		}
+		c.release([]start{s})
+	}
+	c.decided = kept
+}
+
+func (c *Core) repeatable(key taskKey) bool {
+	e, ok := c.runs[key.run]
+	return ok && e.repeatable()
 }
 
 // Dirty reports whether something waits to be written.
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -155,7 +155,7 @@
 		return idlePeriod
 	}
 	t.checkRecovery()
-	more := t.core.Decide(now)
+	more := t.core.Decide(now, t.planner.rights.Outage(now))
 	t.planner.metrics.cycle(time.Since(now))
 	t.write(ctx, now)
 	t.send(ctx)
--- a/internal/planner/transitions.go
+++ b/internal/planner/transitions.go
@@ -62,7 +62,7 @@
 
 // stopped handles an attempt that was ended before its work was complete.
 func (c *Core) stopped(e *entry, index int, now time.Time) {
-	if e.run.Workload.Kind != spec.Service && !e.run.Workload.Idempotent && e.run.CancelledBy == "" {
+	if !e.repeatable() && e.run.CancelledBy == "" {
 		c.finishTask(e, index, run.TaskUnknown)
 		return
 	}
@@ -76,7 +76,7 @@
 	c.unbook(e, index)
 	t.EndedAt, t.Reason = now, why
 	c.event("task_vanished", e.run.ID, index, t.Worker, why)
-	if e.run.Workload.Kind != spec.Service && !e.run.Workload.Idempotent {
+	if !e.repeatable() {
 		c.finishTask(e, index, run.TaskUnknown)
 	} else {
 		c.again(e, index, now)
--- a/internal/standin/worker/judge.go
+++ b/internal/standin/worker/judge.go
@@ -1,10 +1,15 @@
 package worker
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Violations lists every promise that the events show broken: a task that ran
 // in two places at once, a key that ran twice, use above capacity or slots.
 func Violations(events []Event) []string {
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b Event) int { return a.At.Compare(b.At) })
 	var broken []string
 	runningOn := map[string]string{}
 	keys := map[string]int{}
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -72,7 +72,7 @@
 		w.scheduleEnd(t, start)
 	}
 	if w.fault.FailAll {
-		w.endLocked(t, worker.Failed, "fails everything")
+		w.endLocked(t, worker.Failed, "fails everything", w.now())
 	}
 }
 
@@ -106,10 +106,10 @@
 	case worker.Drain:
 		t.draining = true
 		if !t.status.Service || len(w.requests) == 0 {
-			w.endLocked(t, worker.Stopped, "drained")
+			w.endLocked(t, worker.Stopped, "drained", w.now())
 		}
 	case worker.Checkpoint, worker.Kill:
-		w.endLocked(t, worker.Stopped, string(stop.Action))
+		w.endLocked(t, worker.Stopped, string(stop.Action), w.now())
 	case worker.Throttle:
 		t.status.Used = t.status.Need
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -58,8 +58,11 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.tasks != nil {
+		w.advanceLocked()
+	}
 	for _, t := range w.tasks {
-		w.endLocked(t, worker.Failed, "worker restarted")
+		w.endLocked(t, worker.Failed, "worker restarted", w.now())
 	}
 	w.boot = uuid.NewString()
 	w.started = w.now()
@@ -101,28 +104,32 @@
 
 func (w *Worker) clockLocked() int64 { return w.now().Sub(w.started).Milliseconds() }
 
-// advanceLocked ends tasks whose time has come and enforces the lease.
+// advanceLocked ends tasks whose time has come and enforces the lease. It runs
+// whenever the worker is looked at, and dates each end at the time at which it
+// was due, so a look that comes late changes nothing.
 func (w *Worker) advanceLocked() {
 	now := w.now()
-	lapsed := w.leaseUntil > 0 && w.clockLocked() >= w.leaseUntil
+	lapse := w.started.Add(time.Duration(w.leaseUntil) * time.Millisecond)
+	lapsed := w.leaseUntil > 0 && !now.Before(lapse)
 	if lapsed {
 		w.leaseUntil = 0
-		w.record.Add(Event{At: now, Worker: w.cfg.ID, Type: LeaseLapsed})
+		w.record.Add(Event{At: lapse, Worker: w.cfg.ID, Type: LeaseLapsed})
 	}
 	for _, t := range w.tasks {
+		due := !t.endsAt.IsZero() && !now.Before(t.endsAt)
 		switch {
 		case t.status.State != worker.Running:
+		case due && !(lapsed && lapse.Before(t.endsAt)):
+			w.endLocked(t, t.ends, "", t.endsAt)
 		case lapsed:
-			w.endLocked(t, worker.Stopped, "lease lapsed")
+			w.endLocked(t, worker.Stopped, "lease lapsed", lapse)
 		case t.draining && len(w.requests) == 0:
-			w.endLocked(t, worker.Stopped, "drained")
-		case !t.endsAt.IsZero() && !now.Before(t.endsAt):
-			w.endLocked(t, t.ends, "")
+			w.endLocked(t, worker.Stopped, "drained", now)
 		}
 	}
 }
 
-func (w *Worker) endLocked(t *task, state worker.TaskState, reason string) {
+func (w *Worker) endLocked(t *task, state worker.TaskState, reason string, at time.Time) {
 	if t.status.State != worker.Running {
 		return
 	}
@@ -130,7 +137,7 @@
 	t.status.State = state
 	t.status.Reason = reason
 	w.used = w.used.Sub(t.status.Need)
-	w.record.Add(Event{At: w.now(), Worker: w.cfg.ID, Type: TaskEnded, Task: taskName(t.status.Ref), Attempt: t.status.Ref.Attempt})
+	w.record.Add(Event{At: at, Worker: w.cfg.ID, Type: TaskEnded, Task: taskName(t.status.Ref), Attempt: t.status.Ref.Attempt})
 }
 
 func (w *Worker) touchLocked(t *task) {
--- /dev/null
+++ b/test/cell/fakes_test.go
@@ -0,0 +1,149 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/live"
+	"gentianstand/internal/platform"
+	standplatform "gentianstand/internal/standin/platform"
+	standworker "gentianstand/internal/standin/worker"
+	"gentianstand/internal/worker"
+)
+
+// patience is how long a caller waits for any answer.
+const patience = time.Second
+
+// table is the platform's table as one member reaches it.
+type table struct {
+	gate   *gate
+	faulty *standplatform.Faulty
+}
+
+func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
+	return toTable(ctx, t, func(ctx context.Context) (platform.Row, error) { return t.faulty.Get(ctx, key) })
+}
+
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	return toTable(ctx, t, func(ctx context.Context) ([]platform.Row, error) { return t.faulty.Scan(ctx, prefix, after, limit) })
+}
+
+func (t table) Commit(ctx context.Context, tx platform.Tx) error {
+	_, err := toTable(ctx, t, func(ctx context.Context) (struct{}, error) { return struct{}{}, t.faulty.Commit(ctx, tx) })
+	return err
+}
+
+func (t table) PutObject(ctx context.Context, key string, data []byte) error {
+	return t.faulty.PutObject(ctx, key, data)
+}
+
+func (t table) GetObject(ctx context.Context, key string) ([]byte, error) {
+	return t.faulty.GetObject(ctx, key)
+}
+
+func toTable[T any](ctx context.Context, t table, f func(context.Context) (T, error)) (T, error) {
+	v, err := within(ctx, patience, func() (T, error) {
+		var none T
+		if err := t.gate.pass(ctx, "table"); err != nil {
+			return none, platform.ErrUnavailable
+		}
+		return f(context.Background())
+	})
+	if err == errCut {
+		err = platform.ErrUnavailable
+	}
+	return v, err
+}
+
+// agent is a worker as one member reaches it.
+type agent struct {
+	gate   *gate
+	id     string
+	worker *standworker.Worker
+}
+
+func (a agent) Sync(ctx context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
+	reply, err := within(ctx, patience, func() (worker.SyncReply, error) {
+		if err := a.gate.pass(ctx, a.id); err != nil {
+			return worker.SyncReply{}, err
+		}
+		return a.worker.Sync(ctx, req)
+	})
+	if err == errCut {
+		err = worker.ErrUnreachable
+	}
+	return reply, err
+}
+
+// peers is the other members as one member reaches them. It implements
+// ownership.Peers, planner.Owners and owner.Planner.
+type peers struct {
+	cell *cell
+	me   *member
+}
+
+func (p peers) reach(instance string) (*member, error) {
+	m := p.cell.member(instance)
+	if m == nil {
+		return nil, errCut
+	}
+	return m, nil
+}
+
+func toPeer[T any](ctx context.Context, p peers, instance string, f func(*member) (T, error)) (T, error) {
+	return within(ctx, patience, func() (T, error) {
+		var none T
+		if err := p.me.gate.pass(ctx, instance); err != nil {
+			return none, err
+		}
+		m, err := p.reach(instance)
+		if err != nil {
+			return none, err
+		}
+		if err := m.gate.pass(ctx, "in"); err != nil {
+			return none, err
+		}
+		return f(m)
+	})
+}
+
+func (p peers) Vouch(ctx context.Context, elector, subject live.Process) (bool, error) {
+	return toPeer(ctx, p, elector.Instance, func(m *member) (bool, error) {
+		return m.process == elector && m.elector.Vouch(subject, time.Now()), nil
+	})
+}
+
+func (p peers) Fence(ctx context.Context, elector, subject live.Process) error {
+	_, err := toPeer(ctx, p, elector.Instance, func(m *member) (struct{}, error) {
+		if m.process != elector {
+			return struct{}{}, errCut
+		}
+		m.elector.Fence(subject, time.Now())
+		return struct{}{}, nil
+	})
+	return err
+}
+
+func (p peers) Assign(ctx context.Context, instance string, epoch uint64, list []fleet.Assignment) error {
+	_, err := toPeer(ctx, p, instance, func(m *member) (struct{}, error) {
+		return struct{}{}, m.owner.Assign(epoch, list)
+	})
+	return err
+}
+
+func (p peers) Report(ctx context.Context, full bool, reports []fleet.Report) (uint64, error) {
+	planner := p.me.keeper.View().Shards[live.PlannerShard].Owner.Instance
+	if planner == "" {
+		return 0, fault.New(fault.NotOwner, "no planner is known")
+	}
+	return toPeer(ctx, p, planner, func(m *member) (uint64, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		return m.planner.Report(ctx, p.me.process.Instance, full, reports)
+	})
+}
+
+func rackOf(n int) string { return fmt.Sprintf("rack-%d", n/2) }
