Orders, reports and adoption survive late messages and outages

Cause of what was left of the broken promises: (1) a report overtaken on its way made a restarted worker look restarted again; (2) a start repeated after a lost answer revived a task that had ended and been acknowledged; (3) a successor did not recognise an attempt started unwritten in an outage when the table named an earlier attempt, and placed the task while that one was still being stopped. Now reports and orders carry sequence numbers, assignments the owner's epoch, failed orders are decided anew instead of repeated, and strays block placement.

--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -7,9 +7,13 @@
 
 // Report is an owner's word on one worker.
 type Report struct {
-	Worker   string
-	Shard    string
-	Epoch    uint64
+	Worker string
+	Shard  string
+	Epoch  uint64
+	// Sequence grows with each report of one epoch. A report that arrives
+	// after a later one is old news: taken for new, it made a restarted worker
+	// look as if it had restarted once more, and its tasks started anew.
+	Sequence uint64
 	Region   string
 	Zone     string
 	Rack     string
--- a/internal/owner/minder.go
+++ b/internal/owner/minder.go
@@ -184,6 +184,7 @@
 	defer m.mu.Unlock()
 	r := m.tracker.Report()
 	r.Draining = m.closedLocked()
+	r.Sequence = m.owner.sequence.Add(1)
 	return r
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -42,6 +42,8 @@
 	quit    context.CancelFunc
 	// all asks for a report of all workers next.
 	all atomic.Bool
+	// sequence orders all reports of this process.
+	sequence atomic.Uint64
 
 	mu           sync.Mutex
 	minders      map[string]*minder
@@ -49,6 +51,9 @@
 	directory    []platform.Instance
 	drains       map[string]live.Drain
 	plannerEpoch uint64
+	// orderEpoch and orderSequence name the last order taken.
+	orderEpoch    uint64
+	orderSequence uint64
 }
 
 type ownerMetrics struct {
@@ -277,16 +282,22 @@
 	}
 }
 
-// Assign takes in what the planner of an epoch decided. A planner that was
-// overtaken is refused with NotOwner, however late its message arrives.
-func (o *Owner) Assign(plannerEpoch uint64, assignments []fleet.Assignment) error {
-	if err := o.MeetPlanner(plannerEpoch); err != nil {
-		return err
-	}
+// Assign takes in what the planner decided. An order of a planner that was
+// overtaken, or one that a later order has overtaken, is refused with NotOwner
+// or Conflict, however late it arrives.
+func (o *Owner) Assign(order fleet.Order) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, a := range assignments {
-		if m, ok := o.minders[a.Worker]; ok {
+	switch {
+	case order.PlannerEpoch < o.plannerEpoch:
+		return fault.New(fault.NotOwner, "planner epoch %d was overtaken by %d", order.PlannerEpoch, o.plannerEpoch)
+	case order.PlannerEpoch == o.orderEpoch && order.Sequence <= o.orderSequence:
+		return fault.New(fault.Conflict, "order %d was overtaken by %d", order.Sequence, o.orderSequence)
+	}
+	o.plannerEpoch = order.PlannerEpoch
+	o.orderEpoch, o.orderSequence = order.PlannerEpoch, order.Sequence
+	for _, a := range order.Assignments {
+		if m, ok := o.minders[a.Worker]; ok && m.epoch == a.Epoch {
 			m.assign(a)
 		}
 	}
@@ -307,18 +318,6 @@
 	}
 }
 
-// MeetPlanner notes the epoch of a planner and refuses a lower one than seen
-// before.
-func (o *Owner) MeetPlanner(epoch uint64) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if epoch < o.plannerEpoch {
-		return fault.New(fault.NotOwner, "planner epoch %d was overtaken by %d", epoch, o.plannerEpoch)
-	}
-	o.plannerEpoch = epoch
-	return nil
-}
-
 // Reports returns the owner's word on all its workers.
 func (o *Owner) Reports() []fleet.Report {
 	minders := o.list()
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -53,13 +53,13 @@
 }
 
 // Assign implements planner.Owners.
-func (h *Hub) Assign(ctx context.Context, instance string, epoch uint64, list []fleet.Assignment) error {
+func (h *Hub) Assign(ctx context.Context, instance string, order fleet.Order) error {
 	client, err := h.clientOf(instance)
 	if err != nil {
 		return err
 	}
-	req := &peerpb.AssignRequest{PlannerEpoch: epoch}
-	for _, a := range list {
+	req := &peerpb.AssignRequest{PlannerEpoch: order.PlannerEpoch, Sequence: order.Sequence}
+	for _, a := range order.Assignments {
 		req.Workers = append(req.Workers, assignmentToMessage(a))
 	}
 	_, err = client.Assign(ctx, req)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -60,11 +60,11 @@
 
 // Assign implements peerpb.Peer.
 func (s *Server) Assign(_ context.Context, req *peerpb.AssignRequest) (*peerpb.AssignReply, error) {
-	list := make([]fleet.Assignment, 0, len(req.GetWorkers()))
+	order := fleet.Order{PlannerEpoch: req.GetPlannerEpoch(), Sequence: req.GetSequence()}
 	for _, m := range req.GetWorkers() {
-		list = append(list, assignmentFromMessage(m))
+		order.Assignments = append(order.Assignments, assignmentFromMessage(m))
 	}
-	err := s.owner.Assign(req.GetPlannerEpoch(), list)
+	err := s.owner.Assign(order)
 	return &peerpb.AssignReply{}, toTwirp(err)
 }
 
--- a/internal/peer/translate.go
+++ b/internal/peer/translate.go
@@ -49,7 +49,7 @@
 
 func reportToMessage(r fleet.Report) *peerpb.WorkerReport {
 	m := &peerpb.WorkerReport{
-		Worker: r.Worker, Shard: r.Shard, Epoch: r.Epoch, Region: r.Region, Zone: r.Zone, Rack: r.Rack,
+		Worker: r.Worker, Shard: r.Shard, Epoch: r.Epoch, Sequence: r.Sequence, Region: r.Region, Zone: r.Zone, Rack: r.Rack,
 		Capacity: amountToMessage(r.Capacity), State: string(r.State), Draining: r.Draining, Boot: r.Boot,
 	}
 	for _, s := range r.Tasks {
@@ -60,7 +60,7 @@
 
 func reportFromMessage(m *peerpb.WorkerReport) fleet.Report {
 	r := fleet.Report{
-		Worker: m.GetWorker(), Shard: m.GetShard(), Epoch: m.GetEpoch(), Region: m.GetRegion(), Zone: m.GetZone(), Rack: m.GetRack(),
+		Worker: m.GetWorker(), Shard: m.GetShard(), Epoch: m.GetEpoch(), Sequence: m.GetSequence(), Region: m.GetRegion(), Zone: m.GetZone(), Rack: m.GetRack(),
 		Capacity: amountFromMessage(m.GetCapacity()), State: fleet.WorkerState(m.GetState()), Draining: m.GetDraining(), Boot: m.GetBoot(),
 	}
 	for _, s := range m.GetTasks() {
@@ -70,7 +70,7 @@
 }
 
 func assignmentToMessage(a fleet.Assignment) *peerpb.WorkerAssignment {
-	m := &peerpb.WorkerAssignment{Worker: a.Worker, Boot: a.Boot}
+	m := &peerpb.WorkerAssignment{Worker: a.Worker, Epoch: a.Epoch, Boot: a.Boot}
 	for _, s := range a.Start {
 		m.Start = append(m.Start, &peerpb.TaskStart{
 			Ref: refToMessage(s.Ref), Workload: s.Workload, Need: amountToMessage(s.Need),
@@ -87,7 +87,7 @@
 }
 
 func assignmentFromMessage(m *peerpb.WorkerAssignment) fleet.Assignment {
-	a := fleet.Assignment{Worker: m.GetWorker(), Boot: m.GetBoot()}
+	a := fleet.Assignment{Worker: m.GetWorker(), Epoch: m.GetEpoch(), Boot: m.GetBoot()}
 	for _, s := range m.GetStart() {
 		a.Start = append(a.Start, worker.TaskStart{
 			Ref: refFromMessage(s.GetRef()), Workload: s.GetWorkload(), Need: amountFromMessage(s.GetNeed()),
--- a/internal/planner/core.go
+++ b/internal/planner/core.go
@@ -21,6 +21,8 @@
 	runs    map[string]*entry
 	active  map[string]*entry
 	workers map[string]*workerView
+	// strays counts running attempts of a task that the books do not have.
+	strays map[taskKey]int
 	// cluster is rebuilt when the set of workers or their state changes.
 	cluster      *cluster.Cluster
 	clusterStale bool
@@ -50,7 +52,7 @@
 func NewCore(runs []*run.Run, now time.Time) *Core {
 	c := &Core{
 		text: &spec.Text{}, runs: map[string]*entry{}, active: map[string]*entry{},
-		workers: map[string]*workerView{}, clusterStale: true,
+		workers: map[string]*workerView{}, strays: map[taskKey]int{}, clusterStale: true,
 		used: map[string]resource.Amount{}, history: map[string]*estimate.History{}, board: health.NewBoard(),
 		claims: map[string]claim{}, changed: map[string]*entry{}, unwritten: map[taskKey]int{}, outbox: newOutbox(),
 	}
@@ -69,7 +71,7 @@
 	if r.State.Final() {
 		return
 	}
-	e.old = e.pending > 0
+	e.old = true
 	c.active[r.ID] = e
 	for i := range r.Tasks {
 		if r.Tasks[i].State == run.TaskAssigned {
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -112,7 +112,7 @@
 		return string(policy.WaitsForTable), false
 	case !c.gangWhole(e):
 		return "waits_for_all_tasks_to_stop", false
-	case c.nextReady(e, now) < 0:
+	case c.nextReady(e, now) < 0 || e.run.Workload.Kind == spec.Job && !c.allReady(e, now):
 		return string(policy.BackingOff), false
 	}
 	return "", true
@@ -184,11 +184,12 @@
 	return e.run.Workload.Kind != spec.Job || e.pending == len(e.run.Tasks)
 }
 
-// nextReady returns the first pending task whose wait is over, or -1.
+// nextReady returns the first pending task whose wait is over, or -1. A task of
+// which a stray attempt is still being stopped has to wait for that.
 func (c *Core) nextReady(e *entry, now time.Time) int {
 	for i := range e.run.Tasks {
 		t := &e.run.Tasks[i]
-		if t.State == run.TaskPending && !now.Before(t.NotBefore) {
+		if t.State == run.TaskPending && !now.Before(t.NotBefore) && c.strays[taskKey{e.run.ID, i}] <= 0 {
 			return i
 		}
 	}
@@ -317,3 +318,13 @@
 	c.touchTask(e, index)
 	delete(c.claims, e.run.ID)
 }
+
+// allReady reports whether every task of a gang may start.
+func (c *Core) allReady(e *entry, now time.Time) bool {
+	for i := range e.run.Tasks {
+		if now.Before(e.run.Tasks[i].NotBefore) || c.strays[taskKey{e.run.ID, i}] > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/planner/entry.go
+++ b/internal/planner/entry.go
@@ -19,8 +19,8 @@
 	stored int
 	// pending counts tasks that wait for a worker.
 	pending int
-	// old says that pending tasks may have been started by an earlier
-	// planner in an outage; they wait for recovery.
+	// old says that an earlier planner may have started tasks of the run
+	// unwritten in an outage; pending ones wait for recovery.
 	old bool
 	// since is when the run's work became ready; reason why it waits.
 	since  time.Time
--- a/internal/planner/outbox.go
+++ b/internal/planner/outbox.go
@@ -52,12 +52,41 @@
 func (c *Core) Outbox() []fleet.Assignment {
 	list := make([]fleet.Assignment, 0, len(c.outbox.byWorker))
 	for _, id := range sortedKeys(c.outbox.byWorker) {
-		list = append(list, *c.outbox.byWorker[id])
+		a := c.outbox.byWorker[id]
+		a.Epoch = c.view(id).report.Epoch
+		list = append(list, *a)
 	}
 	c.outbox = newOutbox()
 	return list
 }
 
+// resend puts back what could not be brought, as far as it is still wanted.
+func (c *Core) resend(list []fleet.Assignment) {
+	for _, a := range list {
+		for _, s := range a.Start {
+			c.resendStart(a, s)
+		}
+		for _, s := range a.Stop {
+			c.outbox.stop(a.Worker, a.Boot, s)
+		}
+		for _, ref := range a.Ack {
+			c.outbox.ack(a.Worker, a.Boot, ref)
+		}
+	}
+}
+
+func (c *Core) resendStart(a fleet.Assignment, s worker.TaskStart) {
+	key := taskKey{s.Ref.Run, s.Ref.Index}
+	e, ok := c.active[key.run]
+	if !ok || key.index >= len(e.run.Tasks) {
+		return
+	}
+	t := &e.run.Tasks[key.index]
+	if t.Attempt == s.Ref.Attempt && t.Worker == a.Worker && t.Boot == a.Boot && !t.Seen {
+		c.sendStart(key)
+	}
+}
+
 // sendStart puts the start of a booked task in the outbox.
 func (c *Core) sendStart(key taskKey) {
 	e, ok := c.active[key.run]
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -10,10 +10,11 @@
 )
 
 // Report takes in an owner's word on a worker. A report of a lower epoch than
-// seen before comes from an owner that was overtaken and is dropped.
+// seen before comes from an owner that was overtaken, one of a lower sequence
+// was overtaken on its way; both are dropped.
 func (c *Core) Report(r fleet.Report, now time.Time) {
 	v := c.view(r.Worker)
-	if r.Epoch < v.report.Epoch {
+	if r.Epoch < v.report.Epoch || (r.Epoch == v.report.Epoch && r.Sequence < v.report.Sequence) {
 		return
 	}
 	before := v.report
@@ -37,6 +38,7 @@
 func (c *Core) forgetOrphans(v *workerView) {
 	for ref, status := range v.orphans {
 		delete(v.orphans, ref)
+		c.strays[taskKey{ref.Run, ref.Index}]--
 		if i, ok := c.findNode(v.report.Worker); ok {
 			c.cluster.Give(i, status.Workload, status.Need)
 		}
@@ -69,16 +71,21 @@
 }
 
 // startedInOutage tells an attempt that an earlier planner started without
-// being able to write it down.
+// being able to write it down. That planner knew the attempts before it to be
+// over, so a later attempt stands for an earlier one that the table names.
 func (c *Core) startedInOutage(t *run.Task, status worker.TaskStatus) bool {
-	return t.State == run.TaskPending && status.Ref.Attempt > t.Attempt && status.State != worker.Refused
+	return !t.State.Final() && status.Ref.Attempt > t.Attempt && status.State != worker.Refused
 }
 
 func (c *Core) adopt(e *entry, index int, v *workerView, status worker.TaskStatus, now time.Time) {
 	t := &e.run.Tasks[index]
+	if t.State == run.TaskAssigned {
+		c.unbook(e, index)
+	} else {
+		e.pending--
+	}
 	t.State, t.Attempt, t.Worker, t.Boot, t.Need = run.TaskAssigned, status.Ref.Attempt, v.report.Worker, v.report.Boot, status.Need
 	t.Definition, t.StartedAt = e.run.Definition, now
-	e.pending--
 	c.book(e, index)
 	if i, ok := c.findNode(t.Worker); ok {
 		c.cluster.Take(i, e.run.Workload.Name, t.Need)
@@ -96,6 +103,7 @@
 		return
 	}
 	v.orphans[status.Ref] = status
+	c.strays[taskKey{status.Ref.Run, status.Ref.Index}]++
 	if i, ok := c.findNode(v.report.Worker); ok {
 		c.cluster.Take(i, status.Workload, status.Need)
 	}
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -44,8 +44,10 @@
 	// retryAt is when to write again after a write that failed.
 	retryAt time.Time
 	swept   time.Time
-	quit    context.CancelFunc
-	done    chan struct{}
+	// orders counts the orders of this term.
+	orders uint64
+	quit   context.CancelFunc
+	done   chan struct{}
 }
 
 type commitResult struct {
@@ -258,7 +260,7 @@
 }
 
 // send brings the outbox to the owners, each in its own goroutine so that a
-// silent one delays nobody. What fails is sent again after the next report.
+// silent one delays nobody.
 func (t *term) send(ctx context.Context) {
 	assignments := t.core.Outbox()
 	if len(assignments) == 0 {
@@ -272,27 +274,36 @@
 		byOwner[owner] = append(byOwner[owner], a)
 	}
 	for owner, list := range byOwner {
-		go t.assign(ctx, owner, list)
+		t.orders++
+		order := fleet.Order{PlannerEpoch: t.shard.Epoch, Sequence: t.orders, Assignments: list}
+		go t.assign(ctx, owner, order)
 	}
 }
 
-func (t *term) assign(ctx context.Context, owner string, list []fleet.Assignment) {
-	for range 3 {
-		if ctx.Err() != nil || !t.planner.rights.MayAct(time.Now()) {
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, assignTimeout)
-		err := t.planner.owners.Assign(callCtx, owner, t.shard.Epoch, list)
-		cancel()
-		if err == nil {
-			t.planner.metrics.assigns.Inc()
-			return
-		}
-		t.log.WithError(err).WithField("owner", owner).Warn("assign_failed")
-		if fault.Is(err, fault.NotOwner) {
-			return
-		}
-		time.Sleep(idlePeriod)
+// assign makes one call. After a failure the core decides anew what is still
+// to be sent: repeating the message itself could start a task that has run to
+// its end meanwhile.
+func (t *term) assign(ctx context.Context, owner string, order fleet.Order) {
+	if !t.planner.rights.MayAct(time.Now()) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, assignTimeout)
+	defer cancel()
+	err := t.planner.owners.Assign(callCtx, owner, order)
+	if err == nil {
+		t.planner.metrics.assigns.Inc()
+		return
+	}
+	t.log.WithError(err).WithField("owner", owner).Warn("assign_failed")
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(idlePeriod):
+	}
+	select {
+	case t.calls <- func(c *Core) { c.resend(order.Assignments) }:
+	case <-ctx.Done():
+	case <-t.done:
 	}
 }
 
--- a/test/cell/fakes_test.go
+++ b/test/cell/fakes_test.go
@@ -127,9 +127,9 @@
 	return err
 }
 
-func (p peers) Assign(ctx context.Context, instance string, epoch uint64, list []fleet.Assignment) error {
+func (p peers) Assign(ctx context.Context, instance string, order fleet.Order) error {
 	_, err := toPeer(ctx, p, instance, func(m *member) (struct{}, error) {
-		return struct{}{}, m.owner.Assign(epoch, list)
+		return struct{}{}, m.owner.Assign(order)
 	})
 	return err
 }
