--- /dev/null
+++ b/internal/placement/naive_test.go
@@ -0,0 +1,136 @@
+package placement_test
+
+import (
+	"gentianstand/internal/placement/cluster"
+	"gentianstand/internal/placement/policy"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/spec"
+)
+
+// placedTask is a task as the naive versions keep it: in one flat list.
+type placedTask struct {
+	node     int
+	workload string
+	need     resource.Amount
+}
+
+// naiveCluster is plain, slow and obviously right: what is free is worked out
+// from the list of all tasks each time it is asked for.
+type naiveCluster struct {
+	nodes []cluster.Node
+	tasks []placedTask
+}
+
+func (c *naiveCluster) free(node int) resource.Amount {
+	free := c.nodes[node].Capacity
+	for _, t := range c.tasks {
+		if t.node == node {
+			free = free.Sub(t.need)
+		}
+	}
+	return free
+}
+
+func (c *naiveCluster) count(workload string, same func(n cluster.Node) bool) int {
+	count := 0
+	for _, t := range c.tasks {
+		if t.workload == workload && same(c.nodes[t.node]) {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *naiveCluster) feasible(need resource.Amount) []int {
+	var list []int
+	for i := range c.nodes {
+		if !c.nodes[i].Closed && need.Fits(c.free(i)) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// naiveBatch is the tightest fit over a plain list.
+func naiveBatch(c *naiveCluster, req policy.Request) int {
+	return naiveBest(c, req, batchRank)
+}
+
+// naiveBest returns the feasible worker of the lowest rank.
+func naiveBest(c *naiveCluster, req policy.Request, rankOf func(*naiveCluster, policy.Request, int) [4]int64) int {
+	best := -1
+	var lowest [4]int64
+	for _, i := range c.feasible(req.Need) {
+		rank := rankOf(c, req, i)
+		if best < 0 || lessRank(rank, lowest) {
+			best, lowest = i, rank
+		}
+	}
+	return best
+}
+
+func batchRank(c *naiveCluster, req policy.Request, i int) [4]int64 {
+	return [4]int64{3: naiveScore(c.nodes[i].Capacity, c.free(i).Sub(req.Need), req.Need)}
+}
+
+// naiveScore spells out what stays free: processors, memory, their unevenness,
+// and accelerators.
+func naiveScore(capacity, left, need resource.Amount) int64 {
+	cpu := left.MilliCPU * 65536 / capacity.MilliCPU
+	memory := left.MemoryMiB * 65536 / capacity.MemoryMiB
+	uneven := cpu - memory
+	if uneven < 0 {
+		uneven = -uneven
+	}
+	score := cpu + memory + uneven
+	if capacity.Accelerators > 0 {
+		score += left.Accelerators * 65536 / capacity.Accelerators
+		if need.Accelerators == 0 {
+			score += 8 * 65536
+		}
+	}
+	return score
+}
+
+// naiveService counts replicas anew for each candidate.
+func naiveService(c *naiveCluster, req policy.Request) int {
+	return naiveBest(c, req, serviceRank)
+}
+
+func serviceRank(c *naiveCluster, req policy.Request, i int) [4]int64 {
+	n := c.nodes[i]
+	rank := batchRank(c, req, i)
+	if req.Spread == spec.SpreadZone {
+		rank[0] = int64(c.count(req.Workload, func(o cluster.Node) bool { return o.Zone == n.Zone && o.Region == n.Region }))
+	}
+	if req.Spread == spec.SpreadZone || req.Spread == spec.SpreadRack {
+		rank[1] = int64(c.count(req.Workload, func(o cluster.Node) bool { return o.Rack == n.Rack }))
+	}
+	if req.Spread != spec.SpreadNone {
+		rank[2] = int64(c.count(req.Workload, func(o cluster.Node) bool { return o.ID == n.ID }))
+	}
+	return rank
+}
+
+func lessRank(a, b [4]int64) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
+
+// naiveGang tells whether a gang fits by placing its tasks one by one, first
+// fit: for equal tasks that is exact.
+func naiveGang(c *naiveCluster, req policy.Request) bool {
+	trial := naiveCluster{nodes: c.nodes, tasks: append([]placedTask(nil), c.tasks...)}
+	for range req.Tasks {
+		fits := trial.feasible(req.Need)
+		if len(fits) == 0 {
+			return false
+		}
+		trial.tasks = append(trial.tasks, placedTask{node: fits[0], need: req.Need})
+	}
+	return true
+}
--- a/internal/placement/order/order.go
+++ b/internal/placement/order/order.go
@@ -36,7 +36,7 @@
 		if c := compareBool(over[a.Team], over[b.Team]); c != 0 {
 			return c
 		}
-		if c := cmp.Compare(dominant[a.Team], dominant[b.Team]); c != 0 {
+		if c := compareShare(dominant[a.Team], dominant[b.Team], over[a.Team]); c != 0 {
 			return c
 		}
 		if c := a.Since.Compare(b.Since); c != 0 {
@@ -68,3 +68,12 @@
 		return -1
 	}
 }
+
+// compareShare orders borrowers by what they use. Teams within their quota are
+// entitled to what they ask for, so among them the longest waiting goes first.
+func compareShare(a, b float64, borrowing bool) int {
+	if !borrowing {
+		return 0
+	}
+	return cmp.Compare(a, b)
+}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -30,6 +30,9 @@
 // The bounds of reservations.
 const (
 	reservationPeriod = time.Second
+	// patience is how long a gang waits before room is held for it. Holding
+	// costs packing, and most gangs fit soon without.
+	patience = time.Minute
 	// unknownRunTime is assumed of tasks that declare none.
 	unknownRunTime = time.Hour
 )
@@ -57,7 +60,7 @@
 }
 
 func (c *Core) firstGang(items []order.Item, now time.Time) *entry {
-	gangs := slices.DeleteFunc(slices.Clone(items), func(i order.Item) bool { return !i.Gang })
+	gangs := slices.DeleteFunc(slices.Clone(items), func(i order.Item) bool { return !i.Gang || now.Sub(i.Since) < patience })
 	if len(gangs) == 0 {
 		return nil
 	}
