--- a/internal/dev/settings.go
+++ b/internal/dev/settings.go
@@ -11,4 +11,6 @@
 	// in turn.
 	WorkersPerRack int
 	LogLevel       string
+	// OperatorToken, if not empty, must come with operators' calls.
+	OperatorToken string
 }
--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -36,6 +37,7 @@
 	store    *standplatform.Store
 	apps     []*fx.App
 	servers  []*http.Server
+	workers  []*standworker.Worker
 }
 
 // Start starts a system. It must be stopped also after an error.
@@ -63,13 +65,22 @@
 // Faults sets what the platform does wrong.
 func (s *System) Faults(f standplatform.Fault) { s.faulty.Set(f) }
 
+// WorkerFaults sets what all workers do wrong.
+func (s *System) WorkerFaults(f standworker.Fault) {
+	for _, w := range s.workers {
+		w.SetFault(f)
+	}
+}
+
 // Stop stops the instances gracefully and then everything else.
 func (s *System) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
+	var wg sync.WaitGroup
 	for _, app := range s.apps {
-		_ = app.Stop(ctx)
+		wg.Go(func() { _ = app.Stop(ctx) })
 	}
+	wg.Wait()
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
@@ -93,6 +104,7 @@
 		Capacity: resource.Amount{MilliCPU: 16_000, MemoryMiB: 32 << 10},
 	}
 	w := standworker.New(cfg, s.Record, time.Now)
+	s.workers = append(s.workers, w)
 	address, err := s.serve(standworker.NewServer(w, s.Record).Handler())
 	if err != nil {
 		return err
@@ -114,6 +126,7 @@
 		ID: fmt.Sprintf("entry-%d", n), Listen: ports[0], PeerListen: ports[1],
 		Region: region, Zone: fmt.Sprintf("zone-%d", n%zones),
 		Platform: s.Platform, PlatformTimeout: time.Second, LogLevel: s.settings.LogLevel, StopTimeout: 10 * time.Second,
+		OperatorToken: s.settings.OperatorToken,
 	}
 	app := fx.New(instance.Module(c, instance.NewLog(c.LogLevel, c.ID, log)))
 	if err := app.Start(ctx); err != nil {
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -32,12 +32,16 @@
 // caller's connection is broken off too, so that a part is never taken for the
 // whole. keep, if not nil, gets a copy of the body as it passes.
 func passAnswer(w http.ResponseWriter, resp *http.Response, keep *keeper) error {
+	flusher := http.NewResponseController(w)
+	// Without full duplex the server swallows up to 256 KiB of the request's
+	// body when the answer begins before the body has been passed on: the
+	// upstream would get a hole in it. HTTP/2 needs no such call.
+	_ = flusher.EnableFullDuplex()
 	header := w.Header()
 	for name, values := range passedHeaders(resp.Header) {
 		header[name] = values
 	}
 	w.WriteHeader(resp.StatusCode)
-	flusher := http.NewResponseController(w)
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, err := resp.Body.Read(buffer)
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -112,6 +112,7 @@
 	if !s.work(r) {
 		return
 	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	w.Header().Set("X-Served-By", s.worker.cfg.ID)
 	fmt.Fprintf(w, "%s %s from %s\n", r.Method, path, s.worker.cfg.ID)
 	_, _ = io.Copy(w, r.Body)
