--- a/internal/instance/module.go
+++ b/internal/instance/module.go
@@ -44,7 +44,7 @@
 			newTrail, newDirectory, newConfigFollower, newHub, newPlannerClient, newOwner,
 			newPlanner, newRegister, newListener, newKeeper, newEntry, peer.NewServer, newProcess, newServers, newLazyShards,
 		),
-		fx.Invoke(run),
+		fx.Invoke(registerGauges, run),
 	)
 }
 
