--- /dev/null
+++ b/internal/routing/queue_test.go
@@ -0,0 +1,206 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/worker"
+)
+
+func oneWorker(slots int) *Router {
+	r := NewRouter()
+	r.Set(WorkerInfo{ID: "w", Slots: slots, Services: []string{"s"}, Open: true}, time.Now())
+	return r
+}
+
+func request(id string, rank int, timeout time.Duration) Request {
+	return Request{ID: id, Rank: rank, Deadline: time.Now().Add(timeout)}
+}
+
+// acquire waits for a slot in the background and notes the result by id.
+func acquire(r *Router, order chan string, id string, rank int, timeout time.Duration) {
+	go func() {
+		g, err := r.Acquire(context.Background(), "s", request(id, rank, timeout), time.Now())
+		if err != nil {
+			order <- id + " " + string(fault.From(err).Kind)
+			return
+		}
+		order <- id
+		time.Sleep(10 * time.Millisecond)
+		g.Done(Answered, time.Now())
+	}()
+	synctest.Wait()
+}
+
+// TestUrgentFirst: a freed slot goes to the most urgent waiter, and among
+// equals to the one that has waited longest.
+func TestUrgentFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Second) // lets waiters return their slots
+		r := oneWorker(1)
+		held, _ := r.Acquire(context.Background(), "s", request("held", 1, time.Minute), time.Now())
+		order := make(chan string, 4)
+		for _, w := range []struct {
+			id   string
+			rank int
+		}{{"low", 2}, {"first", 1}, {"second", 1}, {"urgent", 0}} {
+			acquire(r, order, w.id, w.rank, time.Minute)
+		}
+		held.Done(Answered, time.Now())
+		for _, want := range []string{"urgent", "first", "second", "low"} {
+			if got := <-order; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		}
+	})
+}
+
+// TestHopelessIsRefusedAtOnce: symptom: callers wait for a refusal. Sequence:
+// the queue is so long that a newcomer's deadline passes before its turn.
+// Cause to be ruled out: it is let in and refused only then.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Second) // lets waiters return their slots
+		r := oneWorker(1)
+		r.Learn("s", 10*time.Second)
+		held, _ := r.Acquire(context.Background(), "s", request("held", 1, time.Minute), time.Now())
+		started := time.Now()
+		_, err := r.Acquire(context.Background(), "s", request("hopeless", 1, time.Second), time.Now())
+		f := fault.From(err)
+		if f.Kind != fault.Overloaded || f.Answer().Outcome != fault.DidNotRun || f.Answer().RetryAfter < time.Second {
+			t.Errorf("got %+v", f)
+		}
+		if waited := time.Since(started); waited > 0 {
+			t.Errorf("refused after %s", waited)
+		}
+		held.Done(Answered, time.Now())
+	})
+}
+
+// TestFullQueueShedsLeastUrgent: symptom: urgent requests are refused while
+// others wait. Sequence: the queue is full and an urgent request comes.
+func TestFullQueueShedsLeastUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Second) // lets waiters return their slots
+		r := oneWorker(1)
+		held, _ := r.Acquire(context.Background(), "s", request("held", 1, time.Hour), time.Now())
+		order := make(chan string, minQueue+2)
+		for i := range minQueue {
+			acquire(r, order, fmt.Sprintf("low%d", i), 2, time.Hour)
+		}
+		acquire(r, order, "one-more", 2, time.Hour)
+		if got := <-order; got != "one-more overloaded" {
+			t.Errorf("a full queue answered %s", got)
+		}
+		acquire(r, order, "urgent", 0, time.Hour)
+		if got := <-order; got != fmt.Sprintf("low%d overloaded", minQueue-1) {
+			t.Errorf("for an urgent request %s was refused", got)
+		}
+		held.Done(Answered, time.Now())
+		if got := <-order; got != "urgent" {
+			t.Errorf("the slot went to %s", got)
+		}
+		for range minQueue - 1 {
+			<-order
+		}
+	})
+}
+
+// TestDeadlineInQueue: a waiter whose deadline passes is answered then, and the
+// slot goes to the next.
+func TestDeadlineInQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(time.Second) // lets waiters return their slots
+		r := oneWorker(1)
+		held, _ := r.Acquire(context.Background(), "s", request("held", 1, time.Hour), time.Now())
+		order := make(chan string, 2)
+		acquire(r, order, "short", 1, time.Second)
+		acquire(r, order, "long", 1, time.Hour)
+		time.Sleep(2 * time.Second)
+		if got := <-order; got != "short deadline_exceeded" {
+			t.Errorf("got %s", got)
+		}
+		held.Done(Answered, time.Now())
+		if got := <-order; got != "long" {
+			t.Errorf("got %s", got)
+		}
+	})
+}
+
+// TestFailingUpstreamIsEjected: symptom: all requests fail although one worker
+// of three is bad. Sequence: a worker fails at once, so it is always free.
+// Cause to be ruled out: the freest is taken for the best.
+func TestFailingUpstreamIsEjected(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRouter()
+	for _, id := range []string{"bad", "good1", "good2"} {
+		r.Set(WorkerInfo{ID: id, Slots: 8, Services: []string{"s"}, Open: true}, now)
+	}
+	failed := 0
+	for i := range 300 {
+		now = now.Add(10 * time.Millisecond)
+		g := r.TryAcquire(context.Background(), "s", Request{ID: fmt.Sprint(i), Deadline: now.Add(time.Second)}, now)
+		if g.Worker == "bad" {
+			failed++
+			g.Done(Broken, now)
+			continue
+		}
+		g.Done(Answered, now.Add(5*time.Millisecond))
+	}
+	if failed > 6 {
+		t.Errorf("%d of 300 requests went to the failing worker", failed)
+	}
+}
+
+// TestRetryBudget: retries are at most a tenth of requests, beyond a small
+// burst, so that they never multiply an overload.
+func TestRetryBudget(t *testing.T) {
+	r := oneWorker(1000)
+	retries := 0
+	for i := range 1000 {
+		g, err := r.Acquire(context.Background(), "s", request(fmt.Sprint(i), 1, time.Minute), time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Done(Broken, time.Now())
+		if r.MayRetry("s") {
+			retries++
+		}
+	}
+	if retries > 1000/10+retryBurst {
+		t.Errorf("%d retries", retries)
+	}
+}
+
+// TestDoubtfulRequests: a revoked request ends as never arrived, a finished one
+// only after its answer had time to come, a running one never.
+func TestDoubtfulRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := oneWorker(8)
+	r.Set(WorkerInfo{ID: "w", Slots: 8, Services: []string{"s"}, Open: true}, now)
+	grants := map[string]*Grant{}
+	for _, id := range []string{"revoked", "finished", "running"} {
+		grants[id] = r.TryAcquire(context.Background(), "s", Request{ID: id, Deadline: now.Add(time.Minute)}, now)
+	}
+	for _, tick := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		r.Resolve("w", "revoked", worker.RequestRevoked, now.Add(tick))
+		r.Resolve("w", "finished", worker.RequestFinished, now.Add(tick))
+		r.Resolve("w", "running", worker.RequestRunning, now.Add(tick))
+		if tick == 2*time.Second && context.Cause(grants["finished"].Context()) != nil {
+			t.Error("an answer on its way was given up")
+		}
+	}
+	if cause := context.Cause(grants["revoked"].Context()); cause != ErrNeverArrived {
+		t.Errorf("revoked: %v", cause)
+	}
+	if cause := context.Cause(grants["finished"].Context()); cause != ErrAnswerLost {
+		t.Errorf("finished: %v", cause)
+	}
+	if cause := context.Cause(grants["running"].Context()); cause != nil {
+		t.Errorf("running: %v", cause)
+	}
+}
