Planner core tested by hand-driven sites; a borrower no longer takes a whole quantum before others

TestQuota failed at first: a team within its quota when its turn began took 16 tasks in one quantum, beyond its quota, and left nothing to a team that was entitled to two. The turn now ends where borrowing begins.

--- /dev/null
+++ b/internal/planner/core_test.go
@@ -0,0 +1,315 @@
+package planner_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/run"
+	"gentianstand/internal/worker"
+)
+
+const teams = `version: 1
+teams:
+  - name: a
+    quota: {cpu: 8, memory: 64GiB}
+  - name: b
+    quota: {cpu: 8, memory: 64GiB}
+    protected: true
+  - name: c
+    quota: {cpu: 2, memory: 64GiB}
+    borrow: false
+`
+
+var fourCores = resource.Amount{MilliCPU: 4000, MemoryMiB: 16 << 10}
+
+func work(list, name, team string, tasks, cpu int, more string) string {
+	return fmt.Sprintf("%s:\n  - name: %s\n    team: %s\n    tasks: %d\n    resources: {cpu: %d, memory: 1GiB}\n%s", list, name, team, tasks, cpu, more)
+}
+
+// TestGangIsAllOrNone: a job's tasks start together or not at all.
+func TestGangIsAllOrNone(t *testing.T) {
+	s := newSite(t, 2, fourCores, teams+work("batches", "small", "a", 3, 1, "")+work("jobs", "gang", "a", 4, 2, "    urgency: low\n"))
+	s.steps(3)
+	s.expectRunning("small", 3)
+	s.expectRunning("gang", 0)
+	s.end("small", worker.Succeeded, nil)
+	s.steps(2)
+	s.expectRunning("gang", 4)
+}
+
+// TestGangRestartsTogether: symptom: a job goes on with some of its tasks.
+// Sequence: the worker of some tasks of a running job is lost. Cause to be
+// ruled out: each task is looked at alone.
+func TestGangRestartsTogether(t *testing.T) {
+	s := newSite(t, 4, fourCores, teams+work("jobs", "gang", "a", 4, 2, ""))
+	s.steps(3)
+	s.expectRunning("gang", 4)
+	for id, tasks := range s.tasks {
+		if len(tasks) > 0 {
+			s.report(id, fleet.Lost)
+			break
+		}
+	}
+	s.steps(4)
+	s.expectRunning("gang", 4)
+	for task, n := range s.starts {
+		if n != 2 {
+			t.Errorf("%s was started %d times, not twice with the others", task, n)
+		}
+	}
+}
+
+// TestGangIsNotStarved: symptom: a job for the whole site never starts while
+// small work keeps coming. Cause to be ruled out: every hole is filled at once
+// by the next small task.
+func TestGangIsNotStarved(t *testing.T) {
+	text := teams + work("jobs", "gang", "a", 8, 2, "    run_time: 30s\n") + work("batches", "small", "a", 1, 2, "    run_time: 1m\n    start: on-submit\n")
+	s := newSite(t, 4, fourCores, text)
+	for i := range 6 {
+		s.core.Submit("small", fmt.Sprintf("small-%d", i), "test", s.now, func(error) {})
+	}
+	for i := range 3000 {
+		s.step()
+		if s.running("gang") == 8 {
+			return
+		}
+		if i%20 == 0 {
+			s.core.Submit("small", fmt.Sprintf("more-%d", i), "test", s.now, func(error) {})
+		}
+		if i%40 == 39 {
+			done := false
+			s.end("small", worker.Succeeded, func(string, worker.TaskRef) bool { was := done; done = true; return !was })
+		}
+	}
+	t.Fatalf("the gang never started: %+v", s.summary("gang"))
+}
+
+// TestUrgentPreempts: an urgent task on a full site starts by stopping what
+// loses least, and never another team's protected work.
+func TestUrgentPreempts(t *testing.T) {
+	text := teams + work("batches", "plain", "a", 8, 1, "") + "  - name: guarded\n    team: b\n    tasks: 8\n    resources: {cpu: 1, memory: 1GiB}\n" +
+		"  - name: rush\n    team: a\n    urgency: urgent\n    tasks: 2\n    resources: {cpu: 1, memory: 1GiB}\n    start: on-submit\n"
+	s := newSite(t, 4, fourCores, text)
+	s.steps(3)
+	s.expectRunning("plain", 8)
+	s.expectRunning("guarded", 8)
+	s.core.Submit("rush", "rush-1", "test", s.now, func(error) {})
+	asked := s.now
+	for s.running("rush") < 2 && s.now.Sub(asked) < 4700*time.Millisecond {
+		s.step()
+	}
+	s.expectRunning("rush", 2)
+	s.expectRunning("guarded", 8)
+	s.expectRunning("plain", 6)
+}
+
+// TestUrgentNeverStopsUnrepeatable: work that must not be repeated is never
+// stopped for urgent work.
+func TestUrgentNeverStopsUnrepeatable(t *testing.T) {
+	text := teams + work("batches", "letters", "a", 4, 1, "    idempotent: false\n") + "  - name: rush\n    team: a\n    urgency: urgent\n    resources: {cpu: 1, memory: 1GiB}\n    start: on-submit\n"
+	s := newSite(t, 1, fourCores, text)
+	s.steps(2)
+	s.core.Submit("rush", "rush-1", "test", s.now, func(error) {})
+	s.steps(60)
+	s.expectRunning("letters", 4)
+	s.expectRunning("rush", 0)
+}
+
+// TestNeverRunnable: a job that no worker can hold says so at once, with the
+// nearest worker and what is missing, and blocks nobody.
+func TestNeverRunnable(t *testing.T) {
+	s := newSite(t, 2, fourCores, teams+work("jobs", "huge", "a", 1, 64, "    urgency: urgent\n")+work("batches", "small", "a", 8, 1, ""))
+	s.steps(2)
+	s.expectRunning("small", 8)
+	if reason := s.summary("huge").Reason; !strings.Contains(reason, "nearest, w") || !strings.Contains(reason, "lacks 60000m cpu") {
+		t.Errorf("reason %q", reason)
+	}
+	s.capacity = resource.Amount{MilliCPU: 64_000, MemoryMiB: 64 << 10}
+	s.report("w0", fleet.Ready)
+	s.end("small", worker.Succeeded, nil)
+	s.steps(3)
+	s.expectRunning("huge", 1)
+}
+
+// TestQuota: a team that may not borrow stays within its quota; one that may
+// uses what others leave, and gives way when they come.
+func TestQuota(t *testing.T) {
+	s := newSite(t, 4, fourCores, teams+work("batches", "strict", "c", 10, 1, "")+"  - name: greedy\n    team: a\n    tasks: 20\n    resources: {cpu: 1, memory: 1GiB}\n")
+	s.steps(3)
+	s.expectRunning("strict", 2)
+	s.expectRunning("greedy", 14)
+	if reason := s.summary("strict").Reason; reason != "team_quota_used_up" {
+		t.Errorf("reason %q", reason)
+	}
+}
+
+// TestFailingWorkerIsTakenOut: symptom: everything fails although one worker of
+// four is bad. Sequence: a worker fails each task at once, so it is always
+// free. Cause to be ruled out: the freest worker gets the next task.
+func TestFailingWorkerIsTakenOut(t *testing.T) {
+	text := teams
+	list := "batches:\n"
+	for k := range 4 {
+		list += fmt.Sprintf("  - name: kind%d\n    team: a\n    tasks: 10\n    retries: 20\n    resources: {cpu: 1, memory: 1GiB}\n", k)
+	}
+	s := newSite(t, 4, fourCores, text+list)
+	failures := 0
+	for range 600 {
+		s.step()
+		for k := range 4 {
+			name := fmt.Sprintf("kind%d", k)
+			s.end(name, worker.Failed, func(id string, _ worker.TaskRef) bool {
+				if id == "w0" {
+					failures++
+				}
+				return id == "w0"
+			})
+			s.end(name, worker.Succeeded, func(id string, _ worker.TaskRef) bool { return id != "w0" })
+		}
+	}
+	for k := range 4 {
+		s.expectState(fmt.Sprintf("kind%d", k), run.Succeeded)
+	}
+	if failures > 16 {
+		t.Errorf("%d tasks failed on the bad worker", failures)
+	}
+}
+
+// TestBadJobIsNotABadWorker: a job that fails everywhere takes no worker out.
+func TestBadJobIsNotABadWorker(t *testing.T) {
+	s := newSite(t, 3, fourCores, teams+work("batches", "bad", "a", 6, 1, "    retries: 3\n")+"  - name: good\n    team: a\n    tasks: 12\n    resources: {cpu: 1, memory: 1GiB}\n    start: on-submit\n")
+	for range 400 {
+		s.step()
+		s.end("bad", worker.Failed, nil)
+	}
+	s.expectState("bad", run.Failed)
+	s.core.Submit("good", "good-1", "test", s.now, func(error) {})
+	s.steps(3)
+	s.expectRunning("good", 12)
+}
+
+// TestUnrepeatableEndsHonestly: symptom: a letter is sent twice, or its run is
+// called a failure that did not happen. Sequence: the worker of a task that
+// must not be repeated is lost. Only "may have run" is known.
+func TestUnrepeatableEndsHonestly(t *testing.T) {
+	s := newSite(t, 2, fourCores, teams+work("batches", "letters", "a", 2, 4, "    idempotent: false\n    retries: 5\n"))
+	s.steps(2)
+	s.report("w0", fleet.Lost)
+	s.end("letters", worker.Succeeded, nil)
+	s.steps(5)
+	s.expectState("letters", run.Failed)
+	r, _ := s.core.Run(s.summary("letters").ID)
+	if r.Count(run.TaskUnknown) != 1 || r.Count(run.TaskSucceeded) != 1 {
+		t.Errorf("tasks %+v", r.Tasks)
+	}
+	for task, n := range s.starts {
+		if n != 1 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
+// TestDependencies: a run waits for services to run and for batches to succeed.
+func TestDependencies(t *testing.T) {
+	text := teams + "services:\n  - name: desk\n    team: a\n    resources: {cpu: 1, memory: 1GiB}\n" +
+		work("batches", "first", "a", 1, 1, "    depends_on: [desk]\n") + work("jobs", "second", "a", 1, 1, "    depends_on: [first]\n")
+	s := newSite(t, 2, fourCores, text)
+	s.step()
+	s.expectRunning("first", 0)
+	s.steps(2)
+	s.expectRunning("first", 1)
+	s.expectRunning("second", 0)
+	s.end("first", worker.Succeeded, nil)
+	s.steps(2)
+	s.expectRunning("second", 1)
+}
+
+// TestOutgrownTask: a task that uses more memory than it was given is moved and
+// gets its true size; one that must not be repeated is throttled and left.
+func TestOutgrownTask(t *testing.T) {
+	s := newSite(t, 2, fourCores, teams+work("batches", "grows", "a", 1, 1, ""))
+	s.steps(2)
+	for id, tasks := range s.tasks {
+		for ref, status := range tasks {
+			status.Used.MemoryMiB = 3000
+			tasks[ref] = status
+			s.report(id, fleet.Ready)
+		}
+	}
+	s.steps(4)
+	s.expectRunning("grows", 1)
+	for _, tasks := range s.tasks {
+		for _, status := range tasks {
+			if status.State == worker.Running && status.Need.MemoryMiB != 3000 {
+				t.Errorf("runs again with %s", status.Need)
+			}
+		}
+	}
+}
+
+// TestRollingUpdate: a changed service is replaced a part at a time.
+func TestRollingUpdate(t *testing.T) {
+	text := teams + "services:\n  - name: desk\n    team: a\n    replicas: 8\n    resources: {cpu: 1, memory: 1GiB}\n"
+	s := newSite(t, 4, fourCores, text)
+	s.steps(3)
+	s.expectRunning("desk", 8)
+	s.apply(2, text+"    command: [v2]\n")
+	for range 60 {
+		s.step()
+		if n := s.running("desk"); n < 7 {
+			t.Fatalf("only %d of 8 replicas run during the update", n)
+		}
+	}
+	s.expectRunning("desk", 8)
+	for task, n := range s.starts {
+		if n != 2 {
+			t.Errorf("%s was started %d times", task, n)
+		}
+	}
+}
+
+// TestTextIsPlannedOnce: the same text, planned again by another planner,
+// starts nothing twice; an old text changes nothing.
+func TestTextIsPlannedOnce(t *testing.T) {
+	text := teams + work("batches", "once", "a", 2, 1, "")
+	s := newSite(t, 2, fourCores, text)
+	s.steps(2)
+	s.end("once", worker.Succeeded, nil)
+	s.steps(2)
+	s.expectState("once", run.Succeeded)
+	s.apply(2, text)
+	s.steps(3)
+	s.apply(1, teams+work("batches", "ghost", "a", 1, 1, ""))
+	s.steps(3)
+	if len(s.core.Summaries()) != 1 || len(s.starts) != 2 {
+		t.Errorf("runs %+v, starts %v", s.core.Summaries(), s.starts)
+	}
+}
+
+// TestCancellationWave: a wave of cancellations costs time linear in the wave;
+// tasks that had not started are not started.
+func TestCancellationWave(t *testing.T) {
+	s := newSite(t, 2, fourCores, teams+work("batches", "many", "a", 50, 1, "    start: on-submit\n"))
+	for i := range 40 {
+		s.core.Submit("many", fmt.Sprintf("many-%d", i), "test", s.now, func(error) {})
+	}
+	s.steps(2)
+	before := len(s.starts)
+	if n := s.core.Cancel(nil, "many", "test", s.now, func(error) {}); n != 40 {
+		t.Errorf("%d runs cancelled", n)
+	}
+	s.steps(4)
+	s.expectRunning("many", 0)
+	if after := len(s.starts); after != before {
+		t.Errorf("%d tasks were started after the cancellation", after-before)
+	}
+	for _, sum := range s.core.Summaries() {
+		if sum.State != run.Cancelled {
+			t.Errorf("%+v", sum)
+		}
+	}
+}
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -229,7 +229,12 @@
 	if e.run.Workload.Kind == spec.Job {
 		return c.placeGang(cl, e, now), false
 	}
+	within := !c.overQuota(e)
 	for placed < quantum {
+		if within && c.overQuota(e) {
+			// The team borrows from here on: others may come before it now.
+			return placed, true
+		}
 		index := c.nextReady(e, now)
 		if index < 0 {
 			return placed, false
@@ -266,6 +271,12 @@
 	return tasks
 }
 
+// overQuota reports whether the run's team uses more than its quota.
+func (c *Core) overQuota(e *entry) bool {
+	team, ok := c.text.Team(e.run.Workload.Team)
+	return ok && !c.used[team.Name].Fits(team.Quota)
+}
+
 // withinQuota reports whether the team may take n more tasks of the run. A
 // team that may borrow is held back by order, not here.
 func (c *Core) withinQuota(e *entry, n int64) bool {
