--- a/internal/owner/minder.go
+++ b/internal/owner/minder.go
@@ -19,8 +19,9 @@
 	// one that has not been claimed yet.
 	beatPeriod  = time.Second
 	claimPeriod = 200 * time.Millisecond
-	// coalesce is how long an assignment waits for others to travel along.
-	coalesce = 3 * time.Millisecond
+	// coalesce is how long an assignment, or news for the planner, waits for
+	// others to travel along.
+	coalesce = 20 * time.Millisecond
 	// doubtAfter is how long a request may go without any sign of an answer
 	// before the worker is asked about it.
 	doubtAfter = 1500 * time.Millisecond
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/membership"
+	"gentianstand/internal/routing"
+	"gentianstand/internal/worker"
+)
+
+type nobody struct{}
+
+func (nobody) MayAct(time.Time) bool { return true }
+
+func (nobody) Report(context.Context, bool, []fleet.Report) (uint64, error) { return 0, nil }
+
+// TestOrdersAreTakenInOrder: symptom: a task that has ended and been forgotten
+// runs again. Sequence: an order with its start is overtaken on the wire by
+// later ones. Cause to be ruled out: orders are taken as they come.
+func TestOrdersAreTakenInOrder(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	dial := func(string) worker.Agent { return nil }
+	o := New("o", membership.DefaultTiming(), nobody{}, dial, routing.NewRouter(), nobody{}, metrics.NewSet(), logrus.NewEntry(log))
+	steps := []struct {
+		name            string
+		epoch, sequence uint64
+		want            fault.Kind
+	}{
+		{"first", 1, 2, ""},
+		{"overtaken on the wire", 1, 1, fault.Conflict},
+		{"repeated", 1, 2, fault.Conflict},
+		{"next", 1, 3, ""},
+		{"a later planner begins anew", 2, 1, ""},
+		{"the planner before", 1, 9, fault.NotOwner},
+	}
+	for _, s := range steps {
+		err := o.Assign(fleet.Order{PlannerEpoch: s.epoch, Sequence: s.sequence})
+		if (err == nil) != (s.want == "") || (err != nil && !fault.Is(err, s.want)) {
+			t.Errorf("%s: got %v, want %q", s.name, err, s.want)
+		}
+	}
+}
--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -313,3 +313,29 @@
 		}
 	}
 }
+
+// TestOvertakenReportIsDropped: symptom: tasks of a restarted worker start a
+// second time while they run. Sequence: the report from before the restart
+// arrives after the one from after it. Cause to be ruled out: the planner takes
+// the old process for a newer one.
+func TestOvertakenReportIsDropped(t *testing.T) {
+	s := newSite(t, 1, fourCores, teams+work("batches", "plain", "a", 2, 1, ""))
+	s.steps(3)
+	old := s.sequence
+	s.boots["w0"] = "boot after restart"
+	s.tasks["w0"] = map[worker.TaskRef]worker.TaskStatus{}
+	s.sequence += 10
+	s.report("w0", fleet.Ready)
+	s.steps(3)
+	s.expectRunning("plain", 2)
+	s.core.Report(fleet.Report{
+		Worker: "w0", Shard: "k0", Epoch: 1, Sequence: old, Region: "r", Zone: "z0", Rack: "k0",
+		Capacity: s.capacity, State: fleet.Ready, Boot: "boot",
+	}, s.now)
+	s.steps(3)
+	for task, n := range s.starts {
+		if n != 2 {
+			t.Errorf("%s was started %d times, not once before and once after the restart", task, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/planner/sequence_test.go
@@ -0,0 +1,111 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"gentianstand/internal/live"
+	"gentianstand/internal/platform"
+	standplatform "gentianstand/internal/standin/platform"
+)
+
+// holdingTable keeps the next write back instead of bringing it, as a network
+// may, and gives no answer.
+type holdingTable struct {
+	*standplatform.Store
+	hold bool
+	held []platform.Tx
+}
+
+func (h *holdingTable) Commit(ctx context.Context, tx platform.Tx) error {
+	if h.hold {
+		h.hold = false
+		h.held = append(h.held, tx)
+		return platform.ErrUnavailable
+	}
+	return h.Store.Commit(ctx, tx)
+}
+
+func newHoldingTable(t *testing.T, epoch uint64) *holdingTable {
+	t.Helper()
+	h := &holdingTable{Store: standplatform.NewStore()}
+	h.setEpoch(t, epoch)
+	return h
+}
+
+func (h *holdingTable) setEpoch(t *testing.T, epoch uint64) {
+	t.Helper()
+	value, _ := json.Marshal(live.Shard{Name: live.PlannerShard, Epoch: epoch})
+	tx := platform.Tx{ID: "shard", Puts: []platform.Put{{Key: live.ShardKey(live.PlannerShard), Value: value}}}
+	if err := h.Store.Commit(context.Background(), tx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func put(value string) []platform.Put {
+	return []platform.Put{{Key: "run/r/head", Value: []byte(value)}}
+}
+
+func (h *holdingTable) expect(t *testing.T, want string) {
+	t.Helper()
+	row, _ := h.Get(context.Background(), "run/r/head")
+	if string(row.Value) != want {
+		t.Fatalf("the row is %q, want %q", row.Value, want)
+	}
+}
+
+// TestLateWriteHasNoEffect: symptom: a run falls back to an earlier state, and
+// a task that has ended runs again. Sequence: a write is held up on the wire
+// and given up, a later one is made, and then the first arrives.
+func TestLateWriteHasNoEffect(t *testing.T) {
+	ctx := context.Background()
+	h := newHoldingTable(t, 1)
+	s := &sequence{table: h}
+	if err := s.open(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	h.hold = true
+	if err := s.commit(ctx, put("assigned"), nil); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatal(err)
+	}
+	if err := s.commit(ctx, put("succeeded"), nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Store.Commit(ctx, h.held[0]); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("the late write got %v", err)
+	}
+	h.expect(t, "succeeded")
+}
+
+// TestOvertakenPlannerCannotWrite: symptom: two planners write runs. Sequence:
+// a planner is overtaken without knowing, and writes; a write it had on the
+// wire arrives after its successor has begun.
+func TestOvertakenPlannerCannotWrite(t *testing.T) {
+	ctx := context.Background()
+	h := newHoldingTable(t, 1)
+	old, next := &sequence{table: h}, &sequence{table: h}
+	if err := old.open(ctx, 1); err != nil {
+		t.Fatal(err)
+	}
+	h.hold = true
+	_ = old.commit(ctx, put("late"), nil)
+	h.setEpoch(t, 2)
+	if err := next.open(ctx, 2); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.commit(ctx, put("next"), nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Store.Commit(ctx, h.held[0]); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("the late write got %v", err)
+	}
+	if err := old.commit(ctx, put("old"), nil); !errors.Is(err, errOvertaken) {
+		t.Errorf("the old planner's write got %v", err)
+	}
+	if err := old.open(ctx, 1); !errors.Is(err, errOvertaken) {
+		t.Errorf("the old planner began again: %v", err)
+	}
+	h.expect(t, "next")
+}
