--- a/internal/instance/parts.go
+++ b/internal/instance/parts.go
@@ -75,8 +75,10 @@
 
 // alone reports whether nobody is there to hand over to.
 func (p parts) alone() bool {
+	view := p.Keeper.View()
 	for _, r := range p.Hub.Remotes() {
-		if !r.Stopping {
+		row, ok := view.Instances[r.Process.Instance]
+		if ok && row.Process == r.Process && !row.Stopping && !r.Stopping {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/owner/orders.go
@@ -0,0 +1,44 @@
+package owner
+
+import (
+	"time"
+
+	"gentianstand/internal/fault"
+	"gentianstand/internal/fleet"
+)
+
+// Assign takes in what the planner decided. An order of a planner that was
+// overtaken, or one that a later order has overtaken, is refused with NotOwner
+// or Conflict, however late it arrives.
+func (o *Owner) Assign(order fleet.Order) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case order.PlannerEpoch < o.plannerEpoch:
+		return fault.New(fault.NotOwner, "planner epoch %d was overtaken by %d", order.PlannerEpoch, o.plannerEpoch)
+	case order.PlannerEpoch == o.orderEpoch && order.Sequence <= o.orderSequence:
+		return fault.New(fault.Conflict, "order %d was overtaken by %d", order.Sequence, o.orderSequence)
+	}
+	o.plannerEpoch = order.PlannerEpoch
+	o.orderEpoch, o.orderSequence = order.PlannerEpoch, order.Sequence
+	for _, a := range order.Assignments {
+		if m, ok := o.minders[a.Worker]; ok && m.epoch == a.Epoch {
+			m.assign(a)
+		}
+	}
+	return nil
+}
+
+func (m *minder) assign(a fleet.Assignment) {
+	m.mu.Lock()
+	changed := m.tracker.Assign(a)
+	waiting := m.tracker.Waiting()
+	m.dirty = m.dirty || changed
+	m.mu.Unlock()
+	if changed && waiting {
+		m.wake()
+	}
+	if changed {
+		m.changed(true, time.Now())
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,7 +9,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
-	"gentianstand/internal/fault"
 	"gentianstand/internal/fleet"
 	"gentianstand/internal/live"
 	"gentianstand/internal/membership"
@@ -78,92 +77,6 @@
 	return o
 }
 
-// Run reports to the planner until ctx ends.
-func (o *Owner) Run(ctx context.Context) {
-	ticker := time.NewTicker(reportPeriod)
-	defer ticker.Stop()
-	defer o.quit()
-	for ctx.Err() == nil {
-		all := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-o.news:
-			time.Sleep(coalesce)
-			all = o.all.Swap(false)
-		case <-ticker.C:
-			all = true
-		}
-		o.reportOnce(ctx, all)
-	}
-}
-
-// reportOnce sends what changed, or all. What could not be brought stays
-// marked and goes with the next report.
-func (o *Owner) reportOnce(ctx context.Context, all bool) {
-	minders := o.list()
-	var sent []*minder
-	var reports []fleet.Report
-	for _, m := range minders {
-		if m.clean() || all {
-			sent = append(sent, m)
-			reports = append(reports, m.report())
-		}
-	}
-	if len(reports) == 0 && !all {
-		return
-	}
-	epoch, err := o.planner.Report(ctx, all, reports)
-	o.metrics.reports.Inc()
-	if err != nil {
-		for _, m := range sent {
-			m.soil()
-		}
-		if all {
-			o.all.Store(true)
-		}
-		o.log.WithError(err).Debug("report_failed")
-		time.AfterFunc(reportRetry, o.wakeReporter)
-		return
-	}
-	o.noteEpoch(epoch)
-}
-
-// noteEpoch makes everything known to a planner that reports have reached for
-// the first time.
-func (o *Owner) noteEpoch(epoch uint64) {
-	o.mu.Lock()
-	later := epoch > o.plannerEpoch
-	o.plannerEpoch = max(o.plannerEpoch, epoch)
-	o.mu.Unlock()
-	if later {
-		o.all.Store(true)
-		o.wakeReporter()
-	}
-}
-
-// clean takes the mark that there is news and returns whether it was set.
-func (m *minder) clean() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	was := m.dirty
-	m.dirty = false
-	return was
-}
-
-func (m *minder) soil() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.dirty = true
-}
-
-func (o *Owner) wakeReporter() {
-	select {
-	case o.news <- struct{}{}:
-	default:
-	}
-}
-
 // SetHeld takes in which shards this process holds now.
 func (o *Owner) SetHeld(held []ownership.Held) {
 	o.mu.Lock()
@@ -282,52 +195,6 @@
 	}
 }
 
-// Assign takes in what the planner decided. An order of a planner that was
-// overtaken, or one that a later order has overtaken, is refused with NotOwner
-// or Conflict, however late it arrives.
-func (o *Owner) Assign(order fleet.Order) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	switch {
-	case order.PlannerEpoch < o.plannerEpoch:
-		return fault.New(fault.NotOwner, "planner epoch %d was overtaken by %d", order.PlannerEpoch, o.plannerEpoch)
-	case order.PlannerEpoch == o.orderEpoch && order.Sequence <= o.orderSequence:
-		return fault.New(fault.Conflict, "order %d was overtaken by %d", order.Sequence, o.orderSequence)
-	}
-	o.plannerEpoch = order.PlannerEpoch
-	o.orderEpoch, o.orderSequence = order.PlannerEpoch, order.Sequence
-	for _, a := range order.Assignments {
-		if m, ok := o.minders[a.Worker]; ok && m.epoch == a.Epoch {
-			m.assign(a)
-		}
-	}
-	return nil
-}
-
-func (m *minder) assign(a fleet.Assignment) {
-	m.mu.Lock()
-	changed := m.tracker.Assign(a)
-	waiting := m.tracker.Waiting()
-	m.dirty = m.dirty || changed
-	m.mu.Unlock()
-	if changed && waiting {
-		m.wake()
-	}
-	if changed {
-		m.changed(true, time.Now())
-	}
-}
-
-// Reports returns the owner's word on all its workers.
-func (o *Owner) Reports() []fleet.Report {
-	minders := o.list()
-	reports := make([]fleet.Report, 0, len(minders))
-	for _, m := range minders {
-		reports = append(reports, m.report())
-	}
-	return reports
-}
-
 func (o *Owner) list() []*minder {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- /dev/null
+++ b/internal/owner/reporter.go
@@ -0,0 +1,104 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"gentianstand/internal/fleet"
+)
+
+// Run reports to the planner until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	defer o.quit()
+	for ctx.Err() == nil {
+		all := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.news:
+			time.Sleep(coalesce)
+			all = o.all.Swap(false)
+		case <-ticker.C:
+			all = true
+		}
+		o.reportOnce(ctx, all)
+	}
+}
+
+// reportOnce sends what changed, or all. What could not be brought stays
+// marked and goes with the next report.
+func (o *Owner) reportOnce(ctx context.Context, all bool) {
+	minders := o.list()
+	var sent []*minder
+	var reports []fleet.Report
+	for _, m := range minders {
+		if m.clean() || all {
+			sent = append(sent, m)
+			reports = append(reports, m.report())
+		}
+	}
+	if len(reports) == 0 && !all {
+		return
+	}
+	epoch, err := o.planner.Report(ctx, all, reports)
+	o.metrics.reports.Inc()
+	if err != nil {
+		for _, m := range sent {
+			m.soil()
+		}
+		if all {
+			o.all.Store(true)
+		}
+		o.log.WithError(err).Debug("report_failed")
+		time.AfterFunc(reportRetry, o.wakeReporter)
+		return
+	}
+	o.noteEpoch(epoch)
+}
+
+// noteEpoch makes everything known to a planner that reports have reached for
+// the first time.
+func (o *Owner) noteEpoch(epoch uint64) {
+	o.mu.Lock()
+	later := epoch > o.plannerEpoch
+	o.plannerEpoch = max(o.plannerEpoch, epoch)
+	o.mu.Unlock()
+	if later {
+		o.all.Store(true)
+		o.wakeReporter()
+	}
+}
+
+// clean takes the mark that there is news and returns whether it was set.
+func (m *minder) clean() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	was := m.dirty
+	m.dirty = false
+	return was
+}
+
+func (m *minder) soil() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dirty = true
+}
+
+func (o *Owner) wakeReporter() {
+	select {
+	case o.news <- struct{}{}:
+	default:
+	}
+}
+
+// Reports returns the owner's word on all its workers.
+func (o *Owner) Reports() []fleet.Report {
+	minders := o.list()
+	reports := make([]fleet.Report, 0, len(minders))
+	for _, m := range minders {
+		reports = append(reports, m.report())
+	}
+	return reports
+}
--- /dev/null
+++ b/internal/ownership/keeper_electors.go
@@ -0,0 +1,92 @@
+package ownership
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"gentianstand/internal/live"
+	"gentianstand/internal/membership"
+)
+
+// confirmOutage asks all electors at once and notes if a majority vouches.
+func (k *Keeper) confirmOutage(ctx context.Context) {
+	now := time.Now()
+	if k.session.Silence(now) < k.timing.VouchAfter {
+		return
+	}
+	k.mu.Lock()
+	lists := slices.Clone(k.electors)
+	k.mu.Unlock()
+	if len(lists) == 0 {
+		return
+	}
+	vouched := k.ask(ctx, slices.Concat(lists...), func(ctx context.Context, elector live.Process) bool {
+		ok, err := k.peers.Vouch(ctx, elector, k.id.Process)
+		return err == nil && ok
+	})
+	for _, list := range lists {
+		if !membership.Majority(list, vouched) {
+			return
+		}
+	}
+	k.session.Confirmed(now)
+	k.log.WithField("vouched", len(vouched)).Debug("outage_confirmed")
+}
+
+// ask calls every elector at once and returns those that said yes.
+func (k *Keeper) ask(ctx context.Context, electors []live.Process, call func(context.Context, live.Process) bool) []live.Process {
+	ctx, cancel := context.WithTimeout(ctx, k.timing.Poll)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var yes []live.Process
+	asked := map[live.Process]bool{}
+	for _, elector := range electors {
+		if asked[elector] {
+			continue
+		}
+		asked[elector] = true
+		wg.Go(func() {
+			if call(ctx, elector) {
+				mu.Lock()
+				yes = append(yes, elector)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return yes
+}
+
+// fencePredecessors fences owners before this one that may still be running.
+func (k *Keeper) fencePredecessors(ctx context.Context) {
+	fenced := map[live.Process]time.Time{}
+	for _, held := range k.held {
+		for _, p := range held.Shard.Predecessors {
+			if _, done := held.Fenced[p.Process]; done || p.HandedOver {
+				continue
+			}
+			at, tried := fenced[p.Process]
+			if !tried {
+				at = k.fence(ctx, p)
+				fenced[p.Process] = at
+			}
+			if !at.IsZero() {
+				held.Fenced[p.Process] = at
+			}
+		}
+	}
+}
+
+func (k *Keeper) fence(ctx context.Context, p live.Predecessor) time.Time {
+	answered := k.ask(ctx, p.Electors, func(ctx context.Context, elector live.Process) bool {
+		return k.peers.Fence(ctx, elector, p.Process) == nil
+	})
+	if !membership.Majority(p.Electors, answered) {
+		return time.Time{}
+	}
+	k.log.WithField("process", p.Process.String()).Info("predecessor_fenced")
+	return time.Now()
+}
--- /dev/null
+++ b/internal/ownership/keeper_shards.go
@@ -0,0 +1,170 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/live"
+	"gentianstand/internal/platform"
+)
+
+// change writes what Decide wants and takes over the result.
+func (k *Keeper) change(ctx context.Context, view live.View) {
+	if !k.session.Valid(time.Now()) {
+		return
+	}
+	actions := Decide(Input{Me: k.id.Process, View: view, Places: k.places(), Alive: k.observer.Alive, Renewing: k.observer.Renewing})
+	if len(actions) == 0 {
+		return
+	}
+	tx := platform.Tx{ID: uuid.NewString()}
+	for _, a := range actions {
+		value, err := json.Marshal(a.Shard)
+		if err != nil {
+			return
+		}
+		key := live.ShardKey(a.Shard.Name)
+		tx.Checks = append(tx.Checks, platform.Check{Key: key, Version: a.Was})
+		tx.Puts = append(tx.Puts, platform.Put{Key: key, Value: value})
+	}
+	sentAt := time.Now()
+	err := k.table.Commit(ctx, tx)
+	switch {
+	case err == nil:
+		k.applyAll(actions, sentAt)
+	case errors.Is(err, platform.ErrConflict):
+		k.log.Debug("shard_write_conflict")
+	default:
+		k.doubt(actions, sentAt)
+	}
+}
+
+func (k *Keeper) applyAll(actions []Action, sentAt time.Time) {
+	for _, a := range actions {
+		if a.Shard.Owner == k.id.Process {
+			k.take(a.Shard)
+		} else {
+			k.give(a.Shard.Name, sentAt)
+		}
+	}
+}
+
+// doubt handles a write whose answer was lost. A shard that it may have handed
+// over is treated as given from the moment the write was sent: the next owner
+// counts on this process stopping, also if the table answers no more.
+func (k *Keeper) doubt(actions []Action, sentAt time.Time) {
+	for _, a := range actions {
+		if a.Shard.Owner != k.id.Process {
+			k.give(a.Shard.Name, sentAt)
+			k.doubted[a.Shard.Name] = a.Was
+		}
+	}
+	k.log.WithField("shards", len(actions)).Warn("shard_write_in_doubt")
+}
+
+// adopt takes over rows that name this process as owner, also those that a
+// handing-over owner or a write with a lost answer left, and drops others.
+func (k *Keeper) adopt(view live.View) {
+	for name, row := range view.Shards {
+		held, ok := k.held[name]
+		switch {
+		case row.Owner != k.id.Process:
+			delete(k.doubted, name)
+			if ok && held.Shard.Epoch < row.Epoch {
+				delete(k.held, name)
+				k.log.WithFields(shardFields(row)).Info("shard_dropped")
+			}
+		case k.doubted[name] == row.Version && row.Version != 0:
+			k.touch(row)
+		case !ok || held.Shard.Epoch < row.Epoch:
+			delete(k.doubted, name)
+			k.take(row)
+		default:
+			held.Shard = row
+			k.held[name] = held
+		}
+	}
+}
+
+// touch rewrites a row as it is, so that a doubtful hand-over still on its
+// way finds another version and cannot take effect any more.
+func (k *Keeper) touch(row live.Shard) {
+	ctx, cancel := context.WithTimeout(context.Background(), k.timing.Poll)
+	defer cancel()
+	if err := k.rewrite(ctx, row); err != nil {
+		k.log.WithError(err).WithFields(shardFields(row)).Warn("shard_touch_failed")
+	}
+}
+
+func (k *Keeper) take(row live.Shard) {
+	k.held[row.Name] = Held{Shard: row, TakenAt: time.Now(), Fenced: map[live.Process]time.Time{}}
+	delete(k.given, row.Name)
+	k.log.WithFields(shardFields(row)).Info("shard_taken")
+}
+
+func (k *Keeper) give(name string, sentAt time.Time) {
+	held, ok := k.held[name]
+	if !ok {
+		return
+	}
+	held.GivenAt = sentAt
+	k.given[name] = held
+	delete(k.held, name)
+	k.log.WithFields(shardFields(held.Shard)).Info("shard_handed_over")
+}
+
+func shardFields(row live.Shard) logrus.Fields {
+	return logrus.Fields{"shard": row.Name, "epoch": row.Epoch, "owner": row.Owner.Instance}
+}
+
+// settle clears predecessors that have certainly stopped from the rows.
+func (k *Keeper) settle(ctx context.Context) {
+	now := time.Now()
+	for name, held := range k.held {
+		if len(held.Shard.Predecessors) == 0 || held.Shard.Version == 0 || !held.Settled(k.timing, now) {
+			continue
+		}
+		next := held.Shard
+		next.Predecessors = nil
+		if k.rewrite(ctx, next) == nil {
+			next.Version = 0
+			held.Shard = next
+			k.held[name] = held
+		}
+	}
+}
+
+// rewrite stores a row that this process owns, if nobody changed it.
+func (k *Keeper) rewrite(ctx context.Context, row live.Shard) error {
+	value, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	key := live.ShardKey(row.Name)
+	return k.table.Commit(ctx, platform.Tx{
+		ID:     uuid.NewString(),
+		Checks: []platform.Check{{Key: key, Version: row.Version}},
+		Puts:   []platform.Put{{Key: key, Value: value}},
+	})
+}
+
+func (k *Keeper) publish() {
+	now := time.Now()
+	list := make([]Held, 0, len(k.held)+len(k.given))
+	for _, held := range k.held {
+		list = append(list, held)
+	}
+	for name, held := range k.given {
+		if now.Sub(held.GivenAt) >= k.timing.HandOver {
+			delete(k.given, name)
+			continue
+		}
+		list = append(list, held)
+	}
+	k.listener.HeldChanged(list)
+}
--- /dev/null
+++ b/internal/planner/ready.go
@@ -0,0 +1,144 @@
+package planner
+
+import (
+	"time"
+
+	"gentianstand/internal/placement/explain"
+	"gentianstand/internal/placement/order"
+	"gentianstand/internal/placement/policy"
+	"gentianstand/internal/run"
+	"gentianstand/internal/spec"
+)
+
+// gather returns the runs with tasks that may start now, and notes why the
+// others wait.
+func (c *Core) gather(now time.Time) []order.Item {
+	var items []order.Item
+	for _, id := range sortedKeys(c.active) {
+		e := c.active[id]
+		if e.pending == 0 || e.run.State == run.Stopping {
+			continue
+		}
+		if reason, ok := c.mayStart(e, now); !ok {
+			e.reason = reason
+			continue
+		}
+		items = append(items, c.item(e))
+	}
+	return items
+}
+
+func (c *Core) item(e *entry) order.Item {
+	w := e.run.Workload
+	item := order.Item{Run: e.run.ID, Team: w.Team, Rank: w.Urgency.Rank(), Since: e.since, Service: w.Kind == spec.Service, Gang: w.Kind == spec.Job}
+	if w.Deadline > 0 && w.Kind != spec.Service {
+		item.Due = e.run.SubmittedAt.Add(w.Deadline).Add(-c.expectedRunTime(e))
+	}
+	return item
+}
+
+func (c *Core) mayStart(e *entry, now time.Time) (string, bool) {
+	switch {
+	case e.old && !c.recovery.done:
+		return string(policy.Recovering), false
+	case c.neverFits(e):
+		return e.reason, false
+	case !c.dependenciesReady(e):
+		return string(policy.WaitsFor), false
+	case c.outage && !e.repeatable():
+		return string(policy.WaitsForTable), false
+	case !c.gangWhole(e):
+		return "waits_for_all_tasks_to_stop", false
+	case c.nextReady(e, now) < 0 || e.run.Workload.Kind == spec.Job && !c.allReady(e, now):
+		return string(policy.BackingOff), false
+	}
+	return "", true
+}
+
+// neverFits tells work that no worker could hold even when empty. It is asked
+// again only when the fleet changes, and blocks nobody meanwhile.
+func (c *Core) neverFits(e *entry) bool {
+	if e.fleetVersion == c.fleetVersion && e.fleetVersion > 0 {
+		return e.never
+	}
+	e.fleetVersion = c.fleetVersion
+	why, never := "", false
+	if e.run.Workload.Kind == spec.Job {
+		why, never = explain.NeverAll(c.cluster, c.need(e), len(e.run.Tasks))
+	} else {
+		why, never = explain.Never(c.cluster, c.need(e))
+	}
+	if never && !e.never {
+		c.event("run_can_never_start", e.run.ID, 0, "", why)
+	}
+	e.never = never
+	if never {
+		e.reason = why
+	}
+	return never
+}
+
+// dependenciesReady reports whether services that the run depends on have a
+// running replica, and batch runs and jobs have succeeded.
+func (c *Core) dependenciesReady(e *entry) bool {
+	for _, name := range e.run.Workload.DependsOn {
+		w, ok := c.text.Workload(name)
+		if ok && !c.ready(w) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) ready(w spec.Workload) bool {
+	if w.Kind == spec.Service {
+		e, ok := c.active[run.ServiceID(w.Name)]
+		return ok && e.anySeen()
+	}
+	if w.Start == spec.StartOnApply {
+		e, ok := c.runs[run.AppliedID(w)]
+		return ok && e.run.State == run.Succeeded
+	}
+	for _, e := range c.runs {
+		if e.run.Workload.Name == w.Name && e.run.State == run.Succeeded {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) anySeen() bool {
+	for i := range e.run.Tasks {
+		if t := &e.run.Tasks[i]; t.State == run.TaskAssigned && t.Seen && !t.Stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// gangWhole reports whether a gang has no task left running from before.
+func (c *Core) gangWhole(e *entry) bool {
+	return e.run.Workload.Kind != spec.Job || e.pending == len(e.run.Tasks)
+}
+
+// nextReady returns the first pending task whose wait is over, or -1. A task of
+// which a stray attempt is still being stopped has to wait for that.
+func (c *Core) nextReady(e *entry, now time.Time) int {
+	for i := range e.run.Tasks {
+		t := &e.run.Tasks[i]
+		if t.State == run.TaskPending && !now.Before(t.NotBefore) && c.strays[taskKey{e.run.ID, i}] <= 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// allReady reports whether every task of a gang may start.
+func (c *Core) allReady(e *entry, now time.Time) bool {
+	for i := range e.run.Tasks {
+		if now.Before(e.run.Tasks[i].NotBefore) || c.strays[taskKey{e.run.ID, i}] > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/planner/term.go
+++ b/internal/planner/term.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"gentianstand/internal/fault"
-	"gentianstand/internal/fleet"
 	"gentianstand/internal/live"
 	"gentianstand/internal/platform"
 	"gentianstand/internal/run"
@@ -50,11 +46,6 @@
 	done   chan struct{}
 }
 
-type commitResult struct {
-	batch *Batch
-	err   error
-}
-
 func (t *term) run(ctx context.Context) {
 	defer close(t.done)
 	if !t.begin(ctx) {
@@ -202,149 +193,6 @@
 	t.core.CheckRecovery(owners, listed)
 }
 
-// write starts a group commit if none is under way. In a confirmed outage
-// starts leave unwritten, and the rows wait until the table is back.
-func (t *term) write(ctx context.Context, now time.Time) {
-	if t.writing {
-		return
-	}
-	if t.planner.rights.Outage(now) {
-		t.core.ReleaseUnwritten()
-		return
-	}
-	if !t.core.Dirty() || now.Before(t.retryAt) {
-		return
-	}
-	batch, err := t.core.Changes()
-	if err != nil {
-		t.log.WithError(err).Error("planner_rows_unwritable")
-		return
-	}
-	t.writing = true
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-		defer cancel()
-		err := t.seq.commit(ctx, batch.Puts, batch.Deletes)
-		select {
-		case t.results <- commitResult{batch, err}:
-		case <-t.done:
-		}
-	}()
-}
-
-// finishCommit reports false if the term is over.
-func (t *term) finishCommit(result commitResult) bool {
-	t.writing = false
-	t.planner.metrics.commits.Inc()
-	t.planner.metrics.rows.Add(len(result.batch.Puts))
-	switch {
-	case result.err == nil:
-		t.core.Committed(result.batch)
-	case errors.Is(result.err, errOvertaken):
-		t.log.Warn("planner_overtaken")
-		for _, tell := range result.batch.waiters {
-			tell(doubtfulWrite(result.err))
-		}
-		return false
-	default:
-		t.log.WithError(result.err).Warn("planner_commit_failed")
-		t.retryAt = time.Now().Add(idlePeriod)
-		t.core.Failed(result.batch, t.planner.rights.Outage(time.Now()), doubtfulWrite(result.err))
-	}
-	return true
-}
-
-func doubtfulWrite(err error) error {
-	return fault.New(fault.PlatformUnavailable, "the table did not say whether this was kept; ask again with the same key: %w", err).
-		WithOutcome(fault.MayHaveRun)
-}
-
-// send brings the outbox to the owners, each in its own goroutine so that a
-// silent one delays nobody.
-func (t *term) send(ctx context.Context) {
-	assignments := t.core.Outbox()
-	if len(assignments) == 0 {
-		return
-	}
-	view := t.planner.around.View()
-	byOwner := map[string][]fleet.Assignment{}
-	for _, a := range assignments {
-		shard := t.core.view(a.Worker).report.Shard
-		owner := view.Shards[shard].Owner.Instance
-		byOwner[owner] = append(byOwner[owner], a)
-	}
-	for owner, list := range byOwner {
-		t.orders++
-		order := fleet.Order{PlannerEpoch: t.shard.Epoch, Sequence: t.orders, Assignments: list}
-		go t.assign(ctx, owner, order)
-	}
-}
-
-// assign makes one call. After a failure the core decides anew what is still
-// to be sent: repeating the message itself could start a task that has run to
-// its end meanwhile.
-func (t *term) assign(ctx context.Context, owner string, order fleet.Order) {
-	if !t.planner.rights.MayAct(time.Now()) {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, assignTimeout)
-	defer cancel()
-	err := t.planner.owners.Assign(callCtx, owner, order)
-	if err == nil {
-		t.planner.metrics.assigns.Inc()
-		return
-	}
-	t.log.WithError(err).WithField("owner", owner).Warn("assign_failed")
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(idlePeriod):
-	}
-	select {
-	case t.calls <- func(c *Core) { c.resend(order.Assignments) }:
-	case <-ctx.Done():
-	case <-t.done:
-	}
-}
-
-// sweep moves finished runs from the table to the object store, a few at a
-// time.
-func (t *term) sweep(ctx context.Context, now time.Time) {
-	if t.writing || now.Sub(t.swept) < sweepPeriod || t.planner.rights.Outage(now) {
-		return
-	}
-	t.swept = now
-	expired := t.core.Expired(now)
-	if len(expired) > loadPage {
-		expired = expired[:loadPage]
-	}
-	if len(expired) == 0 {
-		return
-	}
-	archived := slices.Clone(expired)
-	go t.archive(ctx, archived)
-}
-
-// archive writes runs to the object store and then asks for the removal of
-// their rows; a run whose object could not be written keeps its rows.
-func (t *term) archive(ctx context.Context, runs []*run.Run) {
-	for _, r := range runs {
-		data, err := json.Marshal(r)
-		if err != nil {
-			continue
-		}
-		if err := t.planner.objects.PutObject(ctx, "runs/"+r.ID, data); err != nil {
-			t.log.WithError(err).Warn("archive_failed")
-			return
-		}
-		select {
-		case t.calls <- func(c *Core) { c.removeRows(r.ID) }:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (t *term) logEvents() {
 	for _, e := range t.core.Events() {
 		t.planner.metrics.event(e)
--- /dev/null
+++ b/internal/planner/term_commit.go
@@ -0,0 +1,71 @@
+package planner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"gentianstand/internal/fault"
+)
+
+type commitResult struct {
+	batch *Batch
+	err   error
+}
+
+// write starts a group commit if none is under way. In a confirmed outage
+// starts leave unwritten, and the rows wait until the table is back.
+func (t *term) write(ctx context.Context, now time.Time) {
+	if t.writing {
+		return
+	}
+	if t.planner.rights.Outage(now) {
+		t.core.ReleaseUnwritten()
+		return
+	}
+	if !t.core.Dirty() || now.Before(t.retryAt) {
+		return
+	}
+	batch, err := t.core.Changes()
+	if err != nil {
+		t.log.WithError(err).Error("planner_rows_unwritable")
+		return
+	}
+	t.writing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		err := t.seq.commit(ctx, batch.Puts, batch.Deletes)
+		select {
+		case t.results <- commitResult{batch, err}:
+		case <-t.done:
+		}
+	}()
+}
+
+// finishCommit reports false if the term is over.
+func (t *term) finishCommit(result commitResult) bool {
+	t.writing = false
+	t.planner.metrics.commits.Inc()
+	t.planner.metrics.rows.Add(len(result.batch.Puts))
+	switch {
+	case result.err == nil:
+		t.core.Committed(result.batch)
+	case errors.Is(result.err, errOvertaken):
+		t.log.Warn("planner_overtaken")
+		for _, tell := range result.batch.waiters {
+			tell(doubtfulWrite(result.err))
+		}
+		return false
+	default:
+		t.log.WithError(result.err).Warn("planner_commit_failed")
+		t.retryAt = time.Now().Add(idlePeriod)
+		t.core.Failed(result.batch, t.planner.rights.Outage(time.Now()), doubtfulWrite(result.err))
+	}
+	return true
+}
+
+func doubtfulWrite(err error) error {
+	return fault.New(fault.PlatformUnavailable, "the table did not say whether this was kept; ask again with the same key: %w", err).
+		WithOutcome(fault.MayHaveRun)
+}
--- /dev/null
+++ b/internal/planner/term_send.go
@@ -0,0 +1,56 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"gentianstand/internal/fleet"
+)
+
+// send brings the outbox to the owners, each in its own goroutine so that a
+// silent one delays nobody.
+func (t *term) send(ctx context.Context) {
+	assignments := t.core.Outbox()
+	if len(assignments) == 0 {
+		return
+	}
+	view := t.planner.around.View()
+	byOwner := map[string][]fleet.Assignment{}
+	for _, a := range assignments {
+		shard := t.core.view(a.Worker).report.Shard
+		owner := view.Shards[shard].Owner.Instance
+		byOwner[owner] = append(byOwner[owner], a)
+	}
+	for owner, list := range byOwner {
+		t.orders++
+		order := fleet.Order{PlannerEpoch: t.shard.Epoch, Sequence: t.orders, Assignments: list}
+		go t.assign(ctx, owner, order)
+	}
+}
+
+// assign makes one call. After a failure the core decides anew what is still
+// to be sent: repeating the message itself could start a task that has run to
+// its end meanwhile.
+func (t *term) assign(ctx context.Context, owner string, order fleet.Order) {
+	if !t.planner.rights.MayAct(time.Now()) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, assignTimeout)
+	defer cancel()
+	err := t.planner.owners.Assign(callCtx, owner, order)
+	if err == nil {
+		t.planner.metrics.assigns.Inc()
+		return
+	}
+	t.log.WithError(err).WithField("owner", owner).Warn("assign_failed")
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(idlePeriod):
+	}
+	select {
+	case t.calls <- func(c *Core) { c.resend(order.Assignments) }:
+	case <-ctx.Done():
+	case <-t.done:
+	}
+}
--- a/test/cell/focused_test.go
+++ b/test/cell/focused_test.go
@@ -77,6 +77,31 @@
 	})
 }
 
+// TestCutOwnerIsNotVouchedFor: symptom: as above. Sequence: an owner loses the
+// table only; the others reach the table but not the owner's workers. Cause to
+// be ruled out: electors vouch although the table answers them.
+func TestCutOwnerIsNotVouchedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(5, &lockedLog{})
+		defer c.stop()
+		time.Sleep(5 * time.Second)
+		n := c.holder(t, "rack-0")
+		c.splitOff(n, []string{"worker-0", "worker-1"})
+		c.each(func(i int, m *member) {
+			for other := range members {
+				m.gate.setCut(fmt.Sprintf("entry-%d", other), false)
+			}
+		})
+		time.Sleep(2 * time.Minute)
+		check(t, c)
+		c.heal()
+		if problems := c.awaitEnd(3 * time.Minute); len(problems) > 0 {
+			t.Errorf("after the cut: %v", problems)
+		}
+		check(t, c)
+	})
+}
+
 // TestOwnerInOutageThenCut: symptom: as above. Sequence: the table is down, an
 // owner goes on by its electors' word, and is then cut off together with its
 // rack; the table comes back for the others. Cause to be ruled out: what the
