--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -339,3 +339,40 @@
 		}
 	}
 }
+
+// TestStartWaitsForItsRow: symptom: a task runs that no row tells of, and a
+// successor starts it again. Sequence: a start is decided, its row is being
+// written, or could not be. Only in a confirmed outage, and only for work that
+// may be repeated, may it leave before.
+func TestStartWaitsForItsRow(t *testing.T) {
+	s := newSite(t, 2, fourCores, teams+work("batches", "plain", "a", 2, 1, "")+"  - name: letters\n    team: a\n    idempotent: false\n    resources: {cpu: 1, memory: 1GiB}\n")
+	s.now = s.now.Add(time.Second)
+	s.core.Decide(s.now, false)
+	s.expectStarts("decided", 0)
+	batch, err := s.core.Changes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.expectStarts("being written", 0)
+	s.report("w0", fleet.Ready)
+	s.report("w1", fleet.Ready)
+	s.expectStarts("reported meanwhile", 0)
+	s.core.Failed(batch, false, nil)
+	s.expectStarts("not written", 0)
+	s.core.ReleaseUnwritten()
+	s.expectStarts("in a confirmed outage", 2)
+	batch, _ = s.core.Changes()
+	s.core.Committed(batch)
+	s.expectStarts("written at last", 1)
+}
+
+func (s *site) expectStarts(when string, want int) {
+	s.t.Helper()
+	n := 0
+	for _, a := range s.core.Outbox() {
+		n += len(a.Start)
+	}
+	if n != want {
+		s.t.Errorf("%s: %d starts leave, want %d", when, n, want)
+	}
+}
--- a/test/cell/focused_test.go
+++ b/test/cell/focused_test.go
@@ -195,3 +195,32 @@
 		}
 	})
 }
+
+// TestReplacedProcessEnds: symptom: two processes act as one instance.
+// Sequence: a new process starts with the id of one that is still running, as
+// when an instance is replaced while the old one hangs. Cause to be ruled out:
+// both renew the same row in turn.
+func TestReplacedProcessEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(6, &lockedLog{})
+		defer c.stop()
+		time.Sleep(5 * time.Second)
+		n := c.holder(t, live.PlannerShard)
+		old := c.members[n]
+		next := c.newMember(n)
+		c.members[n] = next
+		next.start()
+		time.Sleep(20 * time.Second)
+		if !old.session.Lost() {
+			t.Error("the old process goes on")
+		}
+		if !next.session.Valid(time.Now()) {
+			t.Error("the new process has no session")
+		}
+		if problems := c.awaitEnd(3 * time.Minute); len(problems) > 0 {
+			t.Errorf("unfinished: %v", problems)
+		}
+		check(t, c)
+		old.kill()
+	})
+}
--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -270,9 +270,9 @@
 // memory.
 func TestAllInstancesRestarted(t *testing.T) {
 	s := loaded(t)
-	s.await("some letters sent", func() error {
+	s.await("most letters sent", func() error {
 		runs, err := s.runs(s.instances[0])
-		if err == nil && runs["letters"].Succeeded < 10 {
+		if err == nil && runs["letters"].Succeeded < 50 {
 			err = fmt.Errorf("%d sent", runs["letters"].Succeeded)
 		}
 		return err
