--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -20,7 +20,7 @@
 
 // reportPeriod is how often all workers are reported although nothing
 // changed; it repairs whatever got lost.
-const reportPeriod = 5 * time.Second
+const reportPeriod = 15 * time.Second
 
 // reportRetry is the wait after a report that did not arrive.
 const reportRetry = 200 * time.Millisecond
--- a/internal/planner/mix_site_test.go
+++ b/internal/planner/mix_site_test.go
@@ -15,7 +15,6 @@
 	ends       time.Duration
 	node       int
 	left       time.Duration
-	attempt    int
 }
 
 // mixSite runs a stream with one scheduler and measures.
--- a/test/e2e/cost_test.go
+++ b/test/e2e/cost_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"gentianstand/internal/load"
 	"gentianstand/internal/platform"
 	"gentianstand/internal/resource"
 	standplatform "gentianstand/internal/standin/platform"
@@ -168,3 +169,30 @@
 	}
 	b.ReportMetric(float64(failed.Load()), "failed-submits")
 }
+
+// BenchmarkCostRequests: cost of requests to a service with 50 replicas on 50
+// workers through 9 instances in turn, sent at a fixed rate.
+func BenchmarkCostRequests(b *testing.B) {
+	for _, rate := range []float64{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("requests/s=%g", rate), func(b *testing.B) {
+			s := costSite(b, 9, 50)
+			s.apply(s.instances[0], "version: 1\nteams:\n  - name: a\n    quota: {cpu: 800, memory: 2TiB}\nservices:\n  - name: casedesk\n    team: a\n    replicas: 50\n    spread: worker\n    resources: {cpu: 2, memory: 4GiB}\n")
+			s.awaitRunning(s.instances[0], "casedesk", 50)
+			var servers []string
+			for _, inst := range s.instances {
+				servers = append(servers, inst.address)
+			}
+			for range b.N {
+				s.measure(b, func() {
+					r := load.NewGenerator(load.Settings{
+						Servers: servers, Service: "casedesk", Path: "x", Method: http.MethodGet,
+						Rate: rate, Duration: window, Timeout: 5 * time.Second, MostOpen: 2000,
+					}).Run(b.Context())
+					b.ReportMetric(r.P50, "p50-ms")
+					b.ReportMetric(r.P99, "p99-ms")
+					b.ReportMetric(float64(r.Answers["status_200"])/float64(r.Sent), "answered-share")
+				})
+			}
+		})
+	}
+}
