--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -9,7 +9,9 @@
 
 // Assign takes in what the planner decided. An order of a planner that was
 // overtaken, or one that a later order has overtaken, is refused with NotOwner
-// or Conflict, however late it arrives.
+// or Conflict, however late it arrives. NotOwner also says that some workers
+// have changed hands; the planner then decides anew what is still to be sent,
+// instead of learning of it from a later report.
 func (o *Owner) Assign(order fleet.Order) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -21,10 +23,17 @@
 	}
 	o.plannerEpoch = order.PlannerEpoch
 	o.orderEpoch, o.orderSequence = order.PlannerEpoch, order.Sequence
+	missed := 0
 	for _, a := range order.Assignments {
-		if m, ok := o.minders[a.Worker]; ok && m.epoch == a.Epoch {
-			m.assign(a)
+		m, ok := o.minders[a.Worker]
+		if !ok || m.epoch != a.Epoch {
+			missed++
+			continue
 		}
+		m.assign(a)
+	}
+	if missed > 0 {
+		return fault.New(fault.NotOwner, "%d of %d workers are not held here under that epoch", missed, len(order.Assignments))
 	}
 	return nil
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -22,14 +22,29 @@
 
 func (nobody) Report(context.Context, bool, []fleet.Report) (uint64, error) { return 0, nil }
 
+func newTestOwner() *Owner {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	dial := func(string) worker.Agent { return nil }
+	return New("o", membership.DefaultTiming(), nobody{}, dial, routing.NewRouter(), nobody{}, metrics.NewSet(), logrus.NewEntry(log))
+}
+
+// TestOrderForAWorkerThatWentOn: symptom: a start gets lost for as long as the
+// time between two full reports. Sequence: a worker changes hands while an order
+// for it is on its way to the owner before. Cause to be ruled out: the order is
+// dropped without a word.
+func TestOrderForAWorkerThatWentOn(t *testing.T) {
+	order := fleet.Order{PlannerEpoch: 1, Sequence: 1, Assignments: []fleet.Assignment{{Worker: "w", Epoch: 1}}}
+	if err := newTestOwner().Assign(order); !fault.Is(err, fault.NotOwner) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // TestOrdersAreTakenInOrder: symptom: a task that has ended and been forgotten
 // runs again. Sequence: an order with its start is overtaken on the wire by
 // later ones. Cause to be ruled out: orders are taken as they come.
 func TestOrdersAreTakenInOrder(t *testing.T) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	dial := func(string) worker.Agent { return nil }
-	o := New("o", membership.DefaultTiming(), nobody{}, dial, routing.NewRouter(), nobody{}, metrics.NewSet(), logrus.NewEntry(log))
+	o := newTestOwner()
 	steps := []struct {
 		name            string
 		epoch, sequence uint64
