Requests get past workers that changed hands and connections that went silent

A refusing worker is now closed until its owner says more of it, silent connections are dropped together, and attempts that did not run no longer count.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -14,8 +14,10 @@
 	maxKeyLength   = 255
 	defaultTimeout = 30 * time.Second
 	maxTimeout     = 10 * time.Minute
-	// maxAttempts bounds the attempts of one request.
+	// maxAttempts bounds the attempts of one request that may have run, and
+	// maxTries all of them.
 	maxAttempts = 3
+	maxTries    = 32
 	// bodyTimeout bounds the reading of a small body.
 	bodyTimeout = 10 * time.Second
 	copyBuffer  = 32 << 10
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -48,8 +48,8 @@
 	metrics  entryMetrics
 	log      *logrus.Entry
 
-	upstreams http.RoundTripper
-	instances http.RoundTripper
+	upstreams *http.Transport
+	instances *http.Transport
 	stopped   atomic.Bool
 	inFlight  atomic.Int64
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -75,23 +75,26 @@
 }
 
 // execute makes attempts until the caller is answered or no further attempt is
-// safe and useful. A request that did not run may be tried again; one that may
-// have run only if it is repeatable and the retry budget allows.
+// safe and useful. A request that did not run may be tried again, as often as it
+// takes to get past workers that have just changed hands or connections that
+// went silent; one that may have run only if it is repeatable, the retry budget
+// allows it, and not more than maxAttempts times.
 func (s *Server) execute(ctx context.Context, w http.ResponseWriter, c *call, keep *keeper) error {
 	skip := map[string]bool{}
-	var last error
-	for n := range maxAttempts {
+	counted := 0
+	for n := 0; ; n++ {
 		a := s.attempt(ctx, w, c, skip, keep)
 		if a.answered {
 			return nil
 		}
-		last = a.err
-		if n+1 == maxAttempts || !s.again(ctx, c, a.err) {
-			break
+		if fault.From(a.err).Answer().Outcome != fault.DidNotRun {
+			counted++
+		}
+		if counted == maxAttempts || n == maxTries || !s.again(ctx, c, a.err) {
+			return a.err
 		}
 		s.metrics.retries.Inc()
 	}
-	return last
 }
 
 func (s *Server) again(ctx context.Context, c *call, err error) bool {
@@ -162,7 +165,8 @@
 	}
 	defer resp.Body.Close()
 	if reason := resp.Header.Get(httpwire.HeaderRefused); reason != "" {
-		result = routing.Broken
+		result = routing.Abandoned
+		s.router.Close(g.Worker, g.Epoch)
 		return attempt{err: fault.New(fault.UpstreamUnreachable, "worker %s refused: %s", g.Worker, reason)}
 	}
 	g.Answering()
@@ -192,6 +196,8 @@
 	cause := context.Cause(g.Context())
 	switch {
 	case errors.Is(cause, routing.ErrNeverArrived):
+		// The other connections kept to this worker have gone the same way.
+		s.upstreams.CloseIdleConnections()
 		return fault.New(fault.UpstreamFailed, "worker %s: %w", g.Worker, cause).WithOutcome(fault.DidNotRun)
 	case errors.Is(cause, routing.ErrAnswerLost):
 		return fault.New(fault.UpstreamFailed, "worker %s: %w", g.Worker, cause).WithOutcome(fault.Ran)
--- a/internal/routing/queue_test.go
+++ b/internal/routing/queue_test.go
@@ -204,3 +204,26 @@
 		t.Errorf("running: %v", cause)
 	}
 }
+
+// TestRefusingWorkerIsClosed: symptom: a request fails although other workers
+// are free. Sequence: a worker has a later owner and refuses. Cause to be ruled
+// out: it is chosen again, because it is free.
+func TestRefusingWorkerIsClosed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRouter()
+	for _, id := range []string{"taken", "own"} {
+		r.Set(WorkerInfo{ID: id, Epoch: 1, Slots: 4, Services: []string{"s"}, Open: true}, now)
+	}
+	r.Close("taken", 1)
+	for i := range 4 {
+		g := r.TryAcquire(context.Background(), "s", Request{ID: fmt.Sprint(i), Deadline: now.Add(time.Second)}, now)
+		if g == nil || g.Worker != "own" {
+			t.Fatalf("got %+v", g)
+		}
+	}
+	r.Set(WorkerInfo{ID: "taken", Epoch: 2, Slots: 4, Services: []string{"s"}, Open: true}, now)
+	r.Close("taken", 1)
+	if g := r.TryAcquire(context.Background(), "s", Request{ID: "again", Deadline: now.Add(time.Second)}, now); g == nil || g.Worker != "taken" {
+		t.Errorf("after it was claimed anew: %+v", g)
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -42,6 +42,23 @@
 	r.freed(u, now)
 }
 
+// Close takes a worker out until the owner says more of it, because it refused
+// a request under the epoch. Otherwise it would be chosen again at once: a
+// worker that refuses is always free.
+func (r *Router) Close(id string, epoch uint64) {
+	r.mu.RLock()
+	u, ok := r.upstreams[id]
+	r.mu.RUnlock()
+	if !ok {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.info.Epoch == epoch {
+		u.info.Open = false
+	}
+}
+
 // Remove forgets a worker. Requests in progress there go on to their end.
 func (r *Router) Remove(id string) {
 	r.mu.Lock()
