--- a/test/cell/focused_test.go
+++ b/test/cell/focused_test.go
@@ -56,17 +56,15 @@
 	}
 }
 
-// TestIsolatedOwnerStops: symptom: tasks run in two places for as long as a cut
-// lasts. Sequence: an owner and its rack are cut off together from everything
-// else; the others take the shard over, cannot reach the workers, and start
-// their tasks elsewhere. Cause to be ruled out: the isolated owner keeps the
-// leases although nobody vouches for it.
-func TestIsolatedOwnerStops(t *testing.T) {
+// afterCut lets inflict cut off the owner of rack-0, and checks the promises
+// two minutes into the cut and once everything works again.
+func afterCut(t *testing.T, seed uint64, inflict func(c *cell, owner int)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := newCell(1, &lockedLog{})
+		c := newCell(seed, &lockedLog{})
 		defer c.stop()
 		time.Sleep(5 * time.Second)
-		c.splitOff(c.holder(t, "rack-0"), []string{"worker-0", "worker-1"})
+		inflict(c, c.holder(t, "rack-0"))
 		time.Sleep(2 * time.Minute)
 		check(t, c)
 		c.heal()
@@ -77,28 +75,28 @@
 	})
 }
 
+var rack0 = []string{"worker-0", "worker-1"}
+
+// TestIsolatedOwnerStops: symptom: tasks run in two places for as long as a cut
+// lasts. Sequence: an owner and its rack are cut off together from everything
+// else; the others take the shard over, cannot reach the workers, and start
+// their tasks elsewhere. Cause to be ruled out: the isolated owner keeps the
+// leases although nobody vouches for it.
+func TestIsolatedOwnerStops(t *testing.T) {
+	afterCut(t, 1, func(c *cell, owner int) { c.splitOff(owner, rack0) })
+}
+
 // TestCutOwnerIsNotVouchedFor: symptom: as above. Sequence: an owner loses the
 // table only; the others reach the table but not the owner's workers. Cause to
 // be ruled out: electors vouch although the table answers them.
 func TestCutOwnerIsNotVouchedFor(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(5, &lockedLog{})
-		defer c.stop()
-		time.Sleep(5 * time.Second)
-		n := c.holder(t, "rack-0")
-		c.splitOff(n, []string{"worker-0", "worker-1"})
-		c.each(func(i int, m *member) {
+	afterCut(t, 5, func(c *cell, owner int) {
+		c.splitOff(owner, rack0)
+		c.each(func(_ int, m *member) {
 			for other := range members {
 				m.gate.setCut(fmt.Sprintf("entry-%d", other), false)
 			}
 		})
-		time.Sleep(2 * time.Minute)
-		check(t, c)
-		c.heal()
-		if problems := c.awaitEnd(3 * time.Minute); len(problems) > 0 {
-			t.Errorf("after the cut: %v", problems)
-		}
-		check(t, c)
 	})
 }
 
@@ -107,22 +105,11 @@
 // rack; the table comes back for the others. Cause to be ruled out: what the
 // electors said counts for longer than they stand by it.
 func TestOwnerInOutageThenCut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCell(2, &lockedLog{})
-		defer c.stop()
-		time.Sleep(5 * time.Second)
-		n := c.holder(t, "rack-0")
+	afterCut(t, 2, func(c *cell, owner int) {
 		c.faulty.Set(standplatform.Fault{TableDown: true})
 		time.Sleep(20 * time.Second)
-		c.splitOff(n, []string{"worker-0", "worker-1"})
+		c.splitOff(owner, rack0)
 		c.faulty.Set(standplatform.Fault{})
-		time.Sleep(2 * time.Minute)
-		check(t, c)
-		c.heal()
-		if problems := c.awaitEnd(3 * time.Minute); len(problems) > 0 {
-			t.Errorf("after the cut: %v", problems)
-		}
-		check(t, c)
 	})
 }
 
