--- a/internal/dev/system_test.go
+++ b/internal/dev/system_test.go
@@ -163,6 +163,29 @@
 	}
 }
 
+// TestSlowSenders: symptom: an instance runs out of connections. Sequence: a
+// caller sends part of a header, or of a body, and then nothing. Cause to be
+// ruled out: it is waited for without end.
+func TestSlowSenders(t *testing.T) {
+	sys := newSystem(t)
+	before := requestsRun(sys)
+	cases := []struct{ name, request, want string }{
+		{"header", "GET /s/casedesk/x HTTP/1.1\r\nHost: x\r\n", ""},
+		{"body", "POST /s/casedesk/x HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nhello", "400"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			if line := rawRequest(t, sys.Instances[0], c.request, false); !strings.Contains(line, c.want) {
+				t.Errorf("got %q, want %s", line, c.want)
+			}
+			if after := requestsRun(sys); after != before {
+				t.Errorf("%d of them reached a worker", after-before)
+			}
+		})
+	}
+}
+
 func requestsRun(sys *dev.System) int {
 	n := 0
 	for _, e := range sys.Record.Events() {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -44,7 +44,7 @@
 }
 
 // newCall checks a request and reads a small body whole.
-func newCall(r *http.Request, id string, service spec.Workload, path string, now time.Time) (*call, error) {
+func newCall(w http.ResponseWriter, r *http.Request, id string, service spec.Workload, path string, now time.Time) (*call, error) {
 	c := &call{id: id, service: service, path: path, request: r, forwarded: r.Header.Get(headerForwarded), key: r.Header.Get(HeaderKey)}
 	if len(c.key) > maxKeyLength {
 		return nil, fault.New(fault.BadRequest, "header %s has %d characters; allowed: at most %d", HeaderKey, len(c.key), maxKeyLength)
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	c.deadline = now.Add(timeout)
-	return c, c.readBody()
+	return c, c.readBody(http.NewResponseController(w))
 }
 
 func timeoutOf(r *http.Request, service spec.Workload) (time.Duration, error) {
@@ -73,7 +73,9 @@
 	return time.Duration(seconds * float64(time.Second)), nil
 }
 
-func (c *call) readBody() error {
+// readBody reads a small body whole. A sender that stalls is given up after
+// bodyTimeout: it would hold its connection and memory for as long as it likes.
+func (c *call) readBody(control *http.ResponseController) error {
 	length := c.request.ContentLength
 	switch {
 	case length > maxBodyBytes:
@@ -85,9 +87,13 @@
 		return nil
 	}
 	body := make([]byte, length)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if _, err := io.ReadFull(c.request.Body, body); err != nil {
+		// The deadline stays: the server would wait for the rest of the body
+		// before it sends the answer.
 		return fault.New(fault.BadRequest, "the body ended before its %d bytes were read: %w", length, err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	c.body, c.replayable = body, true
 	return nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -30,7 +30,7 @@
 	id := requestID(r)
 	w.Header().Set(HeaderRequestID, id)
 	started := time.Now()
-	c, err := s.checkCall(r, id, service, path, started)
+	c, err := s.checkCall(w, r, id, service, path, started)
 	if err == nil {
 		err = s.serve(w, c)
 	}
@@ -40,7 +40,7 @@
 	s.metrics.served(service, err, time.Since(started))
 }
 
-func (s *Server) checkCall(r *http.Request, id, service, path string, now time.Time) (*call, error) {
+func (s *Server) checkCall(w http.ResponseWriter, r *http.Request, id, service, path string, now time.Time) (*call, error) {
 	if s.stopped.Load() {
 		return nil, fault.New(fault.Stopping, "instance %s is stopping", s.identity.Process.Instance)
 	}
@@ -52,7 +52,7 @@
 	if !ok || workload.Kind != "service" {
 		return nil, fault.New(fault.UnknownService, "no service %q is in configuration %d", service, rec.Number)
 	}
-	return newCall(r, id, workload, path, now)
+	return newCall(w, r, id, workload, path, now)
 }
 
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, id, service string, err error) {
