Test ports are tried by connecting, not by listening

The port had been tried by listening, and a process forked at that moment held the listener until its exec. Ruled out: the product; the other five workers were owned in time.

--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -352,7 +352,10 @@
 
 // nextPort counts the ports given out. They lie below the range from which the
 // kernel takes ports for outgoing connections, so that none is taken between
-// being chosen here and being listened on by a process.
+// being chosen here and being listened on by a process. A port is tried by
+// connecting, not by listening: a process that is being started at the same
+// moment would hold a listener open for an instant longer, and keep the port
+// from the one it is meant for.
 var nextPort atomic.Int64
 
 const (
@@ -364,10 +367,11 @@
 	t.Helper()
 	for {
 		port := firstPort + (int64(os.Getpid())*97+nextPort.Add(1))%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			_ = l.Close()
-			return l.Addr().String()
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return address
 		}
+		_ = conn.Close()
 	}
 }
