Dead code of the stand-ins and of dev removed

Found by a read of the whole change: dev.System.Faults and the worker stand-in's Epoch were called by nobody. Behaviour and assertions are as before.

--- a/internal/dev/system.go
+++ b/internal/dev/system.go
@@ -62,9 +62,6 @@
 	return sys, nil
 }
 
-// Faults sets what the platform does wrong.
-func (s *System) Faults(f standplatform.Fault) { s.faulty.Set(f) }
-
 // WorkerFaults sets what all workers do wrong.
 func (s *System) WorkerFaults(f standworker.Fault) {
 	for _, w := range s.workers {
--- a/internal/owner/tracker_test.go
+++ b/internal/owner/tracker_test.go
@@ -193,8 +193,7 @@
 	tr := r.owner(1)
 	r.order(tr, 0, 1, 1000)
 	ref := worker.TaskRef{Run: "r", Index: 0, Attempt: 1}
-	lost := tr.Next(nil)
-	_ = lost
+	tr.Next(nil) // lost on its way
 	tr.Assign(fleet.Assignment{Boot: tr.boot, Stop: []worker.TaskStop{{Ref: ref, Action: worker.Kill}}})
 	for range 3 {
 		_ = r.deliver(tr, tr.Next(nil))
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -81,13 +81,6 @@
 	w.fault = f
 }
 
-// Epoch returns the highest epoch seen.
-func (w *Worker) Epoch() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.epoch
-}
-
 // RunningTasks returns the attempts running now.
 func (w *Worker) RunningTasks() []worker.TaskRef {
 	w.mu.Lock()
