--- /dev/null
+++ b/internal/advice/ticket.go
@@ -0,0 +1,7 @@
+package advice
+
+// Ticket is leave to start tasks of one stage on one worker.
+type Ticket struct {
+	Worker string
+	Text   string
+}
--- /dev/null
+++ b/internal/cell/adopt.go
@@ -0,0 +1,110 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// attemptOf returns the booked attempt of a reported run. A run that is not
+// booked was started by an earlier owner, or outlived what we took for its end:
+// it is adopted if the task still needs it, and stopped otherwise.
+func (c *Cell) attemptOf(w *worker, r runner.RunState, sentAt, now time.Time) *attempt {
+	t := c.taskNamed(r.Task)
+	if t == nil {
+		c.stopUnknown(w, r, now)
+		return nil
+	}
+	if a := t.find(w, r.Run); a != nil {
+		return a
+	}
+	if w.reported && r.Run < t.lastRun && t.done {
+		return nil
+	}
+	a := c.adopt(t, w, r.Run, now)
+	switch {
+	case t.stage.job.final != "":
+		c.stop(a, "job_"+string(t.stage.job.final), now)
+	case t.done:
+		c.stop(a, "task_done", now)
+	case len(t.attempts) > 1 && !t.stage.step.AllowDuplicates:
+		c.log.WithFields(attemptFields(a)).Warn("second_run_found")
+		c.stop(a, "second_run", now)
+	}
+	return a
+}
+
+// adopt books a run that another owner ordered.
+func (c *Cell) adopt(t *task, w *worker, run uint64, now time.Time) *attempt {
+	a := &attempt{task: t, run: run, worker: w, phase: running, orderedAt: now, confirmedAt: now, changedAt: now, pace: 100}
+	t.lastRun = max(t.lastRun, run)
+	t.attempts = append(t.attempts, a)
+	t.stage.takeIdle(t.index)
+	w.add(a)
+	t.stage.job.started = true
+	c.wake(t.stage)
+	return a
+}
+
+// stopUnknown stops a run of a task that no accepted job has.
+func (c *Cell) stopUnknown(w *worker, r runner.RunState, now time.Time) {
+	id, err := job.ParseTaskID(r.Task)
+	if err != nil {
+		c.log.WithFields(workerFields(w)).WithError(err).Warn("report_with_bad_task_name")
+		return
+	}
+	c.log.WithFields(workerFields(w)).WithField("task", r.Task).Warn("run_of_unknown_job_stopped")
+	c.orders = append(c.orders, StopOrder{Worker: w.target, Task: id, Stop: runner.Stop{Task: r.Task, Run: r.Run, Token: c.settings.Term}})
+}
+
+// taskNamed returns a known task by its name, or nil.
+func (c *Cell) taskNamed(name string) *task {
+	id, err := job.ParseTaskID(name)
+	if err != nil {
+		return nil
+	}
+	return c.task(id)
+}
+
+func (c *Cell) task(id job.TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	s := j.stage(id.Occurrence, id.Step)
+	if s == nil || id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[id.Index]
+}
+
+// progressed takes in what a worker reports of a run.
+func (c *Cell) progressed(a *attempt, r runner.RunState, now time.Time) {
+	if a.phase == ordered {
+		a.phase = running
+	}
+	if a.confirmedAt.IsZero() {
+		a.confirmedAt = now
+	}
+	a.task.stage.job.started = true
+	if r.Percent != a.percent || a.changedAt.IsZero() {
+		a.percent = r.Percent
+		a.changedAt = now
+	}
+	a.gauge = r.Gauge
+	if r.Saved != "" {
+		a.task.keep(r.Saved)
+	}
+}
+
+// keep stores a checkpoint. One of any member is valid for a whole gang.
+func (t *task) keep(saved string) {
+	if !t.stage.step.Gang {
+		t.saved = saved
+		return
+	}
+	for _, member := range t.stage.tasks {
+		member.saved = saved
+	}
+}
--- /dev/null
+++ b/internal/cell/advice_book.go
@@ -0,0 +1,34 @@
+package cell
+
+import "time"
+
+// verdict is what the adviser said of one worker for a stage.
+type verdict struct {
+	good   bool
+	ticket string
+	until  time.Time
+}
+
+// adviceBook is what a stage knows from the placement adviser.
+type adviceBook struct {
+	verdicts map[string]verdict
+	asking   bool
+	// retryAt is set after a failed call.
+	retryAt time.Time
+}
+
+// ticketFor returns a valid ticket for a worker.
+func (b *adviceBook) ticketFor(id string, now time.Time) (string, bool) {
+	v, ok := b.verdicts[id]
+	if !ok || !v.good || !now.Before(v.until) {
+		return "", false
+	}
+	return v.ticket, true
+}
+
+// expire makes the stage ask about a worker again before using it.
+func (b *adviceBook) expire(id string) {
+	v := b.verdicts[id]
+	v.until = time.Time{}
+	b.verdicts[id] = v
+}
--- /dev/null
+++ b/internal/cell/answers.go
@@ -0,0 +1,96 @@
+package cell
+
+import (
+	"errors"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// StartAnswered takes in the result of a start order.
+func (c *Cell) StartAnswered(o StartOrder, answer runner.Answer, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.attempt(o.Task, o.Worker.ID, o.Start.Run)
+	if a == nil {
+		return
+	}
+	a.worker.sawClock(answer.Clock, now)
+	var refusal *runner.Refusal
+	switch {
+	case err == nil:
+		c.confirmed(a, now)
+	case errors.As(err, &refusal):
+		c.refused(a, refusal.Reason, now)
+	case errors.Is(err, runner.ErrGone):
+		// The worker's next look finds the same and drops all its runs.
+		c.drop(a, "worker_replaced", now)
+	default:
+		c.log.WithFields(attemptFields(a)).WithError(err).Info("start_unanswered")
+		c.stop(a, "start_unanswered", now)
+	}
+}
+
+func (c *Cell) confirmed(a *attempt, now time.Time) {
+	if a.phase == ordered {
+		a.phase = running
+	}
+	if a.confirmedAt.IsZero() {
+		a.confirmedAt = now
+		a.changedAt = now
+	}
+	a.task.stage.job.started = true
+}
+
+// refused takes in that a worker declined a start, so the run does not exist.
+func (c *Cell) refused(a *attempt, reason runner.RefusalReason, now time.Time) {
+	c.log.WithFields(attemptFields(a)).WithField("reason", reason).Info("start_refused")
+	s := a.task.stage
+	switch reason {
+	case runner.BadTicket:
+		s.advice.expire(a.worker.ID)
+	case runner.Unhealthy, runner.NoRoom:
+		a.worker.health.refused(now)
+	case runner.RunTooOld:
+		// The worker knows this run or a higher one, which a report will show.
+		c.stop(a, "run_too_old", now)
+		return
+	}
+	c.drop(a, "refused_"+string(reason), now)
+}
+
+// StopAnswered takes in the result of a stop order. An unanswered one is
+// repeated by watch.
+func (c *Cell) StopAnswered(o StopOrder, answer runner.Answer, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.attempt(o.Task, o.Worker.ID, o.Stop.Run)
+	if a == nil {
+		return
+	}
+	a.worker.sawClock(answer.Clock, now)
+	if err == nil {
+		a.stopAnsweredAt = now
+	}
+}
+
+// PaceAnswered takes in the result of a pace order.
+func (c *Cell) PaceAnswered(o PaceOrder, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.attempt(o.Task, o.Worker.ID, o.Pace.Run); a != nil && err != nil {
+		// Unknown: have it sent again.
+		a.pace = -1
+		a.pacedAt = now
+	}
+}
+
+func (c *Cell) attempt(id job.TaskID, workerID string, run uint64) *attempt {
+	w := c.workers[workerID]
+	t := c.task(id)
+	if w == nil || t == nil {
+		return nil
+	}
+	return t.find(w, run)
+}
--- /dev/null
+++ b/internal/cell/attempt.go
@@ -0,0 +1,45 @@
+package cell
+
+import "time"
+
+// phase is how far a run has come, as far as the cell knows.
+type phase int
+
+const (
+	// ordered means that the start was sent and is not confirmed.
+	ordered phase = iota
+	// running means that the worker answered the start or reported the run.
+	running
+	// stopping means that the run has to end: a stop is repeated until answered.
+	stopping
+)
+
+// attempt is one run of a task on a worker. It occupies room there until its
+// end is certain.
+type attempt struct {
+	task   *task
+	run    uint64
+	worker *worker
+	phase  phase
+	// orderedAt is when the start was sent, or the run was first reported.
+	orderedAt time.Time
+	// confirmedAt is when the worker answered the start.
+	confirmedAt time.Time
+	// percent and changedAt are the last reported progress and when it moved.
+	percent   int
+	changedAt time.Time
+	// gauge is the last reported figure; see runner.RunState.
+	gauge float64
+	// pace is the share of its speed that the run is allowed.
+	pace     int
+	pacedAt  time.Time
+	overFrom time.Time
+	// stopSentAt and stopAnsweredAt are zero while there was none.
+	stopSentAt     time.Time
+	stopAnsweredAt time.Time
+	// makesRoomFor is the stage that the run was preempted for, or nil.
+	makesRoomFor *stage
+}
+
+// elapsed returns how long the run has been going on.
+func (a *attempt) elapsed(now time.Time) time.Duration { return now.Sub(a.orderedAt) }
--- /dev/null
+++ b/internal/cell/cell.go
@@ -0,0 +1,151 @@
+package cell
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/job"
+)
+
+// Cell is the state of one cell under its own lock. All methods are safe for
+// concurrent use; `now` must come from one steady clock.
+type Cell struct {
+	settings Settings
+	log      logrus.FieldLogger
+
+	mu      sync.Mutex
+	began   time.Time
+	jobs    map[string]*jobState
+	active  map[string]*jobState
+	workers map[string]*worker
+	// waiting are the stages with tasks to place, in no order.
+	waiting map[*stage]struct{}
+	orders  []Order
+	// dirty are the jobs whose progress is ahead of the store.
+	dirty map[*jobState]struct{}
+	// recovering says that some worker of the time before this ownership has
+	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
+	recovering bool
+	stats      Stats
+}
+
+// New returns an empty cell that began its ownership at now.
+func New(s Settings, now time.Time, log logrus.FieldLogger) *Cell {
+	return &Cell{
+		settings: s, log: log, began: now, recovering: true,
+		jobs: map[string]*jobState{}, active: map[string]*jobState{},
+		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
+	}
+}
+
+// Load takes in a job that was accepted under an earlier owner. It must be
+// called before the first Plan. progress is nil if none was stored.
+func (c *Cell) Load(r *job.Record, p *job.Progress, progressVersion uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Withdrawn {
+		return
+	}
+	j := newJobState(r)
+	j.inherited = true
+	j.progressVersion = progressVersion
+	if p != nil {
+		j.restore(p)
+	}
+	c.insert(j)
+}
+
+// Add takes in a newly accepted job. A job that is already known is ignored:
+// the same news may come from the accepting instance and from the store.
+func (c *Cell) Add(r *job.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Withdrawn || c.jobs[r.ID] != nil {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "steps": len(r.Steps)}).Info("job_added")
+	c.insert(newJobState(r))
+}
+
+func (c *Cell) insert(j *jobState) {
+	c.jobs[j.record.ID] = j
+	if j.final != "" {
+		return
+	}
+	c.active[j.record.ID] = j
+	for _, s := range j.stages {
+		c.wake(s)
+	}
+}
+
+// wake puts a stage among those to place if it has tasks to place.
+func (c *Cell) wake(s *stage) {
+	if s.job.final == "" && len(s.idle) > 0 && s.predecessorsDone() {
+		c.waiting[s] = struct{}{}
+		return
+	}
+	delete(c.waiting, s)
+}
+
+// Cancel ends a job by its caller's wish and reports whether it is known.
+// Tasks are stopped with the next Plan.
+func (c *Cell) Cancel(id string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	if j.final == "" {
+		c.end(j, job.Cancelled, now)
+		// The cancellation is stored before this call, so it may be shown.
+		j.visible = job.Cancelled
+	}
+	return true
+}
+
+// State returns what to tell a caller of a job; ok is false if it is unknown.
+// A final state is shown only after it was stored, so that it cannot change
+// when this owner is lost.
+func (c *Cell) State(id string) (state job.State, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.state(), true
+}
+
+// Waiting returns how many accepted jobs of a queue have not started a task.
+func (c *Cell) Waiting(queue string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, j := range c.active {
+		if j.record.Queue == queue && !j.started {
+			n++
+		}
+	}
+	return n
+}
+
+// end gives a job its final state and stops what runs of it.
+func (c *Cell) end(j *jobState, state job.State, now time.Time) {
+	j.final = state
+	j.endedAt = now
+	delete(c.active, j.record.ID)
+	c.dirty[j] = struct{}{}
+	for _, s := range j.stages {
+		delete(c.waiting, s)
+		for _, t := range s.tasks {
+			for _, a := range t.attempts {
+				c.stop(a, "job_"+string(state), now)
+			}
+		}
+	}
+	c.log.WithFields(logrus.Fields{"job": j.record.ID, "queue": j.record.Queue, "state": state,
+		"took_ms": j.age(now).Milliseconds()}).Info("job_ended")
+}
--- /dev/null
+++ b/internal/cell/ends.go
@@ -0,0 +1,159 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// ended takes in the end of a run that a worker lists.
+func (c *Cell) ended(w *worker, e runner.End, now time.Time) {
+	t := c.taskNamed(e.Task)
+	if t == nil {
+		c.log.WithFields(workerFields(w)).WithField("task", e.Task).Warn("end_of_unknown_task")
+		return
+	}
+	a := t.find(w, e.Run)
+	if e.Saved != "" {
+		t.keep(e.Saved)
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	if e.How != runner.Done && e.How != runner.Stopped {
+		c.log.WithFields(logrus.Fields{"task": e.Task, "run": e.Run, "worker": w.ID, "how": e.How, "failures": t.failures}).Info("run_ended")
+	}
+	switch e.How {
+	case runner.Done:
+		c.taskDone(t, w, now)
+	case runner.FailedRun:
+		c.taskFailed(t, w, e.Run, now)
+	}
+	c.dirty[t.stage.job] = struct{}{}
+	if a != nil {
+		c.drop(a, string(e.How), now)
+	}
+	if e.How != runner.Done && t.stage.step.Gang {
+		c.breakGang(t.stage, now)
+	}
+	c.finish(t.stage.job, now)
+}
+
+// taskDone books a success. One end of a gang's member stands for all.
+func (c *Cell) taskDone(t *task, w *worker, now time.Time) {
+	w.health.succeeded()
+	members := []*task{t}
+	if t.stage.step.Gang {
+		members = t.stage.tasks
+	}
+	for _, m := range members {
+		if m.done {
+			continue
+		}
+		m.done = true
+		c.stats.Done++
+		t.stage.done++
+		t.stage.takeIdle(m.index)
+	}
+	if !t.stage.step.Gang {
+		for _, other := range t.attempts {
+			if other.worker != w {
+				c.stop(other, "copy_done", now)
+			}
+		}
+	}
+	c.wake(t.stage)
+	if t.stage.isDone() {
+		for _, s := range t.stage.job.stages {
+			c.wake(s)
+		}
+	}
+}
+
+// taskFailed counts a failed run once and gives the job up when its attempts
+// are used up. Tasks that last may fail any number of times.
+func (c *Cell) taskFailed(t *task, w *worker, run uint64, now time.Time) {
+	if run <= t.failedRun {
+		return
+	}
+	c.stats.Failed++
+	w.health.failed(t.stage.id.Job, now)
+	counted := t
+	if t.stage.step.Gang {
+		counted = t.stage.tasks[0]
+		if run <= counted.failedRun {
+			return
+		}
+	}
+	counted.failures++
+	counted.failedRun = run
+	t.failedRun = run
+	t.failedOn = w.ID
+	j := t.stage.job
+	if j.final == "" && !t.stage.step.LongRunning && counted.failures >= max(1, j.record.MaxAttempts) {
+		c.log.WithFields(logrus.Fields{"job": j.record.ID, "task": t.id().String(), "failures": counted.failures}).Info("job_out_of_attempts")
+		c.end(j, job.Failed, now)
+	}
+}
+
+// breakGang ends the members that are left when one of a gang has ended, so
+// that all can start again together.
+func (c *Cell) breakGang(s *stage, now time.Time) {
+	if s.isDone() {
+		return
+	}
+	for _, t := range s.tasks {
+		for _, a := range t.attempts {
+			c.stop(a, "gang_broken", now)
+		}
+	}
+}
+
+// finish completes a job whose tasks are all done.
+func (c *Cell) finish(j *jobState, now time.Time) {
+	if j.final == "" && j.allDone() {
+		c.end(j, job.Completed, now)
+	}
+}
+
+// drop takes a run out of the books: it is certain that it does not go on.
+func (c *Cell) drop(a *attempt, why string, now time.Time) {
+	t := a.task
+	for i, other := range t.attempts {
+		if other == a {
+			t.attempts = append(t.attempts[:i], t.attempts[i+1:]...)
+			break
+		}
+	}
+	a.worker.remove(a)
+	if a.makesRoomFor != nil {
+		a.makesRoomFor.preempting--
+		a.makesRoomFor = nil
+	}
+	if !t.done && len(t.attempts) == 0 {
+		t.stage.addIdle(t.index)
+	}
+	if t.stage.step.Gang && !t.done {
+		c.breakGang(t.stage, now)
+	}
+	c.wake(t.stage)
+	c.log.WithFields(attemptFields(a)).WithField("why", why).Debug("run_over")
+}
+
+// stop orders the end of a run.
+func (c *Cell) stop(a *attempt, why string, now time.Time) {
+	if a.phase == stopping {
+		return
+	}
+	a.phase = stopping
+	c.stats.Stops++
+	c.log.WithFields(attemptFields(a)).WithField("why", why).Debug("run_stopped")
+	c.sendStop(a, now)
+}
+
+func (c *Cell) sendStop(a *attempt, now time.Time) {
+	a.stopSentAt = now
+	c.orders = append(c.orders, StopOrder{Worker: a.worker.target, Task: a.task.id(),
+		Stop: runner.Stop{Task: a.task.id().String(), Run: a.run, Token: c.settings.Term}})
+}
--- /dev/null
+++ b/internal/cell/health.go
@@ -0,0 +1,48 @@
+package cell
+
+import "time"
+
+const (
+	// badStreak is how many runs of different jobs have to fail or stall on a
+	// worker in a row before it is avoided. Jobs fail by their own fault in a few
+	// percent of runs, so three in a row of different jobs are the worker's.
+	badStreak = 3
+	// avoidFor is how long a bad worker gets no new runs; then it is tried again.
+	avoidFor = 6 * time.Second
+	// refusedFor is how long a worker that declined a start is avoided.
+	refusedFor = 500 * time.Millisecond
+)
+
+// health judges a worker by how runs end there.
+type health struct {
+	streak     int
+	lastJob    string
+	avoidUntil time.Time
+}
+
+func (h *health) succeeded() {
+	h.streak = 0
+	h.lastJob = ""
+}
+
+// failed counts a failed or stalled run. Failures of one job count once.
+func (h *health) failed(jobID string, now time.Time) {
+	if h.lastJob == jobID {
+		return
+	}
+	h.lastJob = jobID
+	h.streak++
+	if h.streak >= badStreak {
+		// One more failure after the pause is enough to avoid it again.
+		h.streak = badStreak - 1
+		h.avoidUntil = now.Add(avoidFor)
+	}
+}
+
+func (h *health) refused(now time.Time) {
+	if until := now.Add(refusedFor); until.After(h.avoidUntil) {
+		h.avoidUntil = until
+	}
+}
+
+func (h *health) avoided(now time.Time) bool { return now.Before(h.avoidUntil) }
--- /dev/null
+++ b/internal/cell/job_state.go
@@ -0,0 +1,99 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/job"
+)
+
+// jobState is one job as its cell knows it.
+type jobState struct {
+	record *job.Record
+	stages []*stage
+	// inherited jobs were accepted under an earlier owner.
+	inherited bool
+	// started says that a task has been confirmed as running.
+	started bool
+	final   job.State
+	endedAt time.Time
+	// visible is the final state that is stored and may be shown.
+	visible job.State
+	// progressVersion is the version of the stored progress, 0 if none.
+	progressVersion uint64
+	// chain is the ideal duration of the longest chain of steps.
+	chain time.Duration
+}
+
+func newJobState(r *job.Record) *jobState {
+	j := &jobState{record: r}
+	steps := len(r.Steps)
+	for k := range r.Occurrences() {
+		for i := range r.Steps {
+			j.stages = append(j.stages, newStage(j, k, i))
+		}
+		for i := range r.Steps {
+			s := j.stages[k*steps+i]
+			for _, before := range r.Steps[i].After {
+				s.after = append(s.after, j.stages[k*steps+before])
+			}
+		}
+	}
+	j.measureChain()
+	return j
+}
+
+// measureChain finds, for each stage, the ideal time from its start to the end
+// of the job.
+func (j *jobState) measureChain() {
+	for i := len(j.stages) - 1; i >= 0; i-- {
+		s := j.stages[i]
+		s.toEnd += s.ideal()
+		j.chain = max(j.chain, s.toEnd)
+		for _, before := range s.after {
+			before.toEnd = max(before.toEnd, s.toEnd)
+		}
+	}
+}
+
+// stage returns the stage of an occurrence and step, or nil.
+func (j *jobState) stage(occurrence, step int) *stage {
+	steps := len(j.record.Steps)
+	if occurrence < 0 || occurrence >= j.record.Occurrences() || step < 0 || step >= steps {
+		return nil
+	}
+	return j.stages[occurrence*steps+step]
+}
+
+func (j *jobState) state() job.State {
+	switch {
+	case j.visible != "":
+		return j.visible
+	case j.started:
+		return job.Running
+	}
+	return job.Queued
+}
+
+// age returns how long ago the job was accepted, by the wall clock.
+func (j *jobState) age(now time.Time) time.Duration {
+	return now.Sub(j.record.AcceptedAt)
+}
+
+// objective returns when the job should be complete.
+func (j *jobState) objective(s *stage) time.Time {
+	from := j.record.AcceptedAt
+	if due := j.record.DueAt(s.id.Occurrence); due.After(from) {
+		from = due
+	}
+	return from.Add(time.Duration(j.record.Stretch*float64(j.chain)) + j.record.Target)
+}
+
+// allDone reports whether every stage is done.
+func (j *jobState) allDone() bool {
+	for _, s := range j.stages {
+		if !s.isDone() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/cell/looks.go
@@ -0,0 +1,138 @@
+package cell
+
+import (
+	"errors"
+	"time"
+
+	"gentianstand/internal/runner"
+)
+
+// NextLook returns where and how to look at a worker next; ok is false if the
+// worker is no longer known.
+func (c *Cell) NextLook(id string, now time.Time) (target runner.Target, look runner.Look, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	if w == nil {
+		return target, look, false
+	}
+	look = runner.Look{Token: c.settings.Term, Acknowledged: w.acked}
+	if w.clockAt.IsZero() {
+		return w.target, look, true
+	}
+	end := w.extendLease(c.settings.Lease, now)
+	look.LeaseUntil = &end
+	if w.reported && !w.unsettled() {
+		look.Wait = lookWait
+	}
+	return w.target, look, true
+}
+
+// unsettled reports whether some run's fate is unknown, so that the next report
+// should come at once.
+func (w *worker) unsettled() bool {
+	for a := range w.attempts {
+		if a.phase == stopping && !a.stopAnsweredAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// Reported takes in a worker's answer to a look that was sent at sentAt.
+func (c *Cell) Reported(id string, report runner.Report, sentAt, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	w.sawClock(report.Clock, now)
+	if !w.failingAt.IsZero() {
+		c.log.WithFields(workerFields(w)).WithField("silent_ms", now.Sub(w.failingAt).Milliseconds()).Info("worker_answers_again")
+		w.failingAt = time.Time{}
+	}
+	w.lastReport = now
+	ended := map[runKey]bool{}
+	for _, e := range report.Ended {
+		ended[runKey{e.Task, e.Run}] = true
+		if e.Sequence > w.seen {
+			w.seen = e.Sequence
+			c.ended(w, e, now)
+		}
+	}
+	c.matchRunning(w, report, ended, sentAt, now)
+	if !w.reported {
+		w.reported = true
+		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Debug("worker_reported")
+	}
+}
+
+// runKey names a run in a report.
+type runKey struct {
+	task string
+	run  uint64
+}
+
+// matchRunning compares what the worker runs with the cell's books.
+func (c *Cell) matchRunning(w *worker, report runner.Report, ended map[runKey]bool, sentAt, now time.Time) {
+	present := make(map[*attempt]bool, len(report.Running))
+	for _, r := range report.Running {
+		if ended[runKey{r.Task, r.Run}] {
+			continue
+		}
+		if a := c.attemptOf(w, r, sentAt, now); a != nil {
+			present[a] = true
+			c.progressed(a, r, now)
+		}
+	}
+	for a := range w.attempts {
+		if !present[a] {
+			c.missing(a, sentAt, now)
+		}
+	}
+}
+
+// missing deals with a booked run that a report does not show.
+func (c *Cell) missing(a *attempt, sentAt, now time.Time) {
+	switch {
+	case !a.stopAnsweredAt.IsZero() && a.stopAnsweredAt.Before(sentAt):
+		// The stop was answered before the look was sent: the run has ended or
+		// can never begin.
+		c.drop(a, "revoked", now)
+	case a.phase == running && !a.confirmedAt.IsZero() && a.confirmedAt.Before(sentAt):
+		// The worker confirmed the run earlier, does not show it now and does not
+		// list its end either. Revoking it makes sure before it starts elsewhere.
+		c.log.WithFields(attemptFields(a)).Warn("run_vanished")
+		c.stop(a, "vanished", now)
+	}
+}
+
+// LookFailed takes in that a look got no report.
+func (c *Cell) LookFailed(id string, err error, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if errors.Is(err, runner.ErrGone) {
+		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_replaced")
+		c.loseAll(w, "worker_replaced", now)
+		delete(c.workers, w.ID)
+		return
+	}
+	if w.failingAt.IsZero() {
+		w.failingAt = now
+		c.log.WithFields(workerFields(w)).WithError(err).Warn("worker_silent")
+	}
+}
+
+// loseAll drops every run of a worker: it is certain that none goes on.
+func (c *Cell) loseAll(w *worker, why string, now time.Time) {
+	for a := range w.attempts {
+		c.stats.Lost++
+		c.drop(a, why, now)
+	}
+	w.reported = false
+}
--- /dev/null
+++ b/internal/cell/place.go
@@ -0,0 +1,214 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"gentianstand/internal/runner"
+)
+
+// placeStage starts what it can of a stage and asks for advice or makes room
+// for the rest.
+func (c *Cell) placeStage(s *stage, room *room, now time.Time) {
+	fitting := c.fitting(s, room, now)
+	if s.step.Gang {
+		c.placeGang(s, room, fitting, now)
+	} else {
+		c.placeTasks(s, room, fitting, now)
+	}
+	if len(s.idle) == 0 {
+		delete(c.waiting, s)
+		return
+	}
+	if s.job.record.Advice != nil {
+		c.askAdvice(s, room, now)
+	}
+	c.preempt(s, room, now)
+}
+
+// candidate is a worker that may take a task of a stage now.
+type candidate struct {
+	w      *worker
+	ticket string
+	score  float64
+}
+
+// fitting returns the workers that may run the stage now and have room for a
+// task, best first.
+func (c *Cell) fitting(s *stage, room *room, now time.Time) []candidate {
+	var list []candidate
+	need := s.step.Occupied()
+	for _, w := range room.usable {
+		if !c.eligible(s, w) || !need.Fits(w.free()) {
+			continue
+		}
+		ticket := ""
+		if s.job.record.Advice != nil {
+			t, ok := s.advice.ticketFor(w.ID, now)
+			if !ok {
+				continue
+			}
+			ticket = t
+		}
+		list = append(list, candidate{w, ticket, c.score(s, w)})
+	}
+	sort.Slice(list, func(i, k int) bool {
+		if list[i].score != list[k].score {
+			return list[i].score < list[k].score
+		}
+		return list[i].w.ID < list[k].w.ID
+	})
+	return list
+}
+
+// eligible reports whether a worker may ever run the stage.
+func (c *Cell) eligible(s *stage, w *worker) bool {
+	if w.Service != s.job.record.Service {
+		return false
+	}
+	if s.step.RequiredLabel != "" && !w.HasLabel(s.step.RequiredLabel) {
+		return false
+	}
+	return s.step.MaxPerWorker == 0 || s.perWorker[w] < s.step.MaxPerWorker
+}
+
+// The weights of score, in shares of a worker: being far from the data counts
+// more than any fit, disturbing a serving task more than fit.
+const (
+	farWeight     = 10.0
+	disturbWeight = 3.0
+)
+
+// score tells how well a worker suits a stage; less is better. The fullest
+// worker that fits comes first, so that large tasks keep finding room. Tasks
+// that fill and tasks that serve keep apart where they can.
+func (c *Cell) score(s *stage, w *worker) float64 {
+	free := w.free()
+	score := float64(free.MilliCPU)/float64(max(1, w.Capacity.MilliCPU)) +
+		0.5*float64(free.MemoryMiB)/float64(max(1, w.Capacity.MemoryMiB))
+	if s.step.DataRack != "" && w.Rack != s.step.DataRack {
+		score += farWeight
+	}
+	if s.step.Fills && w.servers > 0 || s.step.TailTarget > 0 && w.fillers > 0 {
+		score += disturbWeight
+	}
+	if s.step.Fills {
+		score += float64(w.fillers)
+	}
+	return score
+}
+
+// placeTasks starts as many idle tasks as fit, one after the other.
+func (c *Cell) placeTasks(s *stage, room *room, fitting []candidate, now time.Time) {
+	need := s.step.Occupied()
+	idle := append([]int(nil), s.idle...)
+	for _, index := range idle {
+		if !room.allows(s.job.record.Priority, need.MilliCPU) {
+			return
+		}
+		at := c.pick(s, s.tasks[index], fitting)
+		if at < 0 {
+			return
+		}
+		t := s.tasks[index]
+		c.start(t, fitting[at], t.nextRun(c.settings.Term), now)
+		room.free -= need.MilliCPU
+	}
+}
+
+// pick returns the first candidate with room for a task, avoiding the worker
+// on which it failed last if another one will do. It returns -1 for none.
+func (c *Cell) pick(s *stage, t *task, fitting []candidate) int {
+	need := s.step.Occupied()
+	second := -1
+	for i := range fitting {
+		w := fitting[i].w
+		if !need.Fits(w.free()) || !c.eligible(s, w) {
+			continue
+		}
+		if w.ID != t.failedOn {
+			return i
+		}
+		second = i
+	}
+	return second
+}
+
+// placeGang starts all tasks of a gang or none: members that wait for others
+// hold room for nothing.
+func (c *Cell) placeGang(s *stage, room *room, fitting []candidate, now time.Time) {
+	if len(s.idle) < len(s.tasks) {
+		return
+	}
+	need := s.step.Occupied()
+	if !room.allows(s.job.record.Priority, need.MilliCPU*int64(len(s.tasks))) {
+		return
+	}
+	seats := c.seats(s, fitting)
+	if s.step.RackLocal {
+		seats = c.rackSeats(s, fitting)
+	}
+	if len(seats) < len(s.tasks) {
+		return
+	}
+	run := uint64(0)
+	for _, t := range s.tasks {
+		run = max(run, t.nextRun(c.settings.Term))
+	}
+	for i, t := range s.tasks {
+		c.start(t, seats[i], run, now)
+		room.free -= need.MilliCPU
+	}
+}
+
+// seats returns a place for each member of a gang, or fewer if there are none.
+func (c *Cell) seats(s *stage, fitting []candidate) []candidate {
+	var seats []candidate
+	need := s.step.Occupied()
+	for _, f := range fitting {
+		limit := len(s.tasks) - len(seats)
+		if s.step.MaxPerWorker > 0 {
+			limit = min(limit, s.step.MaxPerWorker-s.perWorker[f.w])
+		}
+		for range need.CountIn(f.w.free(), int64(limit)) {
+			seats = append(seats, f)
+		}
+		if len(seats) == len(s.tasks) {
+			break
+		}
+	}
+	return seats
+}
+
+// rackSeats is seats within one rack, if one has room; otherwise anywhere, as
+// slow work is better than none.
+func (c *Cell) rackSeats(s *stage, fitting []candidate) []candidate {
+	byRack := map[string][]candidate{}
+	var racks []string
+	for _, f := range fitting {
+		if byRack[f.w.Rack] == nil {
+			racks = append(racks, f.w.Rack)
+		}
+		byRack[f.w.Rack] = append(byRack[f.w.Rack], f)
+	}
+	for _, rack := range racks {
+		if seats := c.seats(s, byRack[rack]); len(seats) == len(s.tasks) {
+			return seats
+		}
+	}
+	return c.seats(s, fitting)
+}
+
+// start books a run and orders it.
+func (c *Cell) start(t *task, on candidate, run uint64, now time.Time) {
+	a := &attempt{task: t, run: run, worker: on.w, phase: ordered, orderedAt: now, pace: 100}
+	t.lastRun = run
+	t.attempts = append(t.attempts, a)
+	t.stage.takeIdle(t.index)
+	on.w.add(a)
+	c.stats.Starts++
+	c.orders = append(c.orders, StartOrder{Worker: on.w.target, Task: t.id(), Start: runner.Start{
+		Task: t.id().String(), Run: run, Spec: t.stage.job.record.Spec, Token: c.settings.Term,
+		LeaseUntil: on.w.extendLease(c.settings.Lease, now), Saved: t.saved, Ticket: on.ticket,
+	}})
+}
--- /dev/null
+++ b/internal/cell/plan.go
@@ -0,0 +1,73 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// Plan decides what to do now and returns the orders to carry out. Every
+// order's result must be fed back.
+func (c *Cell) Plan(now time.Time) []Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recover(now)
+	for _, w := range c.workers {
+		c.watch(w, now)
+	}
+	c.placeAll(now)
+	orders := c.orders
+	c.orders = nil
+	return orders
+}
+
+// placeAll goes through the waiting stages in order of urgency.
+func (c *Cell) placeAll(now time.Time) {
+	if len(c.waiting) == 0 {
+		return
+	}
+	room := c.newRoom(now)
+	for _, s := range c.inOrder(now) {
+		if c.heldBack(s) || !s.due(now, c.settings.Early) {
+			continue
+		}
+		c.placeStage(s, room, now)
+	}
+}
+
+// inOrder sorts the waiting stages. Queues with a lower priority number go
+// first. Within a queue's priority, work that can still meet its objective goes
+// by the time at which it has to start; work that is late anyway goes after it,
+// shortest first. Load pattern: when a burst exceeds the room, earliest-first
+// would spend all room on jobs that are late already, and every job becomes
+// late.
+func (c *Cell) inOrder(now time.Time) []*stage {
+	type entry struct {
+		s     *stage
+		start time.Time
+		late  bool
+	}
+	entries := make([]entry, 0, len(c.waiting))
+	for s := range c.waiting {
+		start := s.latestStart()
+		entries = append(entries, entry{s, start, start.Before(now)})
+	}
+	sort.Slice(entries, func(i, k int) bool {
+		a, b := &entries[i], &entries[k]
+		switch {
+		case a.s.job.record.Priority != b.s.job.record.Priority:
+			return a.s.job.record.Priority < b.s.job.record.Priority
+		case a.late != b.late:
+			return !a.late
+		case a.late && a.s.toEnd != b.s.toEnd:
+			return a.s.toEnd < b.s.toEnd
+		case !a.start.Equal(b.start):
+			return a.start.Before(b.start)
+		}
+		return a.s.id.Job < b.s.id.Job
+	})
+	stages := make([]*stage, len(entries))
+	for i := range entries {
+		stages[i] = entries[i].s
+	}
+	return stages
+}
--- /dev/null
+++ b/internal/cell/preempt.go
@@ -0,0 +1,68 @@
+package cell
+
+import "time"
+
+// preemptAfter is how long a stage of the most urgent queue waits for room
+// before others are stopped for it.
+const preemptAfter = 60 * time.Millisecond
+
+// preempt stops less urgent runs for the idle tasks of a stage of the most
+// urgent queue. Load pattern: a burst of short urgent tasks meets workers full
+// of long ones, whose next end is seconds away.
+func (c *Cell) preempt(s *stage, room *room, now time.Time) {
+	if s.job.record.Priority > 0 || s.step.Gang || len(s.idle) <= s.preempting || s.job.age(now) < preemptAfter {
+		return
+	}
+	if s.latestStart().Before(now.Add(-s.job.objective(s).Sub(s.job.record.AcceptedAt))) {
+		return
+	}
+	wanted := len(s.idle) - s.preempting
+	for _, w := range room.usable {
+		if wanted == 0 {
+			return
+		}
+		if !c.eligible(s, w) || !c.mayRun(s, w, now) {
+			continue
+		}
+		if victim := c.victim(s, w, now); victim != nil {
+			victim.makesRoomFor = s
+			s.preempting++
+			wanted--
+			c.stats.Preemptions++
+			c.stop(victim, "preempted", now)
+		}
+	}
+}
+
+// mayRun reports whether the adviser allows the worker, with a ticket that
+// outlasts a stop.
+func (c *Cell) mayRun(s *stage, w *worker, now time.Time) bool {
+	if s.job.record.Advice == nil {
+		return true
+	}
+	_, ok := s.advice.ticketFor(w.ID, now.Add(c.settings.StopGrace))
+	return ok
+}
+
+// victim returns the run on a worker whose stop makes room for a task of the
+// stage and loses least: only work that resumes from a checkpoint.
+func (c *Cell) victim(s *stage, w *worker, now time.Time) *attempt {
+	need := s.step.Occupied()
+	var best *attempt
+	for a := range w.attempts {
+		step := a.task.stage.step
+		if a.phase != running || !step.Checkpoint || step.Gang || step.LongRunning {
+			continue
+		}
+		if a.task.stage.job.record.Priority <= s.job.record.Priority || c.expectedLeft(a, now) < c.settings.StopGrace {
+			continue
+		}
+		if !need.Fits(w.free().Add(step.Occupied())) {
+			continue
+		}
+		if best == nil || step.Need.MilliCPU < best.task.stage.step.Need.MilliCPU {
+			best = a
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/cell/progress.go
@@ -0,0 +1,72 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/job"
+)
+
+// progress returns what is to be stored of a job.
+func (j *jobState) progress() *job.Progress {
+	p := &job.Progress{Final: j.final}
+	if j.final != "" {
+		p.EndedAtMillis = j.endedAt.UnixMilli()
+	}
+	for _, s := range j.stages {
+		if kept, any := s.progress(); any {
+			p.Stages = append(p.Stages, kept)
+		}
+	}
+	return p
+}
+
+func (s *stage) progress() (job.StageProgress, bool) {
+	p := job.StageProgress{Occurrence: s.id.Occurrence, Step: s.id.Step}
+	for _, t := range s.tasks {
+		if t.done {
+			p.SetDone(t.index)
+			continue
+		}
+		if t.failures > 0 || t.saved != "" || t.lastRun > 0 {
+			p.Tasks = append(p.Tasks, job.TaskProgress{Index: t.index, Failures: t.failures,
+				FailedRun: t.failedRun, LastRun: t.lastRun, Saved: t.saved})
+		}
+	}
+	return p, len(p.Done) > 0 || len(p.Tasks) > 0
+}
+
+// restore puts stored progress into a new job.
+func (j *jobState) restore(p *job.Progress) {
+	j.final = p.Final
+	j.visible = p.Final
+	if p.EndedAtMillis > 0 {
+		j.endedAt = time.UnixMilli(p.EndedAtMillis)
+	}
+	for i := range p.Stages {
+		kept := &p.Stages[i]
+		if s := j.stage(kept.Occurrence, kept.Step); s != nil {
+			s.restore(kept)
+			j.started = true
+		}
+	}
+}
+
+func (s *stage) restore(p *job.StageProgress) {
+	for _, t := range s.tasks {
+		if p.IsDone(t.index) {
+			t.done = true
+			s.done++
+			s.takeIdle(t.index)
+		}
+	}
+	for _, kept := range p.Tasks {
+		if kept.Index >= len(s.tasks) {
+			continue
+		}
+		t := s.tasks[kept.Index]
+		t.failures = kept.Failures
+		t.failedRun = kept.FailedRun
+		t.lastRun = kept.LastRun
+		t.saved = kept.Saved
+	}
+}
--- /dev/null
+++ b/internal/cell/recover.go
@@ -0,0 +1,39 @@
+package cell
+
+import "time"
+
+// recover ends the time in which runs of an earlier owner may go on unseen: it
+// is over when every known worker has reported, or when the longest lease that
+// the earlier owner can have given must have ended.
+func (c *Cell) recover(now time.Time) {
+	if !c.recovering {
+		return
+	}
+	if now.Sub(c.began) >= c.unseenLimit() || c.allReported() {
+		c.recovering = false
+		c.log.WithField("took_ms", now.Sub(c.began).Milliseconds()).Info("recovered")
+	}
+}
+
+// unseenLimit is how long runs of an earlier owner may go on where this one
+// cannot see them: the earlier owner may extend leases for overtakenFor after
+// it lost its ownership, and the worker's clock may be slow.
+func (c *Cell) unseenLimit() time.Duration {
+	return overtakenFor + time.Duration(float64(c.settings.MaxLease)*(1+clockDrift)) + lapseMargin
+}
+
+func (c *Cell) allReported() bool {
+	if len(c.workers) == 0 {
+		return false
+	}
+	for _, w := range c.workers {
+		if !w.reported {
+			return false
+		}
+	}
+	return true
+}
+
+// heldBack reports whether a stage's tasks may run unseen under an earlier
+// owner. Jobs accepted under this owner cannot.
+func (c *Cell) heldBack(s *stage) bool { return c.recovering && s.job.inherited }
--- /dev/null
+++ b/internal/cell/room.go
@@ -0,0 +1,39 @@
+package cell
+
+import (
+	"time"
+)
+
+const (
+	// urgentReserve is the share of all processors that only the most urgent
+	// queue may use. Load pattern: short urgent tasks arrive in bursts while long
+	// ones fill all workers; without a reserve each has to wait for a stop.
+	urgentReserve = 0.06
+)
+
+// room is the view of the workers during one planning pass.
+type room struct {
+	usable []*worker
+	// total and free are thousandths of a core over all usable workers.
+	total, free int64
+}
+
+func (c *Cell) newRoom(now time.Time) *room {
+	r := &room{}
+	for _, w := range c.workers {
+		if w.usable(now) {
+			r.usable = append(r.usable, w)
+			r.total += w.Capacity.MilliCPU
+			r.free += max(0, w.free().MilliCPU)
+		}
+	}
+	return r
+}
+
+// allows reports whether a queue of this priority may take more processors.
+func (r *room) allows(priority int, milliCPU int64) bool {
+	if priority <= 0 {
+		return true
+	}
+	return float64(r.free-milliCPU) >= urgentReserve*float64(r.total)
+}
--- /dev/null
+++ b/internal/cell/roster.go
@@ -0,0 +1,78 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/roster"
+)
+
+// SetRoster takes in the whole list of registered workers.
+func (c *Cell) SetRoster(all []roster.Worker, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	listed := map[string]bool{}
+	for _, r := range all {
+		listed[r.ID] = true
+		c.register(r, now)
+	}
+	for id, w := range c.workers {
+		if !listed[id] {
+			c.unregister(w, now)
+		}
+	}
+}
+
+// UpdateRoster takes in what has changed in the list.
+func (c *Cell) UpdateRoster(change roster.Change, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range change.Workers {
+		c.register(r, now)
+	}
+	for _, id := range change.Removed {
+		if w := c.workers[id]; w != nil {
+			c.unregister(w, now)
+		}
+	}
+}
+
+func (c *Cell) register(r roster.Worker, now time.Time) {
+	w := c.workers[r.ID]
+	if w == nil {
+		w = newWorker(r)
+		c.workers[r.ID] = w
+		c.log.WithFields(workerFields(w)).Info("worker_added")
+	}
+	if r.Draining && !w.Draining {
+		w.drainSeen = now
+		c.log.WithFields(workerFields(w)).WithField("remaining_ms", r.Remaining.Milliseconds()).Info("worker_draining")
+	}
+	// A heartbeat that was written before the draining one may be read after it.
+	r.Draining = r.Draining || w.Draining
+	w.Worker = r
+	w.unlistedAt = time.Time{}
+}
+
+func (c *Cell) unregister(w *worker, now time.Time) {
+	if w.unlistedAt.IsZero() {
+		w.unlistedAt = now
+		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_unlisted")
+	}
+}
+
+// WorkerIDs returns the workers that should be looked at.
+func (c *Cell) WorkerIDs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := make([]string, 0, len(c.workers))
+	for id := range c.workers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// forget drops a worker that is not registered and on which nothing can run.
+func (c *Cell) forget(w *worker) {
+	delete(c.workers, w.ID)
+	c.log.WithFields(workerFields(w)).Info("worker_forgotten")
+}
--- /dev/null
+++ b/internal/cell/settings.go
@@ -0,0 +1,46 @@
+package cell
+
+import "time"
+
+// Settings are the figures of one cell. The platform's bounds give most of
+// them; the rest are named below with their reasons.
+type Settings struct {
+	// Term is the fencing token of this ownership; it rises with each owner.
+	Term uint64
+	// Lease is how far a worker's lease is extended with each look.
+	Lease time.Duration
+	// MaxLease is the longest lease a worker grants, whatever is asked.
+	MaxLease time.Duration
+	// StopGrace is the longest time a stop may take on the worker.
+	StopGrace time.Duration
+	// FarFactor times a task's duration away from its data or its gang's rack.
+	FarFactor float64
+	// Early is how much before its time an occurrence may start.
+	Early time.Duration
+}
+
+const (
+	// clockDrift is how much slower than ours a worker's steady clock may run;
+	// the platform promises 2%.
+	clockDrift = 0.02
+	// lapseMargin is added when a lease is taken as over, for rounding to whole
+	// milliseconds and late timers.
+	lapseMargin = 50 * time.Millisecond
+	// overtakenFor is how long an overtaken owner may go on extending leases: it
+	// stops when nobody confirmed its ownership for this long.
+	overtakenFor = 1500 * time.Millisecond
+	// reportFresh is how old a worker's last report may be for new starts. A
+	// report comes at least every lookWait; three missed in a row mean trouble.
+	reportFresh = 1500 * time.Millisecond
+	// lookWait is how long a worker may hold the answer to a look. Shorter costs
+	// looks, longer delays the news of a stalled task and the lease.
+	lookWait = time.Second
+	// unlistedGrace keeps a worker usable that vanished from the roster but still
+	// answers: entries lapse during outages of the store and return within 2 s.
+	unlistedGrace = 4 * time.Second
+	// ticketMargin is taken off a ticket's validity for the way to the worker.
+	ticketMargin = 250 * time.Millisecond
+	// runsPerTerm spaces the run numbers of successive owners, so that a new
+	// owner's runs are higher than any that an old one ordered unseen.
+	runsPerTerm = 32
+)
--- /dev/null
+++ b/internal/cell/stage.go
@@ -0,0 +1,98 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"gentianstand/internal/job"
+)
+
+// stage is one step of one occurrence.
+type stage struct {
+	id    job.StageID
+	job   *jobState
+	step  *job.Step
+	after []*stage
+	tasks []*task
+	// idle are the indexes of tasks without a run that are not done, ascending.
+	idle []int
+	done int
+	// toEnd is the ideal time from the stage's start to the end of the job.
+	toEnd time.Duration
+	// perWorker counts runs on each worker, for limits per worker.
+	perWorker map[*worker]int
+	advice    adviceBook
+	// preempting is how many runs are being stopped to make room for the stage.
+	preempting int
+}
+
+func newStage(j *jobState, occurrence, step int) *stage {
+	s := &stage{
+		id:  job.StageID{Job: j.record.ID, Occurrence: occurrence, Step: step},
+		job: j, step: &j.record.Steps[step], perWorker: map[*worker]int{},
+		advice: adviceBook{verdicts: map[string]verdict{}},
+	}
+	for i := range s.step.Count {
+		s.tasks = append(s.tasks, &task{stage: s, index: i})
+		s.idle = append(s.idle, i)
+	}
+	return s
+}
+
+// ideal returns how long the stage takes when all its tasks start at once.
+func (s *stage) ideal() time.Duration {
+	d := s.step.Estimate
+	if cost := s.job.record.Advice; cost != nil {
+		d += cost.Duration(advisedWorkers)
+	}
+	return d
+}
+
+func (s *stage) isDone() bool { return s.done == len(s.tasks) }
+
+func (s *stage) predecessorsDone() bool {
+	for _, b := range s.after {
+		if !b.isDone() {
+			return false
+		}
+	}
+	return true
+}
+
+// due reports whether the stage's occurrence may start.
+func (s *stage) due(now time.Time, early time.Duration) bool {
+	at := s.job.record.DueAt(s.id.Occurrence)
+	return at.IsZero() || !now.Before(at.Add(-early/2))
+}
+
+// latestStart returns when the stage has to start for the job to meet its
+// objective.
+func (s *stage) latestStart() time.Time { return s.job.objective(s).Add(-s.toEnd) }
+
+// takeIdle removes a task from the idle ones.
+func (s *stage) takeIdle(index int) {
+	at := sort.SearchInts(s.idle, index)
+	if at < len(s.idle) && s.idle[at] == index {
+		s.idle = append(s.idle[:at], s.idle[at+1:]...)
+	}
+}
+
+// addIdle puts a task among the idle ones.
+func (s *stage) addIdle(index int) {
+	at := sort.SearchInts(s.idle, index)
+	if at < len(s.idle) && s.idle[at] == index {
+		return
+	}
+	s.idle = append(s.idle, 0)
+	copy(s.idle[at+1:], s.idle[at:])
+	s.idle[at] = index
+}
+
+// runs returns how many runs of the stage exist.
+func (s *stage) runs() int {
+	n := 0
+	for _, t := range s.tasks {
+		n += len(t.attempts)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/cell/task.go
@@ -0,0 +1,39 @@
+package cell
+
+import "gentianstand/internal/job"
+
+// task is one task of a stage.
+type task struct {
+	stage *stage
+	index int
+	done  bool
+	// attempts are its runs: at most one, but for copies that may run twice.
+	attempts  []*attempt
+	failures  int
+	failedRun uint64
+	lastRun   uint64
+	saved     string
+	// failedOn is the worker of the last failed run, avoided for the next one.
+	failedOn string
+}
+
+func (t *task) id() job.TaskID {
+	s := t.stage.id
+	return job.TaskID{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step, Index: t.index}
+}
+
+// find returns the attempt with a run on a worker, or nil.
+func (t *task) find(w *worker, run uint64) *attempt {
+	for _, a := range t.attempts {
+		if a.worker == w && a.run == run {
+			return a
+		}
+	}
+	return nil
+}
+
+// nextRun returns a run number higher than any that this or an earlier owner
+// can have ordered.
+func (t *task) nextRun(term uint64) uint64 {
+	return max(t.lastRun, (term-1)*runsPerTerm) + 1
+}
--- /dev/null
+++ b/internal/cell/watch.go
@@ -0,0 +1,134 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// stopRepeat is the time after which an unanswered stop is sent again; a call
+	// to a worker takes a few milliseconds.
+	stopRepeat = 700 * time.Millisecond
+	// stallLeast is the least time without progress that counts as a stall.
+	// Reports come every second at least and progress moves in whole percents.
+	stallLeast = 1800 * time.Millisecond
+	// stallShare of the estimate without progress counts as a stall, as progress
+	// in whole percents of a long task moves rarely.
+	stallShare = 0.25
+	// slowFactor is how much longer than a fresh start elsewhere a run has to
+	// need before it is moved: stopping and the estimate's error cost something.
+	slowFactor = 1.6
+	// slowLeast is the least time a run must have been going before its speed is
+	// judged.
+	slowLeast = 1200 * time.Millisecond
+)
+
+// watch looks after the runs on one worker: ends of leases, stops without an
+// answer, stalled and slow runs, leaving workers, and tail targets.
+func (c *Cell) watch(w *worker, now time.Time) {
+	if c.watchLease(w, now) {
+		return
+	}
+	for a := range w.attempts {
+		switch {
+		case a.phase == stopping:
+			if a.stopAnsweredAt.IsZero() && now.Sub(a.stopSentAt) > stopRepeat {
+				c.sendStop(a, now)
+			}
+		case w.Draining:
+			c.watchLeaving(a, now)
+		case a.phase == running:
+			c.watchProgress(a, now)
+		}
+	}
+	if w.servers > 0 && w.fillers > 0 {
+		c.paceFillers(w, now)
+	} else if w.fillers > 0 {
+		c.restorePace(w, now)
+	}
+}
+
+// watchLease drops the runs of a worker whose lease must have ended, and
+// forgets workers that left. It reports whether nothing else is to be done.
+func (c *Cell) watchLease(w *worker, now time.Time) bool {
+	over := w.lapsed(now)
+	if w.clockAt.IsZero() {
+		over = now.Sub(c.began) >= c.unseenLimit()
+	}
+	if !over || now.Sub(w.lastReport) < reportFresh {
+		return false
+	}
+	if len(w.attempts) > 0 {
+		c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"runs": len(w.attempts),
+			"report_age_ms": now.Sub(w.lastReport).Milliseconds()}).Warn("lease_over")
+		c.loseAll(w, "lease_over", now)
+	}
+	w.reported = false
+	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
+		c.forget(w)
+	}
+	return true
+}
+
+// watchProgress stops a run that stands still, or that would be done sooner if
+// it started again elsewhere.
+func (c *Cell) watchProgress(a *attempt, now time.Time) {
+	step := a.task.stage.step
+	if step.Gang || step.LongRunning || step.Fills || a.changedAt.IsZero() {
+		return
+	}
+	still := now.Sub(a.changedAt)
+	limit := max(stallLeast, time.Duration(stallShare*float64(step.Estimate)))
+	// A worker whose reports stop coming is not a stalled task.
+	if still > limit && a.worker.lastReport.Sub(a.changedAt) > limit {
+		c.log.WithFields(attemptFields(a)).WithField("still_ms", still.Milliseconds()).Info("run_stalled")
+		a.worker.health.failed(a.task.stage.id.Job, now)
+		c.stats.Moves++
+		c.stop(a, "stalled", now)
+		return
+	}
+	if c.slow(a, now) {
+		c.log.WithFields(attemptFields(a)).WithField("elapsed_ms", a.elapsed(now).Milliseconds()).Info("run_slow")
+		a.worker.health.failed(a.task.stage.id.Job, now)
+		c.stats.Moves++
+		c.stop(a, "slow", now)
+	}
+}
+
+// slow reports whether a run would take much longer here than a fresh one.
+func (c *Cell) slow(a *attempt, now time.Time) bool {
+	elapsed := a.changedAt.Sub(a.confirmedAt)
+	if elapsed < slowLeast || a.percent <= 0 || a.percent >= 90 {
+		return false
+	}
+	step := a.task.stage.step
+	left := time.Duration(float64(elapsed) * float64(100-a.percent) / float64(a.percent))
+	fresh := step.Estimate
+	if step.Checkpoint && a.task.saved != "" {
+		fresh = fresh * time.Duration(100-a.percent) / 100
+	}
+	return left > time.Duration(slowFactor*float64(fresh+c.settings.StopGrace))+slowLeast
+}
+
+// watchLeaving moves a run off a worker that is about to leave, unless it will
+// be done before.
+func (c *Cell) watchLeaving(a *attempt, now time.Time) {
+	w := a.worker
+	step := a.task.stage.step
+	leavesIn := w.drainSeen.Add(w.Remaining).Sub(now)
+	if !step.LongRunning && c.expectedLeft(a, now) < leavesIn {
+		return
+	}
+	c.stats.Moves++
+	c.stop(a, "worker_leaving", now)
+}
+
+// expectedLeft guesses how long a run still needs.
+func (c *Cell) expectedLeft(a *attempt, now time.Time) time.Duration {
+	if a.percent > 5 && !a.confirmedAt.IsZero() {
+		pace := a.changedAt.Sub(a.confirmedAt) / time.Duration(a.percent)
+		return time.Duration(100-a.percent)*pace - now.Sub(a.changedAt)
+	}
+	return a.task.stage.step.Estimate - a.elapsed(now)
+}
--- /dev/null
+++ b/internal/cell/worker.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/resource"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// worker is one incarnation of a worker and the cell's books about it.
+type worker struct {
+	roster.Worker
+	target runner.Target
+	used   resource.Amount
+	// attempts are the runs that are or may be on the worker.
+	attempts map[*attempt]struct{}
+	// reported says that it answered a look under this ownership since it was
+	// last taken as lapsed; its books are complete only then.
+	reported   bool
+	lastReport time.Time
+	failingAt  time.Time
+	// clock is the worker's clock at clockAt on ours.
+	clock   time.Duration
+	clockAt time.Time
+	// leaseEnd is the latest lease end that was ever sent, on its clock.
+	leaseEnd time.Duration
+	// seen is the highest end taken in; acked the highest that is stored.
+	seen  uint64
+	acked uint64
+	// unlistedAt is when it vanished from the roster, or zero.
+	unlistedAt time.Time
+	drainSeen  time.Time
+	health     health
+	// fillers and servers count runs that fill and runs with a tail target.
+	fillers, servers int
+}
+
+func newWorker(r roster.Worker) *worker {
+	return &worker{Worker: r, target: runner.Target{ID: r.ID, Address: r.Address}, attempts: map[*attempt]struct{}{}}
+}
+
+// free returns what is left of the worker's capacity.
+func (w *worker) free() resource.Amount { return w.Capacity.Sub(w.used) }
+
+// add books an attempt.
+func (w *worker) add(a *attempt) {
+	w.attempts[a] = struct{}{}
+	step := a.task.stage.step
+	w.used = w.used.Add(step.Occupied())
+	a.task.stage.perWorker[w]++
+	if step.Fills {
+		w.fillers++
+	}
+	if step.TailTarget > 0 {
+		w.servers++
+	}
+}
+
+// remove takes an attempt out of the books.
+func (w *worker) remove(a *attempt) {
+	if _, ok := w.attempts[a]; !ok {
+		return
+	}
+	delete(w.attempts, a)
+	step := a.task.stage.step
+	w.used = w.used.Sub(step.Occupied())
+	a.task.stage.perWorker[w]--
+	if step.Fills {
+		w.fillers--
+	}
+	if step.TailTarget > 0 {
+		w.servers--
+	}
+}
+
+// usable reports whether new runs may be placed on the worker.
+func (w *worker) usable(now time.Time) bool {
+	if !w.reported || w.Draining || now.Sub(w.lastReport) > reportFresh {
+		return false
+	}
+	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
+		return false
+	}
+	return !w.health.avoided(now)
+}
+
+// clockGuess returns our best guess of the worker's clock.
+func (w *worker) clockGuess(now time.Time) time.Duration {
+	return w.clock + now.Sub(w.clockAt)
+}
+
+// lapsed reports whether the worker's lease must have ended, even if its clock
+// runs as slow as the platform allows.
+func (w *worker) lapsed(now time.Time) bool {
+	if w.clockAt.IsZero() {
+		return false
+	}
+	slowest := w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-clockDrift))
+	return slowest >= w.leaseEnd+lapseMargin
+}
+
+// sawClock takes in the worker's clock from an answer that arrived at now.
+func (w *worker) sawClock(clock time.Duration, now time.Time) {
+	if clock > 0 && (w.clockAt.IsZero() || clock > w.clock) {
+		w.clock = clock
+		w.clockAt = now
+	}
+}
+
+// extendLease returns a new lease end and books it before it is sent.
+func (w *worker) extendLease(lease time.Duration, now time.Time) time.Duration {
+	w.leaseEnd = max(w.leaseEnd, w.clockGuess(now)+lease).Truncate(time.Millisecond)
+	return w.leaseEnd
+}
--- /dev/null
+++ b/internal/celljobs/jobs.go
@@ -0,0 +1,158 @@
+package celljobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/store"
+)
+
+// unknownRetry is the pause before a write whose outcome is unknown is tried
+// again. The store answers in a few milliseconds when it is well.
+const unknownRetry = 60 * time.Millisecond
+
+// attemptTimeout bounds one attempt of a write. A slow store needs 250 ms; an
+// attempt on a connection that went silent never gets an answer.
+const attemptTimeout = time.Second
+
+// Jobs writes and reads the jobs of one cell.
+type Jobs struct {
+	store     store.Store
+	partition string
+}
+
+// New returns the jobs of a partition.
+func New(s store.Store, partition string) *Jobs { return &Jobs{store: s, partition: partition} }
+
+// Partition returns the name of the cell's partition.
+func (b *Jobs) Partition() string { return b.partition }
+
+// Create stores a record. A record that is already there counts as stored, so a
+// submission may be repeated. It returns store.ErrUnavailable only if no
+// attempt can have taken effect, and store.ErrUnknown otherwise.
+func (b *Jobs) Create(ctx context.Context, r *job.Record) error {
+	value, err := job.EncodeRecord(r)
+	if err != nil {
+		return err
+	}
+	tx := store.Tx{
+		Partition: b.partition,
+		Checks:    []store.Check{{Table: TableJobs, Key: JobKey(r.ID)}},
+		Puts:      []store.Put{{Table: TableJobs, Key: JobKey(r.ID), Value: value}},
+	}
+	var conflict *store.ConflictError
+	if err = b.settle(ctx, tx); errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// Cancel stores a cancellation and reports whether the job is known. An unknown
+// job is withdrawn: its submission, if it is still on its way, has no effect.
+// known says that the caller is already sure that the job exists.
+func (b *Jobs) Cancel(ctx context.Context, id string, known bool) (bool, error) {
+	if !known {
+		withdrawn, err := b.withdraw(ctx, id)
+		if err != nil || withdrawn {
+			return false, err
+		}
+	}
+	err := b.settle(ctx, store.Tx{
+		Partition: b.partition,
+		Puts:      []store.Put{{Table: TableJobs, Key: CancelKey(id), Value: []byte{1}}},
+	})
+	return true, err
+}
+
+// withdraw stores a withdrawn record unless the job exists.
+func (b *Jobs) withdraw(ctx context.Context, id string) (bool, error) {
+	value, err := job.EncodeRecord(&job.Record{ID: id, Withdrawn: true})
+	if err != nil {
+		return false, err
+	}
+	err = b.settle(ctx, store.Tx{
+		Partition: b.partition,
+		Checks:    []store.Check{{Table: TableJobs, Key: JobKey(id)}},
+		Puts:      []store.Put{{Table: TableJobs, Key: JobKey(id), Value: value}},
+	})
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return err == nil, err
+	}
+	for _, row := range conflict.Rows {
+		if r, err := job.DecodeRecord(row.Value); err == nil && r.Withdrawn {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// settle repeats a transaction while its outcome is unknown and ctx allows. The
+// transactions here may be repeated: a second effect finds the first one's row.
+func (b *Jobs) settle(ctx context.Context, tx store.Tx) error {
+	unknown := false
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		_, err := b.store.Commit(callCtx, tx)
+		cancel()
+		switch {
+		case errors.Is(err, store.ErrUnknown):
+			unknown = true
+		case errors.Is(err, store.ErrUnavailable) && unknown:
+			// This attempt did nothing, but an earlier one may have.
+		default:
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: gave up", store.ErrUnknown)
+		case <-time.After(unknownRetry):
+		}
+	}
+}
+
+// State reads the state of a job; ok is false if it was never accepted.
+func (b *Jobs) State(ctx context.Context, id string) (state job.State, ok bool, err error) {
+	record, err := b.store.Get(ctx, TableJobs, b.partition, JobKey(id))
+	if err != nil || record.Version == 0 {
+		return "", false, err
+	}
+	r, err := job.DecodeRecord(record.Value)
+	if err != nil {
+		return "", false, fmt.Errorf("job %s: %w", id, err)
+	}
+	if r.Withdrawn {
+		return "", false, nil
+	}
+	cancel, err := b.store.Get(ctx, TableJobs, b.partition, CancelKey(id))
+	if err != nil {
+		return "", false, err
+	}
+	row, err := b.store.Get(ctx, TableProgress, b.partition, id)
+	if err != nil {
+		return "", false, err
+	}
+	return stateOf(row, cancel.Version > 0)
+}
+
+func stateOf(progress store.Row, cancelled bool) (job.State, bool, error) {
+	if progress.Version == 0 {
+		if cancelled {
+			return job.Cancelled, true, nil
+		}
+		return job.Queued, true, nil
+	}
+	p, err := job.DecodeProgress(progress.Value)
+	switch {
+	case err != nil:
+		return "", false, fmt.Errorf("progress of job %s: %w", progress.Key, err)
+	case p.Final != "":
+		return p.Final, true, nil
+	case cancelled:
+		return job.Cancelled, true, nil
+	}
+	return job.Running, true, nil
+}
--- /dev/null
+++ b/internal/cellleader/claim.go
@@ -0,0 +1,38 @@
+package cellleader
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gentianstand/internal/store"
+)
+
+const (
+	tableCells = "cells"
+	claimKey   = "owner"
+)
+
+// claim is the row that names a cell's owner.
+type claim struct {
+	Holder      string `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint"`
+	Incarnation string `cbor:"3,keyasint"`
+	// Term rises by one with every owner.
+	Term uint64 `cbor:"4,keyasint"`
+	// Released says that the holder gave the cell up.
+	Released bool `cbor:"5,keyasint,omitempty"`
+	// version is the row's version, 0 if there is no row.
+	version uint64
+}
+
+func decodeClaim(row store.Row) (claim, error) {
+	c := claim{version: row.Version}
+	if row.Version == 0 {
+		return c, nil
+	}
+	if err := cbor.Unmarshal(row.Value, &c); err != nil {
+		return c, fmt.Errorf("claim of %s: %w", row.Partition, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/cellleader/questions.go
@@ -0,0 +1,61 @@
+package cellleader
+
+import (
+	"gentianstand/internal/cellowner"
+	"gentianstand/internal/job"
+)
+
+// Owner returns the name and address of the cell's owner as far as known; self
+// says that it is this instance.
+func (l *Leader) Owner() (address string, self bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.Address, l.term != nil
+}
+
+// Local returns the owner of this instance if it has loaded the cell, or nil.
+func (l *Leader) Local() *cellowner.Owner {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == nil || !l.term.loaded.Load() {
+		return nil
+	}
+	return l.term.owner
+}
+
+// Submitted implements cellpeer.Owning.
+func (l *Leader) Submitted(r *job.Record) bool {
+	o := l.Local()
+	if o != nil {
+		o.Submitted(r)
+	}
+	return o != nil
+}
+
+// Cancelled implements cellpeer.Owning.
+func (l *Leader) Cancelled(id string) bool {
+	o := l.Local()
+	if o != nil {
+		o.Cancelled(id)
+	}
+	return o != nil
+}
+
+// State implements cellpeer.Owning. The state is empty for an unknown job.
+func (l *Leader) State(id string) (job.State, bool) {
+	o := l.Local()
+	if o == nil {
+		return "", false
+	}
+	state, _ := o.Cell().State(id)
+	return state, true
+}
+
+// Waiting implements cellpeer.Owning.
+func (l *Leader) Waiting(queue string) (int, bool) {
+	o := l.Local()
+	if o == nil {
+		return 0, false
+	}
+	return o.Cell().Waiting(queue), true
+}
--- /dev/null
+++ b/internal/cellleader/settings.go
@@ -0,0 +1,31 @@
+package cellleader
+
+import "time"
+
+const (
+	// pingPeriod is how often the owner is pinged by each other instance.
+	pingPeriod = 250 * time.Millisecond
+	// pingTimeout bounds a ping; calls between instances take about 3 ms.
+	pingTimeout = 350 * time.Millisecond
+	// silentLimit is how long the owner may be silent. Three pings in a row have
+	// failed then; a pause of the runtime or a busy processor takes less.
+	silentLimit = 900 * time.Millisecond
+	// storelessLimit is how long the owner may say that it does not reach the
+	// store, while the asking instance does.
+	storelessLimit = 600 * time.Millisecond
+	// stagger spaces the attempts of the instances, in an order that changes with
+	// every term, so that one of them usually takes over alone.
+	stagger = 120 * time.Millisecond
+	// heardLately is how lately another instance must have heard the owner for
+	// this one to believe that it is itself the one that is cut off.
+	heardLately = 700 * time.Millisecond
+	// confirmedFor is how long a confirmation of the ownership lasts. The cell
+	// counts on it: see overtakenFor there.
+	confirmedFor = 1500 * time.Millisecond
+	// verifyPeriod is how often the owner reads its own row.
+	verifyPeriod = time.Second
+	// storeTimeout bounds one call to the store about the ownership.
+	storeTimeout = time.Second
+	// handOverTimeout bounds the hand-over of a stopping owner.
+	handOverTimeout = 1500 * time.Millisecond
+)
--- /dev/null
+++ b/internal/cellleader/stop.go
@@ -0,0 +1,117 @@
+package cellleader
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/cellpeer/cellpb"
+)
+
+// HandOver gives the cell up for a planned stop: it stores what is not stored,
+// and has another instance take over at once.
+func (l *Leader) HandOver(ctx context.Context) {
+	l.mu.Lock()
+	l.stopping = true
+	t, known := l.term, l.known
+	l.mu.Unlock()
+	if t == nil {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	t.end()
+	t.owner.Flush(callCtx)
+	l.mu.Lock()
+	if l.term == t {
+		l.term = nil
+	}
+	l.mu.Unlock()
+	for _, next := range l.successors(callCtx, known) {
+		reply, err := l.clients.To(next.Address).TakeOver(callCtx, &cellpb.TakeOverRequest{From: l.directory.Self().Name, Term: known.Term})
+		if err == nil && reply.Taken {
+			l.log.WithFields(logrus.Fields{"term": known.Term, "to": next.Name}).Info("ownership_handed_over")
+			return
+		}
+		l.log.WithField("to", next.Name).WithError(err).Info("hand_over_refused")
+	}
+	released := known
+	released.Released = true
+	if _, err := l.write(callCtx, released, known.version); err != nil {
+		// The others find this instance silent, or that it owns nothing.
+		l.log.WithError(err).Warn("ownership_not_released")
+	}
+}
+
+// successors returns the instances that can take over, the youngest first: when
+// instances are restarted one after the other, the youngest is the one that
+// will not be restarted again.
+func (l *Leader) successors(ctx context.Context, known claim) []cellpeer.Instance {
+	others := l.directory.Others()
+	good := make(chan cellpeer.Instance, len(others))
+	failed := make(chan struct{}, len(others))
+	for _, other := range others {
+		go func() {
+			reply, err := l.ping(ctx, other.Address, known.Term)
+			if err == nil && reply.StoreOk && !reply.Stopping {
+				good <- other
+				return
+			}
+			failed <- struct{}{}
+		}()
+	}
+	var list []cellpeer.Instance
+	for range others {
+		select {
+		case i := <-good:
+			list = append(list, i)
+		case <-failed:
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].StartedAt.After(list[b].StartedAt) })
+	return list
+}
+
+// TakeOver makes this instance the owner because the owner of a term is
+// stopping, and reports whether it became one.
+func (l *Leader) TakeOver(ctx context.Context, from string, term uint64) bool {
+	l.mu.Lock()
+	known, stopping := l.known, l.stopping
+	l.mu.Unlock()
+	if stopping {
+		return false
+	}
+	if known.Term != term {
+		l.refresh(ctx)
+		l.mu.Lock()
+		known = l.known
+		l.mu.Unlock()
+	}
+	if known.Term != term || known.Holder != from {
+		return false
+	}
+	return l.take(ctx, known, "the owner is stopping")
+}
+
+// Ping answers another instance.
+func (l *Leader) Ping(from string, term uint64) *cellpb.PingReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply := &cellpb.PingReply{Term: l.known.Term, Owner: l.term != nil, StoreOk: l.store.Reachable(), HeardMillis: -1, Stopping: l.stopping}
+	if !l.heardAt.IsZero() {
+		reply.HeardMillis = time.Since(l.heardAt).Milliseconds()
+	}
+	if l.term != nil {
+		if term > l.term.number {
+			l.log.WithFields(logrus.Fields{"from": from, "term": term}).Info("later_term_heard")
+			l.term.Overtaken("another instance knows a later term")
+			reply.Owner = false
+			return reply
+		}
+		l.term.confirm(time.Now())
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/cellleader/term.go
@@ -0,0 +1,79 @@
+package cellleader
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gentianstand/internal/cellowner"
+	"gentianstand/internal/store"
+)
+
+// term is one ownership of this instance. It implements cellowner.Leadership.
+type term struct {
+	leader *Leader
+	number uint64
+	owner  *cellowner.Owner
+	cancel context.CancelFunc
+	done   chan struct{}
+	loaded atomic.Bool
+	// confirmedAt is in nanoseconds since the term began.
+	began       time.Time
+	confirmedAt atomic.Int64
+	verifiedAt  time.Time
+	lost        sync.Once
+}
+
+// newTerm makes and starts an owner for a claim.
+func (l *Leader) newTerm(c claim) *term {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: time.Now()}
+	t.owner = l.newOwner(c.Term, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
+	go t.run(ctx)
+	return t
+}
+
+func (t *term) run(ctx context.Context) {
+	defer close(t.done)
+	err := t.owner.Run(ctx, func() { t.loaded.Store(true) })
+	if err != nil && ctx.Err() == nil {
+		t.Overtaken("the cell could not be loaded: " + err.Error())
+	}
+}
+
+// end stops the owner and waits until it has stopped.
+func (t *term) end() {
+	t.cancel()
+	<-t.done
+}
+
+func (t *term) confirm(now time.Time) { t.confirmedAt.Store(int64(now.Sub(t.began))) }
+
+// Confirmed implements cellowner.Leadership. An owner that is cut off from all
+// other instances and from the store must stop extending leases, because
+// another one may have taken over.
+func (t *term) Confirmed() bool {
+	if time.Since(t.began)-time.Duration(t.confirmedAt.Load()) < confirmedFor {
+		return true
+	}
+	return t.leader.directory.Known() && len(t.leader.directory.Others()) == 0
+}
+
+// Overtaken implements cellowner.Leadership.
+func (t *term) Overtaken(why string) {
+	t.lost.Do(func() {
+		go t.leader.overtaken(t, why)
+	})
+}
+
+func (l *Leader) overtaken(t *term, why string) {
+	l.mu.Lock()
+	if l.term == t {
+		l.drop(why)
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	l.refresh(ctx)
+}
--- /dev/null
+++ b/internal/cellowner/commit_loop.go
@@ -0,0 +1,162 @@
+package cellowner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"gentianstand/internal/cell"
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/job"
+	"gentianstand/internal/store"
+)
+
+const (
+	// commitGap is the least time between two commits. It lets ends of one
+	// moment be stored together: 300 ends a second need at most 40 writes.
+	commitGap = 25 * time.Millisecond
+	// commitRetry is the pause after the store refused a commit.
+	commitRetry = 200 * time.Millisecond
+	// commitTimeout bounds one commit; a slow store needs some 250 ms.
+	commitTimeout = 1500 * time.Millisecond
+	// commitJobs is the most jobs in one transaction: a check and a put each, and
+	// the check of the ownership.
+	commitJobs = (store.MaxEntries - 1) / 2
+	// keepEnded is how long ended jobs are kept: callers may ask for 120 s, and
+	// a delayed repeat of a submission has to find its job.
+	keepEnded = 240 * time.Second
+	// expirePeriod is how often ended jobs are looked for, and expireMany how many
+	// are removed at most each time.
+	expirePeriod = 30 * time.Second
+	expireMany   = 30
+)
+
+// commitResult is how a commit went.
+type commitResult int
+
+const (
+	nothingToCommit commitResult = iota
+	committed
+	notCommitted
+	claimLost
+)
+
+// commitLoop stores progress after ends, cancellations and completions.
+func (o *Owner) commitLoop(ctx context.Context) {
+	ticker := time.NewTicker(planPeriod)
+	defer ticker.Stop()
+	expire := time.NewTicker(expirePeriod)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.kickLog:
+		case <-ticker.C:
+		case <-expire.C:
+			o.expire(ctx)
+		}
+		pause := commitGap
+		switch o.commitOnce(ctx) {
+		case notCommitted:
+			pause = commitRetry
+			o.wakeCommit()
+		case claimLost:
+			o.deps.Leadership.Overtaken("the row of the ownership has changed")
+			return
+		}
+		if !wait(ctx, pause) {
+			return
+		}
+	}
+}
+
+// commitOnce stores one batch of progress.
+func (o *Owner) commitOnce(ctx context.Context) commitResult {
+	o.commitMu.Lock()
+	defer o.commitMu.Unlock()
+	commit := o.cell.NextCommit(commitJobs)
+	if commit == nil {
+		return nothingToCommit
+	}
+	began := time.Now()
+	tx, err := o.transaction(commit)
+	if err != nil {
+		o.deps.Log.WithError(err).Error("progress_not_encoded")
+		o.cell.NotCommitted(commit, nil)
+		return notCommitted
+	}
+	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	version, err := o.deps.Store.Commit(callCtx, tx)
+	o.deps.Metrics.Commits.Inc()
+	o.deps.Metrics.CommitSeconds.UpdateDuration(began)
+	if err != nil {
+		return o.commitFailed(ctx, commit, err)
+	}
+	o.cell.Committed(commit, version)
+	o.announceStored()
+	return committed
+}
+
+func (o *Owner) transaction(commit *cell.Commit) (store.Tx, error) {
+	tx := store.Tx{Partition: o.deps.Jobs.Partition(), Checks: []store.Check{o.claim}}
+	for _, item := range commit.Items {
+		value, err := job.EncodeProgress(item.Progress)
+		if err != nil {
+			return tx, fmt.Errorf("job %s: %w", item.Job, err)
+		}
+		tx.Checks = append(tx.Checks, store.Check{Table: celljobs.TableProgress, Key: item.Job, Version: item.Version})
+		tx.Puts = append(tx.Puts, store.Put{Table: celljobs.TableProgress, Key: item.Job, Value: value})
+	}
+	return tx, nil
+}
+
+// commitFailed learns what it can from a failed commit. After a lost answer the
+// next attempt finds other versions than it expects: those of the first attempt.
+// Only this owner writes progress while its claim holds, so it may go on from
+// them; and a late effect of the first attempt then meets a changed row.
+func (o *Owner) commitFailed(ctx context.Context, commit *cell.Commit, err error) commitResult {
+	o.deps.Metrics.CommitErrors.Inc()
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		if ctx.Err() == nil {
+			o.deps.Log.WithField("jobs", len(commit.Items)).WithError(err).Info("commit_failed")
+		}
+		o.cell.NotCommitted(commit, nil)
+		return notCommitted
+	}
+	versions := map[string]uint64{}
+	for _, row := range conflict.Rows {
+		if row.Table == o.claim.Table && row.Key == o.claim.Key {
+			if row.Version != o.claim.Version {
+				return claimLost
+			}
+			continue
+		}
+		versions[row.Key] = row.Version
+	}
+	o.cell.NotCommitted(commit, versions)
+	return committed
+}
+
+// expire removes jobs that ended long ago from the store.
+func (o *Owner) expire(ctx context.Context) {
+	ids := o.cell.Expired(keepEnded, time.Now(), expireMany)
+	if len(ids) == 0 {
+		return
+	}
+	tx := store.Tx{Partition: o.deps.Jobs.Partition(), Checks: []store.Check{o.claim}}
+	for _, id := range ids {
+		tx.Removals = append(tx.Removals, store.RowKey{Table: celljobs.TableJobs, Key: celljobs.JobKey(id)},
+			store.RowKey{Table: celljobs.TableJobs, Key: celljobs.CancelKey(id)},
+			store.RowKey{Table: celljobs.TableProgress, Key: id})
+	}
+	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	if _, err := o.deps.Store.Commit(callCtx, tx); err != nil {
+		// They are read again by the next owner, which removes them then.
+		o.deps.Log.WithField("jobs", len(ids)).WithError(err).Info("expired_jobs_not_removed")
+	}
+}
--- /dev/null
+++ b/internal/cellowner/deps.go
@@ -0,0 +1,22 @@
+package cellowner
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+	"gentianstand/internal/store"
+)
+
+// Deps is what an owner works with.
+type Deps struct {
+	Store      store.Store
+	Jobs       *celljobs.Jobs
+	Roster     roster.Source
+	Runner     runner.Client
+	Advisers   Advisers
+	Leadership Leadership
+	Metrics    *Metrics
+	Log        logrus.FieldLogger
+}
--- /dev/null
+++ b/internal/cellowner/follow.go
@@ -0,0 +1,107 @@
+package cellowner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/job"
+	"gentianstand/internal/store"
+)
+
+const (
+	// jobsPeriod is how often the store is asked for jobs whose accepting
+	// instance could not tell this owner.
+	jobsPeriod = 700 * time.Millisecond
+	// rosterPeriod is how often the roster is read: a worker that drains must get
+	// nothing new after 2 s.
+	rosterPeriod = 400 * time.Millisecond
+	// readTimeout bounds one read; a slow store needs some 250 ms.
+	readTimeout = time.Second
+)
+
+// followJobs takes in jobs and cancellations from the store.
+func (o *Owner) followJobs(ctx context.Context) {
+	for ; ctx.Err() == nil; wait(ctx, jobsPeriod) {
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		page, err := o.deps.Store.Changes(callCtx, celljobs.TableJobs, o.jobsVersion, 0)
+		cancel()
+		switch {
+		case errors.Is(err, store.ErrHistoryGone):
+			o.reloadJobs(ctx)
+		case err != nil:
+			o.deps.Log.WithError(err).Debug("jobs_not_read")
+		default:
+			o.jobsVersion = page.Version
+			o.news(page.Rows)
+		}
+	}
+}
+
+func (o *Owner) reloadJobs(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+	defer cancel()
+	rows, version, err := store.ReadAll(callCtx, o.deps.Store, celljobs.TableJobs, o.deps.Jobs.Partition())
+	if err != nil {
+		o.deps.Log.WithError(err).Info("jobs_not_reloaded")
+		return
+	}
+	o.jobsVersion = version
+	o.news(rows)
+}
+
+// news takes in changed rows of the table of jobs.
+func (o *Owner) news(rows []store.Row) {
+	for _, row := range rows {
+		id, cancel, ok := celljobs.ParseKey(row.Key)
+		if !ok || row.Removed || row.Partition != o.deps.Jobs.Partition() {
+			continue
+		}
+		if cancel {
+			o.Cancelled(id)
+			continue
+		}
+		r, err := job.DecodeRecord(row.Value)
+		if err != nil {
+			o.deps.Log.WithField("job", id).WithError(err).Error("job_unreadable")
+			continue
+		}
+		o.Submitted(r)
+	}
+}
+
+// followRoster takes in workers that come, drain and go.
+func (o *Owner) followRoster(ctx context.Context, wg *sync.WaitGroup) {
+	for {
+		o.startLooking(ctx, wg)
+		if !wait(ctx, rosterPeriod) {
+			return
+		}
+		o.readRoster(ctx)
+	}
+}
+
+func (o *Owner) readRoster(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	change, err := o.deps.Roster.Since(callCtx, o.rosterVersion, 0)
+	if errors.Is(err, store.ErrHistoryGone) {
+		if change, err = o.deps.Roster.All(callCtx); err == nil {
+			o.cell.SetRoster(change.Workers, time.Now())
+			o.rosterVersion = change.Version
+			o.wake()
+		}
+		return
+	}
+	if err != nil {
+		o.deps.Log.WithError(err).Debug("roster_not_read")
+		return
+	}
+	o.rosterVersion = change.Version
+	if len(change.Workers)+len(change.Removed) > 0 {
+		o.cell.UpdateRoster(change, time.Now())
+		o.wake()
+	}
+}
--- /dev/null
+++ b/internal/cellowner/look_loop.go
@@ -0,0 +1,115 @@
+package cellowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gentianstand/internal/runner"
+)
+
+const (
+	// lookRetry is the pause after a look without an answer. A worker that was
+	// cut off should be seen again well before its lease ends.
+	lookRetry = 200 * time.Millisecond
+	// lookGap is the least time between two looks at a worker whose ends cannot
+	// be acknowledged yet: it answers at once as long as it lists any.
+	lookGap = 100 * time.Millisecond
+	// storedWait bounds the wait for a commit that makes new ends acknowledgeable.
+	storedWait = 60 * time.Millisecond
+)
+
+// startLooking begins a look loop for each worker that has none.
+func (o *Owner) startLooking(ctx context.Context, wg *sync.WaitGroup) {
+	for _, id := range o.cell.WorkerIDs() {
+		o.lookingMu.Lock()
+		_, there := o.looking[id]
+		o.looking[id] = struct{}{}
+		o.lookingMu.Unlock()
+		if !there {
+			wg.Go(func() { o.lookLoop(ctx, id) })
+		}
+	}
+}
+
+// lookLoop looks at one worker until the cell forgets it.
+func (o *Owner) lookLoop(ctx context.Context, id string) {
+	defer func() {
+		o.lookingMu.Lock()
+		delete(o.looking, id)
+		o.lookingMu.Unlock()
+	}()
+	last := uint64(0)
+	for ctx.Err() == nil {
+		if !o.deps.Leadership.Confirmed() {
+			wait(ctx, lookRetry)
+			continue
+		}
+		sentAt := time.Now()
+		target, look, ok := o.cell.NextLook(id, sentAt)
+		if !ok {
+			return
+		}
+		report, err := o.deps.Runner.Look(ctx, target, look)
+		o.deps.Metrics.Looks.Inc()
+		if err != nil {
+			o.lookFailed(ctx, id, err)
+			continue
+		}
+		stored := o.nextStored()
+		o.cell.Reported(id, report, sentAt, time.Now())
+		o.wake()
+		newest := newestEnd(report)
+		switch {
+		case newest > last:
+			last = newest
+			o.wakeCommit()
+			o.awaitStored(ctx, stored)
+		case newest > 0:
+			wait(ctx, lookGap)
+		}
+	}
+}
+
+func (o *Owner) lookFailed(ctx context.Context, id string, err error) {
+	o.deps.Metrics.LookErrors.Inc()
+	if ctx.Err() != nil {
+		return
+	}
+	o.checkFence(err)
+	o.cell.LookFailed(id, err, time.Now())
+	o.wake()
+	wait(ctx, lookRetry)
+}
+
+func newestEnd(r runner.Report) uint64 {
+	newest := uint64(0)
+	for _, e := range r.Ended {
+		newest = max(newest, e.Sequence)
+	}
+	return newest
+}
+
+// nextStored returns a channel that is closed after the next commit.
+func (o *Owner) nextStored() <-chan struct{} {
+	o.storedMu.Lock()
+	defer o.storedMu.Unlock()
+	return o.stored
+}
+
+func (o *Owner) announceStored() {
+	o.storedMu.Lock()
+	defer o.storedMu.Unlock()
+	close(o.stored)
+	o.stored = make(chan struct{})
+}
+
+func (o *Owner) awaitStored(ctx context.Context, stored <-chan struct{}) {
+	timer := time.NewTimer(storedWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-stored:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/cellowner/metrics.go
@@ -0,0 +1,37 @@
+package cellowner
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Metrics are the counters and histograms of owning a cell.
+type Metrics struct {
+	Starts         *metrics.Counter
+	StartErrors    *metrics.Counter
+	Looks          *metrics.Counter
+	LookErrors     *metrics.Counter
+	Commits        *metrics.Counter
+	CommitErrors   *metrics.Counter
+	AdviceErrors   *metrics.Counter
+	StartSeconds   *metrics.Histogram
+	CommitSeconds  *metrics.Histogram
+	AdviceSeconds  *metrics.Histogram
+	PlanSeconds    *metrics.Histogram
+	RecoverSeconds *metrics.Histogram
+}
+
+// NewMetrics registers the metrics in a set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{
+		Starts:         set.NewCounter("gentianstand_cell_starts_total"),
+		StartErrors:    set.NewCounter("gentianstand_cell_start_errors_total"),
+		Looks:          set.NewCounter("gentianstand_cell_looks_total"),
+		LookErrors:     set.NewCounter("gentianstand_cell_look_errors_total"),
+		Commits:        set.NewCounter("gentianstand_cell_commits_total"),
+		CommitErrors:   set.NewCounter("gentianstand_cell_commit_errors_total"),
+		AdviceErrors:   set.NewCounter("gentianstand_cell_advice_errors_total"),
+		StartSeconds:   set.NewHistogram("gentianstand_cell_start_seconds"),
+		CommitSeconds:  set.NewHistogram("gentianstand_cell_commit_seconds"),
+		AdviceSeconds:  set.NewHistogram("gentianstand_cell_advice_seconds"),
+		PlanSeconds:    set.NewHistogram("gentianstand_cell_plan_seconds"),
+		RecoverSeconds: set.NewHistogram("gentianstand_cell_take_over_seconds"),
+	}
+}
--- /dev/null
+++ b/internal/cellowner/owner.go
@@ -0,0 +1,169 @@
+package cellowner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"gentianstand/internal/cell"
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/job"
+	"gentianstand/internal/store"
+)
+
+// Owner owns one cell for one term.
+type Owner struct {
+	deps  Deps
+	cell  *cell.Cell
+	claim store.Check
+
+	kick    chan struct{}
+	kickLog chan struct{}
+	// stored is closed and replaced after each commit.
+	storedMu sync.Mutex
+	stored   chan struct{}
+	// looking are the workers that have a look loop.
+	lookingMu sync.Mutex
+	looking   map[string]struct{}
+	// jobsVersion and rosterVersion are where the feeds resume.
+	jobsVersion   uint64
+	rosterVersion uint64
+	commitMu      sync.Mutex
+}
+
+// New returns an owner whose writes demand that claim, the row of its
+// ownership, is unchanged.
+func New(s cell.Settings, claim store.Check, deps Deps) *Owner {
+	return &Owner{
+		deps: deps, claim: claim, cell: cell.New(s, time.Now(), deps.Log),
+		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1),
+		stored: make(chan struct{}), looking: map[string]struct{}{},
+	}
+}
+
+// Cell returns the cell, for questions about jobs.
+func (o *Owner) Cell() *cell.Cell { return o.cell }
+
+// Run loads the cell, calls loaded, and works until ctx ends.
+func (o *Owner) Run(ctx context.Context, loaded func()) error {
+	began := time.Now()
+	if err := o.load(ctx); err != nil {
+		return err
+	}
+	o.deps.Metrics.RecoverSeconds.UpdateDuration(began)
+	o.deps.Log.WithField("took_ms", time.Since(began).Milliseconds()).Info("cell_loaded")
+	loaded()
+	var wg sync.WaitGroup
+	wg.Go(func() { o.planLoop(ctx) })
+	wg.Go(func() { o.commitLoop(ctx) })
+	wg.Go(func() { o.followJobs(ctx) })
+	wg.Go(func() { o.followRoster(ctx, &wg) })
+	wg.Wait()
+	return nil
+}
+
+// load reads everything that must last. The feeds resume from before the reads,
+// so nothing that is written meanwhile is missed.
+func (o *Owner) load(ctx context.Context) error {
+	progress, _, err := store.ReadAll(ctx, o.deps.Store, celljobs.TableProgress, o.deps.Jobs.Partition())
+	if err != nil {
+		return fmt.Errorf("read progress: %w", err)
+	}
+	rows, version, err := store.ReadAll(ctx, o.deps.Store, celljobs.TableJobs, o.deps.Jobs.Partition())
+	if err != nil {
+		return fmt.Errorf("read jobs: %w", err)
+	}
+	workers, err := o.deps.Roster.All(ctx)
+	if err != nil {
+		return fmt.Errorf("read roster: %w", err)
+	}
+	o.jobsVersion = version
+	o.rosterVersion = workers.Version
+	o.takeIn(rows, progress)
+	o.cell.SetRoster(workers.Workers, time.Now())
+	return nil
+}
+
+// takeIn fills the cell with stored rows.
+func (o *Owner) takeIn(rows, progress []store.Row) {
+	kept := make(map[string]store.Row, len(progress))
+	for _, row := range progress {
+		kept[row.Key] = row
+	}
+	var cancelled []string
+	for _, row := range rows {
+		id, cancel, ok := celljobs.ParseKey(row.Key)
+		if !ok {
+			continue
+		}
+		if cancel {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		o.loadJob(id, row, kept[id])
+	}
+	now := time.Now()
+	for _, id := range cancelled {
+		o.cell.Cancel(id, now)
+	}
+}
+
+func (o *Owner) loadJob(id string, row, kept store.Row) {
+	r, err := job.DecodeRecord(row.Value)
+	if err != nil {
+		o.deps.Log.WithField("job", id).WithError(err).Error("job_unreadable")
+		return
+	}
+	var p *job.Progress
+	if kept.Version > 0 {
+		if p, err = job.DecodeProgress(kept.Value); err != nil {
+			o.deps.Log.WithField("job", id).WithError(err).Error("progress_unreadable")
+			return
+		}
+	}
+	o.cell.Load(r, p, kept.Version)
+}
+
+// Submitted takes in a job that an instance has stored.
+func (o *Owner) Submitted(r *job.Record) {
+	o.cell.Add(r)
+	o.wake()
+}
+
+// Cancelled takes in a cancellation that an instance has stored.
+func (o *Owner) Cancelled(id string) {
+	o.cell.Cancel(id, time.Now())
+	o.wake()
+	o.wakeCommit()
+}
+
+// Flush stores what is not stored yet, for a planned hand-over.
+func (o *Owner) Flush(ctx context.Context) {
+	for ctx.Err() == nil && o.commitOnce(ctx) == committed {
+	}
+}
+
+func (o *Owner) wake() { signal(o.kick) }
+
+func (o *Owner) wakeCommit() { signal(o.kickLog) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// wait sleeps and reports whether ctx still goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
--- /dev/null
+++ b/internal/cellpeer/server.go
@@ -0,0 +1,112 @@
+package cellpeer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+
+	"gentianstand/internal/advice"
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/job"
+)
+
+// Owning is the part of an instance that owns cells, as its peers see it.
+type Owning interface {
+	// Ping answers whether this instance owns the cell, and takes in that the
+	// caller knows a term.
+	Ping(from string, term uint64) *cellpb.PingReply
+	// TakeOver makes this instance the owner at once.
+	TakeOver(ctx context.Context, from string, term uint64) bool
+	// Submitted, Cancelled, State and Waiting report false if this instance does
+	// not own the cell, or has not loaded it yet.
+	Submitted(r *job.Record) bool
+	Cancelled(id string) bool
+	State(id string) (state job.State, owner bool)
+	Waiting(queue string) (jobs int, owner bool)
+}
+
+// Server answers other instances.
+type Server struct {
+	owning  Owning
+	jobs    *celljobs.Jobs
+	adviser advice.Adviser
+	log     logrus.FieldLogger
+}
+
+// NewServer returns the HTTP handler for calls of other instances.
+func NewServer(o Owning, jobs *celljobs.Jobs, a advice.Adviser, log logrus.FieldLogger) http.Handler {
+	return cellpb.NewCellsServer(&Server{owning: o, jobs: jobs, adviser: a, log: log})
+}
+
+// Ping implements cellpb.Cells.
+func (s *Server) Ping(_ context.Context, r *cellpb.PingRequest) (*cellpb.PingReply, error) {
+	return s.owning.Ping(r.From, r.Term), nil
+}
+
+// TakeOver implements cellpb.Cells.
+func (s *Server) TakeOver(ctx context.Context, r *cellpb.TakeOverRequest) (*cellpb.TakeOverReply, error) {
+	return &cellpb.TakeOverReply{Taken: s.owning.TakeOver(ctx, r.From, r.Term)}, nil
+}
+
+// Submitted implements cellpb.Cells.
+func (s *Server) Submitted(_ context.Context, r *cellpb.SubmittedRequest) (*cellpb.SubmittedReply, error) {
+	record, err := job.DecodeRecord(r.Record)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("record", err.Error())
+	}
+	return &cellpb.SubmittedReply{Owner: s.owning.Submitted(record)}, nil
+}
+
+// Cancelled implements cellpb.Cells.
+func (s *Server) Cancelled(_ context.Context, r *cellpb.CancelledRequest) (*cellpb.CancelledReply, error) {
+	return &cellpb.CancelledReply{Owner: s.owning.Cancelled(r.Job)}, nil
+}
+
+// State implements cellpb.Cells.
+func (s *Server) State(_ context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
+	state, owner := s.owning.State(r.Job)
+	return &cellpb.StateReply{Owner: owner, State: string(state)}, nil
+}
+
+// Waiting implements cellpb.Cells.
+func (s *Server) Waiting(_ context.Context, r *cellpb.WaitingRequest) (*cellpb.WaitingReply, error) {
+	jobs, owner := s.owning.Waiting(r.Queue)
+	return &cellpb.WaitingReply{Owner: owner, Jobs: int64(jobs)}, nil
+}
+
+// Advise implements cellpb.Cells.
+func (s *Server) Advise(ctx context.Context, r *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
+	tickets, err := s.adviser.Ask(ctx, r.Stage, r.Workers)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	reply := &cellpb.AdviseReply{}
+	for _, t := range tickets {
+		reply.Tickets = append(reply.Tickets, &cellpb.AdviceTicket{Worker: t.Worker, Text: t.Text})
+	}
+	return reply, nil
+}
+
+// StoreJob implements cellpb.Cells.
+func (s *Server) StoreJob(ctx context.Context, r *cellpb.StoreJobRequest) (*cellpb.StoreJobReply, error) {
+	record, err := job.DecodeRecord(r.Record)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("record", err.Error())
+	}
+	if err := s.jobs.Create(ctx, record); err != nil {
+		return nil, storeError(err)
+	}
+	return &cellpb.StoreJobReply{}, nil
+}
+
+// StoreCancel implements cellpb.Cells.
+func (s *Server) StoreCancel(ctx context.Context, r *cellpb.StoreCancelRequest) (*cellpb.StoreCancelReply, error) {
+	known, err := s.jobs.Cancel(ctx, r.Job, false)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	return &cellpb.StoreCancelReply{Known: known}, nil
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,18 +30,19 @@
 
 func commands() map[string]command {
 	return map[string]command{
-		"serve":   {"run an entry instance", serve},
-		"dev":     {"run a whole system in one process, to try it out", devCommand},
-		"apply":   {"put a text into force", apply},
-		"plan":    {"show what a text would change, and change nothing", plan},
-		"status":  {"show instances, shards and runs", status},
-		"submit":  {"start a run of a batch or job", submit},
-		"run":     {"show one run with its tasks", showRun},
-		"cancel":  {"end a run, or all runs of a workload", cancel},
-		"drain":   {"stop an instance or a worker as planned, or resume it", drain},
-		"audit":   {"show who changed what", showAudit},
-		"load":    {"send requests at a fixed rate and measure", loadCommand},
-		"version": {"print the version", version},
+		"serve":    {"run an entry instance", serve},
+		"instance": {"run an instance on the users' platform", instanceCommand},
+		"dev":      {"run a whole system in one process, to try it out", devCommand},
+		"apply":    {"put a text into force", apply},
+		"plan":     {"show what a text would change, and change nothing", plan},
+		"status":   {"show instances, shards and runs", status},
+		"submit":   {"start a run of a batch or job", submit},
+		"run":      {"show one run with its tasks", showRun},
+		"cancel":   {"end a run, or all runs of a workload", cancel},
+		"drain":    {"stop an instance or a worker as planned, or resume it", drain},
+		"audit":    {"show who changed what", showAudit},
+		"load":     {"send requests at a fixed rate and measure", loadCommand},
+		"version":  {"print the version", version},
 	}
 }
 
@@ -69,7 +70,7 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		fmt.Fprintf(out, "  %-8s %s\n", name, all[name].summary)
+		fmt.Fprintf(out, "  %-9s %s\n", name, all[name].summary)
 	}
 	fmt.Fprintf(out, "\ngentianstand <command> -h lists a command's flags with their defaults and units.\n")
 }
--- /dev/null
+++ b/internal/command/instance.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"go.uber.org/fx"
+
+	"gentianstand/internal/node"
+	"gentianstand/internal/settings"
+	"gentianstand/platform"
+)
+
+const instanceUsage = `Runs an instance on the users' platform. Its addresses and bounds come from the
+platform's settings file; it keeps nothing of its own and runs until it gets
+SIGTERM or SIGINT, and then stops gracefully. SIGHUP has the settings file read
+and checked again.`
+
+// instanceFlags are the settings of our own for this command.
+type instanceFlags struct {
+	settingsFile string
+	logLevel     string
+}
+
+func (f *instanceFlags) register(s *settings.Settings) {
+	s.StringVar(&f.settingsFile, "settings-file", os.Getenv(platform.SettingsVariable),
+		"path of the platform's settings file; by default what "+platform.SettingsVariable+" names")
+	s.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
+	s.Check("settings-file", "a path", func() bool { return f.settingsFile != "" })
+	s.Check("log-level", "debug, info, warn, error", func() bool {
+		return f.logLevel == "debug" || f.logLevel == "info" || f.logLevel == "warn" || f.logLevel == "error"
+	})
+}
+
+func instanceCommand(ctx context.Context, args []string, std Streams) int {
+	var f instanceFlags
+	s := settings.New("instance", instanceUsage, std.Err)
+	f.register(s)
+	if code, done := parse(s, args, std); done {
+		return code
+	}
+	given, err := platform.ReadSettings(f.settingsFile)
+	if err != nil {
+		fmt.Fprintln(std.Err, err)
+		return exitUsage
+	}
+	log := node.NewLog(f.logLevel, given.Name, std.Out)
+	outside := node.Outside{
+		Store: platform.NewStore(given.Store), Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(given.Adviser),
+		Roster: platform.RosterIn, Catalogs: platform.CatalogsIn, Callers: platform.NewCallers,
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			_, err := platform.ReadSettings(f.settingsFile)
+			log.WithError(err).Info("settings_read_again")
+		}
+	}()
+	app := fx.New(node.Module(given, outside, log))
+	if err := app.Start(ctx); err != nil {
+		fmt.Fprintln(std.Err, err)
+		return exitFailed
+	}
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	if err := app.Stop(stopCtx); err != nil {
+		fmt.Fprintln(std.Err, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,253 @@
+// Package intake takes jobs in from callers at any instance: it stores a
+// submission or a cancellation itself and tells the cell's owner, and asks the
+// owner, or else the store, for the state of a job. It knows no wire.
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/fault"
+	"gentianstand/internal/job"
+	"gentianstand/internal/store"
+)
+
+const (
+	// askTimeout bounds a question to the owner; the store is asked after it.
+	askTimeout = 500 * time.Millisecond
+	// tellTimeout bounds news to the owner. News that is lost reaches it through
+	// the store within a second.
+	tellTimeout = time.Second
+	// outageAttempt bounds a write while the store is known not to answer.
+	outageAttempt = 700 * time.Millisecond
+	// answerMargin is kept of a caller's deadline for the way of the answer.
+	answerMargin = 250 * time.Millisecond
+	// outageRetryAfter tells callers when to come back in an outage. Outages last
+	// some seconds; callers that come back together are spread by the jitter that
+	// the adapter of the callers' protocol adds.
+	outageRetryAfter = time.Second
+	// waitingFresh is how old a count of waiting jobs may be.
+	waitingFresh = 1500 * time.Millisecond
+)
+
+// Leader is what intake asks about the owner of the cell.
+type Leader interface {
+	cellpeer.Owning
+	// Owner returns the owner's address; self says that it is this instance.
+	Owner() (address string, self bool)
+}
+
+// Intake serves callers' jobs.
+type Intake struct {
+	jobs      *celljobs.Jobs
+	store     *store.Watched
+	leader    Leader
+	directory *cellpeer.Directory
+	clients   *cellpeer.Clients
+	metrics   *Metrics
+	log       logrus.FieldLogger
+	waiting   waitingCounts
+}
+
+// New returns an intake.
+func New(jobs *celljobs.Jobs, s *store.Watched, l Leader, d *cellpeer.Directory, c *cellpeer.Clients, m *Metrics, log logrus.FieldLogger) *Intake {
+	return &Intake{jobs: jobs, store: s, leader: l, directory: d, clients: c, metrics: m, log: log,
+		waiting: waitingCounts{byQueue: map[string]waitingCount{}}}
+}
+
+// Submit accepts a job: it is stored when Submit returns nil. An error of kind
+// PlatformUnavailable says that it was not accepted and never runs, one of kind
+// OutcomeUnknown that the caller has to ask again.
+func (i *Intake) Submit(ctx context.Context, r *job.Record) error {
+	began := time.Now()
+	if err := r.Check(); err != nil {
+		return fault.New(fault.BadRequest, "job %s: %w", r.ID, err)
+	}
+	err := i.create(ctx, r)
+	i.metrics.SubmitSeconds.UpdateDuration(began)
+	if err != nil {
+		i.metrics.SubmitErrors.Inc()
+		i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "took_ms": time.Since(began).Milliseconds()}).WithError(err).Info("job_not_accepted")
+		return storeFault(err)
+	}
+	i.metrics.Submitted.Inc()
+	i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "took_ms": time.Since(began).Milliseconds()}).Info("job_accepted")
+	i.tellSubmitted(r)
+	return nil
+}
+
+// create stores a record here, or through an instance that reaches the store.
+func (i *Intake) create(ctx context.Context, r *job.Record) error {
+	if !i.store.Reachable() {
+		if peer, ok := i.peerWithStore(ctx); ok {
+			return i.createThrough(ctx, peer, r)
+		}
+		// Known to be down: one short attempt decides, so that the caller is
+		// refused at once and not when its deadline is near.
+		short, cancel := context.WithTimeout(ctx, outageAttempt)
+		defer cancel()
+		return i.jobs.Create(short, r)
+	}
+	err := i.jobs.Create(ctx, r)
+	if errors.Is(err, store.ErrUnavailable) {
+		if peer, ok := i.peerWithStore(ctx); ok {
+			return i.createThrough(ctx, peer, r)
+		}
+	}
+	return err
+}
+
+func (i *Intake) createThrough(ctx context.Context, peer cellpeer.Instance, r *job.Record) error {
+	value, err := job.EncodeRecord(r)
+	if err != nil {
+		return err
+	}
+	if _, err := i.clients.To(peer.Address).StoreJob(ctx, &cellpb.StoreJobRequest{Record: value}); err != nil {
+		return cellpeer.StoreErrorFrom(err)
+	}
+	return nil
+}
+
+// tellSubmitted tells the owner of a stored job without delaying the caller.
+func (i *Intake) tellSubmitted(r *job.Record) {
+	if i.leader.Submitted(r) {
+		return
+	}
+	value, err := job.EncodeRecord(r)
+	if err != nil {
+		i.log.WithField("job", r.ID).WithError(err).Error("job_not_encoded")
+		return
+	}
+	go i.tell(r.ID, func(ctx context.Context, owner cellpb.Cells) (bool, error) {
+		reply, err := owner.Submitted(ctx, &cellpb.SubmittedRequest{Record: value})
+		return reply.GetOwner(), err
+	})
+}
+
+// tell brings news to the owner once. It may fail: the owner reads the store.
+func (i *Intake) tell(id string, call func(context.Context, cellpb.Cells) (bool, error)) {
+	address, self := i.leader.Owner()
+	if address == "" || self {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if owner, err := call(ctx, i.clients.To(address)); err != nil || !owner {
+		i.log.WithFields(logrus.Fields{"job": id, "owner": address}).WithError(err).Debug("owner_not_told")
+	}
+}
+
+// Cancel ends a job and reports whether it is known. It is stored when Cancel
+// returns without an error.
+func (i *Intake) Cancel(ctx context.Context, id string) (bool, error) {
+	state, _ := i.askOwner(ctx, id)
+	known, err := i.storeCancel(ctx, id, state != "")
+	if err != nil {
+		i.log.WithField("job", id).WithError(err).Info("job_not_cancelled")
+		return false, storeFault(err)
+	}
+	i.log.WithFields(logrus.Fields{"job": id, "known": known}).Info("job_cancelled")
+	if known && !i.leader.Cancelled(id) {
+		i.tell(id, func(ctx context.Context, owner cellpb.Cells) (bool, error) {
+			reply, err := owner.Cancelled(ctx, &cellpb.CancelledRequest{Job: id})
+			return reply.GetOwner(), err
+		})
+	}
+	return known, nil
+}
+
+func (i *Intake) storeCancel(ctx context.Context, id string, known bool) (bool, error) {
+	if !i.store.Reachable() {
+		if peer, ok := i.peerWithStore(ctx); ok {
+			reply, err := i.clients.To(peer.Address).StoreCancel(ctx, &cellpb.StoreCancelRequest{Job: id})
+			if err != nil {
+				return false, cellpeer.StoreErrorFrom(err)
+			}
+			return reply.Known, nil
+		}
+	}
+	return i.jobs.Cancel(ctx, id, known)
+}
+
+// State returns a job's state; known is false only if the store has no such
+// job. The owner is asked first, because it knows the newest state.
+func (i *Intake) State(ctx context.Context, id string) (state job.State, known bool, err error) {
+	if state, ok := i.askOwner(ctx, id); ok && state != "" {
+		return state, true, nil
+	}
+	state, known, err = i.jobs.State(ctx, id)
+	if err != nil {
+		return "", false, storeFault(err)
+	}
+	return state, known, nil
+}
+
+// askOwner asks the cell's owner for a job's state; it is empty if the owner
+// does not know the job, and ok is false if no owner answered.
+func (i *Intake) askOwner(ctx context.Context, id string) (state job.State, ok bool) {
+	if state, ok := i.leader.State(id); ok {
+		return state, true
+	}
+	address, self := i.leader.Owner()
+	if address == "" || self {
+		return "", false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := i.clients.To(address).State(callCtx, &cellpb.StateRequest{Job: id})
+	if err != nil {
+		i.clients.Distrust(address)
+		i.log.WithFields(logrus.Fields{"job": id, "owner": address}).WithError(err).Debug("owner_not_asked")
+		return "", false
+	}
+	return job.State(reply.State), reply.Owner
+}
+
+// peerWithStore finds an instance that reaches the store.
+func (i *Intake) peerWithStore(ctx context.Context) (cellpeer.Instance, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	others := i.directory.Others()
+	found := make(chan cellpeer.Instance, len(others))
+	for _, other := range others {
+		go func() {
+			reply, err := i.clients.To(other.Address).Ping(callCtx, &cellpb.PingRequest{From: i.directory.Self().Name})
+			if err == nil && reply.StoreOk && !reply.Stopping {
+				found <- other
+				return
+			}
+			found <- cellpeer.Instance{}
+		}()
+	}
+	for range others {
+		select {
+		case peer := <-found:
+			if peer.Name != "" {
+				return peer, true
+			}
+		case <-callCtx.Done():
+			return cellpeer.Instance{}, false
+		}
+	}
+	return cellpeer.Instance{}, false
+}
+
+// storeFault turns a failure of the store into the answer for the caller.
+func storeFault(err error) error {
+	if errors.Is(err, store.ErrUnavailable) {
+		return fault.New(fault.PlatformUnavailable, "the job could not be stored: %w", err).WithRetryAfter(outageRetryAfter)
+	}
+	return fault.New(fault.OutcomeUnknown, "the store did not answer in time: %w", err).WithRetryAfter(outageRetryAfter)
+}
+
+// AnswerBy returns when an answer must be ready for a caller that waits for
+// limit from now.
+func AnswerBy(now time.Time, limit time.Duration) time.Time {
+	return now.Add(max(limit-answerMargin, limit/2))
+}
--- /dev/null
+++ b/internal/intake/metrics.go
@@ -0,0 +1,19 @@
+package intake
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Metrics are the counters and histograms of serving callers.
+type Metrics struct {
+	Submitted     *metrics.Counter
+	SubmitErrors  *metrics.Counter
+	SubmitSeconds *metrics.Histogram
+}
+
+// NewMetrics registers the metrics in a set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{
+		Submitted:     set.NewCounter("gentianstand_intake_submitted_total"),
+		SubmitErrors:  set.NewCounter("gentianstand_intake_submit_errors_total"),
+		SubmitSeconds: set.NewHistogram("gentianstand_intake_submit_seconds"),
+	}
+}
--- /dev/null
+++ b/internal/intake/waiting.go
@@ -0,0 +1,57 @@
+package intake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/fault"
+)
+
+// waitingCount is a count and when the owner gave it.
+type waitingCount struct {
+	jobs int
+	at   time.Time
+}
+
+// waitingCounts remembers the last count of each queue.
+type waitingCounts struct {
+	mu      sync.Mutex
+	byQueue map[string]waitingCount
+}
+
+func (w *waitingCounts) get(queue string, now time.Time) (int, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c, ok := w.byQueue[queue]
+	return c.jobs, ok && now.Sub(c.at) < waitingFresh
+}
+
+func (w *waitingCounts) set(queue string, jobs int, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byQueue[queue] = waitingCount{jobs, now}
+}
+
+// Waiting returns how many jobs of a queue wait. If the owner does not answer,
+// a count that is not too old stands in.
+func (i *Intake) Waiting(ctx context.Context, queue string) (int, error) {
+	if jobs, ok := i.leader.Waiting(queue); ok {
+		return jobs, nil
+	}
+	address, self := i.leader.Owner()
+	if address != "" && !self {
+		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		reply, err := i.clients.To(address).Waiting(callCtx, &cellpb.WaitingRequest{Queue: queue})
+		if err == nil && reply.Owner {
+			i.waiting.set(queue, int(reply.Jobs), time.Now())
+			return int(reply.Jobs), nil
+		}
+	}
+	if jobs, ok := i.waiting.get(queue, time.Now()); ok {
+		return jobs, nil
+	}
+	return 0, fault.New(fault.PlatformUnavailable, "queue %s: the owner of the cell does not answer", queue).WithRetryAfter(outageRetryAfter)
+}
--- /dev/null
+++ b/internal/job/schedule.go
@@ -0,0 +1,13 @@
+package job
+
+import "time"
+
+// Schedule repeats the steps of a job.
+type Schedule struct {
+	// Count is the number of occurrences.
+	Count int `cbor:"1,keyasint"`
+	// FirstAt is when the first occurrence is due.
+	FirstAt time.Time `cbor:"2,keyasint"`
+	// Every is the time between occurrences; they may overlap.
+	Every time.Duration `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/node/catalog_follower.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/store"
+)
+
+const (
+	// catalogWait is how long a question for news may wait. A connection that
+	// went silent is noticed after this and a little more, which has to leave time
+	// for a second question within the two seconds that a change may take.
+	catalogWait = time.Second
+	// catalogRetry is the pause after a failure.
+	catalogRetry = 100 * time.Millisecond
+	catalogRead  = time.Second
+)
+
+// catalogFollower keeps the catalog in force up to date.
+type catalogFollower struct {
+	source  catalog.Source
+	current *catalog.Current
+	log     logrus.FieldLogger
+	known   bool
+	version uint64
+	failing bool
+}
+
+// run follows until ctx ends.
+func (f *catalogFollower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.note(err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(catalogRetry):
+			}
+			continue
+		}
+		f.note(nil)
+	}
+}
+
+func (f *catalogFollower) step(ctx context.Context) error {
+	var next *catalog.Catalog
+	var err error
+	version := f.version
+	if f.known {
+		next, version, err = f.source.Since(ctx, f.version, catalogWait)
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, catalogRead)
+		defer cancel()
+		next, version, err = f.source.Newest(callCtx)
+	}
+	if errors.Is(err, store.ErrHistoryGone) {
+		f.known = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.version = version
+	f.known = true
+	if next != nil && f.current.Advance(next) {
+		f.log.WithField("version", next.Version).Info("catalog_in_force")
+	}
+	return nil
+}
+
+// note logs when the store is lost and when it is back, not each failure.
+func (f *catalogFollower) note(err error) {
+	switch {
+	case err != nil && !f.failing:
+		f.log.WithError(err).Warn("store_lost")
+	case err == nil && f.failing:
+		f.log.Info("store_back")
+	}
+	f.failing = err != nil
+}
--- /dev/null
+++ b/internal/node/log.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/instance"
+)
+
+// logLines bounds the lines that wait to be written.
+const logLines = 2048
+
+// NewLog returns a log that never blocks: lines wait in a bounded queue, and
+// when it is full they are dropped and counted, because a slow reader of the
+// output must not slow decisions.
+func NewLog(level, name string, out io.Writer) *logrus.Entry {
+	return instance.NewLog(level, name, newLineQueue(out))
+}
+
+// lineQueue writes lines from a goroutine of its own.
+type lineQueue struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Uint64
+}
+
+func newLineQueue(out io.Writer) *lineQueue {
+	q := &lineQueue{out: out, lines: make(chan []byte, logLines)}
+	go q.run()
+	return q
+}
+
+// Write implements io.Writer. It never fails.
+func (q *lineQueue) Write(p []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), p...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+func (q *lineQueue) run() {
+	for line := range q.lines {
+		_, _ = q.out.Write(line) // there is no other place to report it
+	}
+}
--- /dev/null
+++ b/internal/node/module.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/cell"
+	"gentianstand/internal/cellleader"
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/cellowner"
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/intake"
+	"gentianstand/internal/store"
+)
+
+const (
+	// theCell is the partition of the one cell.
+	theCell = "cell-0"
+	// lease is how far a worker's lease reaches. It has to bridge a take-over
+	// (about 1.5 s) after the last extension, which is up to a second old; each
+	// second more delays the restart of what ran on a lost worker.
+	lease = 3500 * time.Millisecond
+	// memoryShare of the limit is what the garbage collector aims to stay below;
+	// the rest is for stacks and for bytes that wait in sockets.
+	memoryShare = 0.7
+	// drainTime is how long a stopping instance goes on taking connections: the
+	// balancer stops sending new ones after two failed questions, a second apart.
+	drainTime = 2200 * time.Millisecond
+	// stopReserve is kept of the grace for the end of the process.
+	stopReserve = 700 * time.Millisecond
+)
+
+// Module returns the fx options of an instance.
+func Module(s Settings, outside Outside, log *logrus.Entry) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.StopTimeout(max(s.TerminationGrace, time.Second)),
+		fx.Supply(s, outside, log),
+		fx.Provide(newSelf, newWatched, newJobs, newDirectory, newOwnerMetrics, newLeader, newIntake,
+			cellpeer.NewClients, metrics.NewSet, newCurrent, newState),
+		fx.Invoke(run),
+	)
+}
+
+// state is what the parts of an instance share.
+type state struct{ stopping atomic.Bool }
+
+func newState() *state { return &state{} }
+
+func newCurrent() *catalog.Current { return &catalog.Current{} }
+
+func newSelf(s Settings) cellpeer.Instance {
+	return cellpeer.Instance{Name: s.Name, Address: s.PeerListen, Zone: s.Zone, Incarnation: uuid.NewString(), StartedAt: time.Now()}
+}
+
+func newWatched(o Outside) *store.Watched { return store.NewWatched(o.Store) }
+
+func newJobs(w *store.Watched) *celljobs.Jobs { return celljobs.New(w, theCell) }
+
+func newDirectory(self cellpeer.Instance, w *store.Watched, log *logrus.Entry) *cellpeer.Directory {
+	return cellpeer.NewDirectory(self, w, log)
+}
+
+func newOwnerMetrics(set *metrics.Set) *cellowner.Metrics { return cellowner.NewMetrics(set) }
+
+func newLeader(s Settings, o Outside, d *cellpeer.Directory, c *cellpeer.Clients, w *store.Watched, jobs *celljobs.Jobs, m *cellowner.Metrics, log *logrus.Entry) *cellleader.Leader {
+	advisers := cellpeer.NewAdvicePool(d, c, o.Adviser)
+	newOwner := func(term uint64, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
+		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), MaxLease: s.MaxLease, StopGrace: s.StopGrace,
+			FarFactor: s.FarFactor, Early: s.Early}
+		return cellowner.New(settings, claim, cellowner.Deps{
+			Store: w, Jobs: jobs, Roster: o.Roster(w, log), Runner: o.Workers, Advisers: advisers,
+			Leadership: l, Metrics: m, Log: log,
+		})
+	}
+	return cellleader.New(theCell, d, c, w, newOwner, log)
+}
+
+func newIntake(jobs *celljobs.Jobs, w *store.Watched, l *cellleader.Leader, d *cellpeer.Directory, c *cellpeer.Clients, set *metrics.Set, log *logrus.Entry) *intake.Intake {
+	return intake.New(jobs, w, l, d, c, intake.NewMetrics(set), log)
+}
+
+// parts is what run starts.
+type parts struct {
+	fx.In
+	Settings  Settings
+	Outside   Outside
+	State     *state
+	Store     *store.Watched
+	Jobs      *celljobs.Jobs
+	Directory *cellpeer.Directory
+	Leader    *cellleader.Leader
+	Intake    *intake.Intake
+	Current   *catalog.Current
+	Metrics   *metrics.Set
+	Log       *logrus.Entry
+}
+
+// run starts the parts and stops them gracefully.
+func run(lc fx.Lifecycle, p parts) {
+	if p.Settings.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.MemoryMiB<<20)))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	callers := newServer("callers", p.Settings.CallerListen, closing{p.Outside.Callers(p.Intake, p.Current, p.Log), &p.State.stopping}, p.Log)
+	others := []*server{
+		newServer("ready", p.Settings.ReadyListen, readiness{p.Current, &p.State.stopping}, p.Log),
+		newServer("peers", p.Settings.PeerListen, cellpeer.NewServer(p.Leader, p.Jobs, p.Outside.Adviser, p.Log), p.Log),
+		newServer("metrics", p.Settings.MetricsListen, metricsHandler(p.Metrics), p.Log),
+	}
+	var loops sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(start context.Context) error {
+			for _, s := range append(others, callers) {
+				if err := s.listen(start); err != nil {
+					cancel()
+					return err
+				}
+			}
+			follower := &catalogFollower{source: p.Outside.Catalogs(p.Store), current: p.Current, log: p.Log}
+			loops.Go(func() { follower.run(ctx) })
+			loops.Go(func() { p.Directory.Run(ctx) })
+			loops.Go(func() { p.Leader.Run(ctx) })
+			p.Log.WithFields(logrus.Fields{"zone": p.Settings.Zone, "callers": p.Settings.CallerListen, "peers": p.Settings.PeerListen}).Info("instance_started")
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			p.stop(stop, callers)
+			cancel()
+			loops.Wait()
+			for _, s := range others {
+				_ = s.http.Close() // nothing in progress there belongs to a caller
+			}
+			p.Log.Info("instance_stopped")
+			return nil
+		},
+	})
+}
+
+// stop hands the cell over, lets the balancer notice, and finishes the callers'
+// requests that are in progress.
+func (p *parts) stop(ctx context.Context, callers *server) {
+	began := time.Now()
+	p.State.stopping.Store(true)
+	p.Log.Info("instance_stopping")
+	p.Leader.HandOver(ctx)
+	leaveCtx, cancel := context.WithTimeout(ctx, time.Second)
+	p.Directory.Leave(leaveCtx)
+	cancel()
+	time.Sleep(time.Until(began.Add(drainTime)))
+	finishCtx, cancel := context.WithDeadline(ctx, began.Add(p.Settings.TerminationGrace-stopReserve))
+	defer cancel()
+	callers.shutdown(finishCtx)
+}
+
+func metricsHandler(set *metrics.Set) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 15 * time.Second
+	maxHeaderBytes = 16 << 10
+	// probeInterval, probeIdle and probeCount have the kernel notice connections
+	// whose far end vanished.
+	probeIdle     = 5 * time.Second
+	probeInterval = time.Second
+	probeCount    = 3
+)
+
+// server is one listener.
+type server struct {
+	name string
+	http *http.Server
+	log  logrus.FieldLogger
+}
+
+func newServer(name, address string, h http.Handler, log logrus.FieldLogger) *server {
+	return &server{name: name, log: log, http: &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
+}
+
+// listen opens the address and serves it.
+func (s *server) listen(ctx context.Context) error {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}}
+	listener, err := config.Listen(ctx, "tcp4", s.http.Addr)
+	if err != nil {
+		return fmt.Errorf("%s: %w", s.name, err)
+	}
+	go func() {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.WithField("server", s.name).WithError(err).Error("server_ended")
+		}
+	}()
+	return nil
+}
+
+// shutdown finishes the requests in progress.
+func (s *server) shutdown(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.WithField("server", s.name).WithError(err).Warn("requests_cut_at_stop")
+		_ = s.http.Close() // what is left is cut either way
+	}
+}
+
+// closing adds "Connection: close" to answers once an instance is stopping, so
+// that callers with an open connection go to another instance.
+type closing struct {
+	next     http.Handler
+	stopping *atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (c closing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c.next.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Settings are what an instance learns at its start.
+type Settings struct {
+	Name   string
+	Zone   string
+	Region string
+	// The addresses to listen on: callers, the balancer's question whether this
+	// instance is ready, other instances, and metrics.
+	CallerListen  string
+	ReadyListen   string
+	PeerListen    string
+	MetricsListen string
+	// Store and Adviser are addresses of the platform's services.
+	Store   string
+	Adviser string
+	// MaxLease, StopGrace, Early and FarFactor are figures of the workers; see
+	// cell.Settings.
+	MaxLease  time.Duration
+	StopGrace time.Duration
+	Early     time.Duration
+	FarFactor float64
+	// TerminationGrace is the time between a request to stop and the end by force.
+	TerminationGrace time.Duration
+	// MemoryMiB is the memory the process may use; 0 is no limit.
+	MemoryMiB int64
+	LogLevel  string
+}
+
+// Check reports everything that is wrong with the settings.
+func (s *Settings) Check() error {
+	var problems []error
+	if s.Name == "" {
+		problems = append(problems, errors.New("the name of the instance is empty"))
+	}
+	addresses := []struct{ name, value string }{
+		{"address for callers", s.CallerListen}, {"address for readiness", s.ReadyListen},
+		{"address for instances", s.PeerListen}, {"address for metrics", s.MetricsListen},
+		{"address of the store", s.Store},
+	}
+	for _, a := range addresses {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			problems = append(problems, fmt.Errorf("%s: %w", a.name, err))
+		}
+	}
+	if s.MaxLease <= 0 {
+		problems = append(problems, fmt.Errorf("the longest lease is %v; it must be positive", s.MaxLease))
+	}
+	return errors.Join(problems...)
+}
--- /dev/null
+++ b/internal/roster/source.go
@@ -0,0 +1,14 @@
+package roster
+
+import (
+	"context"
+	"time"
+)
+
+// Source lists workers.
+type Source interface {
+	// All returns every registered worker.
+	All(ctx context.Context) (Change, error)
+	// Since returns what changed after a version; see store.Store.Changes.
+	Since(ctx context.Context, version uint64, wait time.Duration) (Change, error)
+}
--- /dev/null
+++ b/internal/runner/pace.go
@@ -0,0 +1,10 @@
+package runner
+
+// Pace sets the speed of a run.
+type Pace struct {
+	Task  string
+	Run   uint64
+	Token uint64
+	// Percent of full speed, 0 to 100.
+	Percent int
+}
