Calls for advice begin only when an instance's lane is free

Cause: after faults more stages wanted advice than the adviser serves. Calls queued there, timed out here while the adviser still worked through them, and each repeat made the queue longer; lasting tasks were not restarted (LOST).

--- /dev/null
+++ b/internal/cell/advice_slots.go
@@ -0,0 +1,41 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/job"
+)
+
+// slowCall is the duration from which a call for advice counts as slow. The
+// adviser takes one call at a time for each instance, so a quick call behind a
+// slow one waits for all of it. Queues have shown 35 ms and 600 ms.
+const slowCall = 150 * time.Millisecond
+
+// AdviceSlots is how many calls for advice may begin now.
+type AdviceSlots struct {
+	// Quick may carry quick calls only.
+	Quick int
+	// Any may carry both.
+	Any int
+}
+
+// take books a call and reports whether there was a slot.
+//
+// Load pattern: after a fault or in a burst more stages want advice than the
+// adviser can serve. Calls that wait there are served in the order in which they
+// came, and after a timeout the adviser still works through them, so asking
+// again makes the next ones late, too, and nothing is placed any more. The cell
+// therefore asks only when a call begins at once, and most urgent stages first.
+func (s *AdviceSlots) take(slow bool) bool {
+	switch {
+	case !slow && s.Quick > 0:
+		s.Quick--
+	case s.Any > 0:
+		s.Any--
+	default:
+		return false
+	}
+	return true
+}
+
+func isSlow(c *job.AdviceCost) bool { return c.Duration(advisedWorkers) >= slowCall }
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -31,12 +31,13 @@
 		return
 	}
 	workers := c.worthAsking(s, room, now)
-	if len(workers) == 0 {
+	slow := isSlow(s.job.record.Advice)
+	if len(workers) == 0 || !room.slots.take(slow) {
 		return
 	}
 	b.asking = true
 	c.stats.AdviceCalls++
-	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Cost: *s.job.record.Advice, Workers: workers})
+	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Cost: *s.job.record.Advice, Workers: workers, Slow: slow})
 }
 
 // worthAsking returns the workers to ask about: those with room for a task that
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -35,6 +35,8 @@
 	Stage   job.StageID
 	Cost    job.AdviceCost
 	Workers []string
+	// Slow calls must not go where quick calls wait behind them.
+	Slow bool
 }
 
 func (StartOrder) isOrder()  {}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -6,26 +6,27 @@
 )
 
 // Plan decides what to do now and returns the orders to carry out. Every
-// order's result must be fed back.
-func (c *Cell) Plan(now time.Time) []Order {
+// order's result must be fed back. slots bounds the calls for advice among them.
+func (c *Cell) Plan(now time.Time, slots AdviceSlots) []Order {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recover(now)
 	for _, w := range c.workers {
 		c.watch(w, now)
 	}
-	c.placeAll(now)
+	c.placeAll(now, slots)
 	orders := c.orders
 	c.orders = nil
 	return orders
 }
 
 // placeAll goes through the waiting stages in order of urgency.
-func (c *Cell) placeAll(now time.Time) {
+func (c *Cell) placeAll(now time.Time, slots AdviceSlots) {
 	if len(c.waiting) == 0 {
 		return
 	}
 	room := c.newRoom(now)
+	room.slots = slots
 	for _, s := range c.inOrder(now) {
 		if c.heldBack(s) || !s.due(now, c.settings.Early) {
 			continue
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -16,6 +16,7 @@
 	usable []*worker
 	// total and free are thousandths of a core over all usable workers.
 	total, free int64
+	slots       AdviceSlots
 }
 
 func (c *Cell) newRoom(now time.Time) *room {
--- a/internal/cellowner/orders.go
+++ b/internal/cellowner/orders.go
@@ -9,9 +9,9 @@
 	"gentianstand/internal/runner"
 )
 
-// adviceSlack is added to the adviser's own duration for the way and for other
-// calls of the same instance that are before this one.
-const adviceSlack = 1500 * time.Millisecond
+// adviceSlack is added to the adviser's own duration, for the way and for one
+// call of the same instance that may be before this one.
+const adviceSlack = time.Second
 
 func (o *Owner) start(ctx context.Context, order cell.StartOrder) {
 	began := time.Now()
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -29,7 +29,7 @@
 		}
 		if o.deps.Leadership.Confirmed() {
 			began := time.Now()
-			orders := o.cell.Plan(began)
+			orders := o.cell.Plan(began, o.deps.Advisers.Slots())
 			o.deps.Metrics.PlanSeconds.UpdateDuration(began)
 			for _, order := range orders {
 				o.carryOut(ctx, order)
@@ -51,6 +51,7 @@
 	case cell.PaceOrder:
 		go o.pace(ctx, order)
 	case cell.AdviceOrder:
+		o.deps.Advisers.Reserve(order)
 		go o.ask(ctx, order)
 	}
 }
--- a/internal/cellpeer/advice_pool.go
+++ b/internal/cellpeer/advice_pool.go
@@ -3,22 +3,21 @@
 import (
 	"context"
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
 	"gentianstand/internal/advice"
 	"gentianstand/internal/cell"
 	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/job"
 )
 
 const (
-	// slowCall is the duration from which a call for advice counts as slow. The
-	// adviser takes one call at a time for each instance, so a quick call behind
-	// a slow one waits for all of it.
-	slowCall = 150 * time.Millisecond
-	// quickShare of the instances gets no slow calls.
+	// quickShare of the instances carries quick calls only.
 	quickShare = 0.34
+	// quickDepth is how many quick calls may be under way at one instance: one
+	// that the adviser works on, and one that is there when it is done.
+	quickDepth = 2
 	// avoidPeer is how long an instance that failed to ask is passed over.
 	avoidPeer = 2 * time.Second
 )
@@ -33,49 +32,108 @@
 
 	mu    sync.Mutex
 	lanes map[string]*lane
+	// chosen are the lanes of reserved calls, by stage.
+	chosen map[job.StageID]laneInstance
 }
 
 // lane is what is under way at one instance.
 type lane struct {
-	backlog time.Duration
-	avoid   time.Time
+	calls int
+	avoid time.Time
+}
+
+// laneInstance is an instance and whether it carries quick calls only.
+type laneInstance struct {
+	Instance
+	quickOnly bool
 }
 
 // NewAdvicePool returns a pool over the instances of a directory. local asks on
 // behalf of this instance.
 func NewAdvicePool(d *Directory, c *Clients, local advice.Adviser) *AdvicePool {
-	return &AdvicePool{directory: d, clients: c, local: local, lanes: map[string]*lane{}}
+	return &AdvicePool{directory: d, clients: c, local: local, lanes: map[string]*lane{}, chosen: map[job.StageID]laneInstance{}}
 }
 
-// Ask has the least busy instance ask, and tries one other if that fails.
-func (p *AdvicePool) Ask(ctx context.Context, o cell.AdviceOrder) ([]advice.Ticket, error) {
-	cost := o.Cost.Duration(len(o.Workers))
-	tickets, err := p.askOne(ctx, o, cost)
-	if err != nil && ctx.Err() == nil {
-		tickets, err = p.askOne(ctx, o, cost)
+// Slots returns how many calls may begin now.
+func (p *AdvicePool) Slots() cell.AdviceSlots {
+	all := p.instances()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var s cell.AdviceSlots
+	now := time.Now()
+	for _, i := range all {
+		l := p.lane(i.Name)
+		switch {
+		case now.Before(l.avoid):
+		case i.quickOnly:
+			s.Quick += max(0, quickDepth-l.calls)
+		case l.calls == 0:
+			s.Any++
+		}
 	}
-	return tickets, err
+	return s
 }
 
-func (p *AdvicePool) askOne(ctx context.Context, o cell.AdviceOrder, cost time.Duration) ([]advice.Ticket, error) {
-	target := p.choose(cost, time.Now())
-	tickets, err := p.askAt(ctx, target, o, cost)
-	p.release(target.Name, cost, err, time.Now())
+// Reserve books a lane for an order.
+func (p *AdvicePool) Reserve(o cell.AdviceOrder) {
+	all := p.instances()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	best := -1
+	for i, instance := range all {
+		l := p.lane(instance.Name)
+		if now.Before(l.avoid) || (o.Slow && instance.quickOnly) {
+			continue
+		}
+		if best < 0 || p.better(instance, all[best], o.Slow) {
+			best = i
+		}
+	}
+	target := laneInstance{Instance: p.directory.Self()}
+	if best >= 0 {
+		target = all[best]
+	}
+	p.lane(target.Name).calls++
+	p.chosen[o.Stage] = target
+}
+
+// better reports whether a call should go to a rather than b: quick calls
+// prefer lanes without slow ones, and every call the emptier lane.
+func (p *AdvicePool) better(a, b laneInstance, slow bool) bool {
+	x, y := p.lane(a.Name).calls, p.lane(b.Name).calls
+	if !slow && a.quickOnly != b.quickOnly {
+		if a.quickOnly {
+			return x < quickDepth
+		}
+		return y >= quickDepth && x == 0
+	}
+	return x < y
+}
+
+// Ask makes a reserved call.
+func (p *AdvicePool) Ask(ctx context.Context, o cell.AdviceOrder) ([]advice.Ticket, error) {
+	p.mu.Lock()
+	target := p.chosen[o.Stage]
+	delete(p.chosen, o.Stage)
+	p.mu.Unlock()
+	tickets, err := p.askAt(ctx, target.Instance, o)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.lane(target.Name)
+	l.calls--
 	if err != nil {
+		l.avoid = time.Now().Add(avoidPeer)
 		return nil, fmt.Errorf("advice through %s: %w", target.Name, err)
 	}
 	return tickets, nil
 }
 
-func (p *AdvicePool) askAt(ctx context.Context, target Instance, o cell.AdviceOrder, cost time.Duration) ([]advice.Ticket, error) {
-	// The backlog of the chosen lane is part of ctx's limit; a peer that died is
-	// noticed sooner by this one.
-	callCtx, cancel := context.WithTimeout(ctx, 2*cost+time.Second)
-	defer cancel()
+func (p *AdvicePool) askAt(ctx context.Context, target Instance, o cell.AdviceOrder) ([]advice.Ticket, error) {
 	if target.Name == p.directory.Self().Name {
-		return p.local.Ask(callCtx, o.Stage.String(), o.Workers)
+		return p.local.Ask(ctx, o.Stage.String(), o.Workers)
 	}
-	reply, err := p.clients.To(target.Address).Advise(callCtx, &cellpb.AdviseRequest{Stage: o.Stage.String(), Workers: o.Workers})
+	reply, err := p.clients.To(target.Address).Advise(ctx, &cellpb.AdviseRequest{Stage: o.Stage.String(), Workers: o.Workers})
 	if err != nil {
 		p.clients.Distrust(target.Address)
 		return nil, err
@@ -87,40 +145,27 @@
 	return tickets, nil
 }
 
-// choose returns the instance with the least under way and books the call.
-func (p *AdvicePool) choose(cost time.Duration, now time.Time) Instance {
-	all := append(p.directory.Others(), p.directory.Self())
-	sort.Slice(all, func(a, b int) bool { return all[a].Name < all[b].Name })
-	if quick := int(quickShare * float64(len(all))); cost >= slowCall && quick < len(all) {
-		all = all[quick:]
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	best := -1
-	for i, instance := range all {
-		if now.Before(p.lane(instance.Name).avoid) {
-			continue
-		}
-		if best < 0 || p.lane(instance.Name).backlog < p.lane(all[best].Name).backlog {
-			best = i
+// instances returns all instances in order of their names, with their lanes.
+func (p *AdvicePool) instances() []laneInstance {
+	others := p.directory.Others()
+	self := p.directory.Self()
+	all := make([]laneInstance, 0, len(others)+1)
+	placed := false
+	for _, other := range others {
+		if !placed && self.Name < other.Name {
+			all = append(all, laneInstance{Instance: self})
+			placed = true
 		}
+		all = append(all, laneInstance{Instance: other})
 	}
-	chosen := p.directory.Self()
-	if best >= 0 {
-		chosen = all[best]
+	if !placed {
+		all = append(all, laneInstance{Instance: self})
 	}
-	p.lane(chosen.Name).backlog += cost
-	return chosen
-}
-
-func (p *AdvicePool) release(name string, cost time.Duration, err error, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l := p.lane(name)
-	l.backlog -= cost
-	if err != nil {
-		l.avoid = now.Add(avoidPeer)
+	quick := int(quickShare * float64(len(all)))
+	for i := range quick {
+		all[i].quickOnly = true
 	}
+	return all
 }
 
 func (p *AdvicePool) lane(name string) *lane {
