--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -22,7 +22,7 @@
 	}
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.How != runner.Done && e.How != runner.Stopped {
-		c.log.WithFields(logrus.Fields{"task": e.Task, "run": e.Run, "worker": w.ID, "how": e.How, "failures": t.failures}).Info("run_ended")
+		c.log.WithFields(logrus.Fields{"task": e.Task, "run": e.Run, "worker": w.ID, "how": e.How, "failures": t.failures()}).Info("run_ended")
 	}
 	switch e.How {
 	case runner.Done:
@@ -74,25 +74,20 @@
 // taskFailed counts a failed run once and gives the job up when its attempts
 // are used up. Tasks that last may fail any number of times.
 func (c *Cell) taskFailed(t *task, w *worker, run uint64, now time.Time) {
-	if run <= t.failedRun {
-		return
-	}
-	c.stats.Failed++
-	w.health.failed(t.stage.id.Job, now)
 	counted := t
 	if t.stage.step.Gang {
+		// A gang fails as a whole, whichever members list it.
 		counted = t.stage.tasks[0]
-		if run <= counted.failedRun {
-			return
-		}
 	}
-	counted.failures++
-	counted.failedRun = run
-	t.failedRun = run
+	if !counted.countFailure(run) {
+		return
+	}
+	c.stats.Failed++
+	w.health.failed(t.stage.id.Job, now)
 	t.failedOn = w.ID
 	j := t.stage.job
-	if j.final == "" && !t.stage.step.LongRunning && counted.failures >= max(1, j.record.MaxAttempts) {
-		c.log.WithFields(logrus.Fields{"job": j.record.ID, "task": t.id().String(), "failures": counted.failures}).Info("job_out_of_attempts")
+	if j.final == "" && !t.stage.step.LongRunning && counted.failures() >= max(1, j.record.MaxAttempts) {
+		c.log.WithFields(logrus.Fields{"job": j.record.ID, "task": t.id().String(), "failures": counted.failures()}).Info("job_out_of_attempts")
 		c.end(j, job.Failed, now)
 	}
 }
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -27,9 +27,9 @@
 			p.SetDone(t.index)
 			continue
 		}
-		if t.failures > 0 || t.saved != "" || t.lastRun > 0 {
-			p.Tasks = append(p.Tasks, job.TaskProgress{Index: t.index, Failures: t.failures,
-				FailedRun: t.failedRun, LastRun: t.lastRun, Saved: t.saved})
+		if len(t.failedRuns) > 0 || t.saved != "" || t.lastRun > 0 {
+			p.Tasks = append(p.Tasks, job.TaskProgress{Index: t.index, FailedRuns: t.failedRuns,
+				LastRun: t.lastRun, Saved: t.saved})
 		}
 	}
 	return p, len(p.Done) > 0 || len(p.Tasks) > 0
@@ -64,8 +64,7 @@
 			continue
 		}
 		t := s.tasks[kept.Index]
-		t.failures = kept.Failures
-		t.failedRun = kept.FailedRun
+		t.failedRuns = kept.FailedRuns
 		t.lastRun = kept.LastRun
 		t.saved = kept.Saved
 	}
--- /dev/null
+++ b/internal/cell/recover_test.go
@@ -0,0 +1,94 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// Symptom: a task was started a fourth time although its queue allows three
+// failed runs.
+// Sequence: runs 1 and 2 of a task fail on workers B and A; the owner dies
+// before it stores either end. The new owner hears A first, which lists run 2,
+// and then B, which lists run 1.
+// Cause: only failures with a higher run than the last counted one were counted,
+// so the failure of run 1 was lost.
+func TestFailuresHeardOutOfOrderAllCount(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	r := s.record(1, step(1))
+	s.cell.Load(r, nil, 0)
+	task := r.ID + ".0.0.0"
+	s.end("a", task, 2, runner.FailedRun)
+	s.end("b", task, 1, runner.FailedRun)
+	s.report("a")
+	s.report("b")
+	third, ok := s.plan()[task]
+	if !ok {
+		t.Fatal("the third run was not started")
+	}
+	s.confirm(third)
+	s.finish(third, runner.FailedRun)
+	s.report(third.Worker.ID)
+	if again, ok := s.plan()[task]; ok {
+		t.Fatalf("run %d was started after three failed runs", again.Start.Run)
+	}
+	s.commit()
+	if state, _ := s.cell.State(r.ID); state != job.Failed {
+		t.Errorf("state is %q, want failed", state)
+	}
+}
+
+// Symptom: a task failed once and counted twice.
+// Sequence: the owner stores the failure and dies before it acknowledges the
+// end; the worker still lists it to the new owner.
+// Cause: an end that was counted by the earlier owner looks new.
+func TestFailureStoredByAnEarlierOwnerCountsOnce(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	r := s.record(1, step(1))
+	s.cell.Add(r)
+	s.report("a")
+	first := s.plan()[r.ID+".0.0.0"]
+	s.confirm(first)
+	s.finish(first, runner.FailedRun)
+	s.report("a")
+	commit := s.cell.NextCommit(1)
+
+	next := newSite(t, 2, usualWorker("a"))
+	next.ends = s.ends
+	next.cell.Load(r, commit.Items[0].Progress, 7)
+	next.report("a")
+	if got := next.cell.jobs[r.ID].stages[0].tasks[0].failures(); got != 1 {
+		t.Errorf("%d failures are counted, want 1", got)
+	}
+}
+
+// Symptom: a task ran on two workers at once after a take-over.
+// Sequence: the old owner starts a task on B and dies. B cannot be reached by
+// the new owner, which sees the task on no worker.
+// Cause: the new owner took a task that no worker reported as not started.
+func TestTasksOfOlderJobsWaitForSilentWorkers(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	older := s.record(1, step(1))
+	s.cell.Load(older, nil, 0)
+	s.report("a")
+	if len(s.plan()) != 0 {
+		t.Fatal("a task of an older job was started while a worker had not reported")
+	}
+	newer := s.record(2, step(1))
+	s.cell.Add(newer)
+	if _, ok := s.plan()[newer.ID+".0.0.0"]; !ok {
+		t.Fatal("a job of this owner's own time was held back, too")
+	}
+	s.pass(s.cell.unseenLimit() - 100*time.Millisecond)
+	s.report("a")
+	if _, ok := s.plan()[older.ID+".0.0.0"]; ok {
+		t.Fatal("a task of an older job was started before the silent worker's lease must have ended")
+	}
+	s.pass(200 * time.Millisecond)
+	s.report("a")
+	if _, ok := s.plan()[older.ID+".0.0.0"]; !ok {
+		t.Error("a task of an older job was not started although no lease can be left")
+	}
+}
--- /dev/null
+++ b/internal/cell/site_test.go
@@ -0,0 +1,140 @@
+package cell
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/advice"
+	"gentianstand/internal/job"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// site drives a cell by hand: it plays the workers, the adviser, the store and
+// the clock, each only when a test says so.
+type site struct {
+	t     *testing.T
+	cell  *Cell
+	now   time.Time
+	clock map[string]time.Duration
+	ends  map[string][]runner.End
+	runs  map[string][]runner.RunState
+	// slots is what Plan is told.
+	slots AdviceSlots
+	// orders are those of the last plan.
+	orders []Order
+}
+
+var siteStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newSite(t *testing.T, term uint64, workers ...roster.Worker) *site {
+	s := &site{t: t, now: siteStart, clock: map[string]time.Duration{}, ends: map[string][]runner.End{},
+		runs: map[string][]runner.RunState{}, slots: AdviceSlots{Quick: 2, Any: 4}}
+	s.cell = New(Settings{Term: term, Lease: 3500 * time.Millisecond, MaxLease: 6 * time.Second, StopGrace: 900 * time.Millisecond, FarFactor: 3},
+		s.now, quietLog())
+	s.cell.SetRoster(workers, s.now)
+	return s
+}
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// usualWorker has 16 cores and 32 GiB.
+func usualWorker(id string) roster.Worker {
+	return roster.Worker{ID: id, Address: id + ":1", Service: "desk", Capacity: resource.Amount{MilliCPU: 16000, MemoryMiB: 32768}, Labels: []string{"a", "r1"}, Rack: "r1"}
+}
+
+// record returns a job with steps on the usual queue.
+func (s *site) record(n int, steps ...job.Step) *job.Record {
+	return &job.Record{ID: fmt.Sprintf("%016x", n), Queue: "q", Service: "desk", MaxAttempts: 3, Stretch: 2,
+		Target: time.Second, AcceptedAt: s.now, Steps: steps}
+}
+
+// step returns a step of tasks with one core each.
+func step(count int) job.Step {
+	return job.Step{Count: count, Need: resource.Amount{MilliCPU: 1000, MemoryMiB: 100}, Estimate: time.Second}
+}
+
+func (s *site) pass(d time.Duration) { s.now = s.now.Add(d) }
+
+// report has a worker answer a look with what the test put into runs and ends.
+func (s *site) report(id string) {
+	s.t.Helper()
+	sentAt := s.now
+	_, look, ok := s.cell.NextLook(id, sentAt)
+	if !ok {
+		s.t.Fatalf("worker %s is not known", id)
+	}
+	var left []runner.End
+	for _, e := range s.ends[id] {
+		if e.Sequence > look.Acknowledged {
+			left = append(left, e)
+		}
+	}
+	s.ends[id] = left
+	s.pass(time.Millisecond)
+	clock := s.now.Sub(siteStart) + time.Hour
+	s.cell.Reported(id, runner.Report{Clock: clock, Running: s.runs[id], Ended: left}, sentAt, s.now)
+}
+
+// plan plans and returns the start orders by task name.
+func (s *site) plan() map[string]StartOrder {
+	s.orders = s.cell.Plan(s.now, s.slots)
+	starts := map[string]StartOrder{}
+	for _, o := range s.orders {
+		if start, ok := o.(StartOrder); ok {
+			starts[start.Start.Task] = start
+		}
+	}
+	return starts
+}
+
+// confirm answers a start and has the worker report the run.
+func (s *site) confirm(o StartOrder) {
+	s.cell.StartAnswered(o, runner.Answer{}, nil, s.now)
+	s.runs[o.Worker.ID] = append(s.runs[o.Worker.ID], runner.RunState{Task: o.Start.Task, Run: o.Start.Run, Percent: 1})
+}
+
+// finish ends a run on its worker.
+func (s *site) finish(o StartOrder, how runner.EndKind) {
+	s.end(o.Worker.ID, o.Start.Task, o.Start.Run, how)
+}
+
+func (s *site) end(worker, task string, run uint64, how runner.EndKind) {
+	var left []runner.RunState
+	for _, r := range s.runs[worker] {
+		if r.Task != task || r.Run != run {
+			left = append(left, r)
+		}
+	}
+	s.runs[worker] = left
+	s.ends[worker] = append(s.ends[worker], runner.End{Sequence: uint64(len(s.ends[worker]) + 1), Task: task, Run: run, How: how})
+}
+
+// commit stores everything that is dirty.
+func (s *site) commit() {
+	for commit := s.cell.NextCommit(40); commit != nil; commit = s.cell.NextCommit(40) {
+		s.cell.Committed(commit, 7)
+	}
+}
+
+// advise answers every question of the last plan with tickets for the workers.
+func (s *site) advise(good ...string) {
+	for _, o := range s.orders {
+		if ask, ok := o.(AdviceOrder); ok {
+			var tickets []advice.Ticket
+			for _, id := range good {
+				tickets = append(tickets, advice.Ticket{Worker: id, Text: "ticket-" + id})
+			}
+			s.cell.Advised(ask.Stage, ask.Workers, tickets, nil, s.now)
+		}
+	}
+}
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -1,6 +1,10 @@
 package cell
 
-import "gentianstand/internal/job"
+import (
+	"slices"
+
+	"gentianstand/internal/job"
+)
 
 // task is one task of a stage.
 type task struct {
@@ -8,11 +12,12 @@
 	index int
 	done  bool
 	// attempts are its runs: at most one, but for copies that may run twice.
-	attempts  []*attempt
-	failures  int
-	failedRun uint64
-	lastRun   uint64
-	saved     string
+	attempts []*attempt
+	// failedRuns are the runs that ended as failed, each counted once. A new owner
+	// hears of them in any order, and of some again.
+	failedRuns []uint64
+	lastRun    uint64
+	saved      string
 	// failedOn is the worker of the last failed run, avoided for the next one.
 	failedOn string
 }
@@ -32,6 +37,17 @@
 	return nil
 }
 
+// countFailure counts a failed run and reports whether it is new.
+func (t *task) countFailure(run uint64) bool {
+	if slices.Contains(t.failedRuns, run) {
+		return false
+	}
+	t.failedRuns = append(t.failedRuns, run)
+	return true
+}
+
+func (t *task) failures() int { return len(t.failedRuns) }
+
 // nextRun returns a run number higher than any that this or an earlier owner
 // can have ordered.
 func (t *task) nextRun(term uint64) uint64 {
--- a/internal/job/task_progress.go
+++ b/internal/job/task_progress.go
@@ -3,11 +3,9 @@
 // TaskProgress is the kept part of one unfinished task.
 type TaskProgress struct {
 	Index int `cbor:"1,keyasint,omitempty"`
-	// Failures counts runs that ended as failed.
-	Failures int `cbor:"2,keyasint,omitempty"`
-	// FailedRun is the highest run counted in Failures. A worker lists an end
-	// until it is acknowledged, so a new owner may see a counted one again.
-	FailedRun uint64 `cbor:"3,keyasint,omitempty"`
+	// FailedRuns are the runs that ended as failed. A worker lists an end until it
+	// is acknowledged, so a new owner may see a counted one again.
+	FailedRuns []uint64 `cbor:"2,keyasint,omitempty"`
 	// LastRun is the highest run that was ordered.
 	LastRun uint64 `cbor:"4,keyasint,omitempty"`
 	// Saved is the last checkpoint, or empty.
