Records of jobs are spread over 32 partitions of the store

Cause: a partition applies its transactions one after the other; in an outage that makes the store 60 times slower one does five a second and refuses the rest, so submissions were refused for six seconds.

--- a/internal/celljobs/doc.go
+++ b/internal/celljobs/doc.go
@@ -1,10 +1,25 @@
 // Package celljobs keeps the jobs of a cell in the store. The accepting
 // instance writes a job's record once, a cancellation is a row beside it, and
-// the cell's owner rewrites the progress. All are in the cell's partition, so
-// that the owner's writes can demand that its ownership still holds.
+// the cell's owner rewrites the progress.
+//
+// Progress is in the cell's own partition, beside the claim, so that the owner's
+// writes can demand that its ownership still holds; it has one writer, which
+// stores many jobs at once. Records have many writers and are spread over
+// jobPartitions others.
 package celljobs
 
-import "strings"
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+)
+
+// jobPartitions is over how many partitions records are spread. A partition
+// applies its transactions one after the other, 3 ms each; a store that is 60
+// times slower does 5 a second, and refuses what would wait for more than a
+// second. 32 carry 170 submissions a second then, and are read in about four
+// rounds at a take-over.
+const jobPartitions = 32
 
 // The tables, and the keys in the table of jobs.
 const (
@@ -14,6 +29,15 @@
 	cancelPrefix  = "cancel/"
 )
 
+// recordPartition returns the partition of a job's record and cancellation.
+func recordPartition(cell, id string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash never fails
+	return partitionName(cell, int(h.Sum32()%jobPartitions))
+}
+
+func partitionName(cell string, n int) string { return fmt.Sprintf("%s/%02d", cell, n) }
+
 // JobKey returns the key of a job's record.
 func JobKey(id string) string { return jobPrefix + id }
 
--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"gentianstand/internal/job"
@@ -20,15 +21,21 @@
 
 // Jobs writes and reads the jobs of one cell.
 type Jobs struct {
-	store     store.Store
-	partition string
+	store store.Store
+	cell  string
 }
 
-// New returns the jobs of a partition.
-func New(s store.Store, partition string) *Jobs { return &Jobs{store: s, partition: partition} }
+// New returns the jobs of a cell.
+func New(s store.Store, cell string) *Jobs { return &Jobs{store: s, cell: cell} }
 
-// Partition returns the name of the cell's partition.
-func (b *Jobs) Partition() string { return b.partition }
+// ProgressPartition returns the partition of progress and of the cell's claim.
+func (b *Jobs) ProgressPartition() string { return b.cell }
+
+// RecordPartition returns the partition of a job's record and cancellation.
+func (b *Jobs) RecordPartition(id string) string { return recordPartition(b.cell, id) }
+
+// Owns reports whether a partition holds records of this cell.
+func (b *Jobs) Owns(partition string) bool { return strings.HasPrefix(partition, b.cell+"/") }
 
 // Create stores a record. A record that is already there counts as stored, so a
 // submission may be repeated. It returns store.ErrUnavailable only if no
@@ -39,7 +46,7 @@
 		return err
 	}
 	tx := store.Tx{
-		Partition: b.partition,
+		Partition: b.RecordPartition(r.ID),
 		Checks:    []store.Check{{Table: TableJobs, Key: JobKey(r.ID)}},
 		Puts:      []store.Put{{Table: TableJobs, Key: JobKey(r.ID), Value: value}},
 	}
@@ -61,7 +68,7 @@
 		}
 	}
 	err := b.settle(ctx, store.Tx{
-		Partition: b.partition,
+		Partition: b.RecordPartition(id),
 		Puts:      []store.Put{{Table: TableJobs, Key: CancelKey(id), Value: []byte{1}}},
 	})
 	return true, err
@@ -74,7 +81,7 @@
 		return false, err
 	}
 	err = b.settle(ctx, store.Tx{
-		Partition: b.partition,
+		Partition: b.RecordPartition(id),
 		Checks:    []store.Check{{Table: TableJobs, Key: JobKey(id)}},
 		Puts:      []store.Put{{Table: TableJobs, Key: JobKey(id), Value: value}},
 	})
@@ -116,7 +123,7 @@
 
 // State reads the state of a job; ok is false if it was never accepted.
 func (b *Jobs) State(ctx context.Context, id string) (state job.State, ok bool, err error) {
-	record, err := b.store.Get(ctx, TableJobs, b.partition, JobKey(id))
+	record, err := b.store.Get(ctx, TableJobs, b.RecordPartition(id), JobKey(id))
 	if err != nil || record.Version == 0 {
 		return "", false, err
 	}
@@ -127,11 +134,11 @@
 	if r.Withdrawn {
 		return "", false, nil
 	}
-	cancel, err := b.store.Get(ctx, TableJobs, b.partition, CancelKey(id))
+	cancel, err := b.store.Get(ctx, TableJobs, b.RecordPartition(id), CancelKey(id))
 	if err != nil {
 		return "", false, err
 	}
-	row, err := b.store.Get(ctx, TableProgress, b.partition, id)
+	row, err := b.store.Get(ctx, TableProgress, b.cell, id)
 	if err != nil {
 		return "", false, err
 	}
--- /dev/null
+++ b/internal/celljobs/read.go
@@ -0,0 +1,56 @@
+package celljobs
+
+import (
+	"context"
+	"sync"
+
+	"gentianstand/internal/store"
+)
+
+// readers is how many partitions are read at the same time: all instances
+// together may make some thousand reads a second, and a read takes 4 ms.
+const readers = 8
+
+// Records reads all records and cancellations of the cell, and the version from
+// which a feed of the table of jobs misses nothing.
+func (b *Jobs) Records(ctx context.Context) ([]store.Row, uint64, error) {
+	results := make([]partitionRead, jobPartitions)
+	next := make(chan int, jobPartitions)
+	for n := range jobPartitions {
+		next <- n
+	}
+	close(next)
+	var wg sync.WaitGroup
+	for range readers {
+		wg.Go(func() {
+			for n := range next {
+				r := &results[n]
+				r.rows, r.version, r.err = store.ReadAll(ctx, b.store, TableJobs, partitionName(b.cell, n))
+			}
+		})
+	}
+	wg.Wait()
+	return joinReads(results)
+}
+
+// partitionRead is what one partition held.
+type partitionRead struct {
+	rows    []store.Row
+	version uint64
+	err     error
+}
+
+// joinReads returns all rows and the lowest version, at which no partition had
+// been read yet.
+func joinReads(results []partitionRead) ([]store.Row, uint64, error) {
+	var rows []store.Row
+	version := results[0].version
+	for _, r := range results {
+		if r.err != nil {
+			return nil, 0, r.err
+		}
+		rows = append(rows, r.rows...)
+		version = min(version, r.version)
+	}
+	return rows, version, nil
+}
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -90,6 +90,10 @@
 		known = l.known
 		l.mu.Unlock()
 	}
+	if known.Term > term {
+		// Somebody has taken over already, which is what the caller wants.
+		return true
+	}
 	if known.Term != term || known.Holder != from {
 		return false
 	}
--- a/internal/cellowner/commit_loop.go
+++ b/internal/cellowner/commit_loop.go
@@ -101,7 +101,7 @@
 }
 
 func (o *Owner) transaction(commit *cell.Commit) (store.Tx, error) {
-	tx := store.Tx{Partition: o.deps.Jobs.Partition(), Checks: []store.Check{o.claim}}
+	tx := store.Tx{Partition: o.deps.Jobs.ProgressPartition(), Checks: []store.Check{o.claim}}
 	for _, item := range commit.Items {
 		value, err := job.EncodeProgress(item.Progress)
 		if err != nil {
@@ -147,16 +147,29 @@
 	if len(ids) == 0 {
 		return
 	}
-	tx := store.Tx{Partition: o.deps.Jobs.Partition(), Checks: []store.Check{o.claim}}
+	progress := store.Tx{Partition: o.deps.Jobs.ProgressPartition(), Checks: []store.Check{o.claim}}
 	for _, id := range ids {
-		tx.Removals = append(tx.Removals, store.RowKey{Table: celljobs.TableJobs, Key: celljobs.JobKey(id)},
-			store.RowKey{Table: celljobs.TableJobs, Key: celljobs.CancelKey(id)},
-			store.RowKey{Table: celljobs.TableProgress, Key: id})
+		progress.Removals = append(progress.Removals, store.RowKey{Table: celljobs.TableProgress, Key: id})
 	}
+	for _, id := range ids {
+		// The record goes first: progress without a record is harmless, a record
+		// without progress would be a job that has yet to run.
+		if !o.remove(ctx, store.Tx{Partition: o.deps.Jobs.RecordPartition(id), Removals: []store.RowKey{
+			{Table: celljobs.TableJobs, Key: celljobs.JobKey(id)}, {Table: celljobs.TableJobs, Key: celljobs.CancelKey(id)}}}) {
+			return
+		}
+	}
+	o.remove(ctx, progress)
+}
+
+// remove commits a removal. What it fails to remove is read again by the next
+// owner, which removes it then.
+func (o *Owner) remove(ctx context.Context, tx store.Tx) bool {
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if _, err := o.deps.Store.Commit(callCtx, tx); err != nil {
-		// They are read again by the next owner, which removes them then.
-		o.deps.Log.WithField("jobs", len(ids)).WithError(err).Info("expired_jobs_not_removed")
+	_, err := o.deps.Store.Commit(callCtx, tx)
+	if err != nil {
+		o.deps.Log.WithField("partition", tx.Partition).WithError(err).Info("expired_job_not_removed")
 	}
+	return err == nil
 }
--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -20,6 +20,8 @@
 	rosterPeriod = 400 * time.Millisecond
 	// readTimeout bounds one read; a slow store needs some 250 ms.
 	readTimeout = time.Second
+	// reloadTimeout bounds a read of all jobs, some four rounds of reads.
+	reloadTimeout = 4 * readTimeout
 )
 
 // followJobs takes in jobs and cancellations from the store.
@@ -41,9 +43,9 @@
 }
 
 func (o *Owner) reloadJobs(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, 2*readTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, reloadTimeout)
 	defer cancel()
-	rows, version, err := store.ReadAll(callCtx, o.deps.Store, celljobs.TableJobs, o.deps.Jobs.Partition())
+	rows, version, err := o.deps.Jobs.Records(callCtx)
 	if err != nil {
 		o.deps.Log.WithError(err).Info("jobs_not_reloaded")
 		return
@@ -56,7 +58,7 @@
 func (o *Owner) news(rows []store.Row) {
 	for _, row := range rows {
 		id, cancel, ok := celljobs.ParseKey(row.Key)
-		if !ok || row.Removed || row.Partition != o.deps.Jobs.Partition() {
+		if !ok || row.Removed || !o.deps.Jobs.Owns(row.Partition) {
 			continue
 		}
 		if cancel {
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -66,11 +66,11 @@
 // load reads everything that must last. The feeds resume from before the reads,
 // so nothing that is written meanwhile is missed.
 func (o *Owner) load(ctx context.Context) error {
-	progress, _, err := store.ReadAll(ctx, o.deps.Store, celljobs.TableProgress, o.deps.Jobs.Partition())
+	progress, _, err := store.ReadAll(ctx, o.deps.Store, celljobs.TableProgress, o.deps.Jobs.ProgressPartition())
 	if err != nil {
 		return fmt.Errorf("read progress: %w", err)
 	}
-	rows, version, err := store.ReadAll(ctx, o.deps.Store, celljobs.TableJobs, o.deps.Jobs.Partition())
+	rows, version, err := o.deps.Jobs.Records(ctx)
 	if err != nil {
 		return fmt.Errorf("read jobs: %w", err)
 	}
@@ -166,4 +166,3 @@
 		return true
 	}
 }
-
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -15,8 +15,8 @@
 
 	"gentianstand/internal/catalog"
 	"gentianstand/internal/cell"
-	"gentianstand/internal/cellleader"
 	"gentianstand/internal/celljobs"
+	"gentianstand/internal/cellleader"
 	"gentianstand/internal/cellowner"
 	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/intake"
