A take-over waits for the lease that owners grant, and only where it must

Cause 1: beside a silent worker a new owner held all older tasks back for the platform's longest lease (10 s) and 1.5 s; owners grant 3.5 s, and an owner whose process ended extends none. Stages whose predecessors were seen to end under the new owner, and steps that may run twice, are not held back at all. The first stages in order keep tickets for full workers, too, and renew them.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -13,18 +12,29 @@
 	// advisedWorkers is the size of a usual call for advice, which the platform
 	// counts into the ideal duration of a stage.
 	advisedWorkers = 30
+	// mostAsked bounds one question; the adviser takes at most 100 workers.
+	mostAsked = 60
 	// leastAsked is the smallest first question: with about a third of the
 	// workers allowed, fewer often bring no ticket at all.
 	leastAsked = 8
 	// guessedGood is the assumed share of workers that may run a stage, on the
 	// low side of what queues have shown (0.35 to 0.7).
 	guessedGood = 0.3
+	// wantedRoom is for how many times its idle tasks a stage wants room with
+	// tickets: others take some of the room while the question is under way.
+	wantedRoom = 2.0
 	// adviceRetry is the pause after a call that failed.
 	adviceRetry = 150 * time.Millisecond
 )
 
-// askAdvice asks about workers for the stage's idle tasks, unless a question is
-// under way or the tickets at hand only wait for room.
+// askAdvice asks about workers for the stage's idle tasks.
+//
+// Load pattern: when nearly all workers are full, room opens on one of them
+// every few milliseconds, and a question takes 0.6 s. A stage that asks only
+// when it sees room finds it taken, and a fifth of all processors stood idle
+// while hundreds of tasks waited. The stages that are first in order therefore
+// keep tickets for all workers that may run them, also full ones, and renew
+// them before they expire; as many do as the adviser can serve.
 func (c *Cell) askAdvice(s *stage, room *room, now time.Time) {
 	b := &s.advice
 	if b.asking || now.Before(b.retryAt) {
@@ -40,43 +50,47 @@
 	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Cost: *s.job.record.Advice, Workers: workers, Slow: slow})
 }
 
-// worthAsking returns the workers to ask about: those with room for a task that
-// are known as good but need a new ticket, then unknown ones, emptiest first.
+// worthAsking returns the workers to ask about, or none if the tickets at hand
+// will do: allowed workers whose tickets end before an answer would come, then
+// unknown ones, those with most room first.
 func (c *Cell) worthAsking(s *stage, room *room, now time.Time) []string {
-	var good, unknown []*worker
-	need := s.step.Occupied()
-	if !room.allows(s.job.record.Priority, need.MilliCPU) {
-		return nil
-	}
+	var renew, unknown []*worker
+	ticketed := 0.0
+	answer := now.Add(s.job.record.Advice.Duration(advisedWorkers))
 	for _, w := range room.usable {
-		if !c.eligible(s, w) || !need.Fits(w.free()) {
+		if !c.eligible(s, w) || !s.step.Occupied().Fits(w.Capacity) {
 			continue
 		}
 		v, known := s.advice.verdicts[w.ID]
 		switch {
 		case !known:
 			unknown = append(unknown, w)
-		case v.good && !now.Before(v.until):
-			good = append(good, w)
+		case v.good && answer.After(v.until):
+			renew = append(renew, w)
+		case v.good:
+			ticketed += c.takes(s, w)
 		}
 	}
-	emptiestFirst(good, s)
+	wanted := wantedRoom*float64(len(s.idle)) - ticketed
+	if wanted <= 0 {
+		return nil
+	}
+	emptiestFirst(renew, s)
 	emptiestFirst(unknown, s)
-	tasks := float64(len(s.idle))
 	var ids []string
-	for _, w := range good {
-		if tasks <= 0 {
-			break
+	for _, w := range renew {
+		if len(ids) == mostAsked || wanted <= 0 {
+			return ids
 		}
 		ids = append(ids, w.ID)
-		tasks -= c.takes(s, w)
+		wanted -= c.takes(s, w)
 	}
 	for _, w := range unknown {
-		if (tasks <= 0 && len(ids) >= leastAsked) || len(ids) >= advisedWorkers {
-			break
+		if len(ids) == mostAsked || (wanted <= 0 && len(ids) >= leastAsked) {
+			return ids
 		}
 		ids = append(ids, w.ID)
-		tasks -= c.takes(s, w) * guessedGood
+		wanted -= c.takes(s, w) * guessedGood
 	}
 	return ids
 }
@@ -87,8 +101,7 @@
 	if s.step.MaxPerWorker > 0 {
 		n = min(n, int64(s.step.MaxPerWorker-s.perWorker[w]))
 	}
-	// Others take room while the question is under way.
-	return math.Ceil(float64(n) / 2)
+	return float64(n)
 }
 
 func emptiestFirst(list []*worker, s *stage) {
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,6 +27,9 @@
 	}
 	switch e.How {
 	case runner.Done:
+		if a != nil {
+			t.stage.markSuccessors()
+		}
 		c.taskDone(t, w, now)
 	case runner.FailedRun:
 		c.taskFailed(t, w, e.Run, now)
@@ -40,6 +44,16 @@
 	c.finish(t.stage.job, now)
 }
 
+// markSuccessors notes that the stages after s were not started before now: one
+// of its runs was seen under this owner and has only now ended.
+func (s *stage) markSuccessors() {
+	for _, next := range s.job.stages {
+		if slices.Contains(next.after, s) {
+			next.fresh = true
+		}
+	}
+}
+
 // taskDone books a success. One end of a gang's member stands for all.
 func (c *Cell) taskDone(t *task, w *worker, now time.Time) {
 	w.health.succeeded()
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -16,10 +16,15 @@
 }
 
 // unseenLimit is how long runs of an earlier owner may go on where this one
-// cannot see them: the earlier owner may extend leases for overtakenFor after
-// it lost its ownership, and the worker's clock may be slow.
+// cannot see them: every owner grants the same lease, the worker's clock may be
+// slow, and an earlier owner that still lives may extend leases for overtakenFor
+// after it lost its ownership.
 func (c *Cell) unseenLimit() time.Duration {
-	return overtakenFor + time.Duration(float64(c.settings.MaxLease)*(1+clockDrift)) + lapseMargin
+	limit := time.Duration(float64(c.settings.Lease)*(1+clockDrift)) + guessError + lapseMargin
+	if c.settings.EarlierStopped {
+		return limit
+	}
+	return limit + overtakenFor
 }
 
 func (c *Cell) allReported() bool {
@@ -34,6 +39,10 @@
 	return true
 }
 
-// heldBack reports whether a stage's tasks may run unseen under an earlier
-// owner. Jobs accepted under this owner cannot.
-func (c *Cell) heldBack(s *stage) bool { return c.recovering && s.job.inherited }
+// heldBack reports whether a stage's tasks may run unseen under an earlier owner
+// where that would do harm. Jobs accepted under this owner cannot, nor can a
+// stage whose predecessors were seen to end under this owner, and some stages
+// may run twice.
+func (c *Cell) heldBack(s *stage) bool {
+	return c.recovering && s.job.inherited && !s.fresh && !s.step.AllowDuplicates
+}
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -92,3 +92,25 @@
 		t.Error("a task of an older job was not started although no lease can be left")
 	}
 }
+
+// Symptom: after a take-over beside a lost worker, all jobs stood still until
+// the longest possible lease had passed, although most had tasks at work.
+// Sequence: the owner dies while a step's first tasks run on A; B is lost at the
+// same time. The first step ends on A.
+// Cause: the second step was held back like one that may run unseen on B, but
+// the first step's run was seen after the take-over, so it cannot have begun.
+func TestStageAfterAVisibleRunIsNotHeldBack(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	second := step(1)
+	second.After = []int{0}
+	r := s.record(1, step(1), second)
+	s.cell.Load(r, nil, 0)
+	first := r.ID + ".0.0.0"
+	s.runs["a"] = []runner.RunState{{Task: first, Run: 1, Percent: 10}}
+	s.report("a")
+	s.end("a", first, 1, runner.Done)
+	s.report("a")
+	if _, ok := s.plan()[r.ID+".0.1.0"]; !ok {
+		t.Error("the second step waits for a worker that cannot run it")
+	}
+}
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -9,8 +9,9 @@
 	Term uint64
 	// Lease is how far a worker's lease is extended with each look.
 	Lease time.Duration
-	// MaxLease is the longest lease a worker grants, whatever is asked.
-	MaxLease time.Duration
+	// EarlierStopped says that the earlier owner is known to extend no lease any
+	// more, because its process ended or it gave the cell up.
+	EarlierStopped bool
 	// StopGrace is the longest time a stop may take on the worker.
 	StopGrace time.Duration
 	// FarFactor times a task's duration away from its data or its gang's rack.
@@ -26,6 +27,9 @@
 	// lapseMargin is added when a lease is taken as over, for rounding to whole
 	// milliseconds and late timers.
 	lapseMargin = 50 * time.Millisecond
+	// guessError is how much later than meant a lease can end because an earlier
+	// owner guessed the worker's clock from an old report.
+	guessError = 150 * time.Millisecond
 	// overtakenFor is how long an overtaken owner may go on extending leases: it
 	// stops when nobody confirmed its ownership for this long.
 	overtakenFor = 1500 * time.Millisecond
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -22,6 +22,8 @@
 	// perWorker counts runs on each worker, for limits per worker.
 	perWorker map[*worker]int
 	advice    adviceBook
+	// fresh says that no earlier owner can have started the stage.
+	fresh bool
 	// preempting is how many runs are being stopped to make room for the stage.
 	preempting int
 }
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -1,5 +1,7 @@
 package cell
 
+import "time"
+
 // Stats counts what a cell has decided since it began, for metrics.
 type Stats struct {
 	Starts       uint64
@@ -12,11 +14,14 @@
 	AdviceCalls  uint64
 	ActiveJobs   int
 	Workers      int
+	Usable       int
 	WaitingTasks int
+	// FreeShare is the share of the usable workers' processors that is free.
+	FreeShare float64
 }
 
-// Stats returns the counts so far.
-func (c *Cell) Stats() Stats {
+// Stats returns the counts so far and the state at now.
+func (c *Cell) Stats(now time.Time) Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.stats
@@ -25,5 +30,8 @@
 	for st := range c.waiting {
 		s.WaitingTasks += len(st.idle)
 	}
+	r := c.newRoom(now)
+	s.Usable = len(r.usable)
+	s.FreeShare = float64(r.free) / float64(max(1, r.total))
 	return s
 }
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -17,9 +17,9 @@
 	"gentianstand/internal/store"
 )
 
-// NewOwner makes an owner for a term. The row of the claim is checked by all
-// its writes.
-type NewOwner func(term uint64, claim store.Check, l cellowner.Leadership) *cellowner.Owner
+// NewOwner makes an owner for a term. earlierStopped says that the earlier owner
+// gives no orders any more. The row of the claim is checked by all writes.
+type NewOwner func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner
 
 // Leader takes part in the choice of a cell's owner, for one instance.
 type Leader struct {
@@ -105,7 +105,7 @@
 	known := l.known
 	l.mu.Unlock()
 	if l.ownerless(known) {
-		l.contest(ctx, known, "the cell has no owner")
+		l.contest(ctx, known, takeOver{"the cell has no owner", true})
 		return
 	}
 	reply, err := l.ping(ctx, known.Address, known.Term)
@@ -117,7 +117,7 @@
 		l.refresh(ctx)
 	case !reply.Owner:
 		l.setVacant(now)
-		l.contest(ctx, known, "the named owner does not own the cell")
+		l.contest(ctx, known, takeOver{"the named owner does not own the cell", true})
 	default:
 		l.heard(ctx, known, reply, now)
 	}
@@ -142,7 +142,7 @@
 	from := l.storelessFrom
 	l.mu.Unlock()
 	if !from.IsZero() && l.store.Reachable() && now.Sub(from) > storelessLimit+l.delay(known.Term) {
-		l.take(ctx, known, "the owner does not reach the store")
+		l.take(ctx, known, takeOver{"the owner does not reach the store", false})
 	}
 }
 
@@ -163,7 +163,7 @@
 	if l.othersHear(ctx, known) {
 		return
 	}
-	l.take(ctx, known, "the owner is silent")
+	l.take(ctx, known, takeOver{"the owner is silent", false})
 }
 
 func (l *Leader) setVacant(now time.Time) {
@@ -175,7 +175,7 @@
 }
 
 // contest takes an ownerless cell over after this instance's delay.
-func (l *Leader) contest(ctx context.Context, known claim, why string) {
+func (l *Leader) contest(ctx context.Context, known claim, why takeOver) {
 	l.mu.Lock()
 	if l.vacantFrom.IsZero() {
 		l.vacantFrom = time.Now()
@@ -296,10 +296,10 @@
 }
 
 // take tries to become the owner and reports whether it did.
-func (l *Leader) take(ctx context.Context, known claim, why string) bool {
+func (l *Leader) take(ctx context.Context, known claim, why takeOver) bool {
 	current, err := l.readClaim(ctx)
 	if err != nil {
-		l.log.WithField("why", why).WithError(err).Info("take_over_without_store")
+		l.log.WithField("why", why.reason).WithError(err).Debug("take_over_without_store")
 		return false
 	}
 	if current.version != known.version {
@@ -312,8 +312,8 @@
 	if err != nil {
 		// The write may have taken effect; the next round reads the row and finds
 		// this process in it.
-		l.log.WithField("why", why).WithError(err).Info("take_over_failed")
-		return l.claimedAfterAll(ctx, next)
+		l.log.WithField("why", why.reason).WithError(err).Info("take_over_failed")
+		return l.claimedAfterAll(ctx, next, why)
 	}
 	next.version = version
 	l.begin(next, why)
@@ -335,13 +335,13 @@
 }
 
 // claimedAfterAll looks whether a write without an answer took effect.
-func (l *Leader) claimedAfterAll(ctx context.Context, next claim) bool {
+func (l *Leader) claimedAfterAll(ctx context.Context, next claim, why takeOver) bool {
 	c, err := l.readClaim(ctx)
 	if err != nil {
 		return false
 	}
 	if c.Term == next.Term && c.Incarnation == next.Incarnation {
-		l.begin(c, "the store had taken the claim")
+		l.begin(c, why)
 		return true
 	}
 	l.learn(c)
@@ -349,7 +349,7 @@
 }
 
 // begin starts this instance's term.
-func (l *Leader) begin(c claim, why string) {
+func (l *Leader) begin(c claim, why takeOver) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term != nil || l.stopping {
@@ -357,6 +357,6 @@
 	}
 	l.known = c
 	l.vacantFrom = time.Time{}
-	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why}).Info("ownership_taken")
-	l.term = l.newTerm(c)
+	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why.reason}).Info("ownership_taken")
+	l.term = l.newTerm(c, why.earlierStopped)
 }
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -97,7 +97,7 @@
 	if known.Term != term || known.Holder != from {
 		return false
 	}
-	return l.take(ctx, known, "the owner is stopping")
+	return l.take(ctx, known, takeOver{"the owner is stopping", true})
 }
 
 // Ping answers another instance.
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -26,10 +26,10 @@
 }
 
 // newTerm makes and starts an owner for a claim.
-func (l *Leader) newTerm(c claim) *term {
+func (l *Leader) newTerm(c claim, earlierStopped bool) *term {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: time.Now()}
-	t.owner = l.newOwner(c.Term, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
+	t.owner = l.newOwner(c.Term, earlierStopped, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
 	go t.run(ctx)
 	return t
 }
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianstand/internal/cell"
 )
 
@@ -14,18 +17,24 @@
 	// planGap is the least time between two passes, so that news of one moment is
 	// decided on together. At 300 news a second a pass takes in about one.
 	planGap = 3 * time.Millisecond
+	// summaryPeriod is how often the state of the cell is logged.
+	summaryPeriod = 2 * time.Second
 )
 
 // planLoop plans after news, and carries out the orders.
 func (o *Owner) planLoop(ctx context.Context) {
 	ticker := time.NewTicker(planPeriod)
 	defer ticker.Stop()
+	summary := time.NewTicker(summaryPeriod)
+	defer summary.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.kick:
 		case <-ticker.C:
+		case <-summary.C:
+			o.summarize(time.Now())
 		}
 		if o.deps.Leadership.Confirmed() {
 			began := time.Now()
@@ -41,6 +50,15 @@
 	}
 }
 
+// summarize logs the state of the cell, so that an operator sees why work waits.
+func (o *Owner) summarize(now time.Time) {
+	s := o.cell.Stats(now)
+	o.deps.Log.WithFields(logrus.Fields{"jobs": s.ActiveJobs, "waiting_tasks": s.WaitingTasks, "workers": s.Workers,
+		"usable": s.Usable, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
+		"failed": s.Failed, "lost": s.Lost, "stops": s.Stops, "preemptions": s.Preemptions, "moves": s.Moves,
+		"advice_calls": s.AdviceCalls}).Info("cell_state")
+}
+
 // carryOut sends an order without waiting for its answer.
 func (o *Owner) carryOut(ctx context.Context, order cell.Order) {
 	switch order := order.(type) {
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -75,8 +75,8 @@
 
 func newLeader(s Settings, o Outside, d *cellpeer.Directory, c *cellpeer.Clients, w *store.Watched, jobs *celljobs.Jobs, m *cellowner.Metrics, log *logrus.Entry) *cellleader.Leader {
 	advisers := cellpeer.NewAdvicePool(d, c, o.Adviser)
-	newOwner := func(term uint64, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
-		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), MaxLease: s.MaxLease, StopGrace: s.StopGrace,
+	newOwner := func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
+		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), EarlierStopped: earlierStopped, StopGrace: s.StopGrace,
 			FarFactor: s.FarFactor, Early: s.Early}
 		return cellowner.New(settings, claim, cellowner.Deps{
 			Store: w, Jobs: jobs, Roster: o.Roster(w, log), Runner: o.Workers, Advisers: advisers,
