--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -37,6 +37,9 @@
 	// stopSentAt and stopAnsweredAt are zero while there was none.
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
+	// seenStopping says that a report after the stop's answer still showed the
+	// run, so that its end will be listed.
+	seenStopping bool
 	// makesRoomFor is the stage that the run was preempted for, or nil.
 	makesRoomFor *stage
 }
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -28,11 +28,11 @@
 	return w.target, look, true
 }
 
-// unsettled reports whether some run's fate is unknown, so that the next report
-// should come at once.
+// unsettled reports whether the next report should come at once, because a stop
+// was answered and the run may be one that never began and will not be listed.
 func (w *worker) unsettled() bool {
 	for a := range w.attempts {
-		if a.phase == stopping && !a.stopAnsweredAt.IsZero() {
+		if a.phase == stopping && !a.stopAnsweredAt.IsZero() && !a.seenStopping {
 			return true
 		}
 	}
@@ -83,6 +83,7 @@
 		}
 		if a := c.attemptOf(w, r, sentAt, now); a != nil {
 			present[a] = true
+			a.seenStopping = !a.stopAnsweredAt.IsZero() && a.stopAnsweredAt.Before(sentAt)
 			c.progressed(a, r, now)
 		}
 	}
