An instance that knows the store is lost refuses at once

Cause: submissions in an outage were sent to a silent store and ended with an open outcome (504), after which a caller cannot try an unsafe request again. Nothing is sent now once a call is 600 ms overdue, so the refusal is true and the caller comes back. Jobs of a reachable peer's store still go through it. Also: the return of the store is looked for every 200 ms, and an owner is not overtaken because its store came back a moment later than the peer's.

--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -141,7 +141,7 @@
 	}
 	from := l.storelessFrom
 	l.mu.Unlock()
-	if !from.IsZero() && l.store.Reachable() && now.Sub(from) > storelessLimit+l.delay(known.Term) {
+	if limit := storelessLimit + l.delay(known.Term); !from.IsZero() && now.Sub(from) > limit && l.store.GoodFor(now) > limit {
 		l.take(ctx, known, takeOver{"the owner does not reach the store", false})
 	}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,18 +25,22 @@
 	// tellTimeout bounds news to the owner. News that is lost reaches it through
 	// the store within a second.
 	tellTimeout = time.Second
-	// outageAttempt bounds a write while the store is known not to answer.
-	outageAttempt = 700 * time.Millisecond
 	// answerMargin is kept of a caller's deadline for the way of the answer.
 	answerMargin = 250 * time.Millisecond
-	// outageRetryAfter tells callers when to come back in an outage. Outages last
-	// some seconds; callers that come back together are spread by the jitter that
-	// the adapter of the callers' protocol adds.
-	outageRetryAfter = time.Second
+	// outageRetryAfter tells callers when to come back in an outage, and
+	// longOutageRetryAfter when it has lasted for longOutage: outages last from
+	// two to ten seconds, and a caller tries about five times. Callers that come
+	// back together are spread by the jitter that the adapter adds.
+	outageRetryAfter     = time.Second
+	longOutageRetryAfter = 2 * time.Second
+	longOutage           = 2500 * time.Millisecond
 	// waitingFresh is how old a count of waiting jobs may be.
 	waitingFresh = 1500 * time.Millisecond
 )
 
+// errOutage says that the store serves no instance that this one can reach.
+var errOutage = fmt.Errorf("%w: it serves no instance now", store.ErrUnavailable)
+
 // Leader is what intake asks about the owner of the cell.
 type Leader interface {
 	cellpeer.Owning
@@ -74,7 +79,7 @@
 	if err != nil {
 		i.metrics.SubmitErrors.Inc()
 		i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "took_ms": time.Since(began).Milliseconds()}).WithError(err).Info("job_not_accepted")
-		return storeFault(err)
+		return i.storeFault(err)
 	}
 	i.metrics.Submitted.Inc()
 	i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "took_ms": time.Since(began).Milliseconds()}).Info("job_accepted")
@@ -88,11 +93,9 @@
 		if peer, ok := i.peerWithStore(ctx); ok {
 			return i.createThrough(ctx, peer, r)
 		}
-		// Known to be down: one short attempt decides, so that the caller is
-		// refused at once and not when its deadline is near.
-		short, cancel := context.WithTimeout(ctx, outageAttempt)
-		defer cancel()
-		return i.jobs.Create(short, r)
+		// Nothing was sent, so the caller may be told that the job will never run,
+		// and may try again. After an attempt without an answer it could not.
+		return errOutage
 	}
 	err := i.jobs.Create(ctx, r)
 	if errors.Is(err, store.ErrUnavailable) {
@@ -150,7 +153,7 @@
 	known, err := i.storeCancel(ctx, id, state != "")
 	if err != nil {
 		i.log.WithField("job", id).WithError(err).Info("job_not_cancelled")
-		return false, storeFault(err)
+		return false, i.storeFault(err)
 	}
 	i.log.WithFields(logrus.Fields{"job": id, "known": known}).Info("job_cancelled")
 	if known && !i.leader.Cancelled(id) {
@@ -171,6 +174,7 @@
 			}
 			return reply.Known, nil
 		}
+		return false, errOutage
 	}
 	return i.jobs.Cancel(ctx, id, known)
 }
@@ -183,7 +187,7 @@
 	}
 	state, known, err = i.jobs.State(ctx, id)
 	if err != nil {
-		return "", false, storeFault(err)
+		return "", false, i.storeFault(err)
 	}
 	return state, known, nil
 }
@@ -239,9 +243,13 @@
 }
 
 // storeFault turns a failure of the store into the answer for the caller.
-func storeFault(err error) error {
+func (i *Intake) storeFault(err error) error {
 	if errors.Is(err, store.ErrUnavailable) {
-		return fault.New(fault.PlatformUnavailable, "the job could not be stored: %w", err).WithRetryAfter(outageRetryAfter)
+		after := outageRetryAfter
+		if i.store.LostFor(time.Now()) > longOutage {
+			after = longOutageRetryAfter
+		}
+		return fault.New(fault.PlatformUnavailable, "the store: %w", err).WithRetryAfter(after)
 	}
 	return fault.New(fault.OutcomeUnknown, "the store did not answer in time: %w", err).WithRetryAfter(outageRetryAfter)
 }
--- a/internal/node/catalog_follower.go
+++ b/internal/node/catalog_follower.go
@@ -16,8 +16,11 @@
 	// went silent is noticed after this and a little more, which has to leave time
 	// for a second question within the two seconds that a change may take.
 	catalogWait = time.Second
-	// catalogRetry is the pause after a failure.
-	catalogRetry = 100 * time.Millisecond
+	// catalogRetry is the pause after a failure, and catalogProbe the wait of the
+	// questions until the next answer: callers are refused while the store is
+	// lost, so its return has to be noticed soon.
+	catalogRetry = 200 * time.Millisecond
+	catalogProbe = time.Millisecond
 	catalogRead  = time.Second
 )
 
@@ -51,7 +54,11 @@
 	var err error
 	version := f.version
 	if f.known {
-		next, version, err = f.source.Since(ctx, f.version, catalogWait)
+		wait := catalogWait
+		if f.failing {
+			wait = catalogProbe
+		}
+		next, version, err = f.source.Since(ctx, f.version, wait)
 	} else {
 		callCtx, cancel := context.WithTimeout(ctx, catalogRead)
 		defer cancel()
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -3,61 +3,128 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
-// Watched is a Store that remembers whether its last answered or failed call
-// was answered, so that an instance knows when the store serves others only.
+// overdue is how long a call without a wait of its own may be unanswered before
+// the store counts as lost. It answers in about 5 ms, and in some 250 ms when it
+// is 60 times slower.
+const overdue = 600 * time.Millisecond
+
+// Watched is a Store that remembers how its calls went, so that an instance
+// knows at once when the store does not serve it.
 type Watched struct {
 	Store
-	// badSince is the time of the first failure after the last answer, in
-	// nanoseconds since 1970, or 0.
-	badSince atomic.Int64
+
+	mu sync.Mutex
+	// badSince is when the first call failed after the last answer, or zero.
+	badSince time.Time
+	// goodSince is when the first call was answered after a failure.
+	goodSince time.Time
+	// pending are the starts of the calls under way.
+	pending map[int]time.Time
+	next    int
 }
 
 // NewWatched returns s with its health watched.
-func NewWatched(s Store) *Watched { return &Watched{Store: s} }
+func NewWatched(s Store) *Watched {
+	return &Watched{Store: s, goodSince: time.Now(), pending: map[int]time.Time{}}
+}
+
+// Reachable reports whether the last call was answered and none is overdue.
+func (w *Watched) Reachable() bool { return w.LostFor(time.Now()) == 0 }
+
+// LostFor returns for how long the store has not served this instance, or 0.
+func (w *Watched) LostFor(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.badSince.IsZero() {
+		return max(1, now.Sub(w.badSince))
+	}
+	for _, began := range w.pending {
+		if late := now.Sub(began); late > overdue {
+			return late
+		}
+	}
+	return 0
+}
 
-// Reachable reports whether the last call was answered.
-func (w *Watched) Reachable() bool { return w.badSince.Load() == 0 }
+// GoodFor returns for how long the store has served this instance without a
+// failure, or 0.
+func (w *Watched) GoodFor(now time.Time) time.Duration {
+	if w.LostFor(now) > 0 {
+		return 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.goodSince)
+}
 
 // Commit implements Store.
 func (w *Watched) Commit(ctx context.Context, tx Tx) (uint64, error) {
+	done := w.begin()
 	version, err := w.Store.Commit(ctx, tx)
-	w.note(ctx, err)
+	done(ctx, err)
 	return version, err
 }
 
 // Get implements Store.
 func (w *Watched) Get(ctx context.Context, table, partition, key string) (Row, error) {
+	done := w.begin()
 	row, err := w.Store.Get(ctx, table, partition, key)
-	w.note(ctx, err)
+	done(ctx, err)
 	return row, err
 }
 
 // Read implements Store.
 func (w *Watched) Read(ctx context.Context, table, partition, from string) (Page, error) {
+	done := w.begin()
 	page, err := w.Store.Read(ctx, table, partition, from)
-	w.note(ctx, err)
+	done(ctx, err)
 	return page, err
 }
 
 // Changes implements Store.
 func (w *Watched) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+	if wait > 0 {
+		page, err := w.Store.Changes(ctx, table, after, wait)
+		w.note(ctx, err)
+		return page, err
+	}
+	done := w.begin()
 	page, err := w.Store.Changes(ctx, table, after, wait)
-	w.note(ctx, err)
+	done(ctx, err)
 	return page, err
 }
 
+// begin books a call and returns what to call with its result.
+func (w *Watched) begin() func(context.Context, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := w.next
+	w.next++
+	w.pending[id] = time.Now()
+	return func(ctx context.Context, err error) {
+		w.mu.Lock()
+		delete(w.pending, id)
+		w.mu.Unlock()
+		w.note(ctx, err)
+	}
+}
+
 func (w *Watched) note(ctx context.Context, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknown)
 	switch {
+	case !failed && !w.badSince.IsZero():
+		w.badSince = time.Time{}
+		w.goodSince = time.Now()
 	case !failed:
-		w.badSince.Store(0)
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller gave up; that says nothing about the store.
-	default:
-		w.badSince.CompareAndSwap(0, time.Now().UnixNano())
+	case w.badSince.IsZero():
+		w.badSince = time.Now()
 	}
 }
