--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -23,6 +23,8 @@
 	phase  phase
 	// orderedAt is when the start was sent, or the run was first reported.
 	orderedAt time.Time
+	// fromStart says that the run was started here and without a checkpoint.
+	fromStart bool
 	// confirmedAt is when the worker answered the start.
 	confirmedAt time.Time
 	// percent and changedAt are the last reported progress and when it moved.
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -28,6 +28,7 @@
 	// recovering says that some worker of the time before this ownership has
 	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
 	recovering bool
+	durations  durations
 	stats      Stats
 }
 
@@ -37,6 +38,7 @@
 		settings: s, log: log, began: now, recovering: true,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
+		durations: durations{mean: map[string]time.Duration{}},
 	}
 }
 
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -29,6 +29,7 @@
 	case runner.Done:
 		if a != nil {
 			t.stage.markSuccessors()
+			c.noteDuration(a, now)
 		}
 		c.taskDone(t, w, now)
 	case runner.FailedRun:
@@ -44,6 +45,15 @@
 	c.finish(t.stage.job, now)
 }
 
+// noteDuration learns how long a task took, if the run was seen from its start
+// and did not resume from a checkpoint.
+func (c *Cell) noteDuration(a *attempt, now time.Time) {
+	step := a.task.stage.step
+	if a.fromStart && !step.LongRunning && !step.Gang && !step.Fills {
+		c.durations.add(a.task.stage.job.record.Queue, now.Sub(a.orderedAt))
+	}
+}
+
 // markSuccessors notes that the stages after s were not started before now: one
 // of its runs was seen under this owner and has only now ended.
 func (s *stage) markSuccessors() {
--- a/internal/cell/job_state.go
+++ b/internal/cell/job_state.go
@@ -22,6 +22,8 @@
 	progressVersion uint64
 	// chain is the ideal duration of the longest chain of steps.
 	chain time.Duration
+	// depth is the number of stages on the longest chain.
+	depth int
 }
 
 func newJobState(r *job.Record) *jobState {
@@ -48,9 +50,12 @@
 	for i := len(j.stages) - 1; i >= 0; i-- {
 		s := j.stages[i]
 		s.toEnd += s.ideal()
+		s.depth++
 		j.chain = max(j.chain, s.toEnd)
+		j.depth = max(j.depth, s.depth)
 		for _, before := range s.after {
 			before.toEnd = max(before.toEnd, s.toEnd)
+			before.depth = max(before.depth, s.depth)
 		}
 	}
 }
@@ -80,12 +85,13 @@
 }
 
 // objective returns when the job should be complete.
-func (j *jobState) objective(s *stage) time.Time {
+func (j *jobState) objective(s *stage, d *durations) time.Time {
 	from := j.record.AcceptedAt
 	if due := j.record.DueAt(s.id.Occurrence); due.After(from) {
 		from = due
 	}
-	return from.Add(time.Duration(j.record.Stretch*float64(j.chain)) + j.record.Target)
+	chain := d.generous(j.record.Queue, j.chain, j.depth)
+	return from.Add(time.Duration(j.record.Stretch*float64(chain)) + j.record.Target)
 }
 
 // allDone reports whether every stage is done.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -201,7 +201,7 @@
 
 // start books a run and orders it.
 func (c *Cell) start(t *task, on candidate, run uint64, now time.Time) {
-	a := &attempt{task: t, run: run, worker: on.w, phase: ordered, orderedAt: now, pace: 100}
+	a := &attempt{task: t, run: run, worker: on.w, phase: ordered, orderedAt: now, pace: 100, fromStart: t.saved == ""}
 	t.lastRun = run
 	t.attempts = append(t.attempts, a)
 	t.stage.takeIdle(t.index)
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -49,7 +49,7 @@
 	}
 	entries := make([]entry, 0, len(c.waiting))
 	for s := range c.waiting {
-		start := s.latestStart()
+		start := s.latestStart(&c.durations)
 		entries = append(entries, entry{s, start, start.Before(now)})
 	}
 	sort.Slice(entries, func(i, k int) bool {
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -13,7 +13,7 @@
 	if s.job.record.Priority > 0 || s.step.Gang || len(s.idle) <= s.preempting || s.job.age(now) < preemptAfter {
 		return
 	}
-	if s.latestStart().Before(now.Add(-s.job.objective(s).Sub(s.job.record.AcceptedAt))) {
+	if tooLate := s.job.objective(s, &c.durations).Sub(s.job.record.AcceptedAt); s.latestStart(&c.durations).Add(tooLate).Before(now) {
 		return
 	}
 	wanted := len(s.idle) - s.preempting
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -19,6 +19,8 @@
 	done int
 	// toEnd is the ideal time from the stage's start to the end of the job.
 	toEnd time.Duration
+	// depth is the number of stages on the longest chain to the end of the job.
+	depth int
 	// perWorker counts runs on each worker, for limits per worker.
 	perWorker map[*worker]int
 	advice    adviceBook
@@ -68,8 +70,11 @@
 }
 
 // latestStart returns when the stage has to start for the job to meet its
-// objective.
-func (s *stage) latestStart() time.Time { return s.job.objective(s).Add(-s.toEnd) }
+// objective, as far as the caller's estimates and the queue's durations tell.
+func (s *stage) latestStart(d *durations) time.Time {
+	left := d.generous(s.job.record.Queue, s.toEnd, s.depth)
+	return s.job.objective(s, d).Add(-left)
+}
 
 // takeIdle removes a task from the idle ones.
 func (s *stage) takeIdle(index int) {
