The lease of a silent worker ends

A look after a failed one extends nothing. Tests: TestLeaseOfASilentWorkerEnds failed before; four more on revoked starts, room, acknowledgement and new incarnations.

--- /dev/null
+++ b/internal/cell/lease_test.go
@@ -0,0 +1,154 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/runner"
+)
+
+// Symptom: tasks of a worker that was gone for good never started again.
+// Sequence: a worker runs a task and goes; each look at it fails.
+// Cause: every look carried a later lease end, and because a look without an
+// answer may have been carried out, the lease never counted as over.
+func TestLeaseOfASilentWorkerEnds(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	r := s.record(1, step(1))
+	s.cell.Add(r)
+	task := r.ID + ".0.0.0"
+	first := s.plan()[task]
+	s.confirm(first)
+	s.report("a")
+	lost := s.now
+	for s.now.Sub(lost) < 3400*time.Millisecond {
+		s.pass(200 * time.Millisecond)
+		s.cell.NextLook("a", s.now)
+		s.cell.LookFailed("a", fmt.Errorf("%w: timeout", runner.ErrNoAnswer), s.now)
+		s.report("b")
+		if again, ok := s.plan()[task]; ok {
+			t.Fatalf("run %d was started %v after the last report, within the lease", again.Start.Run, s.now.Sub(lost))
+		}
+	}
+	// The first look without an answer, after 0.2 s, may still have extended the
+	// lease by 3.5 s on a clock that is 2% slow: it must have ended after 3.83 s.
+	s.pass(500 * time.Millisecond)
+	s.report("b")
+	again, ok := s.plan()[task]
+	if !ok {
+		t.Fatal("the task was not started again after the lease must have ended")
+	}
+	if again.Start.Run <= first.Start.Run || again.Worker.ID != "b" {
+		t.Errorf("started as run %d on %s after run %d on a", again.Start.Run, again.Worker.ID, first.Start.Run)
+	}
+}
+
+// Symptom: a task ran twice at once.
+// Sequence: a start gets no answer; the worker carries it out three seconds
+// later.
+// Cause: the task was started elsewhere before the first start was revoked.
+func TestUnansweredStartIsRevokedBeforeTheNext(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	s.report("b")
+	r := s.record(1, step(1))
+	s.cell.Add(r)
+	task := r.ID + ".0.0.0"
+	first := s.plan()[task]
+	s.cell.StartAnswered(first, runner.Answer{}, runner.ErrNoAnswer, s.now)
+	var stop StopOrder
+	if len(s.plan()) != 0 {
+		t.Fatal("the task was started again before the first start was revoked")
+	}
+	for _, o := range s.orders {
+		stop = o.(StopOrder)
+	}
+	if stop.Stop.Run != first.Start.Run || stop.Worker.ID != first.Worker.ID {
+		t.Fatalf("the first start was not revoked: %+v", stop)
+	}
+	s.report(first.Worker.ID)
+	if len(s.plan()) != 0 {
+		t.Fatal("a report without the run was taken as proof that it cannot begin")
+	}
+	s.cell.StopAnswered(stop, runner.Answer{}, nil, s.now)
+	s.pass(time.Millisecond)
+	s.report(first.Worker.ID)
+	if _, ok := s.plan()[task]; !ok {
+		t.Error("the task was not started again after the first start was revoked")
+	}
+}
+
+// Symptom: a worker was told to run more than it has.
+// Sequence: a start without an answer may still be carried out; the room it
+// needs looks free in the worker's reports.
+// Cause: only reported runs were counted.
+func TestUnsettledStartsCountAgainstCapacity(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	large := step(1)
+	large.Need = resource.Amount{MilliCPU: 10000, MemoryMiB: 100}
+	s.cell.Add(s.record(1, large))
+	for _, o := range s.plan() {
+		s.cell.StartAnswered(o, runner.Answer{}, runner.ErrNoAnswer, s.now)
+	}
+	s.cell.Add(s.record(2, large))
+	s.report("a")
+	if starts := s.plan(); len(starts) != 0 {
+		t.Errorf("started beside an unsettled start: %v", starts)
+	}
+}
+
+// Symptom: a task that was done ran again after the owner and the worker were
+// lost together.
+// Sequence: a task ends; the end is acknowledged; the owner dies before it
+// stores the end; the worker has forgotten it.
+// Cause: the acknowledgement did not wait for the store.
+func TestEndsAreAcknowledgedAfterTheyAreStored(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	r := s.record(1, step(1))
+	s.cell.Add(r)
+	o := s.plan()[r.ID+".0.0.0"]
+	s.confirm(o)
+	s.finish(o, runner.Done)
+	s.report("a")
+	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 0 {
+		t.Fatalf("end %d was acknowledged before it was stored", look.Acknowledged)
+	}
+	if state, _ := s.cell.State(r.ID); state != job.Running {
+		t.Fatalf("state %q was shown before it was stored", state)
+	}
+	commit := s.cell.NextCommit(10)
+	s.cell.NotCommitted(commit, nil)
+	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 0 {
+		t.Fatal("the end was acknowledged although the commit failed")
+	}
+	s.commit()
+	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 1 {
+		t.Errorf("acknowledged %d after the commit, want 1", look.Acknowledged)
+	}
+	if state, _ := s.cell.State(r.ID); state != job.Completed {
+		t.Errorf("state is %q after the commit, want completed", state)
+	}
+}
+
+// Symptom: tasks of a crashed worker waited for the end of its lease although
+// it was back as a new process.
+// Sequence: the worker crashes; a new incarnation answers at its address.
+// Cause: "another incarnation" was treated like silence.
+func TestReplacedWorkerLosesItsRunsAtOnce(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	r := s.record(1, step(1))
+	s.cell.Add(r)
+	s.confirm(s.plan()[r.ID+".0.0.0"])
+	s.report("a")
+	s.report("b")
+	s.cell.LookFailed("a", runner.ErrGone, s.now)
+	if o, ok := s.plan()[r.ID+".0.0.0"]; !ok || o.Worker.ID != "b" {
+		t.Error("the task was not started at once on the other worker")
+	}
+}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -17,7 +17,9 @@
 		return target, look, false
 	}
 	look = runner.Look{Token: c.settings.Term, Acknowledged: w.acked}
-	if w.clockAt.IsZero() {
+	if w.clockAt.IsZero() || !w.failingAt.IsZero() {
+		// A look without an answer may have been carried out. If each one carried
+		// a later lease end, the lease of a lost worker would never be over.
 		return w.target, look, true
 	}
 	end := w.extendLease(c.settings.Lease, now)
