--- /dev/null
+++ b/test/soak/caller_test.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// outcome is what a caller was told of its job.
+type outcome int
+
+const (
+	// unknown means that an attempt had no answer or an open outcome.
+	unknown outcome = iota
+	accepted
+	refused
+)
+
+// submission is one job and what became of it.
+type submission struct {
+	id, queue string
+	outcome   outcome
+	fails     bool
+}
+
+// callers submit jobs through any process and remember the answers.
+type callers struct {
+	world  *world
+	client *http.Client
+
+	mu   sync.Mutex
+	jobs []submission
+}
+
+func newCallers(w *world) *callers {
+	return &callers{world: w, client: &http.Client{Timeout: 4 * time.Second}}
+}
+
+// run submits a job every 25 ms until ctx ends, and waits for the last answers.
+func (c *callers) run(ctx context.Context, rnd *rand.Rand) {
+	var wg sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%08x%08x", rnd.Uint32(), n)
+		queue := []string{"plain", "advised"}[rnd.Intn(2)]
+		body, fails := jobBody(rnd)
+		seed := rnd.Int63()
+		wg.Go(func() { c.submit(id, queue, body, fails, rand.New(rand.NewSource(seed))) })
+		time.Sleep(25 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+func jobBody(rnd *rand.Rand) (string, bool) {
+	spec := (time.Duration(20+rnd.Intn(400)) * time.Millisecond).String()
+	fails := rnd.Intn(20) == 0
+	if fails {
+		spec = "fail"
+	}
+	step := fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":10,"estimate_ms":200}`, 1+rnd.Intn(3), taskCPU)
+	steps := step
+	if rnd.Intn(2) == 0 {
+		steps += fmt.Sprintf(`,{"count":%d,"cpu":%d,"mem_mb":10,"estimate_ms":200,"after":[0]}`, 1+rnd.Intn(2), taskCPU)
+	}
+	return fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, spec, steps), fails
+}
+
+// submit tries a job up to five times, as the protocol allows: again after a
+// refusal, and with the same id after no answer.
+func (c *callers) submit(id, queue, body string, fails bool, rnd *rand.Rand) {
+	c.world.judge.Submitted(id, false)
+	result := refused
+	for range 5 {
+		status := c.call(http.MethodPost, queue, id, body, rnd)
+		if status == http.StatusOK {
+			result = accepted
+			break
+		}
+		if status != http.StatusServiceUnavailable {
+			result = unknown
+		}
+		time.Sleep(time.Duration(100+rnd.Intn(300)) * time.Millisecond)
+	}
+	if result == refused {
+		c.world.judge.Submitted(id, true)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs = append(c.jobs, submission{id, queue, result, fails})
+}
+
+// call returns the status, or 0 for no answer.
+func (c *callers) call(method, queue, id, body string, rnd *rand.Rand) int {
+	status, _ := c.ask(method, queue, id, body, rnd)
+	return status
+}
+
+func (c *callers) ask(method, queue, id, body string, rnd *rand.Rand) (int, string) {
+	p := c.world.procs[rnd.Intn(len(c.world.procs))]
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:8161/%s/%s", p.ip, queue, id), strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	req.Host = callersHost
+	req.Header.Set("Deadline-Ms", "3000")
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var state struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(data, &state) != nil {
+		return resp.StatusCode, ""
+	}
+	return resp.StatusCode, state.State
+}
+
+// unfinished returns the accepted jobs that are not in their right final state.
+func (c *callers) unfinished(rnd *rand.Rand) []string {
+	var left []string
+	for _, j := range c.jobs {
+		if j.outcome != accepted {
+			continue
+		}
+		want := "completed"
+		if j.fails {
+			want = "failed"
+		}
+		if status, state := c.ask(http.MethodGet, j.queue, j.id, "", rnd); state != want {
+			left = append(left, fmt.Sprintf("%s: %d %q, want %q", j.id, status, state, want))
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/test/soak/faults_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fault disturbs something and puts it right again before it returns.
+type fault struct {
+	name string
+	play func(w *world, rnd *rand.Rand)
+}
+
+var faults = []fault{
+	{"kill a process", func(w *world, rnd *rand.Rand) {
+		p := w.pick(rnd)
+		p.end()
+		pause(rnd, 100, 1500)
+		w.restart(p)
+	}},
+	{"stop a process", func(w *world, rnd *rand.Rand) {
+		p := w.pick(rnd)
+		p.signal(syscall.SIGTERM)
+		p.wait()
+		pause(rnd, 0, 500)
+		w.restart(p)
+	}},
+	{"pause a process", func(w *world, rnd *rand.Rand) {
+		p := w.pick(rnd)
+		p.signal(syscall.SIGSTOP)
+		pause(rnd, 300, 5000)
+		p.signal(syscall.SIGCONT)
+	}},
+	{"reload a process", func(w *world, rnd *rand.Rand) { w.pick(rnd).signal(syscall.SIGHUP) }},
+	{"store refuses all", func(w *world, rnd *rand.Rand) {
+		w.store.Refuse.Store(true)
+		pause(rnd, 300, 3000)
+		w.store.Refuse.Store(false)
+	}},
+	{"store loses answers", func(w *world, rnd *rand.Rand) {
+		w.store.LoseEvery.Store(int64(2 + rnd.Intn(4)))
+		pause(rnd, 500, 3000)
+		w.store.LoseEvery.Store(0)
+	}},
+	{"store forgets its history", func(w *world, _ *rand.Rand) { w.store.DropHistory() }},
+	{"one process loses the store", func(w *world, rnd *rand.Rand) {
+		proxy := w.storeAt[rnd.Intn(len(w.storeAt))]
+		proxy.Cut(rnd.Intn(2) == 0, true)
+		pause(rnd, 500, 4000)
+		proxy.Heal()
+		proxy.Reset()
+	}},
+	{"store connections are reset", func(w *world, rnd *rand.Rand) { w.storeAt[rnd.Intn(len(w.storeAt))].Reset() }},
+	{"store is slow", func(w *world, rnd *rand.Rand) {
+		proxy := w.storeAt[rnd.Intn(len(w.storeAt))]
+		proxy.Delay(time.Duration(50+rnd.Intn(200)) * time.Millisecond)
+		pause(rnd, 500, 3000)
+		proxy.Delay(0)
+	}},
+	{"a worker is cut off", func(w *world, rnd *rand.Rand) {
+		proxy := w.workerAt[rnd.Intn(len(w.workerAt))]
+		out := rnd.Intn(2) == 0
+		proxy.Cut(out, !out || rnd.Intn(2) == 0)
+		pause(rnd, 500, 5000)
+		proxy.Heal()
+		proxy.Reset()
+	}},
+	{"worker connections are reset", func(w *world, rnd *rand.Rand) { w.workerAt[rnd.Intn(len(w.workerAt))].Reset() }},
+	{"a worker refuses connections", func(w *world, rnd *rand.Rand) {
+		proxy := w.workerAt[rnd.Intn(len(w.workerAt))]
+		proxy.Refuse(true)
+		proxy.Reset()
+		pause(rnd, 300, 2000)
+		proxy.Refuse(false)
+	}},
+	{"a worker is replaced", func(w *world, rnd *rand.Rand) { w.replaceWorker(rnd.Intn(workers)) }},
+}
+
+// play injects faults until ctx ends, several at a time, and returns their
+// names in order.
+func play(ctx context.Context, w *world, rnd *rand.Rand) []string {
+	var wg sync.WaitGroup
+	var names []string
+	for ctx.Err() == nil {
+		f := faults[rnd.Intn(len(faults))]
+		names = append(names, f.name)
+		seed := rnd.Int63()
+		wg.Go(func() { f.play(w, rand.New(rand.NewSource(seed))) })
+		pause(rnd, 100, 1200)
+	}
+	wg.Wait()
+	return names
+}
+
+func pause(rnd *rand.Rand, fromMillis, toMillis int) {
+	time.Sleep(time.Duration(fromMillis+rnd.Intn(toMillis-fromMillis)) * time.Millisecond)
+}
+
+// pick returns any process; faults may overlap on one.
+func (w *world) pick(rnd *rand.Rand) *process { return w.procs[rnd.Intn(len(w.procs))] }
+
+// restart starts a process again unless another fault has done so.
+func (w *world) restart(p *process) {
+	w.restarts.Lock()
+	defer w.restarts.Unlock()
+	if !p.ended() {
+		return
+	}
+	if err := p.start(); err != nil {
+		w.t.Errorf("%s: %v", p.name, err)
+	}
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var (
+	seedRange = flag.String("seeds", "1-2", "first and last seed")
+	seconds   = flag.Int("seconds", 6, "seconds of faults for each seed")
+)
+
+// settleTime bounds the wait for the accepted jobs after the last fault. It is
+// no promise: it is far above the seconds that a take-over and a lease need.
+const settleTime = 60 * time.Second
+
+// TestSoak plays seeds one after the other.
+func TestSoak(t *testing.T) {
+	var first, last int
+	if _, err := fmt.Sscanf(*seedRange, "%d-%d", &first, &last); err != nil {
+		t.Fatalf("-seeds %q: %v", *seedRange, err)
+	}
+	binary := build(t)
+	for seed := first; seed <= last; seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, binary, int64(seed)) })
+	}
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "gentianstand")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/gentianstand").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+func soak(t *testing.T, binary string, seed int64) {
+	rnd := rand.New(rand.NewSource(seed))
+	w := newWorld(t, binary, int(seed))
+	waitFor(t, "all processes are ready", func() bool {
+		for _, p := range w.procs {
+			if !p.ready() {
+				return false
+			}
+		}
+		return true
+	})
+	c := newCallers(w)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(*seconds)*time.Second)
+	defer cancel()
+	callersDone := make(chan struct{})
+	callerSeed := rnd.Int63()
+	go func() {
+		defer close(callersDone)
+		c.run(ctx, rand.New(rand.NewSource(callerSeed)))
+	}()
+	played := play(ctx, w, rnd)
+	<-callersDone
+	var left []string
+	waitFor(t, "all accepted jobs have ended", func() bool {
+		left = c.unfinished(rnd)
+		return len(left) == 0
+	})
+	for _, line := range w.judge.Broken() {
+		t.Error(line)
+	}
+	t.Logf("seed %d: %d jobs, %d starts, faults %q", seed, len(c.jobs), w.judge.Starts(), played)
+	if t.Failed() {
+		for _, line := range left {
+			t.Log(line)
+		}
+		keepLogs(t, w, seed)
+	}
+}
+
+// keepLogs copies the processes' logs out of the test's folder.
+func keepLogs(t *testing.T, w *world, seed int64) {
+	for _, p := range w.procs {
+		data, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			t.Log(err)
+			continue
+		}
+		path := filepath.Join(os.TempDir(), fmt.Sprintf("soak-seed-%d-%s.log", seed, p.name))
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Log(err)
+			continue
+		}
+		t.Log("log kept at ", path)
+	}
+}
+
+// waitFor waits until ok, and fails the test when settleTime is over.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Errorf("not within %v: %s", settleTime, what)
+}
--- /dev/null
+++ b/test/soak/world_test.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"gentianstand/platform/standin"
+)
+
+const (
+	nodes       = 3
+	workers     = 4
+	workerCPU   = 8000
+	taskCPU     = 1000
+	callersHost = "desk.example"
+)
+
+// world is everything around the processes.
+type world struct {
+	t       *testing.T
+	judge   *standin.Judge
+	store   *standin.Store
+	procs   []*process
+	storeAt []*standin.Proxy
+
+	// restarts has processes started one at a time.
+	restarts sync.Mutex
+
+	mu       sync.Mutex
+	agents   []*standin.Worker
+	servers  []*httptest.Server
+	workerAt []*standin.Proxy
+	lives    int
+}
+
+// newWorld starts the stand-ins and the processes. Each world has its own
+// loopback addresses, so that several can run beside one another.
+func newWorld(t *testing.T, binary string, net int) *world {
+	t.Helper()
+	w := &world{t: t, judge: standin.NewJudge(taskCPU), store: standin.NewStore()}
+	storeServer := httptest.NewServer(w.store)
+	t.Cleanup(storeServer.Close)
+	adviser := httptest.NewServer(http.HandlerFunc(advise))
+	t.Cleanup(adviser.Close)
+	for i := range workers {
+		w.addWorker(i)
+	}
+	w.store.Put("op", "config", configuration())
+	dir := t.TempDir()
+	for i := range nodes {
+		proxy, err := standin.NewProxy("127.0.0.1:0", storeServer.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.storeAt = append(w.storeAt, proxy)
+		ip := fmt.Sprintf("127.77.%d.%d", net%250, i+1)
+		p := newProcess(t, binary, dir, i, ip, proxy.Address(), adviser.Listener.Addr().String())
+		if err := p.start(); err != nil {
+			t.Fatal(err)
+		}
+		w.procs = append(w.procs, p)
+	}
+	t.Cleanup(w.close)
+	return w
+}
+
+func (w *world) close() {
+	for _, p := range w.procs {
+		p.end()
+	}
+	for i := range w.storeAt {
+		w.storeAt[i].Close()
+	}
+	for i := range w.workerAt {
+		w.workerAt[i].Close()
+		w.servers[i].CloseClientConnections()
+		w.servers[i].Close()
+	}
+}
+
+// addWorker starts worker i's first life.
+func (w *world) addWorker(i int) {
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		agent := w.agents[i]
+		w.mu.Unlock()
+		agent.ServeHTTP(rw, r)
+	}))
+	proxy, err := standin.NewProxy("127.0.0.1:0", server.Listener.Addr().String())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.servers = append(w.servers, server)
+	w.workerAt = append(w.workerAt, proxy)
+	w.agents = append(w.agents, nil)
+	w.replaceWorker(i)
+}
+
+// replaceWorker ends a worker's life and begins another at the same address.
+func (w *world) replaceWorker(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if old := w.agents[i]; old != nil {
+		old.Kill()
+		w.store.Remove("servers", old.ID)
+	}
+	w.lives++
+	id := fmt.Sprintf("worker-%d-%d", i, w.lives)
+	w.agents[i] = standin.NewWorker(id, workerCPU, w.judge)
+	w.store.Put("servers", id, map[string]any{
+		"service": "desk", "address": w.workerAt[i].Address(), "zone": "zone-0", "state": "ready",
+		"capacity": map[string]int{"cpu": workerCPU, "mem_mb": 32768, "gpu": 0}, "labels": []string{"a", "r1"},
+	})
+}
+
+func configuration() map[string]any {
+	route := func(name string, priority int) map[string]any {
+		return map[string]any{"name": name, "host": callersHost, "path_prefix": "/" + name + "/", "type": "unsafe", "timeout_ms": 3000,
+			"target_duration_ms": 250, "priority": priority, "service": "desk", "max_attempts": 3, "stretch": 2}
+	}
+	advised := route("advised", 1)
+	advised["advice"] = map[string]int{"decide_ms": 5, "each_ms": 1, "valid_ms": 1500}
+	return map[string]any{"version": 1, "routes": []any{route("plain", 0), advised}, "services": []any{}, "limits": map[string]int{"max_body_bytes": 262144}}
+}
+
+// advise allows every worker.
+func advise(rw http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Workers []string `json:"workers"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(5*time.Millisecond + time.Duration(len(q.Workers))*time.Millisecond)
+	good := [][2]string{}
+	for _, id := range q.Workers {
+		good = append(good, [2]string{id, "ticket"})
+	}
+	if err := json.NewEncoder(rw).Encode(map[string]any{"good": good}); err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+	}
+}
