Ends of jobs that an overtaken owner began are kept; the strongest instance owns

Ends and runs of unknown jobs now wait until the store was asked; an owner takes news from the store only while its claim holds. Tests: TestEndOfAJobThatTheOverTakenOwnerBeganIsKept, TestRunsOfAbsentJobsAreStopped. Cause 2: on the grown sites ownership went to instances with a quarter of the processor and then round and round. Candidates are ordered by their strength.

--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -54,6 +54,9 @@
 		c.log.WithFields(workerFields(w)).WithError(err).Warn("report_with_bad_task_name")
 		return
 	}
+	if !c.lookedFor(id.Job) {
+		return
+	}
 	c.log.WithFields(workerFields(w)).WithField("task", r.Task).Warn("run_of_unknown_job_stopped")
 	c.orders = append(c.orders, StopOrder{Worker: w.target, Task: id, Stop: runner.Stop{Task: r.Task, Run: r.Run, Token: c.settings.Term}})
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -29,7 +29,11 @@
 	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
 	recovering bool
 	durations  durations
-	stats      Stats
+	// missing are jobs that workers report and the cell does not know; absent are
+	// those of them that the store does not have either.
+	missing map[string]struct{}
+	absent  map[string]struct{}
+	stats   Stats
 }
 
 // New returns an empty cell that began its ownership at now.
@@ -38,16 +42,17 @@
 		settings: s, log: log, began: now, recovering: true,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
+		missing: map[string]struct{}{}, absent: map[string]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}},
 	}
 }
 
-// Load takes in a job that was accepted under an earlier owner. It must be
-// called before the first Plan. progress is nil if none was stored.
+// Load takes in a job that an earlier owner may have begun. progress is nil if
+// none was stored.
 func (c *Cell) Load(r *job.Record, p *job.Progress, progressVersion uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Withdrawn {
+	if r.Withdrawn || c.jobs[r.ID] != nil {
 		return
 	}
 	j := newJobState(r)
@@ -60,19 +65,24 @@
 }
 
 // Add takes in a newly accepted job. A job that is already known is ignored:
-// the same news may come from the accepting instance and from the store.
-func (c *Cell) Add(r *job.Record) {
+// the same news may come from the accepting instance and from the store. told
+// says that the accepting instance told this owner; then it told no other one.
+// News from the store may have been told to an earlier owner that still acts.
+func (c *Cell) Add(r *job.Record, told bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.Withdrawn || c.jobs[r.ID] != nil {
 		return
 	}
 	c.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "steps": len(r.Steps)}).Info("job_added")
-	c.insert(newJobState(r))
+	j := newJobState(r)
+	j.inherited = !told && c.recovering
+	c.insert(j)
 }
 
 func (c *Cell) insert(j *jobState) {
 	c.jobs[j.record.ID] = j
+	delete(c.missing, j.record.ID)
 	if j.final != "" {
 		return
 	}
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -10,12 +10,17 @@
 	"gentianstand/internal/runner"
 )
 
-// ended takes in the end of a run that a worker lists.
-func (c *Cell) ended(w *worker, e runner.End, now time.Time) {
+// ended takes in the end of a run that a worker lists, and reports whether it
+// could: the end of a job that has yet to be looked for has to wait.
+func (c *Cell) ended(w *worker, e runner.End, now time.Time) bool {
+	id, err := job.ParseTaskID(e.Task)
+	if err == nil && !c.lookedFor(id.Job) {
+		return false
+	}
 	t := c.taskNamed(e.Task)
 	if t == nil {
 		c.log.WithFields(workerFields(w)).WithField("task", e.Task).Warn("end_of_unknown_task")
-		return
+		return true
 	}
 	a := t.find(w, e.Run)
 	if e.Saved != "" {
@@ -43,6 +48,7 @@
 		c.breakGang(t.stage, now)
 	}
 	c.finish(t.stage.job, now)
+	return true
 }
 
 // noteDuration learns how long a task took, if the run was seen from its start
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -18,7 +18,7 @@
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	s.report("a")
 	r := s.record(1, step(1))
-	s.cell.Add(r)
+	s.cell.Add(r, true)
 	task := r.ID + ".0.0.0"
 	first := s.plan()[task]
 	s.confirm(first)
@@ -55,7 +55,7 @@
 	s.report("a")
 	s.report("b")
 	r := s.record(1, step(1))
-	s.cell.Add(r)
+	s.cell.Add(r, true)
 	task := r.ID + ".0.0.0"
 	first := s.plan()[task]
 	s.cell.StartAnswered(first, runner.Answer{}, runner.ErrNoAnswer, s.now)
@@ -90,11 +90,11 @@
 	s.report("a")
 	large := step(1)
 	large.Need = resource.Amount{MilliCPU: 10000, MemoryMiB: 100}
-	s.cell.Add(s.record(1, large))
+	s.cell.Add(s.record(1, large), true)
 	for _, o := range s.plan() {
 		s.cell.StartAnswered(o, runner.Answer{}, runner.ErrNoAnswer, s.now)
 	}
-	s.cell.Add(s.record(2, large))
+	s.cell.Add(s.record(2, large), true)
 	s.report("a")
 	if starts := s.plan(); len(starts) != 0 {
 		t.Errorf("started beside an unsettled start: %v", starts)
@@ -110,7 +110,7 @@
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
 	r := s.record(1, step(1))
-	s.cell.Add(r)
+	s.cell.Add(r, true)
 	o := s.plan()[r.ID+".0.0.0"]
 	s.confirm(o)
 	s.finish(o, runner.Done)
@@ -143,7 +143,7 @@
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	s.report("a")
 	r := s.record(1, step(1))
-	s.cell.Add(r)
+	s.cell.Add(r, true)
 	s.confirm(s.plan()[r.ID+".0.0.0"])
 	s.report("a")
 	s.report("b")
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -58,10 +58,15 @@
 	ended := map[runKey]bool{}
 	for _, e := range report.Ended {
 		ended[runKey{e.Task, e.Run}] = true
-		if e.Sequence > w.seen {
-			w.seen = e.Sequence
-			c.ended(w, e, now)
+	}
+	for _, e := range report.Ended {
+		if e.Sequence <= w.seen {
+			continue
+		}
+		if !c.ended(w, e, now) {
+			break
 		}
+		w.seen = e.Sequence
 	}
 	c.matchRunning(w, report, ended, sentAt, now)
 	if !w.reported {
@@ -91,13 +96,13 @@
 	}
 	for a := range w.attempts {
 		if !present[a] {
-			c.missing(a, sentAt, now)
+			c.notShown(a, sentAt, now)
 		}
 	}
 }
 
-// missing deals with a booked run that a report does not show.
-func (c *Cell) missing(a *attempt, sentAt, now time.Time) {
+// notShown deals with a booked run that a report does not show.
+func (c *Cell) notShown(a *attempt, sentAt, now time.Time) {
 	switch {
 	case !a.stopAnsweredAt.IsZero() && a.stopAnsweredAt.Before(sentAt):
 		// The stop was answered before the look was sent: the run has ended or
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -47,7 +47,7 @@
 func TestFailureStoredByAnEarlierOwnerCountsOnce(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	r := s.record(1, step(1))
-	s.cell.Add(r)
+	s.cell.Add(r, true)
 	s.report("a")
 	first := s.plan()[r.ID+".0.0.0"]
 	s.confirm(first)
@@ -77,7 +77,7 @@
 		t.Fatal("a task of an older job was started while a worker had not reported")
 	}
 	newer := s.record(2, step(1))
-	s.cell.Add(newer)
+	s.cell.Add(newer, true)
 	if _, ok := s.plan()[newer.ID+".0.0.0"]; !ok {
 		t.Fatal("a job of this owner's own time was held back, too")
 	}
@@ -114,3 +114,59 @@
 		t.Error("the second step waits for a worker that cannot run it")
 	}
 }
+
+// Symptom: a task that was done ran again just after a take-over.
+// Sequence: a new owner has read the store; the overtaken one, not yet fenced on
+// worker A, is told of a new job and runs it there; the new owner hears the end
+// from A, and only then of the job.
+// Cause: ends of unknown jobs were passed over and acknowledged, and the job
+// looked new.
+func TestEndOfAJobThatTheOverTakenOwnerBeganIsKept(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	r := s.record(1, step(1))
+	task := r.ID + ".0.0.0"
+	s.end("a", task, 1, runner.Done)
+	s.report("a")
+	s.commit()
+	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 0 {
+		t.Fatal("the end of an unknown job was acknowledged")
+	}
+	if missing := s.cell.Missing(); len(missing) != 1 || missing[0] != r.ID {
+		t.Fatalf("missing jobs %v", missing)
+	}
+	s.cell.Add(r, false)
+	if len(s.plan()) != 0 {
+		t.Fatal("the job was begun while the overtaken owner may have done so")
+	}
+	s.report("a")
+	s.report("b")
+	if again, ok := s.plan()[task]; ok {
+		t.Fatalf("run %d of a task that was done", again.Start.Run)
+	}
+	s.commit()
+	if state, _ := s.cell.State(r.ID); state != job.Completed {
+		t.Errorf("state %q, want completed", state)
+	}
+}
+
+// Symptom: a run of no job went on for ever, or its worker's ends were stuck.
+// Sequence: a worker reports a run and an end of a job that the store does not
+// have.
+// Cause: waiting for a job that will never come.
+func TestRunsOfAbsentJobsAreStopped(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"))
+	id := "00000000000000ff"
+	s.runs["a"] = []runner.RunState{{Task: id + ".0.0.0", Run: 4}}
+	s.end("a", id+".0.0.1", 4, runner.Done)
+	s.report("a")
+	s.cell.Absent(id)
+	s.report("a")
+	s.plan()
+	if len(s.orders) != 1 || s.orders[0].(StopOrder).Stop.Run != 4 {
+		t.Errorf("orders %v, want one stop", s.orders)
+	}
+	s.commit()
+	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 1 {
+		t.Errorf("acknowledged %d, want 1", look.Acknowledged)
+	}
+}
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -187,16 +187,20 @@
 	}
 }
 
-// delay is this instance's place in the order of a term's candidates.
+// delay is this instance's place in the order of a term's candidates: the
+// strongest first, because the owner of a large cell works more than all other
+// instances together, and among equals by lot.
 func (l *Leader) delay(term uint64) time.Duration {
 	self := l.directory.Self()
-	names := []string{self.Name}
-	for _, other := range l.directory.Others() {
-		names = append(names, other.Name)
-	}
-	sort.Slice(names, func(a, b int) bool { return lot(names[a], term) < lot(names[b], term) })
-	for i, name := range names {
-		if name == self.Name {
+	all := append(l.directory.Others(), self)
+	sort.Slice(all, func(a, b int) bool {
+		if all[a].Cores != all[b].Cores {
+			return all[a].Cores > all[b].Cores
+		}
+		return lot(all[a].Name, term) < lot(all[b].Name, term)
+	})
+	for i, instance := range all {
+		if instance.Name == self.Name {
 			return time.Duration(i) * stagger
 		}
 	}
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -46,9 +46,9 @@
 	}
 }
 
-// successors returns the instances that can take over, the youngest first: when
-// instances are restarted one after the other, the youngest is the one that
-// will not be restarted again.
+// successors returns the instances that can take over, the strongest first, and
+// the youngest among equals: when instances are restarted one after the other,
+// the youngest is the one that will not be restarted again.
 func (l *Leader) successors(ctx context.Context, known claim) []cellpeer.Instance {
 	others := l.directory.Others()
 	good := make(chan cellpeer.Instance, len(others))
@@ -71,7 +71,12 @@
 		case <-failed:
 		}
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].StartedAt.After(list[b].StartedAt) })
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].Cores != list[b].Cores {
+			return list[a].Cores > list[b].Cores
+		}
+		return list[a].StartedAt.After(list[b].StartedAt)
+	})
 	return list
 }
 
--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -14,7 +14,7 @@
 const (
 	// jobsPeriod is how often the store is asked for jobs whose accepting
 	// instance could not tell this owner.
-	jobsPeriod = 700 * time.Millisecond
+	jobsPeriod = 500 * time.Millisecond
 	// rosterPeriod is how often the roster is read: a worker that drains must get
 	// nothing new after 2 s.
 	rosterPeriod = 400 * time.Millisecond
@@ -35,10 +35,55 @@
 			o.reloadJobs(ctx)
 		case err != nil:
 			o.deps.Log.WithError(err).Debug("jobs_not_read")
+		case len(page.Rows) > 0 && !o.claimHolds(ctx):
+			// What was stored after another owner read the store is that owner's.
 		default:
 			o.jobsVersion = page.Version
 			o.news(page.Rows)
 		}
+		o.findMissing(ctx)
+	}
+}
+
+// claimHolds reads the claim, and gives the ownership up if it has changed.
+func (o *Owner) claimHolds(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	row, err := o.deps.Store.Get(callCtx, o.claim.Table, o.deps.Jobs.ProgressPartition(), o.claim.Key)
+	if err != nil {
+		o.deps.Log.WithError(err).Debug("claim_not_read")
+		return false
+	}
+	if row.Version != o.claim.Version {
+		o.deps.Leadership.Overtaken("the row of the ownership has changed")
+		return false
+	}
+	return true
+}
+
+// findMissing looks in the store for jobs that workers report and the cell does
+// not know.
+func (o *Owner) findMissing(ctx context.Context) {
+	for _, id := range o.cell.Missing() {
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		row, err := o.deps.Store.Get(callCtx, celljobs.TableJobs, o.deps.Jobs.RecordPartition(id), celljobs.JobKey(id))
+		var kept store.Row
+		if err == nil {
+			kept, err = o.deps.Store.Get(callCtx, celljobs.TableProgress, o.deps.Jobs.ProgressPartition(), id)
+		}
+		cancel()
+		switch {
+		case err != nil:
+			o.deps.Log.WithField("job", id).WithError(err).Info("missing_job_not_read")
+			return
+		case row.Version == 0:
+			o.deps.Log.WithField("job", id).Warn("reported_job_is_nobodys")
+			o.cell.Absent(id)
+		default:
+			o.deps.Log.WithField("job", id).Info("missing_job_loaded")
+			o.loadJob(id, row, kept)
+		}
+		o.wake()
 	}
 }
 
@@ -70,8 +115,9 @@
 			o.deps.Log.WithField("job", id).WithError(err).Error("job_unreadable")
 			continue
 		}
-		o.Submitted(r)
+		o.cell.Add(r, false)
 	}
+	o.wake()
 }
 
 // followRoster takes in workers that come, drain and go.
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -125,9 +125,9 @@
 	o.cell.Load(r, p, kept.Version)
 }
 
-// Submitted takes in a job that an instance has stored.
+// Submitted takes in a job that an instance has stored and tells of.
 func (o *Owner) Submitted(r *job.Record) {
-	o.cell.Add(r)
+	o.cell.Add(r, true)
 	o.wake()
 }
 
--- a/internal/cellpeer/instance.go
+++ b/internal/cellpeer/instance.go
@@ -11,4 +11,6 @@
 	// Incarnation differs for every process, also of one name.
 	Incarnation string    `cbor:"4,keyasint"`
 	StartedAt   time.Time `cbor:"5,keyasint"`
+	// Cores is how much processor the instance has. The strongest own cells first.
+	Cores float64 `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -60,7 +60,7 @@
 func newCurrent() *catalog.Current { return &catalog.Current{} }
 
 func newSelf(s Settings) cellpeer.Instance {
-	return cellpeer.Instance{Name: s.Name, Address: s.PeerListen, Zone: s.Zone, Incarnation: uuid.NewString(), StartedAt: time.Now()}
+	return cellpeer.Instance{Name: s.Name, Address: s.PeerListen, Zone: s.Zone, Incarnation: uuid.NewString(), StartedAt: time.Now(), Cores: s.Cores}
 }
 
 func newWatched(o Outside) *store.Watched { return store.NewWatched(o.Store) }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -29,6 +29,8 @@
 	FarFactor float64
 	// TerminationGrace is the time between a request to stop and the end by force.
 	TerminationGrace time.Duration
+	// Cores is the share of a core the process may use, times their number.
+	Cores float64
 	// MemoryMiB is the memory the process may use; 0 is no limit.
 	MemoryMiB int64
 	LogLevel  string
