A planning pass skips what cannot be placed; runs of missing jobs are booked first

Stages larger than the largest free room are passed over, others look only at workers with a valid ticket, runs are watched every 40 ms, and passes take at most a quarter of the time. Test: TestRunOfAMissingJobIsBookedBeforeAnythingIsPlaced. A job stored by an earlier attempt is not told to the owner again as if it were new.

--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -10,10 +10,10 @@
 // attemptOf returns the booked attempt of a reported run. A run that is not
 // booked was started by an earlier owner, or outlived what we took for its end:
 // it is adopted if the task still needs it, and stopped otherwise.
-func (c *Cell) attemptOf(w *worker, r runner.RunState, sentAt, now time.Time) *attempt {
+func (c *Cell) attemptOf(w *worker, r runner.RunState, now time.Time) *attempt {
 	t := c.taskNamed(r.Task)
 	if t == nil {
-		c.stopUnknown(w, r, now)
+		c.stopUnknown(w, r)
 		return nil
 	}
 	if a := t.find(w, r.Run); a != nil {
@@ -48,15 +48,12 @@
 }
 
 // stopUnknown stops a run of a task that no accepted job has.
-func (c *Cell) stopUnknown(w *worker, r runner.RunState, now time.Time) {
+func (c *Cell) stopUnknown(w *worker, r runner.RunState) {
 	id, err := job.ParseTaskID(r.Task)
 	if err != nil {
 		c.log.WithFields(workerFields(w)).WithError(err).Warn("report_with_bad_task_name")
 		return
 	}
-	if !c.lookedFor(id.Job) {
-		return
-	}
 	c.log.WithFields(workerFields(w)).WithField("task", r.Task).Warn("run_of_unknown_job_stopped")
 	c.orders = append(c.orders, StopOrder{Worker: w.target, Task: id, Stop: runner.Stop{Task: r.Task, Run: r.Run, Token: c.settings.Term}})
 }
--- a/internal/cell/advice_slots.go
+++ b/internal/cell/advice_slots.go
@@ -19,23 +19,22 @@
 	Any int
 }
 
-// take books a call and reports whether there was a slot.
+// any reports whether a call may begin.
 //
 // Load pattern: after a fault or in a burst more stages want advice than the
 // adviser can serve. Calls that wait there are served in the order in which they
 // came, and after a timeout the adviser still works through them, so asking
 // again makes the next ones late, too, and nothing is placed any more. The cell
 // therefore asks only when a call begins at once, and most urgent stages first.
-func (s *AdviceSlots) take(slow bool) bool {
-	switch {
-	case !slow && s.Quick > 0:
+func (s *AdviceSlots) any(slow bool) bool { return s.Any > 0 || (!slow && s.Quick > 0) }
+
+// take books a call.
+func (s *AdviceSlots) take(slow bool) {
+	if !slow && s.Quick > 0 {
 		s.Quick--
-	case s.Any > 0:
-		s.Any--
-	default:
-		return false
+		return
 	}
-	return true
+	s.Any--
 }
 
 func isSlow(c *job.AdviceCost) bool { return c.Duration(advisedWorkers) >= slowCall }
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -37,14 +37,15 @@
 // them before they expire; as many do as the adviser can serve.
 func (c *Cell) askAdvice(s *stage, room *room, now time.Time) {
 	b := &s.advice
-	if b.asking || now.Before(b.retryAt) {
+	slow := isSlow(s.job.record.Advice)
+	if b.asking || now.Before(b.retryAt) || !room.slots.any(slow) {
 		return
 	}
 	workers := c.worthAsking(s, room, now)
-	slow := isSlow(s.job.record.Advice)
-	if len(workers) == 0 || !room.slots.take(slow) {
+	if len(workers) == 0 {
 		return
 	}
+	room.slots.take(slow)
 	b.asking = true
 	c.stats.AdviceCalls++
 	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Cost: *s.job.record.Advice, Workers: workers, Slow: slow})
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -15,11 +15,13 @@
 	settings Settings
 	log      logrus.FieldLogger
 
-	mu      sync.Mutex
-	began   time.Time
-	jobs    map[string]*jobState
-	active  map[string]*jobState
-	workers map[string]*worker
+	mu    sync.Mutex
+	began time.Time
+	// watchedAt is when the runs were last looked through.
+	watchedAt time.Time
+	jobs      map[string]*jobState
+	active    map[string]*jobState
+	workers   map[string]*worker
 	// waiting are the stages with tasks to place, in no order.
 	waiting map[*stage]struct{}
 	orders  []Order
@@ -76,7 +78,8 @@
 	}
 	c.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "steps": len(r.Steps)}).Info("job_added")
 	j := newJobState(r)
-	j.inherited = !told && c.recovering
+	_, reported := c.missing[r.ID]
+	j.inherited = c.recovering && (!told || reported)
 	c.insert(j)
 }
 
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -13,8 +13,7 @@
 // ended takes in the end of a run that a worker lists, and reports whether it
 // could: the end of a job that has yet to be looked for has to wait.
 func (c *Cell) ended(w *worker, e runner.End, now time.Time) bool {
-	id, err := job.ParseTaskID(e.Task)
-	if err == nil && !c.lookedFor(id.Job) {
+	if !c.knowsJob(e.Task) {
 		return false
 	}
 	t := c.taskNamed(e.Task)
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -56,6 +56,8 @@
 	}
 	w.lastReport = now
 	ended := map[runKey]bool{}
+	// complete says that the books on this worker will be right after the report.
+	complete := true
 	for _, e := range report.Ended {
 		ended[runKey{e.Task, e.Run}] = true
 	}
@@ -64,12 +66,15 @@
 			continue
 		}
 		if !c.ended(w, e, now) {
+			complete = false
 			break
 		}
 		w.seen = e.Sequence
 	}
-	c.matchRunning(w, report, ended, sentAt, now)
-	if !w.reported {
+	if !c.matchRunning(w, report, ended, sentAt, now) {
+		complete = false
+	}
+	if complete && !w.reported {
 		w.reported = true
 		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Debug("worker_reported")
 	}
@@ -81,14 +86,20 @@
 	run  uint64
 }
 
-// matchRunning compares what the worker runs with the cell's books.
-func (c *Cell) matchRunning(w *worker, report runner.Report, ended map[runKey]bool, sentAt, now time.Time) {
+// matchRunning compares what the worker runs with the cell's books, and reports
+// whether it could: a run of a job that has yet to be looked for is not booked.
+func (c *Cell) matchRunning(w *worker, report runner.Report, ended map[runKey]bool, sentAt, now time.Time) bool {
+	complete := true
 	present := make(map[*attempt]bool, len(report.Running))
 	for _, r := range report.Running {
 		if ended[runKey{r.Task, r.Run}] {
 			continue
 		}
-		if a := c.attemptOf(w, r, sentAt, now); a != nil {
+		if !c.knowsJob(r.Task) {
+			complete = false
+			continue
+		}
+		if a := c.attemptOf(w, r, now); a != nil {
 			present[a] = true
 			a.seenStopping = !a.stopAnsweredAt.IsZero() && a.stopAnsweredAt.Before(sentAt)
 			c.progressed(a, r, now)
@@ -99,6 +110,7 @@
 			c.notShown(a, sentAt, now)
 		}
 	}
+	return complete
 }
 
 // notShown deals with a booked run that a report does not show.
--- a/internal/cell/missing.go
+++ b/internal/cell/missing.go
@@ -1,5 +1,7 @@
 package cell
 
+import "gentianstand/internal/job"
+
 // Missing returns the jobs that workers report and that this cell does not know.
 // An overtaken owner can have begun a job that was accepted after this one had
 // read the store. Their ends are not taken in, and so not acknowledged, until
@@ -22,15 +24,17 @@
 	c.absent[id] = struct{}{}
 }
 
-// lookedFor reports whether a job is known or known to be absent; otherwise it
-// is put among the missing.
-func (c *Cell) lookedFor(id string) bool {
-	if c.jobs[id] != nil {
+// knowsJob reports whether a task's job is known or known to be absent;
+// otherwise the job is put among the missing. A name that no job can have
+// belongs to an absent one.
+func (c *Cell) knowsJob(task string) bool {
+	id, err := job.ParseTaskID(task)
+	if err != nil || c.jobs[id.Job] != nil {
 		return true
 	}
-	if _, ok := c.absent[id]; ok {
+	if _, ok := c.absent[id.Job]; ok {
 		return true
 	}
-	c.missing[id] = struct{}{}
+	c.missing[id.Job] = struct{}{}
 	return false
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -10,7 +10,14 @@
 // placeStage starts what it can of a stage and asks for advice or makes room
 // for the rest.
 func (c *Cell) placeStage(s *stage, room *room, now time.Time) {
-	fitting := c.fitting(s, room, now)
+	var fitting []candidate
+	if s.step.Occupied().Fits(room.most) {
+		fitting = c.fitting(s, room, now)
+	}
+	if len(fitting) == 0 {
+		c.waitForRoom(s, room, now)
+		return
+	}
 	if s.step.Gang {
 		c.placeGang(s, room, fitting, now)
 	} else {
@@ -20,6 +27,11 @@
 		delete(c.waiting, s)
 		return
 	}
+	c.waitForRoom(s, room, now)
+}
+
+// waitForRoom does what brings a stage nearer to a place.
+func (c *Cell) waitForRoom(s *stage, room *room, now time.Time) {
 	if s.job.record.Advice != nil {
 		c.askAdvice(s, room, now)
 	}
@@ -38,17 +50,13 @@
 func (c *Cell) fitting(s *stage, room *room, now time.Time) []candidate {
 	var list []candidate
 	need := s.step.Occupied()
-	for _, w := range room.usable {
-		if !c.eligible(s, w) || !need.Fits(w.free()) {
+	for _, w := range c.allowed(s, room, now) {
+		if !need.Fits(w.free()) || !c.eligible(s, w) {
 			continue
 		}
 		ticket := ""
 		if s.job.record.Advice != nil {
-			t, ok := s.advice.ticketFor(w.ID, now)
-			if !ok {
-				continue
-			}
-			ticket = t
+			ticket = s.advice.verdicts[w.ID].ticket
 		}
 		list = append(list, candidate{w, ticket, c.score(s, w)})
 	}
@@ -61,6 +69,24 @@
 	return list
 }
 
+// allowed returns the usable workers for which the stage needs no ticket or has
+// a valid one.
+func (c *Cell) allowed(s *stage, room *room, now time.Time) []*worker {
+	if s.job.record.Advice == nil {
+		return room.usable
+	}
+	var list []*worker
+	for id, v := range s.advice.verdicts {
+		if !v.good || !now.Before(v.until) {
+			continue
+		}
+		if w := c.workers[id]; w != nil && w.usable(now) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // eligible reports whether a worker may ever run the stage.
 func (c *Cell) eligible(s *stage, w *worker) bool {
 	if w.Service != s.job.record.Service {
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -11,8 +11,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recover(now)
-	for _, w := range c.workers {
-		c.watch(w, now)
+	if now.Sub(c.watchedAt) >= watchPeriod {
+		c.watchedAt = now
+		for _, w := range c.workers {
+			c.watch(w, now)
+		}
 	}
 	c.placeAll(now, slots)
 	orders := c.orders
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -6,6 +6,10 @@
 // before others are stopped for it.
 const preemptAfter = 60 * time.Millisecond
 
+// preemptEvery is the least time between two looks for victims for one stage;
+// the first ones need up to a second to go.
+const preemptEvery = 30 * time.Millisecond
+
 // preempt stops less urgent runs for the idle tasks of a stage of the most
 // urgent queue. Load pattern: a burst of short urgent tasks meets workers full
 // of long ones, whose next end is seconds away.
@@ -16,8 +20,12 @@
 	if tooLate := s.job.objective(s, &c.durations).Sub(s.job.record.AcceptedAt); s.latestStart(&c.durations).Add(tooLate).Before(now) {
 		return
 	}
+	if now.Sub(s.preemptedAt) < preemptEvery {
+		return
+	}
+	s.preemptedAt = now
 	wanted := len(s.idle) - s.preempting
-	for _, w := range room.usable {
+	for _, w := range c.allowed(s, room, now) {
 		if wanted == 0 {
 			return
 		}
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -170,3 +170,28 @@
 		t.Errorf("acknowledged %d, want 1", look.Acknowledged)
 	}
 }
+
+// Symptom: a task ran on two workers at once, and one worker got more than it
+// has, just after a take-over.
+// Sequence: the new owner's first look at A shows a run of a job that it does
+// not know yet; then it loads the job.
+// Cause: the run was not booked, and A and the job counted as accounted for.
+func TestRunOfAMissingJobIsBookedBeforeAnythingIsPlaced(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	r := s.record(1, step(1))
+	task := r.ID + ".0.0.0"
+	s.runs["a"] = []runner.RunState{{Task: task, Run: 1, Percent: 10}}
+	s.report("a")
+	s.report("b")
+	s.cell.Add(r, true)
+	if starts := s.plan(); len(starts) != 0 {
+		t.Fatalf("started %v beside the run on a", starts)
+	}
+	s.report("a")
+	if starts := s.plan(); len(starts) != 0 {
+		t.Fatalf("started %v beside the adopted run", starts)
+	}
+	if used := s.cell.workers["a"].used.MilliCPU; used != 1000 {
+		t.Errorf("a has %d booked, want 1000", used)
+	}
+}
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"gentianstand/internal/resource"
 )
 
 const (
@@ -16,7 +18,10 @@
 	usable []*worker
 	// total and free are thousandths of a core over all usable workers.
 	total, free int64
-	slots       AdviceSlots
+	// most is the largest free amount of each kind on any worker, so that stages
+	// that fit nowhere are passed over without a look at each worker.
+	most  resource.Amount
+	slots AdviceSlots
 }
 
 func (c *Cell) newRoom(now time.Time) *room {
@@ -25,7 +30,9 @@
 		if w.usable(now) {
 			r.usable = append(r.usable, w)
 			r.total += w.Capacity.MilliCPU
-			r.free += max(0, w.free().MilliCPU)
+			free := w.free()
+			r.free += max(0, free.MilliCPU)
+			r.most = r.most.Max(free)
 		}
 	}
 	return r
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -28,6 +28,8 @@
 	fresh bool
 	// preempting is how many runs are being stopped to make room for the stage.
 	preempting int
+	// preemptedAt is when victims were last looked for.
+	preemptedAt time.Time
 }
 
 func newStage(j *jobState, occurrence, step int) *stage {
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// watchPeriod is how often the runs are looked through. Nothing there is
+	// decided within less than some hundred milliseconds.
+	watchPeriod = 40 * time.Millisecond
 	// stopRepeat is the time after which an unanswered stop is sent again; a call
 	// to a worker takes a few milliseconds.
 	stopRepeat = 700 * time.Millisecond
--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -38,12 +38,13 @@
 func (b *Jobs) Owns(partition string) bool { return strings.HasPrefix(partition, b.cell+"/") }
 
 // Create stores a record. A record that is already there counts as stored, so a
-// submission may be repeated. It returns store.ErrUnavailable only if no
-// attempt can have taken effect, and store.ErrUnknown otherwise.
-func (b *Jobs) Create(ctx context.Context, r *job.Record) error {
+// submission may be repeated; created says that this call wrote it. It returns
+// store.ErrUnavailable only if no attempt can have taken effect, and
+// store.ErrUnknown otherwise.
+func (b *Jobs) Create(ctx context.Context, r *job.Record) (created bool, err error) {
 	value, err := job.EncodeRecord(r)
 	if err != nil {
-		return err
+		return false, err
 	}
 	tx := store.Tx{
 		Partition: b.RecordPartition(r.ID),
@@ -52,9 +53,9 @@
 	}
 	var conflict *store.ConflictError
 	if err = b.settle(ctx, tx); errors.As(err, &conflict) {
-		return nil
+		return false, nil
 	}
-	return err
+	return err == nil, err
 }
 
 // Cancel stores a cancellation and reports whether the job is known. An unknown
--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -26,7 +26,7 @@
 
 // followJobs takes in jobs and cancellations from the store.
 func (o *Owner) followJobs(ctx context.Context) {
-	for ; ctx.Err() == nil; wait(ctx, jobsPeriod) {
+	for ; ctx.Err() == nil; o.awaitJobs(ctx) {
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		page, err := o.deps.Store.Changes(callCtx, celljobs.TableJobs, o.jobsVersion, 0)
 		cancel()
@@ -45,6 +45,17 @@
 	}
 }
 
+// awaitJobs waits for the next time to read, or until a job is missing.
+func (o *Owner) awaitJobs(ctx context.Context) {
+	timer := time.NewTimer(jobsPeriod)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-o.kickJobs:
+	}
+}
+
 // claimHolds reads the claim, and gives the ownership up if it has changed.
 func (o *Owner) claimHolds(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/cellowner/look_loop.go
+++ b/internal/cellowner/look_loop.go
@@ -12,6 +12,9 @@
 	// lookRetry is the pause after a look without an answer. A worker that was
 	// cut off should be seen again well before its lease ends.
 	lookRetry = 200 * time.Millisecond
+	// lookPace is the least time between two looks of which the first did not
+	// wait: what it shows has to be dealt with before the next can show more.
+	lookPace = 15 * time.Millisecond
 	// lookGap is the least time between two looks at a worker whose ends cannot
 	// be acknowledged yet: it answers at once as long as it lists any.
 	lookGap = 100 * time.Millisecond
@@ -67,6 +70,11 @@
 			o.awaitStored(ctx, stored)
 		case newest > 0:
 			wait(ctx, lookGap)
+		case look.Wait == 0:
+			wait(ctx, lookPace)
+		}
+		if len(o.cell.Missing()) > 0 {
+			signal(o.kickJobs)
 		}
 	}
 }
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -20,6 +20,8 @@
 
 	kick    chan struct{}
 	kickLog chan struct{}
+	// kickJobs has the store asked for jobs at once.
+	kickJobs chan struct{}
 	// stored is closed and replaced after each commit.
 	storedMu sync.Mutex
 	stored   chan struct{}
@@ -37,7 +39,7 @@
 func New(s cell.Settings, claim store.Check, deps Deps) *Owner {
 	return &Owner{
 		deps: deps, claim: claim, cell: cell.New(s, time.Now(), deps.Log),
-		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1),
+		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1), kickJobs: make(chan struct{}, 1),
 		stored: make(chan struct{}), looking: map[string]struct{}{},
 	}
 }
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -17,6 +17,10 @@
 	// planGap is the least time between two passes, so that news of one moment is
 	// decided on together. At 300 news a second a pass takes in about one.
 	planGap = 3 * time.Millisecond
+	// planShare bounds the share of the time that is spent planning: a pass over
+	// hundreds of waiting stages takes milliseconds, and orders and reports need
+	// the processor, too.
+	planShare = 0.25
 	// summaryPeriod is how often the state of the cell is logged.
 	summaryPeriod = 2 * time.Second
 )
@@ -36,15 +40,17 @@
 		case <-summary.C:
 			o.summarize(time.Now())
 		}
+		gap := planGap
 		if o.deps.Leadership.Confirmed() {
 			began := time.Now()
 			orders := o.cell.Plan(began, o.deps.Advisers.Slots())
 			o.deps.Metrics.PlanSeconds.UpdateDuration(began)
+			gap = max(gap, time.Duration(float64(time.Since(began))*(1/planShare-1)))
 			for _, order := range orders {
 				o.carryOut(ctx, order)
 			}
 		}
-		if !wait(ctx, planGap) {
+		if !wait(ctx, gap) {
 			return
 		}
 	}
--- a/internal/cellpeer/server.go
+++ b/internal/cellpeer/server.go
@@ -96,10 +96,11 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("record", err.Error())
 	}
-	if err := s.jobs.Create(ctx, record); err != nil {
+	created, err := s.jobs.Create(ctx, record)
+	if err != nil {
 		return nil, storeError(err)
 	}
-	return &cellpb.StoreJobReply{}, nil
+	return &cellpb.StoreJobReply{Created: created}, nil
 }
 
 // StoreCancel implements cellpb.Cells.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -74,7 +74,7 @@
 	if err := r.Check(); err != nil {
 		return fault.New(fault.BadRequest, "job %s: %w", r.ID, err)
 	}
-	err := i.create(ctx, r)
+	created, err := i.create(ctx, r)
 	i.metrics.SubmitSeconds.UpdateDuration(began)
 	if err != nil {
 		i.metrics.SubmitErrors.Inc()
@@ -83,38 +83,44 @@
 	}
 	i.metrics.Submitted.Inc()
 	i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "took_ms": time.Since(began).Milliseconds()}).Info("job_accepted")
-	i.tellSubmitted(r)
+	if created {
+		// A job that was there already was told to the owner of that time. Told
+		// again, it would look new to the owner of now.
+		i.tellSubmitted(r)
+	}
 	return nil
 }
 
 // create stores a record here, or through an instance that reaches the store.
-func (i *Intake) create(ctx context.Context, r *job.Record) error {
+// created says that this call, and nothing before it, stored the record.
+func (i *Intake) create(ctx context.Context, r *job.Record) (created bool, err error) {
 	if !i.store.Reachable() {
 		if peer, ok := i.peerWithStore(ctx); ok {
 			return i.createThrough(ctx, peer, r)
 		}
 		// Nothing was sent, so the caller may be told that the job will never run,
 		// and may try again. After an attempt without an answer it could not.
-		return errOutage
+		return false, errOutage
 	}
-	err := i.jobs.Create(ctx, r)
+	created, err = i.jobs.Create(ctx, r)
 	if errors.Is(err, store.ErrUnavailable) {
 		if peer, ok := i.peerWithStore(ctx); ok {
 			return i.createThrough(ctx, peer, r)
 		}
 	}
-	return err
+	return created, err
 }
 
-func (i *Intake) createThrough(ctx context.Context, peer cellpeer.Instance, r *job.Record) error {
+func (i *Intake) createThrough(ctx context.Context, peer cellpeer.Instance, r *job.Record) (created bool, err error) {
 	value, err := job.EncodeRecord(r)
 	if err != nil {
-		return err
+		return false, err
 	}
-	if _, err := i.clients.To(peer.Address).StoreJob(ctx, &cellpb.StoreJobRequest{Record: value}); err != nil {
-		return cellpeer.StoreErrorFrom(err)
+	reply, err := i.clients.To(peer.Address).StoreJob(ctx, &cellpb.StoreJobRequest{Record: value})
+	if err != nil {
+		return false, cellpeer.StoreErrorFrom(err)
 	}
-	return nil
+	return reply.Created, nil
 }
 
 // tellSubmitted tells the owner of a stored job without delaying the caller.
