--- /dev/null
+++ b/internal/cell/ask_test.go
@@ -0,0 +1,157 @@
+package cell
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gentianstand/internal/advice"
+	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// advised makes a record need tickets.
+func advised(r *job.Record, perCall time.Duration) *job.Record {
+	r.Advice = &job.AdviceCost{PerCall: perCall, Valid: 2 * time.Second}
+	return r
+}
+
+func (s *site) questions() []AdviceOrder {
+	var asked []AdviceOrder
+	for _, o := range s.orders {
+		if q, ok := o.(AdviceOrder); ok {
+			asked = append(asked, q)
+		}
+	}
+	return asked
+}
+
+func manyWorkers(n int) []roster.Worker {
+	var list []roster.Worker
+	for i := range n {
+		list = append(list, usualWorker(string(rune('a'+i))))
+	}
+	return list
+}
+
+// Symptom: after a fault nothing was placed any more, beside free workers.
+// Sequence: more stages want advice than the adviser serves; calls wait there,
+// time out here, and are made again.
+// Cause: calls were made whether or not one could begin.
+func TestAdviceIsAskedOnlyWhenALaneIsFree(t *testing.T) {
+	s := newSite(t, 1, manyWorkers(4)...)
+	for _, w := range manyWorkers(4) {
+		s.report(w.ID)
+	}
+	for n := range 10 {
+		r := advised(s.record(n, step(2)), time.Second)
+		r.Priority = 2 - n%2
+		s.cell.Add(r, true)
+	}
+	s.slots = AdviceSlots{Quick: 2, Any: 3}
+	s.plan()
+	asked := s.questions()
+	if len(asked) != 3 {
+		t.Fatalf("%d slow calls for 3 lanes", len(asked))
+	}
+	for _, q := range asked {
+		if s.cell.jobs[q.Stage.Job].record.Priority != 1 {
+			t.Errorf("a less urgent stage was asked about first: %s", q.Stage)
+		}
+	}
+	s.slots = AdviceSlots{Quick: 1}
+	quick := advised(s.record(20, step(2)), 20*time.Millisecond)
+	s.cell.Add(quick, true)
+	s.plan()
+	if asked := s.questions(); len(asked) != 1 || asked[0].Stage.Job != quick.ID {
+		t.Errorf("with a lane for quick calls: %v", asked)
+	}
+}
+
+// Load: all workers are full, and room opens on one every few milliseconds.
+// A stage keeps tickets for full workers, renews them before they expire, and
+// starts the moment that there is room.
+func TestTicketsForFullWorkersAreKept(t *testing.T) {
+	s := newSite(t, 1, manyWorkers(2)...)
+	s.report("a")
+	s.report("b")
+	full := step(32)
+	s.cell.Add(s.record(1, full), true)
+	running := s.plan()
+	if len(running) != 32 {
+		t.Fatalf("%d tasks of 32 started", len(running))
+	}
+	waits := advised(s.record(2, step(1)), 100*time.Millisecond)
+	s.cell.Add(waits, true)
+	s.plan()
+	if len(s.questions()) != 1 {
+		t.Fatal("no advice was asked for a stage that waits for room")
+	}
+	s.advise("a")
+	s.plan()
+	if len(s.questions()) != 0 {
+		t.Error("asked again while the ticket is valid")
+	}
+	s.pass(1700 * time.Millisecond)
+	s.report("a")
+	s.report("b")
+	s.plan()
+	if q := s.questions(); len(q) != 1 || q[0].Workers[0] != "a" {
+		t.Fatalf("the ticket was not renewed before it expires: %v", q)
+	}
+	s.advise("a")
+	for _, o := range running {
+		if o.Worker.ID == "a" {
+			s.end("a", o.Start.Task, o.Start.Run, runner.Done)
+			break
+		}
+	}
+	s.report("a")
+	if o, ok := s.plan()[waits.ID+".0.0.0"]; !ok || o.Start.Ticket != "ticket-a" {
+		t.Errorf("not started with its ticket when room opened: %+v", o)
+	}
+}
+
+func TestAdviceThatFailedIsAskedAgainAfterAPause(t *testing.T) {
+	s := newSite(t, 1, manyWorkers(2)...)
+	s.report("a")
+	s.report("b")
+	s.cell.Add(advised(s.record(1, step(1)), 20*time.Millisecond), true)
+	s.plan()
+	q := s.questions()[0]
+	s.cell.Advised(q.Stage, q.Workers, nil, errors.New("busy"), s.now)
+	s.plan()
+	if len(s.questions()) != 0 {
+		t.Error("asked again at once")
+	}
+	s.pass(adviceRetry)
+	s.plan()
+	if len(s.questions()) != 1 {
+		t.Error("not asked again after the pause")
+	}
+}
+
+// Symptom: starts were refused for want of a ticket, again and again.
+// Cause: a ticket that a worker refused was used for the next start.
+func TestRefusedTicketIsNotUsedAgain(t *testing.T) {
+	s := newSite(t, 1, manyWorkers(1)...)
+	s.report("a")
+	r := advised(s.record(1, step(1)), 20*time.Millisecond)
+	s.cell.Add(r, true)
+	s.plan()
+	s.advise("a")
+	o := s.plan()[r.ID+".0.0.0"]
+	s.cell.StartAnswered(o, runner.Answer{}, &runner.Refusal{Reason: runner.BadTicket}, s.now)
+	if starts := s.plan(); len(starts) != 0 {
+		t.Fatalf("started again with the refused ticket: %v", starts)
+	}
+	q := s.questions()
+	if len(q) != 1 {
+		t.Fatal("no new ticket was asked for")
+	}
+	s.cell.Advised(q[0].Stage, q[0].Workers, []advice.Ticket{{Worker: "a", Text: "new"}}, nil, s.now)
+	if o := s.plan()[r.ID+".0.0.0"]; o.Start.Ticket != "new" {
+		t.Errorf("started with ticket %q", o.Start.Ticket)
+	}
+}
--- a/internal/instance/docs_test.go
+++ b/internal/instance/docs_test.go
@@ -23,7 +23,7 @@
 
 func operating(t *testing.T) string {
 	t.Helper()
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,7 +48,7 @@
 	return all.String()
 }
 
-// TestFlagsArePublished: docs/OPERATING.md names each flag of serve, and no
+// TestFlagsArePublished: docs/OPERATIONS.md names each flag of serve, and no
 // other.
 func TestFlagsArePublished(t *testing.T) {
 	var c instance.Settings
@@ -57,18 +57,18 @@
 	page := operating(t)
 	s.VisitAll(func(f *flag.Flag) {
 		if !strings.Contains(page, "`-"+f.Name+"`") {
-			t.Errorf("docs/OPERATING.md lacks -%s", f.Name)
+			t.Errorf("docs/OPERATIONS.md lacks -%s", f.Name)
 		}
 	})
 }
 
-// TestMetricsArePublished: docs/OPERATING.md names exactly the metrics of the
+// TestMetricsArePublished: docs/OPERATIONS.md names exactly the metrics of the
 // code.
 func TestMetricsArePublished(t *testing.T) {
 	compare(t, "metric", words(metricPattern, sources(t), 0), words(metricPattern, operating(t), 0))
 }
 
-// TestLogEventsArePublished: docs/OPERATING.md explains each event that the
+// TestLogEventsArePublished: docs/OPERATIONS.md explains each event that the
 // code logs.
 func TestLogEventsArePublished(t *testing.T) {
 	code := sources(t)
@@ -85,7 +85,7 @@
 	}
 	for event := range events {
 		if !strings.Contains(page, "`"+event+"`") {
-			t.Errorf("docs/OPERATING.md lacks the event %s", event)
+			t.Errorf("docs/OPERATIONS.md lacks the event %s", event)
 		}
 	}
 }
@@ -102,12 +102,12 @@
 	t.Helper()
 	for name := range code {
 		if !page[name] {
-			t.Errorf("docs/OPERATING.md lacks the %s %s", what, name)
+			t.Errorf("docs/OPERATIONS.md lacks the %s %s", what, name)
 		}
 	}
 	for name := range page {
 		if !code[name] {
-			t.Errorf("docs/OPERATING.md has a %s that the code has not: %s", what, name)
+			t.Errorf("docs/OPERATIONS.md has a %s that the code has not: %s", what, name)
 		}
 	}
 }
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"sync/atomic"
 
@@ -45,5 +46,8 @@
 func (q *lineQueue) run() {
 	for line := range q.lines {
 		_, _ = q.out.Write(line) // there is no other place to report it
+		if n := q.dropped.Swap(0); n > 0 {
+			_, _ = fmt.Fprintf(q.out, "level=warning msg=log_lines_dropped lines=%d\n", n) // as above
+		}
 	}
 }
