A model of one cell under random faults; an earlier owner's lease counts

Cause: a new owner that had looked at a worker once, without granting a lease, took the worker's lease as over after 1.5 s of silence, although the earlier owner's went on for up to 3.5 s: its tasks could run twice. Test: TestLeaseOfTheEarlierOwnerCounts failed before.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -33,9 +33,8 @@
 	// gauge is the last reported figure; see runner.RunState.
 	gauge float64
 	// pace is the share of its speed that the run is allowed.
-	pace     int
-	pacedAt  time.Time
-	overFrom time.Time
+	pace    int
+	pacedAt time.Time
 	// stopSentAt and stopAnsweredAt are zero while there was none.
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -152,3 +152,30 @@
 		t.Error("the task was not started at once on the other worker")
 	}
 }
+
+// Symptom: a task ran twice after a take-over.
+// Sequence: the new owner's first look finds a run on A; then A is cut off. The
+// lease that the earlier owner granted goes on for three more seconds.
+// Cause: the new owner had granted no lease yet, and took A's as over.
+func TestLeaseOfTheEarlierOwnerCounts(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	r := s.record(1, step(1))
+	s.cell.Load(r, nil, 0)
+	task := r.ID + ".0.0.0"
+	s.runs["a"] = []runner.RunState{{Task: task, Run: 1, Percent: 10}}
+	s.report("a")
+	found := s.now
+	s.report("b")
+	for s.now.Sub(found) < 3400*time.Millisecond {
+		s.pass(200 * time.Millisecond)
+		s.report("b")
+		if again, ok := s.plan()[task]; ok {
+			t.Fatalf("run %d was started after %v, within the earlier owner's lease", again.Start.Run, s.now.Sub(found))
+		}
+	}
+	s.pass(600 * time.Millisecond)
+	s.report("b")
+	if _, ok := s.plan()[task]; !ok {
+		t.Error("the task was not started after that lease must have ended")
+	}
+}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -63,6 +63,10 @@
 	if w == nil {
 		return
 	}
+	if w.clockAt.IsZero() {
+		// An earlier owner may have granted a lease just before.
+		w.leaseEnd = max(w.leaseEnd, report.Clock+c.settings.Lease+guessError)
+	}
 	w.sawClock(report.Clock, now)
 	if !w.failingAt.IsZero() {
 		c.log.WithFields(workerFields(w)).WithField("silent_ms", now.Sub(w.failingAt).Milliseconds()).Info("worker_answers_again")
--- /dev/null
+++ b/internal/cell/model_test.go
@@ -0,0 +1,340 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// TestModel plays random sequences of lost, late and answered orders and looks,
+// ends, crashes of workers, failed commits and take-overs with the overtaken
+// owner still acting, and checks after each step that no task runs twice, none
+// runs again after its success was acknowledged, and no worker gets more than it
+// has. At the end everything is healed, and all jobs must complete.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newModel(rt)
+		steps := rapid.IntRange(20, 120).Draw(rt, "steps")
+		for range steps {
+			m.step()
+		}
+		m.finishAll()
+	})
+}
+
+// modelOwner is one owner's term.
+type modelOwner struct {
+	cell  *Cell
+	lost  bool
+	since time.Time
+}
+
+// model is the world around the cells: workers, store, time.
+type model struct {
+	rt      *rapid.T
+	now     time.Time
+	workers []*modelWorker
+	lives   int
+	records []*job.Record
+	stored  map[string]*job.Progress
+	version uint64
+	owners  []*modelOwner
+	late    []func()
+	open    map[string]string
+	done    map[string]bool
+}
+
+func newModel(rt *rapid.T) *model {
+	m := &model{rt: rt, now: siteStart, stored: map[string]*job.Progress{}, open: map[string]string{}, done: map[string]bool{}}
+	for range 3 {
+		m.addWorker()
+	}
+	m.takeOver(true)
+	return m
+}
+
+func (m *model) addWorker() {
+	m.lives++
+	r := usualWorker(fmt.Sprintf("w%d", m.lives))
+	r.Capacity.MilliCPU = 3000
+	w := &modelWorker{world: m, roster: r, alive: true, runs: map[string]*modelRun{}, highest: map[string]uint64{}}
+	m.workers = append(m.workers, w)
+}
+
+func (m *model) runStarted(w *modelWorker, task string) {
+	if other, ok := m.open[task]; ok {
+		m.rt.Fatalf("%s runs on %s and %s", task, other, w.roster.ID)
+	}
+	if m.done[task] {
+		m.rt.Fatalf("%s was started after its success was acknowledged", task)
+	}
+	m.open[task] = w.roster.ID
+	if used := int64(len(w.runs)) * 1000; used > w.roster.Capacity.MilliCPU {
+		m.rt.Fatalf("%s has %d of %d", w.roster.ID, used, w.roster.Capacity.MilliCPU)
+	}
+}
+
+func (m *model) runEnded(w *modelWorker, task string) {
+	if m.open[task] == w.roster.ID {
+		delete(m.open, task)
+	}
+}
+
+func (m *model) acknowledged(e runner.End) {
+	if e.How == runner.Done {
+		m.done[e.Task] = true
+	}
+}
+
+// takeOver begins a term. The earlier owner goes on until it is told off, unless
+// its process has ended.
+func (m *model) takeOver(earlierStopped bool) {
+	if n := len(m.owners); n > 0 {
+		m.owners[n-1].lost = earlierStopped
+	}
+	term := uint64(len(m.owners) + 1)
+	m.rt.Logf("%v term %d taken, earlier stopped %v", m.now.Sub(siteStart), term, earlierStopped)
+	c := New(Settings{Term: term, EarlierStopped: earlierStopped, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond}, m.now, quietLog())
+	for _, r := range m.records {
+		c.Load(r, m.stored[r.ID], m.version)
+	}
+	o := &modelOwner{cell: c, since: m.now}
+	for _, w := range m.workers {
+		if w.alive {
+			c.register(w.roster, m.now)
+		}
+	}
+	m.owners = append(m.owners, o)
+}
+
+// current is the owner whose claim holds.
+func (m *model) current() *modelOwner { return m.owners[len(m.owners)-1] }
+
+// anyOwner is the current owner, or the one before it while that may still act.
+func (m *model) anyOwner() *modelOwner {
+	if n := len(m.owners); n > 1 {
+		before := m.owners[n-2]
+		if !before.lost && m.now.Sub(m.current().since) < overtakenFor && rapid.Bool().Draw(m.rt, "overtaken acts") {
+			return before
+		}
+	}
+	return m.current()
+}
+
+func (m *model) step() {
+	o := m.anyOwner()
+	switch rapid.IntRange(0, 11).Draw(m.rt, "action") {
+	case 0:
+		m.now = m.now.Add(time.Duration(rapid.IntRange(5, 900).Draw(m.rt, "pass")) * time.Millisecond)
+		for _, w := range m.workers {
+			w.lapse()
+		}
+	case 1, 2, 3:
+		m.look(o, m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "worker")], rapid.IntRange(0, 5).Draw(m.rt, "lost look") == 0)
+	case 4, 5:
+		m.plan(o, true)
+	case 6, 7:
+		m.endSomeRun()
+	case 8:
+		m.commit(o, rapid.Bool().Draw(m.rt, "store answers"))
+	case 9:
+		m.submit()
+	case 10:
+		m.rare()
+	case 11:
+		if len(m.late) > 0 {
+			act := m.late[0]
+			m.late = m.late[1:]
+			act()
+		}
+	}
+}
+
+func (m *model) rare() {
+	switch rapid.IntRange(0, 3).Draw(m.rt, "rare") {
+	case 0:
+		m.takeOver(rapid.Bool().Draw(m.rt, "earlier stopped"))
+	case 1:
+		w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "crash")]
+		if w.alive {
+			w.alive = false
+			for task := range w.runs {
+				m.runEnded(w, task)
+			}
+			w.runs = map[string]*modelRun{}
+			m.addWorker()
+			m.current().cell.register(m.workers[len(m.workers)-1].roster, m.now)
+		}
+	case 2:
+		m.now = m.now.Add(4 * time.Second)
+		for _, w := range m.workers {
+			w.lapse()
+		}
+	}
+}
+
+// submit stores a job; the owner of the moment is told of it, or finds it later.
+func (m *model) submit() {
+	r := &job.Record{ID: fmt.Sprintf("%016x", len(m.records)+1), Queue: "q", Service: "desk", MaxAttempts: 100, Stretch: 2, AcceptedAt: m.now,
+		Steps: []job.Step{step(rapid.IntRange(1, 3).Draw(m.rt, "tasks"))}}
+	if rapid.Bool().Draw(m.rt, "two steps") {
+		second := step(1)
+		second.After = []int{0}
+		r.Steps = append(r.Steps, second)
+	}
+	m.records = append(m.records, r)
+	if rapid.Bool().Draw(m.rt, "told") {
+		m.anyOwner().cell.Add(r, true)
+	}
+}
+
+func (m *model) look(o *modelOwner, w *modelWorker, lost bool) {
+	sentAt := m.now
+	_, look, ok := o.cell.NextLook(w.roster.ID, sentAt)
+	if !ok {
+		return
+	}
+	report, err := w.look(look)
+	m.rt.Logf("%v term %d: look at %s lost %v: %v %v", m.now.Sub(siteStart), o.cell.settings.Term, w.roster.ID, lost, report, err)
+	if lost && w.alive {
+		err = runner.ErrNoAnswer
+	}
+	m.now = m.now.Add(2 * time.Millisecond)
+	if err != nil {
+		o.cell.LookFailed(w.roster.ID, err, m.now)
+		return
+	}
+	o.cell.Reported(w.roster.ID, report, sentAt, m.now)
+	for _, id := range o.cell.Missing() {
+		m.find(o, id)
+	}
+}
+
+// find answers an owner's question to the store about a job.
+func (m *model) find(o *modelOwner, id string) {
+	for _, r := range m.records {
+		if r.ID == id {
+			o.cell.Load(r, m.stored[id], m.version)
+			return
+		}
+	}
+	o.cell.Absent(id)
+}
+
+// plan carries the orders out; some get no answer, some arrive late or never.
+func (m *model) plan(o *modelOwner, faults bool) {
+	orders := o.cell.Plan(m.now, AdviceSlots{})
+	sort.Slice(orders, func(a, b int) bool { return fmt.Sprint(orders[a]) < fmt.Sprint(orders[b]) })
+	for _, order := range orders {
+		m.rt.Logf("%v term %d: %T %v", m.now.Sub(siteStart), o.cell.settings.Term, order, order)
+		fate := 0
+		if faults {
+			fate = rapid.IntRange(0, 6).Draw(m.rt, "fate")
+		}
+		switch order := order.(type) {
+		case StartOrder:
+			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.start(order.Start) },
+				func(err error) { o.cell.StartAnswered(order, runner.Answer{}, err, m.now) })
+		case StopOrder:
+			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.stop(order.Stop) },
+				func(err error) { o.cell.StopAnswered(order, runner.Answer{}, err, m.now) })
+		}
+	}
+}
+
+func (m *model) deliver(fate int, id string, act func(*modelWorker) error, answer func(error)) {
+	for _, w := range m.workers {
+		if w.roster.ID != id {
+			continue
+		}
+		switch fate {
+		case 4: // carried out, no answer
+			_ = act(w) // nobody hears of it
+			answer(runner.ErrNoAnswer)
+		case 5: // carried out late, no answer
+			m.late = append(m.late, func() { _ = act(w) }) // as above
+			answer(runner.ErrNoAnswer)
+		case 6: // never carried out
+			answer(runner.ErrNoAnswer)
+		default:
+			answer(act(w))
+		}
+	}
+}
+
+func (m *model) endSomeRun() {
+	for _, w := range m.workers {
+		for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+			r := w.runs[task]
+			how := runner.Done
+			switch {
+			case r.stop:
+				how = runner.Stopped
+			case rapid.IntRange(0, 4).Draw(m.rt, "fails") == 0:
+				how = runner.FailedRun
+			}
+			w.end(task, r.run, how)
+			return
+		}
+	}
+}
+
+// commit stores progress if the owner's claim holds.
+func (m *model) commit(o *modelOwner, answers bool) {
+	commit := o.cell.NextCommit(10)
+	if commit == nil {
+		return
+	}
+	if o != m.current() || !answers {
+		o.cell.NotCommitted(commit, nil)
+		return
+	}
+	m.version++
+	for _, item := range commit.Items {
+		m.stored[item.Job] = item.Progress
+	}
+	o.cell.Committed(commit, m.version)
+}
+
+// finishAll heals everything and waits until all jobs are shown as complete.
+func (m *model) finishAll() {
+	m.takeOver(true)
+	o := m.current()
+	for range 400 {
+		m.now = m.now.Add(50 * time.Millisecond)
+		for _, w := range m.workers {
+			w.lapse()
+			m.look(o, w, false)
+			for task, r := range w.runs {
+				how := runner.Done
+				if r.stop {
+					how = runner.Stopped
+				}
+				w.end(task, r.run, how)
+			}
+		}
+		m.plan(o, false)
+		m.commit(o, true)
+		if m.allComplete(o) {
+			return
+		}
+	}
+	m.rt.Fatalf("not all jobs completed after the faults had ended")
+}
+
+func (m *model) allComplete(o *modelOwner) bool {
+	for _, r := range m.records {
+		if state, _ := o.cell.State(r.ID); state != job.Completed {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/cell/model_worker_test.go
@@ -0,0 +1,120 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// modelWorker plays one life of a worker exactly as the platform describes it.
+type modelWorker struct {
+	world    *model
+	roster   roster.Worker
+	alive    bool
+	token    uint64
+	leaseEnd time.Duration
+	runs     map[string]*modelRun
+	highest  map[string]uint64
+	ends     []runner.End
+	sequence uint64
+	// lapsedThrough is the last end before the lease was over. The platform does
+	// not count such ends as acknowledged: the task may have been started again.
+	lapsedThrough uint64
+}
+
+type modelRun struct {
+	run  uint64
+	stop bool
+}
+
+// clock is the worker's own clock, 2% slow.
+func (w *modelWorker) clock() time.Duration {
+	return time.Duration(float64(w.world.now.Sub(siteStart)) * (1 - clockDrift)).Truncate(time.Millisecond)
+}
+
+// lapse ends everything when the lease is over.
+func (w *modelWorker) lapse() {
+	if w.clock() < w.leaseEnd {
+		return
+	}
+	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+		w.end(task, w.runs[task].run, runner.Lapsed)
+	}
+	w.lapsedThrough = w.sequence
+}
+
+func (w *modelWorker) end(task string, run uint64, how runner.EndKind) {
+	delete(w.runs, task)
+	w.sequence++
+	w.ends = append(w.ends, runner.End{Sequence: w.sequence, Task: task, Run: run, How: how})
+	w.world.runEnded(w, task)
+}
+
+func (w *modelWorker) look(look runner.Look) (runner.Report, error) {
+	w.lapse()
+	if !w.alive {
+		return runner.Report{}, runner.ErrGone
+	}
+	if look.Token < w.token {
+		return runner.Report{}, &runner.Refusal{Reason: runner.Fenced}
+	}
+	w.token = look.Token
+	if look.LeaseUntil != nil {
+		w.leaseEnd = max(w.leaseEnd, min(*look.LeaseUntil, w.clock()+6*time.Second))
+	}
+	for len(w.ends) > 0 && w.ends[0].Sequence <= look.Acknowledged {
+		if w.ends[0].Sequence > w.lapsedThrough {
+			w.world.acknowledged(w.ends[0])
+		}
+		w.ends = w.ends[1:]
+	}
+	report := runner.Report{Clock: w.clock(), Ended: append([]runner.End(nil), w.ends...)}
+	for task, r := range w.runs {
+		report.Running = append(report.Running, runner.RunState{Task: task, Run: r.run, Percent: 10})
+	}
+	return report, nil
+}
+
+func (w *modelWorker) start(s runner.Start) error {
+	w.lapse()
+	if !w.alive {
+		return runner.ErrGone
+	}
+	if s.Token < w.token {
+		return &runner.Refusal{Reason: runner.Fenced}
+	}
+	w.token = s.Token
+	if r := w.runs[s.Task]; r != nil && r.run == s.Run {
+		return nil
+	}
+	if s.Run <= w.highest[s.Task] {
+		return &runner.Refusal{Reason: runner.RunTooOld}
+	}
+	w.leaseEnd = max(w.leaseEnd, min(s.LeaseUntil, w.clock()+6*time.Second))
+	if s.LeaseUntil <= w.clock() {
+		return &runner.Refusal{Reason: runner.LeaseOver}
+	}
+	w.highest[s.Task] = s.Run
+	w.runs[s.Task] = &modelRun{run: s.Run}
+	w.world.runStarted(w, s.Task)
+	return nil
+}
+
+func (w *modelWorker) stop(s runner.Stop) error {
+	w.lapse()
+	if !w.alive {
+		return runner.ErrGone
+	}
+	if s.Token < w.token {
+		return &runner.Refusal{Reason: runner.Fenced}
+	}
+	w.token = s.Token
+	w.highest[s.Task] = max(w.highest[s.Task], s.Run)
+	if r := w.runs[s.Task]; r != nil && r.run == s.Run {
+		r.stop = true
+	}
+	return nil
+}
--- a/internal/node/catalog_follower.go
+++ b/internal/node/catalog_follower.go
@@ -52,7 +52,7 @@
 func (f *catalogFollower) step(ctx context.Context) error {
 	var next *catalog.Catalog
 	var err error
-	version := f.version
+	var version uint64
 	if f.known {
 		wait := catalogWait
 		if f.failing {
