An owner that lacks the store asks the others whether it was overtaken

Cause: an overtaken owner without the store and without workers that fence it went on answering questions about jobs with what it had known, and took news of jobs that its successor should have been told; nobody pings it any more. Found by the new TestOwnerWithoutTheStoreIsOvertaken, which failed before.

--- /dev/null
+++ b/internal/celljobs/jobs_test.go
@@ -0,0 +1,114 @@
+package celljobs
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/store"
+)
+
+// lossy is a store of one row that loses the answers to its first writes, or
+// refuses them.
+type lossy struct {
+	store.Store
+	row    store.Row
+	losses int
+	refuse int
+	calls  int
+}
+
+func (l *lossy) Commit(_ context.Context, tx store.Tx) (uint64, error) {
+	l.calls++
+	if l.refuse > 0 {
+		l.refuse--
+		return 0, store.ErrUnavailable
+	}
+	if len(tx.Checks) > 0 && l.row.Version != tx.Checks[0].Version {
+		return 0, &store.ConflictError{Rows: []store.Row{l.row}}
+	}
+	l.row = store.Row{Key: tx.Puts[0].Key, Value: tx.Puts[0].Value, Version: l.row.Version + 1}
+	if l.losses > 0 {
+		l.losses--
+		return 0, store.ErrUnknown
+	}
+	return l.row.Version, nil
+}
+
+func newJobs(l *lossy) *Jobs { return New(store.NewWatched(l), "cell") }
+
+func record() *job.Record {
+	return &job.Record{ID: "5c0e7a21d94b36f8", Steps: []job.Step{{Count: 1}}}
+}
+
+// Symptom: a caller was told that its job was not accepted, and it ran.
+// Sequence: the store takes the record and its answer is lost; the repeat finds
+// the record.
+// Cause: the repeat's conflict was told as a failure.
+func TestCreateSettlesALostAnswer(t *testing.T) {
+	l := &lossy{losses: 1}
+	created, err := newJobs(l).Create(t.Context(), record())
+	if err != nil || created {
+		t.Errorf("created %v, error %v; want accepted, and not told as new", created, err)
+	}
+	if l.calls != 2 {
+		t.Errorf("%d calls, want 2", l.calls)
+	}
+}
+
+// Symptom: a caller was told "never runs" about a job that ran.
+// Sequence: the first write has no answer, the second is refused.
+// Cause: only the last attempt was looked at.
+func TestRefusalAfterALostAnswerIsNoRefusal(t *testing.T) {
+	l := &lossy{losses: 1}
+	jobs := newJobs(l)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*unknownRetry)
+	defer cancel()
+	l.row.Version = 0
+	first := &refusingLater{lossy: l}
+	jobs.store = store.NewWatched(first)
+	_, err := jobs.Create(ctx, record())
+	if errors.Is(err, store.ErrUnavailable) || !errors.Is(err, store.ErrUnknown) {
+		t.Errorf("error %v, want an open outcome", err)
+	}
+}
+
+// refusingLater loses the answer to the first write and refuses all others.
+type refusingLater struct{ *lossy }
+
+func (r *refusingLater) Commit(ctx context.Context, tx store.Tx) (uint64, error) {
+	if r.calls > 0 {
+		r.refuse = 1
+	}
+	return r.lossy.Commit(ctx, tx)
+}
+
+func TestRefusalIsToldAtOnce(t *testing.T) {
+	l := &lossy{refuse: 1}
+	began := time.Now()
+	_, err := newJobs(l).Create(t.Context(), record())
+	if !errors.Is(err, store.ErrUnavailable) || l.calls != 1 {
+		t.Errorf("error %v after %d calls in %v", err, l.calls, time.Since(began))
+	}
+}
+
+func TestRecordsAreSpreadOverPartitions(t *testing.T) {
+	jobs := newJobs(&lossy{})
+	seen := map[string]bool{}
+	for n := range 2000 {
+		id := string([]byte{byte('a' + n%16), byte('0' + n/16%10), byte('0' + n/160)})
+		p := jobs.RecordPartition(id)
+		if !jobs.Owns(p) {
+			t.Fatalf("partition %q is not the cell's", p)
+		}
+		seen[p] = true
+	}
+	if len(seen) < jobPartitions*3/4 {
+		t.Errorf("2000 ids use %d of %d partitions", len(seen), jobPartitions)
+	}
+	if jobs.Owns("another/001") || jobs.Owns(jobs.ProgressPartition()) {
+		t.Error("a partition that holds no records of the cell counts as one")
+	}
+}
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -78,6 +78,8 @@
 	t, stopping := l.term, l.stopping
 	l.mu.Unlock()
 	switch {
+	case t != nil && !t.Confirmed():
+		l.askAround(ctx, t)
 	case t != nil:
 		l.verify(ctx, t)
 	case stopping:
@@ -99,6 +101,32 @@
 	}()
 }
 
+// askAround asks the others for a later term. An owner that lacks the store and
+// that nobody pings any more has probably been overtaken: its successor is pinged
+// instead, and the store cannot tell.
+func (l *Leader) askAround(ctx context.Context, t *term) {
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	others := l.directory.Others()
+	terms := make(chan uint64, len(others))
+	for _, other := range others {
+		go func() {
+			reply, err := l.ping(callCtx, other.Address, t.number)
+			if err != nil {
+				terms <- 0
+				return
+			}
+			terms <- reply.Term
+		}()
+	}
+	for range others {
+		if term := <-terms; term > t.number {
+			t.Overtaken("another instance knows a later term")
+			return
+		}
+	}
+}
+
 // follow watches the owner and takes over when it is gone.
 func (l *Leader) follow(ctx context.Context) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/cellleader/leader_test.go
@@ -0,0 +1,198 @@
+package cellleader_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"gentianstand/internal/cell"
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/cellleader"
+	"gentianstand/internal/cellowner"
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/store"
+	"gentianstand/platform"
+	"gentianstand/platform/standin"
+)
+
+// member is one instance with its own connection to the store.
+type member struct {
+	leader  *cellleader.Leader
+	server  *httptest.Server
+	proxy   *standin.Proxy
+	cancel  context.CancelFunc
+	done    chan struct{}
+	stopped bool
+	term    atomic.Uint64
+	earlier atomic.Bool
+}
+
+func (m *member) owns() bool { return m.leader.Local() != nil }
+
+// die ends the member as a crash does.
+func (m *member) die() {
+	if m.stopped {
+		return
+	}
+	m.stopped = true
+	m.server.CloseClientConnections()
+	m.server.Close()
+	m.cancel()
+	<-m.done
+}
+
+// group starts members over one store.
+func group(t *testing.T, n int) []*member {
+	t.Helper()
+	backing := httptest.NewServer(standin.NewStore())
+	t.Cleanup(backing.Close)
+	var members []*member
+	for i := range n {
+		members = append(members, join(t, fmt.Sprintf("edge-%d", i), backing.Listener.Addr().String()))
+	}
+	return members
+}
+
+func join(t *testing.T, name, storeAddress string) *member {
+	t.Helper()
+	log, _ := logtest.NewNullLogger()
+	proxy, err := standin.NewProxy("127.0.0.1:0", storeAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	watched := store.NewWatched(platform.NewStore(proxy.Address()))
+	jobs := celljobs.New(watched, "cell-0")
+	m := &member{proxy: proxy, done: make(chan struct{})}
+	server := httptest.NewUnstartedServer(nil)
+	self := cellpeer.Instance{Name: name, Address: server.Listener.Addr().String(), Incarnation: name, StartedAt: time.Now()}
+	directory := cellpeer.NewDirectory(self, watched, log)
+	clients := cellpeer.NewClients()
+	ownerMetrics := cellowner.NewMetrics(metrics.NewSet())
+	newOwner := func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
+		m.term.Store(term)
+		m.earlier.Store(earlierStopped)
+		return cellowner.New(cell.Settings{Term: term, Lease: time.Second}, claim, cellowner.Deps{
+			Store: watched, Jobs: jobs, Roster: platform.RosterIn(watched, log), Runner: platform.NewWorkers(),
+			Advisers: cellpeer.NewAdvicePool(directory, clients, nil), Leadership: l, Metrics: ownerMetrics, Log: logrus.NewEntry(log),
+		})
+	}
+	m.leader = cellleader.New("cell-0", directory, clients, watched, newOwner, log)
+	server.Config.Handler = cellpeer.NewServer(m.leader, jobs, nil, log)
+	server.Start()
+	m.server = server
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go directory.Run(ctx)
+	go func() {
+		defer close(m.done)
+		m.leader.Run(ctx)
+	}()
+	t.Cleanup(m.die)
+	return m
+}
+
+// owner waits until exactly one of the members owns the cell and returns it.
+func owner(t *testing.T, members []*member) *member {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		var owners []*member
+		for _, m := range members {
+			if m.owns() {
+				owners = append(owners, m)
+			}
+		}
+		if len(owners) == 1 {
+			return owners[0]
+		}
+	}
+	t.Fatal("there is no single owner")
+	return nil
+}
+
+func without(members []*member, gone *member) []*member {
+	var left []*member
+	for _, m := range members {
+		if m != gone {
+			left = append(left, m)
+		}
+	}
+	return left
+}
+
+// Symptom: nobody planned any more.
+// Sequence: the owner's process dies.
+// Cause: nobody noticed, or nobody took over.
+func TestDeadOwnerIsOvertaken(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	term := first.term.Load()
+	first.die()
+	next := owner(t, without(members, first))
+	if next.term.Load() <= term {
+		t.Errorf("term %d after term %d", next.term.Load(), term)
+	}
+	if next.earlier.Load() {
+		t.Error("a silent owner was taken for one that gives no orders any more")
+	}
+}
+
+// Symptom: a planned restart of the owner stalled all work for seconds.
+// Sequence: the owner is asked to stop.
+// Cause: its successor waited for its silence.
+func TestStoppingOwnerHandsOver(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	first.leader.HandOver(t.Context())
+	if first.owns() {
+		t.Error("the owner still owns the cell")
+	}
+	next := owner(t, without(members, first))
+	if next.term.Load() != first.term.Load()+1 || !next.earlier.Load() {
+		t.Errorf("term %d after %d, earlier owner known to have stopped: %v", next.term.Load(), first.term.Load(), next.earlier.Load())
+	}
+}
+
+// Symptom: jobs were accepted and their ends never shown.
+// Sequence: the store stops serving the owner and serves the others.
+// Cause: the owner lives and answers, so nobody took over.
+func TestOwnerWithoutTheStoreIsOvertaken(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	term := first.term.Load()
+	first.proxy.Refuse(true)
+	first.proxy.Reset()
+	for end := time.Now().Add(30 * time.Second); first.owns() && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	next := owner(t, members)
+	if next == first || next.term.Load() <= term {
+		t.Errorf("owner in term %d after term %d", next.term.Load(), term)
+	}
+}
+
+// Symptom: the cell's owner changed again and again.
+// Sequence: the store serves nobody for a while.
+// Cause: an outage for all was taken for a failure of the owner.
+func TestOwnerStaysInAnOutageForAll(t *testing.T) {
+	members := group(t, 2)
+	first := owner(t, members)
+	for _, m := range members {
+		m.proxy.Refuse(true)
+		m.proxy.Reset()
+	}
+	time.Sleep(2 * time.Second)
+	for _, m := range members {
+		m.proxy.Refuse(false)
+	}
+	if got := owner(t, members); got != first {
+		t.Error("the owner changed in an outage that it shares with all")
+	}
+}
--- a/internal/cellleader/questions.go
+++ b/internal/cellleader/questions.go
@@ -13,11 +13,13 @@
 	return l.known.Address, l.term != nil
 }
 
-// Local returns the owner of this instance if it has loaded the cell, or nil.
+// Local returns the owner of this instance if it has loaded the cell and its
+// ownership was confirmed lately, or nil. What an owner knows that may have been
+// overtaken is out of date, and news that is told to it is lost.
 func (l *Leader) Local() *cellowner.Owner {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term == nil || !l.term.loaded.Load() {
+	if l.term == nil || !l.term.loaded.Load() || !l.term.Confirmed() {
 		return nil
 	}
 	return l.term.owner
