--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -1,10 +1,6 @@
 package cell
 
-import (
-	"time"
-
-	"gentianstand/internal/job"
-)
+import "time"
 
 // Commit is a set of job progress to store in one transaction.
 type Commit struct {
@@ -13,15 +9,6 @@
 	acks map[*worker]uint64
 }
 
-// CommitItem is the progress of one job.
-type CommitItem struct {
-	Job      string
-	Progress *job.Progress
-	// Version is the stored progress this one replaces, 0 for none.
-	Version uint64
-	state   *jobState
-}
-
 // NextCommit returns what to store, at most limit jobs, or nil if everything is
 // stored. Only one commit may be under way at a time.
 func (c *Cell) NextCommit(limit int) *Commit {
--- /dev/null
+++ b/internal/cell/pace_order.go
@@ -0,0 +1,15 @@
+package cell
+
+import (
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// PaceOrder sets the speed of a run.
+type PaceOrder struct {
+	Worker runner.Target
+	Task   job.TaskID
+	Pace   runner.Pace
+}
+
+func (PaceOrder) isOrder() {}
--- /dev/null
+++ b/internal/cellleader/follow.go
@@ -0,0 +1,157 @@
+package cellleader
+
+import (
+	"context"
+	"hash/fnv"
+	"sort"
+	"strconv"
+	"time"
+
+	"gentianstand/internal/cellpeer/cellpb"
+)
+
+// follow watches the owner and takes over when it is gone.
+func (l *Leader) follow(ctx context.Context) {
+	l.mu.Lock()
+	known := l.known
+	l.mu.Unlock()
+	if l.ownerless(known) {
+		l.contest(ctx, known, takeOver{"the cell has no owner", true})
+		return
+	}
+	reply, err := l.ping(ctx, known.Address, known.Term)
+	now := time.Now()
+	switch {
+	case err != nil:
+		l.ownerSilent(ctx, known, now)
+	case reply.Term > known.Term:
+		l.refresh(ctx)
+	case !reply.Owner:
+		l.setVacant(now)
+		l.contest(ctx, known, takeOver{"the named owner does not own the cell", true})
+	default:
+		l.heard(ctx, known, reply, now)
+	}
+}
+
+// ownerless reports whether a claim names no living owner: there is none, it
+// was released, or an earlier process of this instance made it.
+func (l *Leader) ownerless(c claim) bool {
+	self := l.directory.Self()
+	return c.version == 0 || c.Released || (c.Holder == self.Name && c.Incarnation != self.Incarnation)
+}
+
+func (l *Leader) heard(ctx context.Context, known claim, reply *cellpb.PingReply, now time.Time) {
+	l.mu.Lock()
+	l.heardAt = now
+	l.vacantFrom = time.Time{}
+	if reply.StoreOk {
+		l.storelessFrom = time.Time{}
+	} else if l.storelessFrom.IsZero() {
+		l.storelessFrom = now
+	}
+	from := l.storelessFrom
+	l.mu.Unlock()
+	if limit := storelessLimit + l.delay(known.Term); !from.IsZero() && now.Sub(from) > limit && l.store.GoodFor(now) > limit {
+		l.take(ctx, known, takeOver{"the owner does not reach the store", false})
+	}
+}
+
+func (l *Leader) ownerSilent(ctx context.Context, known claim, now time.Time) {
+	l.clients.Distrust(known.Address)
+	l.mu.Lock()
+	silentFrom := l.heardAt
+	if silentFrom.IsZero() {
+		if l.vacantFrom.IsZero() {
+			l.vacantFrom = now
+		}
+		silentFrom = l.vacantFrom
+	}
+	l.mu.Unlock()
+	if now.Sub(silentFrom) < silentLimit+l.delay(known.Term) {
+		return
+	}
+	if l.othersHear(ctx, known) {
+		return
+	}
+	l.take(ctx, known, takeOver{"the owner is silent", false})
+}
+
+func (l *Leader) setVacant(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.vacantFrom.IsZero() {
+		l.vacantFrom = now
+	}
+}
+
+// contest takes an ownerless cell over after this instance's delay.
+func (l *Leader) contest(ctx context.Context, known claim, why takeOver) {
+	l.mu.Lock()
+	if l.vacantFrom.IsZero() {
+		l.vacantFrom = time.Now()
+	}
+	from := l.vacantFrom
+	l.mu.Unlock()
+	if time.Since(from) >= l.delay(known.Term) {
+		l.take(ctx, known, why)
+	}
+}
+
+// delay is this instance's place in the order of a term's candidates: the
+// strongest first, because the owner of a large cell works more than all other
+// instances together, and among equals by lot.
+func (l *Leader) delay(term uint64) time.Duration {
+	self := l.directory.Self()
+	all := append(l.directory.Others(), self)
+	sort.Slice(all, func(a, b int) bool {
+		if all[a].Cores != all[b].Cores {
+			return all[a].Cores > all[b].Cores
+		}
+		return lot(all[a].Name, term) < lot(all[b].Name, term)
+	})
+	for i, instance := range all {
+		if instance.Name == self.Name {
+			return time.Duration(i) * stagger
+		}
+	}
+	return 0
+}
+
+func lot(name string, term uint64) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(strconv.FormatUint(term, 10) + name)) // a hash never fails
+	return h.Sum32()
+}
+
+// othersHear reports whether another instance heard the owner lately: then this
+// one is cut off from it, and a take-over would only disturb.
+func (l *Leader) othersHear(ctx context.Context, known claim) bool {
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	others := l.directory.Others()
+	answers := make(chan bool, len(others))
+	for _, other := range others {
+		if other.Name == known.Holder {
+			answers <- false
+			continue
+		}
+		go func() {
+			reply, err := l.ping(callCtx, other.Address, known.Term)
+			answers <- err == nil && reply.Term == known.Term && reply.HeardMillis >= 0 &&
+				reply.HeardMillis < heardLately.Milliseconds()
+		}()
+	}
+	for range others {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Leader) ping(ctx context.Context, address string, term uint64) (*cellpb.PingReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return l.clients.To(address).Ping(callCtx, &cellpb.PingRequest{From: l.directory.Self().Name, Term: term})
+}
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -1,5 +1,15 @@
 package cellleader
 
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/store"
+)
+
 // takeOver is why an instance takes a cell over.
 type takeOver struct {
 	reason string
@@ -7,3 +17,69 @@
 	// process ended, or it said that it does not own the cell.
 	earlierStopped bool
 }
+
+// take tries to become the owner and reports whether it did.
+func (l *Leader) take(ctx context.Context, known claim, why takeOver) bool {
+	current, err := l.readClaim(ctx)
+	if err != nil {
+		l.log.WithField("why", why.reason).WithError(err).Debug("take_over_without_store")
+		return false
+	}
+	if current.version != known.version {
+		l.learn(current)
+		return false
+	}
+	self := l.directory.Self()
+	next := claim{Holder: self.Name, Address: self.Address, Incarnation: self.Incarnation, Term: current.Term + 1}
+	version, err := l.write(ctx, next, current.version)
+	if err != nil {
+		// The write may have taken effect; the next round reads the row and finds
+		// this process in it.
+		l.log.WithField("why", why.reason).WithError(err).Info("take_over_failed")
+		return l.claimedAfterAll(ctx, next, why)
+	}
+	next.version = version
+	l.begin(next, why)
+	return true
+}
+
+func (l *Leader) write(ctx context.Context, c claim, over uint64) (uint64, error) {
+	value, err := cbor.Marshal(c)
+	if err != nil {
+		return 0, err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return l.store.Commit(callCtx, store.Tx{
+		Partition: l.partition,
+		Checks:    []store.Check{{Table: tableCells, Key: claimKey, Version: over}},
+		Puts:      []store.Put{{Table: tableCells, Key: claimKey, Value: value}},
+	})
+}
+
+// claimedAfterAll looks whether a write without an answer took effect.
+func (l *Leader) claimedAfterAll(ctx context.Context, next claim, why takeOver) bool {
+	c, err := l.readClaim(ctx)
+	if err != nil {
+		return false
+	}
+	if c.Term == next.Term && c.Incarnation == next.Incarnation {
+		l.begin(c, why)
+		return true
+	}
+	l.learn(c)
+	return false
+}
+
+// begin starts this instance's term.
+func (l *Leader) begin(c claim, why takeOver) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != nil || l.stopping {
+		return
+	}
+	l.known = c
+	l.vacantFrom = time.Time{}
+	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why.reason}).Info("ownership_taken")
+	l.term = l.newTerm(c, why.earlierStopped)
+}
--- /dev/null
+++ b/internal/cellpeer/owning.go
@@ -0,0 +1,23 @@
+package cellpeer
+
+import (
+	"context"
+
+	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/job"
+)
+
+// Owning is the part of an instance that owns cells, as its peers see it.
+type Owning interface {
+	// Ping answers whether this instance owns the cell, and takes in that the
+	// caller knows a term.
+	Ping(from string, term uint64) *cellpb.PingReply
+	// TakeOver makes this instance the owner at once.
+	TakeOver(ctx context.Context, from string, term uint64) bool
+	// Submitted, Cancelled, State and Waiting report false if this instance does
+	// not own the cell, or has not loaded it yet.
+	Submitted(r *job.Record) bool
+	Cancelled(id string) bool
+	State(id string) (state job.State, owner bool)
+	Waiting(queue string) (jobs int, owner bool)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,13 +41,6 @@
 // errOutage says that the store serves no instance that this one can reach.
 var errOutage = fmt.Errorf("%w: it serves no instance now", store.ErrUnavailable)
 
-// Leader is what intake asks about the owner of the cell.
-type Leader interface {
-	cellpeer.Owning
-	// Owner returns the owner's address; self says that it is this instance.
-	Owner() (address string, self bool)
-}
-
 // Intake serves callers' jobs.
 type Intake struct {
 	jobs      *celljobs.Jobs
