A run is slow only against its siblings or its queue, not its estimate alone

The fastest sibling on another worker is the measure now, and without one the queue's usual duration. TestRunAsFastAsItsSiblingsIsNotSlow failed before.

--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -23,6 +23,9 @@
 	// slowFactor is how much longer than a fresh start elsewhere a run has to
 	// need before it is moved: stopping and the estimate's error cost something.
 	slowFactor = 1.6
+	// siblingLeast is the progress in percent from which a sibling's speed tells
+	// something; progress is reported in whole percents.
+	siblingLeast = 10
 	// slowLeast is the least time a run must have been going before its speed is
 	// judged.
 	slowLeast = 1200 * time.Millisecond
@@ -108,13 +111,39 @@
 	}
 	step := a.task.stage.step
 	left := time.Duration(float64(elapsed) * float64(100-a.percent) / float64(a.percent))
-	fresh := step.Estimate
+	fresh := c.usualDuration(a)
 	if step.Checkpoint && a.task.saved != "" {
 		fresh = fresh * time.Duration(100-a.percent) / 100
 	}
 	return left > time.Duration(slowFactor*float64(fresh+c.settings.StopGrace))+slowLeast
 }
 
+// usualDuration returns how long a fresh run of the attempt's task would take:
+// what its siblings on other workers show, or, without any, the longer of the
+// estimate and one and a half times what the queue's tasks usually take.
+//
+// Load pattern: on queues whose estimates are off by 90%, one start in thirteen
+// was stopped as slow although its worker was sound.
+func (c *Cell) usualDuration(a *attempt) time.Duration {
+	fastest := time.Duration(0)
+	for _, sibling := range a.task.stage.tasks {
+		for _, other := range sibling.attempts {
+			if other.worker == a.worker || other.percent < siblingLeast || !other.fromStart {
+				continue
+			}
+			total := other.changedAt.Sub(other.confirmedAt) * 100 / time.Duration(other.percent)
+			if fastest == 0 || total < fastest {
+				fastest = total
+			}
+		}
+	}
+	estimate := a.task.stage.step.Estimate
+	if fastest > 0 {
+		return max(fastest, estimate)
+	}
+	return max(estimate, c.durations.mean[a.task.stage.job.record.Queue]*3/2)
+}
+
 // watchLeaving moves a run off a worker that is about to leave, unless it will
 // be done before.
 func (c *Cell) watchLeaving(a *attempt, now time.Time) {
--- /dev/null
+++ b/internal/cell/watch_test.go
@@ -0,0 +1,107 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/runner"
+)
+
+// twoRuns starts a step of two tasks, one on each of two workers, whose estimate
+// is a tenth of what the tasks take, and returns their starts.
+func twoRuns(t *testing.T, s *site) []StartOrder {
+	t.Helper()
+	s.report("a")
+	s.report("b")
+	pair := step(2)
+	pair.MaxPerWorker = 1
+	pair.Estimate = 500 * time.Millisecond
+	s.cell.Add(s.record(1, pair), true)
+	var starts []StartOrder
+	for _, o := range s.plan() {
+		s.cell.StartAnswered(o, runner.Answer{}, nil, s.now)
+		starts = append(starts, o)
+	}
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(starts))
+	}
+	return starts
+}
+
+// progress has the run of a start report a percentage.
+func (s *site) progress(o StartOrder, percent int) {
+	s.runs[o.Worker.ID] = []runner.RunState{{Task: o.Start.Task, Run: o.Start.Run, Percent: percent}}
+}
+
+// stops returns the runs that the last plan stopped, by worker.
+func (s *site) stops() map[string]bool {
+	stopped := map[string]bool{}
+	for _, o := range s.orders {
+		if stop, ok := o.(StopOrder); ok {
+			stopped[stop.Worker.ID] = true
+		}
+	}
+	return stopped
+}
+
+// Symptom: one start in thirteen was stopped as slow on sound workers.
+// Sequence: a job's estimate is a tenth of what its tasks take.
+// Cause: a run was compared with the estimate alone.
+func TestRunAsFastAsItsSiblingsIsNotSlow(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	starts := twoRuns(t, s)
+	for percent := 10; percent <= 60; percent += 10 {
+		s.pass(500 * time.Millisecond)
+		s.progress(starts[0], percent)
+		s.progress(starts[1], percent)
+		s.report("a")
+		s.report("b")
+		s.plan()
+		if stopped := s.stops(); len(stopped) > 0 {
+			t.Fatalf("stopped on %v at %d%%", stopped, percent)
+		}
+	}
+}
+
+// Symptom: a job was late because one of its tasks ran on a slow worker.
+// Sequence: one task goes at a tenth of its sibling's speed.
+// Cause: nothing moved it.
+func TestRunMuchSlowerThanItsSiblingIsMoved(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	starts := twoRuns(t, s)
+	for tick := 1; tick <= 8; tick++ {
+		s.pass(500 * time.Millisecond)
+		s.progress(starts[0], min(99, 25*tick))
+		s.progress(starts[1], 2*tick)
+		s.report("a")
+		s.report("b")
+		s.plan()
+		if stopped := s.stops(); stopped[starts[1].Worker.ID] {
+			if stopped[starts[0].Worker.ID] {
+				t.Fatal("the fast one was stopped, too")
+			}
+			return
+		}
+	}
+	t.Error("the slow run was not moved")
+}
+
+// Symptom: a task stood still for the rest of the day.
+// Sequence: a worker accepts a run and does nothing for it.
+// Cause: nothing looked at the progress.
+func TestStalledRunIsMoved(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	starts := twoRuns(t, s)
+	for range 8 {
+		s.pass(400 * time.Millisecond)
+		s.progress(starts[0], 5)
+		s.progress(starts[1], 5)
+		s.report("a")
+		s.report("b")
+		s.plan()
+		if len(s.stops()) == 2 {
+			return
+		}
+	}
+	t.Error("runs without progress were not stopped")
+}
