Hundreds of candidates for a cell follow one another closely

With 120 ms for each place the last of 300 instances would wait 36 s for its turn to take an ownerless cell over.

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -112,12 +112,20 @@
 	})
 	for i, instance := range all {
 		if instance.Name == self.Name {
-			return time.Duration(i) * stagger
+			return placeDelay(i)
 		}
 	}
 	return 0
 }
 
+// placeDelay returns the delay of a place in the order of candidates.
+func placeDelay(place int) time.Duration {
+	if place <= firstCandidates {
+		return time.Duration(place) * stagger
+	}
+	return firstCandidates*stagger + time.Duration(place-firstCandidates)*crowdStagger
+}
+
 func lot(name string, term uint64) uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(strconv.FormatUint(term, 10) + name)) // a hash never fails
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -16,6 +16,10 @@
 	// stagger spaces the attempts of the instances, in an order that changes with
 	// every term, so that one of them usually takes over alone.
 	stagger = 120 * time.Millisecond
+	// firstCandidates are spaced by stagger; the others follow them closely, so
+	// that among hundreds of instances the last does not wait for half a minute.
+	firstCandidates = 8
+	crowdStagger    = 5 * time.Millisecond
 	// heardLately is how lately another instance must have heard the owner for
 	// this one to believe that it is itself the one that is cut off.
 	heardLately = 700 * time.Millisecond
