--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -14,8 +14,6 @@
 	EarlierStopped bool
 	// StopGrace is the longest time a stop may take on the worker.
 	StopGrace time.Duration
-	// FarFactor times a task's duration away from its data or its gang's rack.
-	FarFactor float64
 	// Early is how much before its time an occurrence may start.
 	Early time.Duration
 }
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -77,7 +77,7 @@
 	advisers := cellpeer.NewAdvicePool(d, c, o.Adviser)
 	newOwner := func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
 		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), EarlierStopped: earlierStopped, StopGrace: s.StopGrace,
-			FarFactor: s.FarFactor, Early: s.Early}
+			Early: s.Early}
 		return cellowner.New(settings, claim, cellowner.Deps{
 			Store: w, Jobs: jobs, Roster: o.Roster(w, log), Runner: o.Workers, Advisers: advisers,
 			Leadership: l, Metrics: m, Log: log,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -9,9 +9,8 @@
 
 // Settings are what an instance learns at its start.
 type Settings struct {
-	Name   string
-	Zone   string
-	Region string
+	Name string
+	Zone string
 	// The addresses to listen on: callers, the balancer's question whether this
 	// instance is ready, other instances, and metrics.
 	CallerListen  string
@@ -21,19 +20,16 @@
 	// Store and Adviser are addresses of the platform's services.
 	Store   string
 	Adviser string
-	// MaxLease, StopGrace, Early and FarFactor are figures of the workers; see
-	// cell.Settings.
+	// MaxLease, StopGrace and Early are figures of the workers; see cell.Settings.
 	MaxLease  time.Duration
 	StopGrace time.Duration
 	Early     time.Duration
-	FarFactor float64
 	// TerminationGrace is the time between a request to stop and the end by force.
 	TerminationGrace time.Duration
 	// Cores is the share of a core the process may use, times their number.
 	Cores float64
 	// MemoryMiB is the memory the process may use; 0 is no limit.
 	MemoryMiB int64
-	LogLevel  string
 }
 
 // Check reports everything that is wrong with the settings.
