A new owner accounts for workers that left the roster

Cause: a worker that is cut off from the store vanishes from the roster and goes on running what its owner tells it. Workers are now stored before the first run is placed on them, in 16 conditional chunks beside the progress, and looked at by the next owner whether the roster has them or not. Tests: TestWorkersThatLeftTheRosterAreAccountedFor, TestNothingIsPlacedOnAWorkerBeforeItIsStored; the model lists workers at random.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -31,6 +31,7 @@
 	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
 	recovering bool
 	durations  durations
+	known      knownWorkers
 	// missing are jobs that workers report and the cell does not know; absent are
 	// those of them that the store does not have either.
 	missing map[string]struct{}
@@ -44,7 +45,7 @@
 		settings: s, log: log, began: now, recovering: true,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
-		missing: map[string]struct{}{}, absent: map[string]struct{}{},
+		known: newKnownWorkers(), missing: map[string]struct{}{}, absent: map[string]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}},
 	}
 }
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -5,6 +5,8 @@
 // Commit is a set of job progress to store in one transaction.
 type Commit struct {
 	Items []CommitItem
+	// Chunks are the parts of the known workers that have changed.
+	Chunks []WorkerChunk
 	// acks are the ends that are covered when the transaction is stored.
 	acks map[*worker]uint64
 }
@@ -14,13 +16,13 @@
 func (c *Cell) NextCommit(limit int) *Commit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.dirty) == 0 {
+	if len(c.dirty) == 0 && len(c.known.unsaved) == 0 {
 		for _, w := range c.workers {
 			w.acked = w.seen
 		}
 		return nil
 	}
-	commit := &Commit{acks: map[*worker]uint64{}}
+	commit := &Commit{Chunks: c.takeChunks(), acks: map[*worker]uint64{}}
 	for j := range c.dirty {
 		if len(commit.Items) == limit {
 			return commit
@@ -45,20 +47,25 @@
 			item.state.visible = item.Progress.Final
 		}
 	}
+	c.chunksStored(commit.Chunks, version)
 	for w, seen := range commit.acks {
 		w.acked = max(w.acked, seen)
 	}
 }
 
 // NotCommitted takes in that a commit was not stored, or not for certain. Its
-// jobs are stored again. versions, if not nil, holds the versions found in the
-// store: an earlier attempt may have taken effect after all.
-func (c *Cell) NotCommitted(commit *Commit, versions map[string]uint64) {
+// jobs and chunks are stored again. found, if not nil, holds the versions found
+// in the store: an earlier attempt may have taken effect after all.
+func (c *Cell) NotCommitted(commit *Commit, found *FoundVersions) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if found == nil {
+		found = &FoundVersions{}
+	}
+	c.chunksNotStored(commit.Chunks, found.Chunks)
 	for _, item := range commit.Items {
 		c.dirty[item.state] = struct{}{}
-		if v, ok := versions[item.Job]; ok {
+		if v, ok := found.Jobs[item.Job]; ok {
 			item.state.progressVersion = v
 		}
 	}
--- /dev/null
+++ b/internal/cell/known_workers.go
@@ -0,0 +1,116 @@
+package cell
+
+import (
+	"hash/fnv"
+	"sort"
+	"time"
+
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// workerChunks is over how many stored values the known workers are spread, so
+// that 3,000 of them fit into values of 64 KiB and a change writes little.
+const workerChunks = 16
+
+// KnownWorker is a worker on which runs may be.
+type KnownWorker struct {
+	ID      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+}
+
+// WorkerChunk is a part of the known workers, to be stored.
+type WorkerChunk struct {
+	Number  int
+	Workers []KnownWorker
+	// Version is the stored value this one replaces, 0 for none.
+	Version uint64
+}
+
+// knownWorkers tells which chunks are ahead of the store.
+//
+// What can go wrong: a worker that is cut off from the store vanishes from the
+// roster and goes on running what its owner told it. A new owner that knows the
+// roster alone takes those runs as not there and starts them again. Every worker
+// is therefore stored before the first run is placed on it, and stays stored
+// until nothing can run there any more.
+type knownWorkers struct {
+	unsaved  map[int]struct{}
+	versions map[int]uint64
+}
+
+func newKnownWorkers() knownWorkers {
+	return knownWorkers{unsaved: map[int]struct{}{}, versions: map[int]uint64{}}
+}
+
+func chunkOf(workerID string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(workerID)) // a hash never fails
+	return int(h.Sum32() % workerChunks)
+}
+
+func (k *knownWorkers) changed(workerID string) { k.unsaved[chunkOf(workerID)] = struct{}{} }
+
+// Inherit takes in the workers that an earlier owner stored in a chunk. Those
+// that the roster lacks are looked at like the others. It must be called after
+// SetRoster.
+func (c *Cell) Inherit(number int, workers []KnownWorker, version uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known.versions[number] = version
+	for _, k := range workers {
+		w := c.workers[k.ID]
+		if w == nil {
+			w = newWorker(roster.Worker{ID: k.ID, Address: k.Address})
+			w.target = runner.Target{ID: k.ID, Address: k.Address}
+			c.workers[k.ID] = w
+			c.unregister(w, now)
+		}
+		w.saved = true
+	}
+}
+
+// takeChunks returns the chunks to store; c.mu is held.
+func (c *Cell) takeChunks() []WorkerChunk {
+	if len(c.known.unsaved) == 0 {
+		return nil
+	}
+	byNumber := map[int]*WorkerChunk{}
+	for n := range c.known.unsaved {
+		byNumber[n] = &WorkerChunk{Number: n, Workers: []KnownWorker{}, Version: c.known.versions[n]}
+	}
+	for id, w := range c.workers {
+		if chunk := byNumber[chunkOf(id)]; chunk != nil {
+			chunk.Workers = append(chunk.Workers, KnownWorker{ID: id, Address: w.Address})
+		}
+	}
+	chunks := make([]WorkerChunk, 0, len(byNumber))
+	for _, chunk := range byNumber {
+		chunks = append(chunks, *chunk)
+	}
+	sort.Slice(chunks, func(a, b int) bool { return chunks[a].Number < chunks[b].Number })
+	c.known.unsaved = map[int]struct{}{}
+	return chunks
+}
+
+// chunksStored notes that chunks were stored under a version; c.mu is held.
+func (c *Cell) chunksStored(chunks []WorkerChunk, version uint64) {
+	for _, chunk := range chunks {
+		c.known.versions[chunk.Number] = version
+		for _, k := range chunk.Workers {
+			if w := c.workers[k.ID]; w != nil {
+				w.saved = true
+			}
+		}
+	}
+}
+
+// chunksNotStored has chunks stored again; c.mu is held.
+func (c *Cell) chunksNotStored(chunks []WorkerChunk, versions map[int]uint64) {
+	for _, chunk := range chunks {
+		c.known.unsaved[chunk.Number] = struct{}{}
+		if v, ok := versions[chunk.Number]; ok {
+			c.known.versions[chunk.Number] = v
+		}
+	}
+}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -158,6 +158,7 @@
 		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_replaced")
 		c.loseAll(w, "worker_replaced", now)
 		delete(c.workers, w.ID)
+		c.known.changed(w.ID)
 		return
 	}
 	if w.failingAt.IsZero() {
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -108,10 +108,17 @@
 	}
 	o := &modelOwner{cell: c, since: m.now}
 	for _, w := range m.workers {
-		if w.alive {
+		switch {
+		case !w.alive:
+		case rapid.IntRange(0, 4).Draw(m.rt, "unlisted") == 0:
+			c.Inherit(chunkOf(w.roster.ID), []KnownWorker{{ID: w.roster.ID, Address: w.roster.Address}}, m.version, m.now)
+		default:
 			c.register(w.roster, m.now)
 		}
 	}
+	for commit := c.NextCommit(10); commit != nil; commit = c.NextCommit(10) {
+		c.Committed(commit, m.version)
+	}
 	m.owners = append(m.owners, o)
 }
 
@@ -171,7 +178,9 @@
 			}
 			w.runs = map[string]*modelRun{}
 			m.addWorker()
-			m.current().cell.register(m.workers[len(m.workers)-1].roster, m.now)
+			c := m.current().cell
+			c.register(m.workers[len(m.workers)-1].roster, m.now)
+			c.workers[m.workers[len(m.workers)-1].roster.ID].saved = true
 		}
 	case 2:
 		m.now = m.now.Add(4 * time.Second)
@@ -310,6 +319,12 @@
 func (m *model) finishAll() {
 	m.takeOver(true)
 	o := m.current()
+	for _, w := range m.workers {
+		if w.alive {
+			o.cell.register(w.roster, m.now)
+			o.cell.workers[w.roster.ID].saved = true
+		}
+	}
 	for range 400 {
 		m.now = m.now.Add(50 * time.Millisecond)
 		for _, w := range m.workers {
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
 )
 
@@ -195,3 +196,55 @@
 		t.Errorf("a has %d booked, want 1000", used)
 	}
 }
+
+// Symptom: sixty tasks ran twice at once after a take-over.
+// Sequence: B is cut off from the store and vanishes from the roster; it goes on
+// running what its owner tells it. The owner loses the store and is overtaken.
+// Cause: the new owner knew the roster alone; with all of it accounted for, it
+// took B's tasks as not started.
+func TestWorkersThatLeftTheRosterAreAccountedFor(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"))
+	r := s.record(1, step(1))
+	s.cell.Load(r, nil, 0)
+	task := r.ID + ".0.0.0"
+	s.cell.Inherit(chunkOf("b"), []KnownWorker{{ID: "b", Address: "b:1"}}, 3, s.now)
+	s.report("a")
+	if again, ok := s.plan()[task]; ok {
+		t.Fatalf("run %d was started although b has not reported", again.Start.Run)
+	}
+	s.runs["b"] = []runner.RunState{{Task: task, Run: 1, Percent: 50}}
+	s.report("b")
+	s.report("a")
+	if again, ok := s.plan()[task]; ok {
+		t.Fatalf("run %d was started beside the one on b", again.Start.Run)
+	}
+	s.end("b", task, 1, runner.Done)
+	s.report("b")
+	s.commit()
+	if state, _ := s.cell.State(r.ID); state != job.Completed {
+		t.Errorf("state %q, want completed", state)
+	}
+}
+
+// A run is placed only on a worker that the store names, so that the next owner
+// looks for it there.
+func TestNothingIsPlacedOnAWorkerBeforeItIsStored(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{usualWorker("b")}}, s.now)
+	s.report("b")
+	two := step(2)
+	two.MaxPerWorker = 1
+	s.cell.Add(s.record(1, two), true)
+	if starts := s.plan(); len(starts) != 1 {
+		t.Fatalf("%d starts, want one on the stored worker", len(starts))
+	}
+	commit := s.cell.NextCommit(10)
+	if len(commit.Chunks) != 1 || commit.Chunks[0].Workers[0].ID != "b" && len(commit.Chunks[0].Workers) < 2 {
+		t.Fatalf("chunks %+v", commit.Chunks)
+	}
+	s.cell.Committed(commit, 9)
+	if starts := s.plan(); len(starts) != 1 {
+		t.Errorf("%d starts after the worker was stored, want one", len(starts))
+	}
+}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -41,6 +41,7 @@
 	if w == nil {
 		w = newWorker(r)
 		c.workers[r.ID] = w
+		c.known.changed(r.ID)
 		c.log.WithFields(workerFields(w)).Info("worker_added")
 	}
 	if r.Draining && !w.Draining {
@@ -74,5 +75,6 @@
 // forget drops a worker that is not registered and on which nothing can run.
 func (c *Cell) forget(w *worker) {
 	delete(c.workers, w.ID)
+	c.known.changed(w.ID)
 	c.log.WithFields(workerFields(w)).Info("worker_forgotten")
 }
--- a/internal/cell/site_test.go
+++ b/internal/cell/site_test.go
@@ -38,6 +38,7 @@
 	s.cell = New(Settings{Term: term, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond},
 		s.now, quietLog())
 	s.cell.SetRoster(workers, s.now)
+	s.commit()
 	return s
 }
 
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -17,7 +17,9 @@
 	attempts map[*attempt]struct{}
 	// reported says that it answered a look under this ownership since it was
 	// last taken as lapsed; its books are complete only then.
-	reported   bool
+	reported bool
+	// saved says that the store names the worker among those on which runs may be.
+	saved      bool
 	lastReport time.Time
 	failingAt  time.Time
 	// clock is the worker's clock at clockAt on ours.
@@ -76,7 +78,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	if !w.reported || w.Draining || now.Sub(w.lastReport) > reportFresh {
+	if !w.reported || !w.saved || w.Draining || now.Sub(w.lastReport) > reportFresh {
 		return false
 	}
 	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
--- a/internal/celljobs/doc.go
+++ b/internal/celljobs/doc.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"strconv"
 	"strings"
 )
 
@@ -28,6 +29,7 @@
 	TableProgress = "progress"
 	jobPrefix     = "job/"
 	cancelPrefix  = "cancel/"
+	workersPrefix = "workers/"
 )
 
 // recordPartition returns the partition of a job's record and cancellation.
@@ -39,6 +41,21 @@
 
 func partitionName(cell string, n int) string { return fmt.Sprintf("%s/%03d", cell, n) }
 
+// WorkersKey returns the key of a chunk of the known workers, in the table of
+// progress.
+func WorkersKey(chunk int) string { return fmt.Sprintf("%s%02d", workersPrefix, chunk) }
+
+// ParseWorkersKey reports whether a key of the table of progress is of a chunk of
+// the known workers, and of which.
+func ParseWorkersKey(key string) (chunk int, ok bool) {
+	text, ok := strings.CutPrefix(key, workersPrefix)
+	if !ok {
+		return 0, false
+	}
+	chunk, err := strconv.Atoi(text)
+	return chunk, err == nil
+}
+
 // JobKey returns the key of a job's record.
 func JobKey(id string) string { return jobPrefix + id }
 
--- /dev/null
+++ b/internal/celljobs/workers.go
@@ -0,0 +1,27 @@
+package celljobs
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gentianstand/internal/cell"
+)
+
+// EncodeWorkers returns the bytes of a chunk of the known workers.
+func EncodeWorkers(workers []cell.KnownWorker) ([]byte, error) {
+	data, err := cbor.Marshal(workers)
+	if err != nil {
+		return nil, fmt.Errorf("known workers: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeWorkers reads what EncodeWorkers wrote.
+func DecodeWorkers(data []byte) ([]cell.KnownWorker, error) {
+	var workers []cell.KnownWorker
+	if err := cbor.Unmarshal(data, &workers); err != nil {
+		return nil, fmt.Errorf("known workers: %w", err)
+	}
+	return workers, nil
+}
--- a/internal/cellowner/commit_loop.go
+++ b/internal/cellowner/commit_loop.go
@@ -20,9 +20,9 @@
 	commitRetry = 200 * time.Millisecond
 	// commitTimeout bounds one commit; a slow store needs some 250 ms.
 	commitTimeout = 1500 * time.Millisecond
-	// commitJobs is the most jobs in one transaction: a check and a put each, and
-	// the check of the ownership.
-	commitJobs = (store.MaxEntries - 1) / 2
+	// commitJobs is the most jobs in one transaction: a check and a put each, the
+	// check of the ownership, and room for all chunks of the known workers.
+	commitJobs = (store.MaxEntries - 1 - 32) / 2
 	// keepEnded is how long ended jobs are kept: callers may ask for 120 s, and
 	// a delayed repeat of a submission has to find its job.
 	keepEnded = 240 * time.Second
@@ -110,6 +110,15 @@
 		tx.Checks = append(tx.Checks, store.Check{Table: celljobs.TableProgress, Key: item.Job, Version: item.Version})
 		tx.Puts = append(tx.Puts, store.Put{Table: celljobs.TableProgress, Key: item.Job, Value: value})
 	}
+	for _, chunk := range commit.Chunks {
+		value, err := celljobs.EncodeWorkers(chunk.Workers)
+		if err != nil {
+			return tx, err
+		}
+		key := celljobs.WorkersKey(chunk.Number)
+		tx.Checks = append(tx.Checks, store.Check{Table: celljobs.TableProgress, Key: key, Version: chunk.Version})
+		tx.Puts = append(tx.Puts, store.Put{Table: celljobs.TableProgress, Key: key, Value: value})
+	}
 	return tx, nil
 }
 
@@ -127,7 +136,7 @@
 		o.cell.NotCommitted(commit, nil)
 		return notCommitted
 	}
-	versions := map[string]uint64{}
+	found := &cell.FoundVersions{Jobs: map[string]uint64{}, Chunks: map[int]uint64{}}
 	for _, row := range conflict.Rows {
 		if row.Table == o.claim.Table && row.Key == o.claim.Key {
 			if row.Version != o.claim.Version {
@@ -135,9 +144,13 @@
 			}
 			continue
 		}
-		versions[row.Key] = row.Version
+		if chunk, ok := celljobs.ParseWorkersKey(row.Key); ok {
+			found.Chunks[chunk] = row.Version
+			continue
+		}
+		found.Jobs[row.Key] = row.Version
 	}
-	o.cell.NotCommitted(commit, versions)
+	o.cell.NotCommitted(commit, found)
 	return committed
 }
 
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -85,9 +85,27 @@
 	o.rosterVersion = workers.Version
 	o.takeIn(rows, progress)
 	o.cell.SetRoster(workers.Workers, time.Now())
+	o.inheritWorkers(progress)
 	return nil
 }
 
+// inheritWorkers takes in the workers that an earlier owner used and that may be
+// missing from the roster.
+func (o *Owner) inheritWorkers(progress []store.Row) {
+	now := time.Now()
+	for _, row := range progress {
+		chunk, ok := celljobs.ParseWorkersKey(row.Key)
+		if !ok {
+			continue
+		}
+		workers, err := celljobs.DecodeWorkers(row.Value)
+		if err != nil {
+			o.deps.Log.WithField("chunk", chunk).WithError(err).Error("workers_unreadable")
+		}
+		o.cell.Inherit(chunk, workers, row.Version, now)
+	}
+}
+
 // takeIn fills the cell with stored rows.
 func (o *Owner) takeIn(rows, progress []store.Row) {
 	kept := make(map[string]store.Row, len(progress))
