--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -13,20 +13,6 @@
 // that 3,000 of them fit into values of 64 KiB and a change writes little.
 const workerChunks = 16
 
-// KnownWorker is a worker on which runs may be.
-type KnownWorker struct {
-	ID      string `cbor:"1,keyasint"`
-	Address string `cbor:"2,keyasint"`
-}
-
-// WorkerChunk is a part of the known workers, to be stored.
-type WorkerChunk struct {
-	Number  int
-	Workers []KnownWorker
-	// Version is the stored value this one replaces, 0 for none.
-	Version uint64
-}
-
 // knownWorkers tells which chunks are ahead of the store.
 //
 // What can go wrong: a worker that is cut off from the store vanishes from the
