An owner that was pinged is not alone

Cause: an owner that knew of no other instance counted as alone and needed no confirmation. One that starts first and loses the store before it has read of the others went on planning beside its successor; workers' fencing kept its orders dead, but it answered questions and took news. TestOwnerThatKnowsNobodyIsOvertaken failed before.

--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,9 @@
 	newOwner  NewOwner
 	log       logrus.FieldLogger
 
+	// pinged says that another instance has pinged this one.
+	pinged atomic.Bool
+
 	mu sync.Mutex
 	// known is the newest claim seen; its term never falls.
 	known claim
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
-	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
@@ -62,7 +61,10 @@
 
 func join(t *testing.T, name, storeAddress string) *member {
 	t.Helper()
-	log, _ := logtest.NewNullLogger()
+	logger := logrus.New()
+	logger.SetOutput(t.Output())
+	logger.SetLevel(logrus.DebugLevel)
+	log := logger.WithField("member", name)
 	proxy, err := standin.NewProxy("127.0.0.1:0", storeAddress)
 	if err != nil {
 		t.Fatal(err)
@@ -81,7 +83,7 @@
 		m.earlier.Store(earlierStopped)
 		return cellowner.New(cell.Settings{Term: term, Lease: time.Second}, claim, cellowner.Deps{
 			Store: watched, Jobs: jobs, Roster: platform.RosterIn(watched, log), Runner: platform.NewWorkers(),
-			Advisers: cellpeer.NewAdvicePool(directory, clients, nil), Leadership: l, Metrics: ownerMetrics, Log: logrus.NewEntry(log),
+			Advisers: cellpeer.NewAdvicePool(directory, clients, nil), Leadership: l, Metrics: ownerMetrics, Log: log,
 		})
 	}
 	m.leader = cellleader.New("cell-0", directory, clients, watched, newOwner, log)
@@ -178,6 +180,29 @@
 	}
 }
 
+// Symptom: two instances owned the cell, each confirmed, for as long as the store
+// was away from one of them.
+// Sequence: an instance starts first, owns the cell, and loses the store before
+// it has read of the others; they overtake it.
+// Cause: an owner that knew of no other instance counted as alone, which needs no
+// confirmation.
+func TestOwnerThatKnowsNobodyIsOvertaken(t *testing.T) {
+	backing := httptest.NewServer(standin.NewStore())
+	t.Cleanup(backing.Close)
+	first := join(t, "edge-0", backing.Listener.Addr().String())
+	owner(t, []*member{first})
+	first.proxy.Refuse(true)
+	first.proxy.Reset()
+	others := []*member{join(t, "edge-1", backing.Listener.Addr().String()), join(t, "edge-2", backing.Listener.Addr().String())}
+	next := owner(t, others)
+	for end := time.Now().Add(30 * time.Second); first.owns() && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if first.owns() || !next.owns() {
+		t.Errorf("the first owner owns the cell: %v; its successor does: %v", first.owns(), next.owns())
+	}
+}
+
 // Symptom: the cell's owner changed again and again.
 // Sequence: the store serves nobody for a while.
 // Cause: an outage for all was taken for a failure of the owner.
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -107,6 +107,9 @@
 
 // Ping answers another instance.
 func (l *Leader) Ping(from string, term uint64) *cellpb.PingReply {
+	if from != l.directory.Self().Name {
+		l.pinged.Store(true)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reply := &cellpb.PingReply{Term: l.known.Term, Owner: l.term != nil, StoreOk: l.store.Reachable(), HeardMillis: -1, Stopping: l.stopping}
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -57,7 +57,14 @@
 	if time.Since(t.began)-time.Duration(t.confirmedAt.Load()) < confirmedFor {
 		return true
 	}
-	return t.leader.directory.Known() && len(t.leader.directory.Others()) == 0
+	return t.leader.alone()
+}
+
+// alone reports whether no other instance has shown itself: then nobody can
+// confirm an ownership, and nobody can have overtaken it. The directory may lack
+// instances that started after it was last read; those ping the owner.
+func (l *Leader) alone() bool {
+	return !l.pinged.Load() && l.directory.Known() && len(l.directory.Others()) == 0
 }
 
 // Overtaken implements cellowner.Leadership.
