--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -7,6 +7,7 @@
 
 	"gentianstand/internal/job"
 	"gentianstand/internal/resource"
+	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
 )
 
@@ -179,3 +180,31 @@
 		t.Error("the task was not started after that lease must have ended")
 	}
 }
+
+// Symptom: after a take-over older tasks waited four seconds for a worker that
+// had left.
+// Sequence: a worker without runs leaves the roster and does not answer; the
+// owner dies a second later.
+// Cause: the worker stayed among the known ones until its lease was over, and
+// the new owner waited for its report.
+func TestWorkerThatLeftWithoutRunsIsForgottenAtOnce(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	s.report("b")
+	s.cell.UpdateRoster(roster.Change{Removed: []string{"a"}}, s.now)
+	s.pass(watchPeriod)
+	s.plan()
+	if s.cell.workers["a"] == nil {
+		t.Fatal("a worker that answers was forgotten")
+	}
+	s.cell.LookFailed("a", runner.ErrNoAnswer, s.now)
+	s.pass(watchPeriod)
+	s.plan()
+	if s.cell.workers["a"] != nil {
+		t.Error("the worker that left is still known")
+	}
+	commit := s.cell.NextCommit(10)
+	if len(commit.Chunks) != 1 || commit.Chunks[0].Number != chunkOf("a") {
+		t.Errorf("chunks to store: %+v", commit.Chunks)
+	}
+}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -59,6 +59,12 @@
 // watchLease drops the runs of a worker whose lease must have ended, and
 // forgets workers that left. It reports whether nothing else is to be done.
 func (c *Cell) watchLease(w *worker, now time.Time) bool {
+	if w.reported && !w.unlistedAt.IsZero() && !w.failingAt.IsZero() && len(w.attempts) == 0 {
+		// It has left: the books are complete, and nothing of ours can run there. A
+		// worker that stayed among the known ones would hold a new owner back.
+		c.forget(w)
+		return true
+	}
 	over := w.lapsed(now)
 	if w.clockAt.IsZero() {
 		over = now.Sub(c.began) >= c.unseenLimit()
