An earlier owner asks about the requests it sent before a hand-over

The log shows rack-1, the rack of worker-2, taken by entry-2 at 29:34.296, in the second in which entry-1 sent the request on a connection that had gone silent.

Cause: only a worker's minder asks about requests without a sign of an answer, and it ends when the shard goes to another owner; the next owner does not know them. Ruled out: a lost sync (leases and states did not change), a reused port in the stand-in, a retry limit (no retry was made).

Mend: the agent answers about requests without an epoch (revoking one's own request is safe whoever owns the worker); the earlier owner asks until they ended. TestSilentConnectionAcrossAHandOver failed before (not given up at all) and passes.

--- /dev/null
+++ b/internal/owner/handover_test.go
@@ -0,0 +1,67 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gentianstand/internal/live"
+	"gentianstand/internal/ownership"
+	"gentianstand/internal/platform"
+	"gentianstand/internal/routing"
+	"gentianstand/internal/worker"
+)
+
+// handedOver is the agent of a worker that serves one service, has seen no
+// request, and belongs to a later owner as soon as taken is set.
+type handedOver struct{ taken bool }
+
+func (a *handedOver) Sync(_ context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
+	if a.taken {
+		return worker.SyncReply{}, worker.ErrStaleEpoch
+	}
+	status := worker.TaskStatus{Ref: worker.TaskRef{Run: "r"}, Workload: "desk", Service: true, State: worker.Running}
+	reply := worker.SyncReply{Boot: "b", Slots: 8, Tasks: []worker.TaskStatus{status}}
+	reply.Doubts, _ = a.Ask(context.Background(), req.Doubt)
+	return reply, nil
+}
+
+func (a *handedOver) Ask(_ context.Context, ids []string) ([]worker.RequestState, error) {
+	states := make([]worker.RequestState, len(ids))
+	for i := range states {
+		states[i] = worker.RequestRevoked
+	}
+	return states, nil
+}
+
+// TestSilentConnectionAcrossAHandOver: symptom: a request hangs until its
+// deadline, half a minute, although the worker is well. Sequence: it is sent on
+// a connection that has gone silent, and before it is doubted the worker's shard
+// goes to another owner. Cause: only the loop that minds a worker asks about
+// requests, and it ends with the hand-over.
+func TestSilentConnectionAcrossAHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		agent := &handedOver{}
+		o := newTestOwner()
+		defer o.quit()
+		o.dial = func(string) worker.Agent { return agent }
+		o.SetDirectory([]platform.Instance{{ID: "w", Role: platform.RoleWorker, Rack: "rack"}})
+		o.SetHeld([]ownership.Held{{Shard: live.Shard{Name: "rack", Epoch: 1}, TakenAt: time.Now()}})
+		synctest.Wait()
+		req := routing.Request{ID: "q", Deadline: time.Now().Add(time.Minute)}
+		g := o.router.TryAcquire(context.Background(), "desk", req, time.Now())
+		if g == nil {
+			t.Fatal("no slot")
+		}
+		agent.taken = true
+		o.SetHeld(nil)
+		time.Sleep(doubtAfter + 2*beatPeriod)
+		if cause := context.Cause(g.Context()); !errors.Is(cause, routing.ErrNeverArrived) {
+			t.Errorf("after the hand-over: %v", cause)
+		}
+		g.Done(routing.Broken, time.Now())
+		time.Sleep(beatPeriod)
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -182,7 +182,9 @@
 func (o *Owner) dropLocked(id string, m *minder) {
 	m.quit()
 	delete(o.minders, id)
-	o.router.Remove(id)
+	if rest := o.router.Remove(id); rest != nil {
+		go m.askUntilEnded(o.base, rest)
+	}
 }
 
 // overtaken drops a worker that a later owner has claimed.
--- /dev/null
+++ b/internal/owner/remainder.go
@@ -0,0 +1,41 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"gentianstand/internal/routing"
+)
+
+// askUntilEnded asks the worker about requests that were in progress there when
+// this process stopped minding it. The next owner does not know them: without
+// this, one sent on a connection that had gone silent waited for its deadline,
+// half a minute, if the worker changed hands before it was doubted.
+func (m *minder) askUntilEnded(ctx context.Context, rest *routing.Remainder) {
+	ticker := time.NewTicker(beatPeriod)
+	defer ticker.Stop()
+	for !rest.Empty() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.ask(ctx, rest)
+		}
+	}
+}
+
+func (m *minder) ask(ctx context.Context, rest *routing.Remainder) {
+	doubt := rest.Doubtful(time.Now().Add(-doubtAfter))
+	if len(doubt) == 0 {
+		return
+	}
+	states, err := m.agent.Ask(ctx, doubt)
+	if err != nil {
+		m.log().WithError(err).WithField("requests", len(doubt)).Warn("requests_not_asked_about")
+		return
+	}
+	now := time.Now()
+	for i, state := range states {
+		rest.Resolve(doubt[i], state, now)
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -59,14 +59,24 @@
 	}
 }
 
-// Remove forgets a worker. Requests in progress there go on to their end.
-func (r *Router) Remove(id string) {
+// Remove forgets a worker. Requests in progress there go on to their end; they
+// are returned, nil if there are none.
+func (r *Router) Remove(id string) *Remainder {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if u, ok := r.upstreams[id]; ok {
+	u, ok := r.upstreams[id]
+	if ok {
 		r.relinkLocked(u, nil)
 		delete(r.upstreams, id)
 	}
+	r.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	rest := &Remainder{upstream: u}
+	if rest.Empty() {
+		return nil
+	}
+	return rest
 }
 
 func (r *Router) relinkLocked(u *upstream, services []string) {
@@ -172,16 +182,7 @@
 	if !ok {
 		return
 	}
-	g := u.grant(request)
-	if g == nil || g.answering.Load() {
-		return
-	}
-	switch {
-	case state == worker.RequestRevoked:
-		g.cancel(ErrNeverArrived)
-	case state == worker.RequestFinished && g.finishedFor(now) >= answerGrace:
-		g.cancel(ErrAnswerLost)
-	}
+	u.resolve(request, state, now)
 }
 
 // freed lets the services of a worker use a slot that became free.
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"gentianstand/internal/worker"
 )
 
 // upstream is one worker as requests see it. Its lock is taken after a pool's
@@ -102,3 +104,16 @@
 	defer u.mu.Unlock()
 	return u.inFlight[id]
 }
+
+func (u *upstream) resolve(request string, state worker.RequestState, now time.Time) {
+	g := u.grant(request)
+	if g == nil || g.answering.Load() {
+		return
+	}
+	switch {
+	case state == worker.RequestRevoked:
+		g.cancel(ErrNeverArrived)
+	case state == worker.RequestFinished && g.finishedFor(now) >= answerGrace:
+		g.cancel(ErrAnswerLost)
+	}
+}
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -34,6 +34,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(httpwire.PathSync, s.sync)
+	mux.HandleFunc(httpwire.PathAsk, s.ask)
 	mux.HandleFunc(httpwire.PathServe, s.serve)
 	mux.HandleFunc(PathFault, s.setFault)
 	mux.HandleFunc(PathRecord, func(w http.ResponseWriter, _ *http.Request) {
@@ -95,6 +96,20 @@
 	}
 }
 
+func (s *Server) ask(w http.ResponseWriter, r *http.Request) {
+	var ids []string
+	if err := json.NewDecoder(r.Body).Decode(&ids); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	states, err := s.worker.Ask(r.Context(), ids)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(states)
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, httpwire.PathServe), "/")
 	id := r.Header.Get(httpwire.HeaderRequest)
--- a/internal/standin/worker/sync.go
+++ b/internal/standin/worker/sync.go
@@ -30,6 +30,24 @@
 	return w.replyLocked(req), nil
 }
 
+// Ask implements worker.Agent.
+func (w *Worker) Ask(_ context.Context, ids []string) ([]worker.RequestState, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fault.DropAgent {
+		return nil, worker.ErrUnreachable
+	}
+	return w.doubtsLocked(ids), nil
+}
+
+func (w *Worker) doubtsLocked(ids []string) []worker.RequestState {
+	var states []worker.RequestState
+	for _, id := range ids {
+		states = append(states, w.doubtLocked(id))
+	}
+	return states
+}
+
 func (w *Worker) applyLocked(req worker.SyncRequest) {
 	for _, ref := range req.Ack {
 		if t, ok := w.tasks[ref]; ok && t.status.State.Ended() {
@@ -129,9 +147,7 @@
 			reply.OlderRequests++
 		}
 	}
-	for _, id := range req.Doubt {
-		reply.Doubts = append(reply.Doubts, w.doubtLocked(id))
-	}
+	reply.Doubts = w.doubtsLocked(req.Doubt)
 	return reply
 }
 
--- a/internal/worker/httpwire/client.go
+++ b/internal/worker/httpwire/client.go
@@ -16,6 +16,7 @@
 // The paths and headers of the wire.
 const (
 	PathSync  = "/v1/sync"
+	PathAsk   = "/v1/requests"
 	PathServe = "/serve/"
 	// HeaderEpoch carries the owner's epoch with each request.
 	HeaderEpoch = "X-Worker-Epoch"
@@ -36,7 +37,7 @@
 
 // Agent implements worker.Agent for one worker.
 type Agent struct {
-	url     string
+	address string
 	timeout time.Duration
 	http    *http.Client
 }
@@ -44,38 +45,58 @@
 // NewAgent returns the agent at address (host:port). Calls share client and
 // are bounded by timeout.
 func NewAgent(client *http.Client, address string, timeout time.Duration) *Agent {
-	return &Agent{url: "http://" + address + PathSync, timeout: timeout, http: client}
+	return &Agent{address: address, timeout: timeout, http: client}
 }
 
 // Sync implements worker.Agent.
 func (a *Agent) Sync(ctx context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
 	var reply worker.SyncReply
+	if err := a.post(ctx, PathSync, req, &reply); err != nil {
+		return worker.SyncReply{}, fmt.Errorf("sync: %w", err)
+	}
+	return reply, nil
+}
+
+// Ask implements worker.Agent.
+func (a *Agent) Ask(ctx context.Context, ids []string) ([]worker.RequestState, error) {
+	var states []worker.RequestState
+	if err := a.post(ctx, PathAsk, ids, &states); err != nil {
+		return nil, fmt.Errorf("ask: %w", err)
+	}
+	if len(states) != len(ids) {
+		return nil, fmt.Errorf("ask: %w: %d answers for %d requests", worker.ErrUnreachable, len(states), len(ids))
+	}
+	return states, nil
+}
+
+// post makes one call and decodes its answer into reply.
+func (a *Agent) post(ctx context.Context, path string, message, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, a.timeout)
 	defer cancel()
-	body, err := json.Marshal(req)
+	body, err := json.Marshal(message)
 	if err != nil {
-		return reply, fmt.Errorf("encode sync: %w", err)
+		return fmt.Errorf("encode: %w", err)
 	}
-	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, a.url, bytes.NewReader(body))
+	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.address+path, bytes.NewReader(body))
 	if err != nil {
-		return reply, fmt.Errorf("sync: %w", err)
+		return err
 	}
 	resp, err := a.http.Do(httpReq)
 	if err != nil {
-		return reply, fmt.Errorf("sync: %w: %w", worker.ErrUnreachable, err)
+		return fmt.Errorf("%w: %w", worker.ErrUnreachable, err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusConflict {
-		return reply, worker.ErrStaleEpoch
-	}
-	if resp.StatusCode == http.StatusTooEarly {
-		return reply, worker.ErrOutOfOrder
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return worker.ErrStaleEpoch
+	case http.StatusTooEarly:
+		return worker.ErrOutOfOrder
+	default:
+		return fmt.Errorf("%w: status %d", worker.ErrUnreachable, resp.StatusCode)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return reply, fmt.Errorf("sync: %w: status %d", worker.ErrUnreachable, resp.StatusCode)
+	if err := json.NewDecoder(resp.Body).Decode(reply); err != nil {
+		return fmt.Errorf("%w: %w", worker.ErrUnreachable, err)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
-		return reply, fmt.Errorf("sync: %w: %w", worker.ErrUnreachable, err)
-	}
-	return reply, nil
+	return nil
 }
--- a/test/cell/fakes_test.go
+++ b/test/cell/fakes_test.go
@@ -66,16 +66,25 @@
 }
 
 func (a agent) Sync(ctx context.Context, req worker.SyncRequest) (worker.SyncReply, error) {
-	reply, err := within(ctx, patience, func() (worker.SyncReply, error) {
+	return toWorker(ctx, a, func() (worker.SyncReply, error) { return a.worker.Sync(ctx, req) })
+}
+
+func (a agent) Ask(ctx context.Context, ids []string) ([]worker.RequestState, error) {
+	return toWorker(ctx, a, func() ([]worker.RequestState, error) { return a.worker.Ask(ctx, ids) })
+}
+
+func toWorker[T any](ctx context.Context, a agent, call func() (T, error)) (T, error) {
+	v, err := within(ctx, patience, func() (T, error) {
+		var none T
 		if err := a.gate.pass(ctx, a.id); err != nil {
-			return worker.SyncReply{}, err
+			return none, err
 		}
-		return a.worker.Sync(ctx, req)
+		return call()
 	})
 	if err == errCut {
 		err = worker.ErrUnreachable
 	}
-	return reply, err
+	return v, err
 }
 
 // peers is the other members as one member reaches them. It implements
