Submissions share one search for an instance that the store serves

Cause: with the store lost, every submission pinged all other instances and waited for the slowest answer. Ruled out: Retry-After (callers spread their tries over the time they have left).

A search asks eight instances, is shared, and a refusal does not wait for it if the one before found nobody. A write without an answer is now settled through an instance that the store serves, and given up when the store has been lost for 1.2 s, instead of being held until the caller's deadline. One ping to many (cellpeer.PingAll) replaces four loops.

--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -15,6 +15,12 @@
 // again. The store answers in a few milliseconds when it is well.
 const unknownRetry = 60 * time.Millisecond
 
+// lostForGood is how long the store must have been lost for a write with an
+// unknown outcome to be given up. Single answers get lost for less, and outages
+// last from two to ten seconds: a caller who waits three would learn nothing
+// more by waiting on, and could have asked again.
+const lostForGood = 1200 * time.Millisecond
+
 // Jobs writes and reads the jobs of one cell.
 type Jobs struct {
 	store *store.Watched
@@ -110,6 +116,9 @@
 		default:
 			return err
 		}
+		if lost := b.store.LostFor(time.Now()); lost > lostForGood {
+			return fmt.Errorf("%w: it has been lost for %s", store.ErrUnknown, lost.Round(time.Millisecond))
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("%w: gave up", store.ErrUnknown)
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
 
+	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/cellpeer/cellpb"
 )
 
@@ -137,21 +139,13 @@
 func (l *Leader) othersHear(ctx context.Context, known claim) bool {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	others := l.directory.Others()
-	answers := make(chan bool, len(others))
-	for _, other := range others {
-		if other.Name == known.Holder {
-			answers <- false
+	others := slices.DeleteFunc(l.directory.Others(), func(i cellpeer.Instance) bool { return i.Name == known.Holder })
+	for answer := range l.pingAll(callCtx, others, known.Term) {
+		if answer.Reply == nil {
 			continue
 		}
-		go func() {
-			reply, err := l.ping(callCtx, other.Address, known.Term)
-			answers <- err == nil && reply.Term == known.Term && reply.HeardMillis >= 0 &&
-				reply.HeardMillis < heardLately.Milliseconds()
-		}()
-	}
-	for range others {
-		if <-answers {
+		heard := answer.Reply.HeardMillis
+		if answer.Reply.Term == known.Term && heard >= 0 && heard < heardLately.Milliseconds() {
 			return true
 		}
 	}
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -101,26 +101,19 @@
 func (l *Leader) askAround(ctx context.Context, t *term) {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	others := l.directory.Others()
-	terms := make(chan uint64, len(others))
-	for _, other := range others {
-		go func() {
-			reply, err := l.ping(callCtx, other.Address, t.number)
-			if err != nil {
-				terms <- 0
-				return
-			}
-			terms <- reply.Term
-		}()
-	}
-	for range others {
-		if term := <-terms; term > t.number {
+	for answer := range l.pingAll(callCtx, l.directory.Others(), t.number) {
+		if answer.Reply.GetTerm() > t.number {
 			t.Overtaken("another instance knows a later term")
 			return
 		}
 	}
 }
 
+// pingAll pings instances at the same time.
+func (l *Leader) pingAll(ctx context.Context, instances []cellpeer.Instance, term uint64) <-chan cellpeer.PingAnswer {
+	return l.clients.PingAll(ctx, instances, l.directory.Self().Name, term)
+}
+
 func (l *Leader) readClaim(ctx context.Context) (claim, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -50,25 +50,12 @@
 // the youngest among equals: when instances are restarted one after the other,
 // the youngest is the one that will not be restarted again.
 func (l *Leader) successors(ctx context.Context, known claim) []cellpeer.Instance {
-	others := l.directory.Others()
-	good := make(chan cellpeer.Instance, len(others))
-	failed := make(chan struct{}, len(others))
-	for _, other := range others {
-		go func() {
-			reply, err := l.ping(ctx, other.Address, known.Term)
-			if err == nil && reply.StoreOk && !reply.Stopping {
-				good <- other
-				return
-			}
-			failed <- struct{}{}
-		}()
-	}
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
 	var list []cellpeer.Instance
-	for range others {
-		select {
-		case i := <-good:
-			list = append(list, i)
-		case <-failed:
+	for answer := range l.pingAll(callCtx, l.directory.Others(), known.Term) {
+		if answer.Reply.GetStoreOk() && !answer.Reply.GetStopping() {
+			list = append(list, answer.Instance)
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
--- /dev/null
+++ b/internal/cellpeer/store_finder.go
@@ -0,0 +1,104 @@
+package cellpeer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// findSample is how many instances one search asks. If the store serves a
+	// third of the instances, one search in 25 misses them all, and the next
+	// follows within findFresh; asking all 41 of a large site for each of 70
+	// submissions a second would be 2,800 pings a second in an outage.
+	findSample = 8
+	// findWait bounds a search. Calls between instances take 3 ms, on a busy
+	// instance some ten; one that is dead never answers.
+	findWait = 150 * time.Millisecond
+	// findFresh is how long the result of a search is used as it is.
+	findFresh = 250 * time.Millisecond
+	// noneFor is how long the result that the store serves nobody is still given,
+	// while the next search is under way.
+	noneFor = time.Second
+)
+
+// StoreFinder finds an instance that the store serves, for one that it does not
+// serve. It is safe for concurrent use.
+//
+// Load pattern: in an outage every submission needs this answer. A search of its
+// own for each kept callers waiting for 400 ms, the timeout of a call to a dead
+// instance, and of three tries that a caller has in its three seconds one was
+// lost to that. Searches are shared, and a refusal does not wait for one if the
+// search before found nobody.
+type StoreFinder struct {
+	directory *Directory
+	clients   *Clients
+
+	mu sync.Mutex
+	// found is the result of the last search; its name is empty for nobody.
+	found Instance
+	// endedAt is when the last search ended, or zero.
+	endedAt time.Time
+	// searching is closed when the search under way ends; nil if there is none.
+	searching chan struct{}
+}
+
+// NewStoreFinder returns a finder among the instances of a directory.
+func NewStoreFinder(d *Directory, c *Clients) *StoreFinder {
+	return &StoreFinder{directory: d, clients: c}
+}
+
+// Find returns an instance that the store serves; ok is false if none is known.
+func (f *StoreFinder) Find(ctx context.Context) (instance Instance, ok bool) {
+	search, known := f.look(time.Now())
+	if !known {
+		select {
+		case <-search:
+		case <-ctx.Done():
+			return Instance{}, false
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.found, f.found.Name != ""
+}
+
+// look begins a search if the last one is too old, and reports whether the last
+// result will do until it ends.
+func (f *StoreFinder) look(now time.Time) (search <-chan struct{}, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := now.Sub(f.endedAt)
+	if age < findFresh {
+		return nil, true
+	}
+	if f.searching == nil {
+		f.searching = make(chan struct{})
+		go f.search(f.searching)
+	}
+	return f.searching, f.found.Name == "" && age < noneFor
+}
+
+func (f *StoreFinder) search(ended chan struct{}) {
+	found := f.ask()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.found, f.endedAt, f.searching = found, time.Now(), nil
+	close(ended)
+}
+
+// ask asks some instances and returns the first that the store serves.
+func (f *StoreFinder) ask() Instance {
+	ctx, cancel := context.WithTimeout(context.Background(), findWait)
+	defer cancel()
+	others := f.directory.Others()
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	others = others[:min(len(others), findSample)]
+	for answer := range f.clients.PingAll(ctx, others, f.directory.Self().Name, 0) {
+		if answer.Reply.GetStoreOk() && !answer.Reply.GetStopping() {
+			return answer.Instance
+		}
+	}
+	return Instance{}
+}
--- /dev/null
+++ b/internal/cellpeer/store_finder_test.go
@@ -0,0 +1,115 @@
+package cellpeer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/job"
+)
+
+// pingable is an instance that answers pings and nothing else.
+type pingable struct {
+	serves atomic.Bool
+	pings  atomic.Int64
+	// hold, if not nil, keeps answers back until it is closed.
+	hold chan struct{}
+}
+
+func (p *pingable) Ping(string, uint64) *cellpb.PingReply {
+	p.pings.Add(1)
+	if p.hold != nil {
+		<-p.hold
+	}
+	return &cellpb.PingReply{StoreOk: p.serves.Load()}
+}
+
+func (p *pingable) TakeOver(context.Context, string, uint64) bool { return false }
+func (p *pingable) Submitted(*job.Record) bool                    { return false }
+func (p *pingable) Cancelled(string) bool                         { return false }
+func (p *pingable) State(string) (job.State, bool)                { return "", false }
+func (p *pingable) Waiting(string) (int, bool)                    { return 0, false }
+
+// finderAmong returns a finder of an instance that knows the given ones.
+func finderAmong(t *testing.T, instances ...*pingable) *StoreFinder {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := NewDirectory(Instance{Name: "self"}, nil, log)
+	for i, p := range instances {
+		server := httptest.NewServer(NewServer(p, nil, nil, log))
+		t.Cleanup(server.Close)
+		name := fmt.Sprintf("edge-%d", i)
+		d.others[name] = Instance{Name: name, Address: server.Listener.Addr().String()}
+	}
+	return NewStoreFinder(d, NewClients())
+}
+
+// TestSubmissionsShareASearch: symptom: in an outage instances are busy with
+// pings. Sequence: the store serves nobody, and hundreds of submissions arrive.
+// Cause: each asks all instances for itself.
+func TestSubmissionsShareASearch(t *testing.T) {
+	peer := &pingable{}
+	f := finderAmong(t, peer)
+	var finds sync.WaitGroup
+	for range 200 {
+		finds.Go(func() {
+			if i, ok := f.Find(context.Background()); ok {
+				t.Errorf("found %s", i.Name)
+			}
+		})
+	}
+	finds.Wait()
+	if searches := time.Since(f.endedAt)/findFresh + 1; peer.pings.Load() > int64(searches) {
+		t.Errorf("%d pings for %d searches", peer.pings.Load(), searches)
+	}
+}
+
+// TestRefusalDoesNotWaitForADeadInstance: symptom: callers are refused 0.4 s late
+// in an outage, each time. Sequence: the store serves nobody, one instance is dead
+// and does not answer. Cause: every refusal waits for the dead instance's answer.
+func TestRefusalDoesNotWaitForADeadInstance(t *testing.T) {
+	peer, dead := &pingable{}, &pingable{hold: make(chan struct{})}
+	f := finderAmong(t, peer, dead)
+	defer close(dead.hold)
+	if _, ok := f.Find(context.Background()); ok {
+		t.Fatal("found somebody")
+	}
+	search, known := f.look(f.endedAt.Add(findFresh))
+	if !known {
+		t.Error("the next refusal waits for a search")
+	}
+	if search == nil {
+		t.Error("nobody looks again")
+	}
+	<-search
+}
+
+// TestInstanceWithTheStoreIsAskedAgain: symptom: submissions are passed to an
+// instance that has lost the store as well. Sequence: a search finds an instance,
+// then the store stops serving it. Cause: the result is kept for good.
+func TestInstanceWithTheStoreIsAskedAgain(t *testing.T) {
+	peer := &pingable{}
+	peer.serves.Store(true)
+	f := finderAmong(t, peer)
+	if _, ok := f.Find(context.Background()); !ok {
+		t.Fatal("found nobody")
+	}
+	peer.serves.Store(false)
+	search, known := f.look(f.endedAt.Add(findFresh))
+	if known {
+		t.Error("an old result is used")
+	}
+	<-search
+	if i, ok := f.Find(context.Background()); ok {
+		t.Errorf("found %s", i.Name)
+	}
+}
--- /dev/null
+++ b/internal/cellpeer/survey.go
@@ -0,0 +1,37 @@
+package cellpeer
+
+import (
+	"context"
+	"sync"
+
+	"gentianstand/internal/cellpeer/cellpb"
+)
+
+// PingAnswer is what an instance answered to a ping.
+type PingAnswer struct {
+	Instance Instance
+	// Reply is nil if there was no answer.
+	Reply *cellpb.PingReply
+}
+
+// PingAll pings instances at the same time, in the name of the instance from,
+// and returns the answers as they come. The channel is closed after the last
+// one; a caller that has heard enough may leave the rest unread.
+func (c *Clients) PingAll(ctx context.Context, instances []Instance, from string, term uint64) <-chan PingAnswer {
+	answers := make(chan PingAnswer, len(instances))
+	var pings sync.WaitGroup
+	for _, instance := range instances {
+		pings.Go(func() {
+			reply, err := c.To(instance.Address).Ping(ctx, &cellpb.PingRequest{From: from, Term: term})
+			if err != nil {
+				reply = nil
+			}
+			answers <- PingAnswer{instance, reply}
+		})
+	}
+	go func() {
+		pings.Wait()
+		close(answers)
+	}()
+	return answers
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,19 +43,19 @@
 
 // Intake serves callers' jobs.
 type Intake struct {
-	jobs      *celljobs.Jobs
-	store     *store.Watched
-	leader    Leader
-	directory *cellpeer.Directory
-	clients   *cellpeer.Clients
-	metrics   *Metrics
-	log       logrus.FieldLogger
-	waiting   waitingCounts
+	jobs    *celljobs.Jobs
+	store   *store.Watched
+	leader  Leader
+	clients *cellpeer.Clients
+	finder  *cellpeer.StoreFinder
+	metrics *Metrics
+	log     logrus.FieldLogger
+	waiting waitingCounts
 }
 
 // New returns an intake.
 func New(jobs *celljobs.Jobs, s *store.Watched, l Leader, d *cellpeer.Directory, c *cellpeer.Clients, m *Metrics, log logrus.FieldLogger) *Intake {
-	return &Intake{jobs: jobs, store: s, leader: l, directory: d, clients: c, metrics: m, log: log,
+	return &Intake{jobs: jobs, store: s, leader: l, clients: c, finder: cellpeer.NewStoreFinder(d, c), metrics: m, log: log,
 		waiting: waitingCounts{byQueue: map[string]waitingCount{}}}
 }
 
@@ -87,21 +87,30 @@
 // create stores a record here, or through an instance that reaches the store.
 // created says that this call, and nothing before it, stored the record.
 func (i *Intake) create(ctx context.Context, r *job.Record) (created bool, err error) {
-	if !i.store.Reachable() {
-		if peer, ok := i.peerWithStore(ctx); ok {
-			return i.createThrough(ctx, peer, r)
-		}
-		// Nothing was sent, so the caller may be told that the job will never run,
-		// and may try again. After an attempt without an answer it could not.
-		return false, errOutage
+	// Nothing is sent to a store that is known to be lost: then the caller may be
+	// told that the job will never run, and may try again. After an attempt without
+	// an answer it could not.
+	err = errOutage
+	if i.store.Reachable() {
+		created, err = i.jobs.Create(ctx, r)
+	}
+	if !isStoreFailure(err) {
+		return created, err
+	}
+	peer, ok := i.finder.Find(ctx)
+	if !ok {
+		return false, err
 	}
-	created, err = i.jobs.Create(ctx, r)
-	if errors.Is(err, store.ErrUnavailable) {
-		if peer, ok := i.peerWithStore(ctx); ok {
-			return i.createThrough(ctx, peer, r)
-		}
+	created, peerErr := i.createThrough(ctx, peer, r)
+	if peerErr != nil && errors.Is(err, store.ErrUnknown) {
+		// Whatever the peer says, the attempt made here may have taken effect.
+		return false, err
 	}
-	return created, err
+	return created, peerErr
+}
+
+func isStoreFailure(err error) bool {
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
 }
 
 func (i *Intake) createThrough(ctx context.Context, peer cellpeer.Instance, r *job.Record) (created bool, err error) {
@@ -166,7 +175,7 @@
 
 func (i *Intake) storeCancel(ctx context.Context, id string, known bool) (bool, error) {
 	if !i.store.Reachable() {
-		if peer, ok := i.peerWithStore(ctx); ok {
+		if peer, ok := i.finder.Find(ctx); ok {
 			reply, err := i.clients.To(peer.Address).StoreCancel(ctx, &cellpb.StoreCancelRequest{Job: id})
 			if err != nil {
 				return false, cellpeer.StoreErrorFrom(err)
@@ -212,35 +221,6 @@
 	return job.State(reply.State), reply.Owner
 }
 
-// peerWithStore finds an instance that reaches the store.
-func (i *Intake) peerWithStore(ctx context.Context) (cellpeer.Instance, bool) {
-	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	others := i.directory.Others()
-	found := make(chan cellpeer.Instance, len(others))
-	for _, other := range others {
-		go func() {
-			reply, err := i.clients.To(other.Address).Ping(callCtx, &cellpb.PingRequest{From: i.directory.Self().Name})
-			if err == nil && reply.StoreOk && !reply.Stopping {
-				found <- other
-				return
-			}
-			found <- cellpeer.Instance{}
-		}()
-	}
-	for range others {
-		select {
-		case peer := <-found:
-			if peer.Name != "" {
-				return peer, true
-			}
-		case <-callCtx.Done():
-			return cellpeer.Instance{}, false
-		}
-	}
-	return cellpeer.Instance{}, false
-}
-
 // storeFault turns a failure of the store into the answer for the caller.
 func (i *Intake) storeFault(err error) error {
 	if errors.Is(err, store.ErrUnavailable) {
