A start without an answer is sent once more before it is revoked

Ruled out: shorter waits alone (an owner short of processor would revoke sound starts). A repeated start is answered like the first and is declined when the run has ended, so it may follow after 60 ms, or eight times what answers usually take.

--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -6,6 +6,7 @@
 type Metrics struct {
 	Starts         *metrics.Counter
 	StartErrors    *metrics.Counter
+	StartRepeats   *metrics.Counter
 	Looks          *metrics.Counter
 	LookErrors     *metrics.Counter
 	Commits        *metrics.Counter
@@ -22,6 +23,7 @@
 func NewMetrics(set *metrics.Set) *Metrics {
 	return &Metrics{
 		Starts:         set.NewCounter("gentianstand_cell_starts_total"),
+		StartRepeats:   set.NewCounter("gentianstand_cell_start_repeats_total"),
 		StartErrors:    set.NewCounter("gentianstand_cell_start_errors_total"),
 		Looks:          set.NewCounter("gentianstand_cell_looks_total"),
 		LookErrors:     set.NewCounter("gentianstand_cell_look_errors_total"),
--- a/internal/cellowner/orders.go
+++ b/internal/cellowner/orders.go
@@ -13,9 +13,30 @@
 // call of the same instance that may be before this one.
 const adviceSlack = time.Second
 
+// start sends a start, and once more if it is not answered.
+//
+// Load pattern: for some seconds a few percent of the answers, or of the orders
+// themselves, get lost. A start of a run that is there is answered like the first
+// one, so repeating it soon either confirms the run or begins it; stopping it and
+// beginning anew elsewhere costs the work done so far and a round of planning. A
+// late effect of the first one meets the same run, or one that has ended, and the
+// worker declines it.
 func (o *Owner) start(ctx context.Context, order cell.StartOrder) {
+	answer, err := o.startOnce(ctx, order, o.patience.brief())
+	if errors.Is(err, runner.ErrNoAnswer) && o.deps.Leadership.Confirmed() {
+		o.deps.Metrics.StartRepeats.Inc()
+		answer, err = o.startOnce(ctx, order, o.patience.limit())
+	}
+	o.checkFence(err)
+	o.cell.StartAnswered(order, answer, err, time.Now())
+	if err != nil {
+		o.wake()
+	}
+}
+
+func (o *Owner) startOnce(ctx context.Context, order cell.StartOrder, limit time.Duration) (runner.Answer, error) {
 	began := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, o.patience.limit())
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	answer, err := o.deps.Runner.Start(callCtx, order.Worker, order.Start)
 	o.deps.Metrics.Starts.Inc()
@@ -25,11 +46,7 @@
 	} else {
 		o.patience.answered(time.Since(began))
 	}
-	o.checkFence(err)
-	o.cell.StartAnswered(order, answer, err, time.Now())
-	if err != nil {
-		o.wake()
-	}
+	return answer, err
 }
 
 func (o *Owner) stop(ctx context.Context, order cell.StopOrder) {
--- /dev/null
+++ b/internal/cellowner/orders_test.go
@@ -0,0 +1,110 @@
+package cellowner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"gentianstand/internal/cell"
+	"gentianstand/internal/job"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+	"gentianstand/internal/store"
+)
+
+// losing is a worker that carries starts out, but whose first answers get lost.
+type losing struct {
+	runner.Client
+	lost    int
+	starts  []runner.Start
+	running []runner.RunState
+}
+
+func (l *losing) Start(_ context.Context, _ runner.Target, s runner.Start) (runner.Answer, error) {
+	l.starts = append(l.starts, s)
+	if len(l.starts) == 1 {
+		l.running = append(l.running, runner.RunState{Task: s.Task, Run: s.Run})
+	}
+	if len(l.starts) <= l.lost {
+		return runner.Answer{}, runner.ErrNoAnswer
+	}
+	return runner.Answer{}, nil
+}
+
+func (l *losing) Look(context.Context, runner.Target, runner.Look) (runner.Report, error) {
+	return runner.Report{Clock: time.Minute, Running: l.running}, nil
+}
+
+// confirmed is a leadership that holds.
+type confirmed struct{}
+
+func (confirmed) Confirmed() bool  { return true }
+func (confirmed) Overtaken(string) {}
+
+// ownerOfOne returns an owner with one task to start on one worker.
+func ownerOfOne(t *testing.T, client runner.Client) (*Owner, cell.StartOrder) {
+	t.Helper()
+	log, _ := logtest.NewNullLogger()
+	o := New(cell.Settings{Term: 1, Lease: time.Second}, store.Check{},
+		Deps{Runner: client, Leadership: confirmed{}, Metrics: NewMetrics(metrics.NewSet()), Log: log})
+	worker := roster.Worker{ID: "w", Service: "desk", Capacity: resource.Amount{MilliCPU: 1000, MemoryMiB: 1000}}
+	o.cell.SetRoster([]roster.Worker{worker}, time.Now())
+	commit := o.cell.NextCommit(1)
+	o.cell.Committed(commit, 1)
+	sentAt := time.Now()
+	report, err := client.Look(t.Context(), runner.Target{}, runner.Look{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.cell.Reported("w", report, sentAt, time.Now())
+	o.cell.Add(&job.Record{ID: "00000000000000aa", Queue: "q", Service: "desk", MaxAttempts: 1, AcceptedAt: time.Now(),
+		Steps: []job.Step{{Count: 1, Need: resource.Amount{MilliCPU: 500, MemoryMiB: 10}, Estimate: time.Second}}}, true)
+	for _, order := range o.cell.Plan(time.Now(), cell.AdviceSlots{}) {
+		if start, ok := order.(cell.StartOrder); ok {
+			return o, start
+		}
+	}
+	t.Fatal("nothing is started")
+	return nil, cell.StartOrder{}
+}
+
+// TestLostAnswerOfAStart: symptom: one step in three of ten tasks is late while
+// answers of workers get lost. Sequence: a worker starts a run, its answer gets
+// lost. Cause: the run is stopped and begun anew, although asking once more would
+// have told that it is there.
+func TestLostAnswerOfAStart(t *testing.T) {
+	client := &losing{lost: 1}
+	o, order := ownerOfOne(t, client)
+	o.start(t.Context(), order)
+	if len(client.starts) != 2 || client.starts[0].Run != client.starts[1].Run {
+		t.Errorf("starts sent: %v, want the same one twice", client.starts)
+	}
+	if orders := o.cell.Plan(time.Now(), cell.AdviceSlots{}); len(orders) > 0 {
+		t.Errorf("orders after the second answer: %v", orders)
+	}
+}
+
+// TestStartThatIsNeverAnswered: symptom: a task never runs, or runs twice, while
+// its worker leaves all orders unanswered. Sequence: no start is answered. Cause
+// to be ruled out: starts are repeated for ever, or the run is not revoked.
+func TestStartThatIsNeverAnswered(t *testing.T) {
+	client := &losing{lost: 100}
+	o, order := ownerOfOne(t, client)
+	o.start(t.Context(), order)
+	if len(client.starts) != 2 {
+		t.Errorf("%d starts sent, want 2", len(client.starts))
+	}
+	stops := 0
+	for _, next := range o.cell.Plan(time.Now(), cell.AdviceSlots{}) {
+		if stop, ok := next.(cell.StopOrder); ok && stop.Stop.Run == order.Start.Run {
+			stops++
+		}
+	}
+	if stops != 1 {
+		t.Errorf("%d stops of the run, want 1", stops)
+	}
+}
--- a/internal/cellowner/patience.go
+++ b/internal/cellowner/patience.go
@@ -12,6 +12,10 @@
 	// patienceFactor times the usual duration of an answer is waited: orders take
 	// 2 to 5 ms, more when this instance is short of processor.
 	patienceFactor = 15
+	// briefFactor times the usual duration, and at least briefLeast, is waited for
+	// an answer where sending the order again does no harm and costs one call.
+	briefFactor = 8
+	briefLeast  = 60 * time.Millisecond
 	// patienceWeight is the weight of the newest answer in the usual duration.
 	patienceWeight = 0.05
 )
@@ -36,6 +40,13 @@
 	p.usual += time.Duration(patienceWeight * float64(took-p.usual))
 }
 
+// brief returns how long to wait where the order may be sent again.
+func (p *patience) brief() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(briefFactor*p.usual, briefLeast), patienceMost)
+}
+
 // limit returns how long to wait.
 func (p *patience) limit() time.Duration {
 	p.mu.Lock()
