A replaced owner takes its cell back at once, an ended one is noticed by refused connections

A machine that refuses the connection says that the process has ended; a cut off or frozen one leaves the call unanswered.

--- a/internal/cellleader/claim.go
+++ b/internal/cellleader/claim.go
@@ -22,6 +22,8 @@
 	Term uint64 `cbor:"4,keyasint"`
 	// Released says that the holder gave the cell up.
 	Released bool `cbor:"5,keyasint,omitempty"`
+	// Returned says that the holder's process before this one held the cell, too.
+	Returned bool `cbor:"6,keyasint,omitempty"`
 	// version is the row's version, 0 if there is no row.
 	version uint64
 }
--- /dev/null
+++ b/internal/cellleader/claim_test.go
@@ -0,0 +1,31 @@
+package cellleader
+
+import (
+	"testing"
+
+	"gentianstand/internal/cellpeer"
+)
+
+// Symptom: after a restart of all instances nobody planned for 0.3 s more than
+// needed, or a process that died again and again kept the cell for itself.
+// Sequence: the owner's process is replaced, once or repeatedly.
+// Cause: the new process waits for its turn like all others, or never does.
+func TestReplacedOwnerReturnsOnce(t *testing.T) {
+	self := cellpeer.Instance{Name: "edge-1", Incarnation: "new"}
+	l := &Leader{directory: cellpeer.NewDirectory(self, nil, nil)}
+	for name, c := range map[string]struct {
+		claim claim
+		want  bool
+	}{
+		"no claim":                 {claim{}, false},
+		"of the process before":    {claim{version: 3, Holder: "edge-1", Incarnation: "old"}, true},
+		"of the process before it": {claim{version: 3, Holder: "edge-1", Incarnation: "old", Returned: true}, false},
+		"of this process":          {claim{version: 3, Holder: "edge-1", Incarnation: "new"}, false},
+		"of another instance":      {claim{version: 3, Holder: "edge-2", Incarnation: "old"}, false},
+		"given up before it ended": {claim{version: 3, Holder: "edge-1", Incarnation: "old", Released: true}, false},
+	} {
+		if got := l.returns(c.claim); got != c.want {
+			t.Errorf("claim %s: returns %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"slices"
 	"sort"
 	"strconv"
+	"syscall"
 	"time"
 
 	"gentianstand/internal/cellpeer"
@@ -17,6 +19,10 @@
 	l.mu.Lock()
 	known := l.known
 	l.mu.Unlock()
+	if l.returns(known) {
+		l.take(ctx, known, takeOver{"the owner's process was replaced", true})
+		return
+	}
 	if l.ownerless(known) {
 		l.contest(ctx, known, takeOver{"the cell has no owner", true})
 		return
@@ -24,6 +30,11 @@
 	reply, err := l.ping(ctx, known.Address, known.Term)
 	now := time.Now()
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// Nothing listens there, so the owner's process has ended. A process that
+		// lives and is cut off, frozen or busy leaves the call without an answer.
+		l.setVacant(now)
+		l.contest(ctx, known, takeOver{"the owner's process has ended", true})
 	case err != nil:
 		l.ownerSilent(ctx, known, now)
 	case reply.Term > known.Term:
@@ -36,6 +47,15 @@
 	}
 }
 
+// returns reports whether this process replaces the one that owned the cell. It
+// then takes the cell back at once: the others would wait for one another, and the
+// holder was the strongest of them. It does so once; a process that ends again and
+// again would otherwise keep the cell from all others.
+func (l *Leader) returns(c claim) bool {
+	self := l.directory.Self()
+	return c.version > 0 && !c.Released && !c.Returned && c.Holder == self.Name && c.Incarnation != self.Incarnation
+}
+
 // ownerless reports whether a claim names no living owner: there is none, it
 // was released, or an earlier process of this instance made it.
 func (l *Leader) ownerless(c claim) bool {
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -47,6 +47,12 @@
 // Run takes part until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
 	l.refresh(ctx)
+	l.mu.Lock()
+	returns := l.returns(l.known)
+	l.mu.Unlock()
+	if returns {
+		l.step(ctx)
+	}
 	ticker := time.NewTicker(pingPeriod)
 	defer ticker.Stop()
 	for {
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -30,7 +30,8 @@
 		return false
 	}
 	self := l.directory.Self()
-	next := claim{Holder: self.Name, Address: self.Address, Incarnation: self.Incarnation, Term: current.Term + 1}
+	next := claim{Holder: self.Name, Address: self.Address, Incarnation: self.Incarnation, Term: current.Term + 1,
+		Returned: current.Holder == self.Name}
 	version, err := l.write(ctx, next, current.version)
 	if err != nil {
 		// The write may have taken effect; the next round reads the row and finds
