A new owner holds back only what a silent worker may run

Ruled out: looks that are slow, or workers forgotten late. A worker that is silent for 250 ms, or drains, is now closed: the store is told that nothing is started there any more and what may still run there, in the row that names the known workers. It is opened by another write before it gets anything. The next owner books the stored runs and holds back only these; a reported run that is newer replaces a stored one.

--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -22,6 +22,7 @@
 	if w.reported && r.Run < t.lastRun && t.done {
 		return nil
 	}
+	c.superseded(t, r.Run, now)
 	a := c.adopt(t, w, r.Run, now)
 	switch {
 	case t.stage.job.final != "":
--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -25,6 +25,8 @@
 	orderedAt time.Time
 	// fromStart says that the run was started here and without a checkpoint.
 	fromStart bool
+	// inherited says that the run is known from the store alone: it may have ended.
+	inherited bool
 	// confirmedAt is when the worker answered the start.
 	confirmedAt time.Time
 	// percent and changedAt are the last reported progress and when it moved.
--- /dev/null
+++ b/internal/cell/closing.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+// closeAfter is how long a worker must have been silent to be closed. Single
+// answers get lost, and each closing and opening is a write.
+const closeAfter = 250 * time.Millisecond
+
+// watchClosing closes a worker that is silent or leaves, and opens it again.
+//
+// What can go wrong: a new owner cannot tell which tasks run on a worker that does
+// not answer, and holds back everything that an earlier owner may have started
+// there, up to 5.3 s. It shows as a long "recovered" beside a "worker_silent". The
+// store therefore says of such a worker that nothing was started there since, and
+// what may still be there: only those tasks have to wait.
+func (c *Cell) watchClosing(w *worker, now time.Time) {
+	silent := !w.failingAt.IsZero() && now.Sub(w.failingAt) >= closeAfter
+	closed := w.Draining || silent || (w.closed && !w.reported)
+	if closed == w.closed {
+		return
+	}
+	w.closed = closed
+	w.saved = false
+	c.known.changed(w.ID)
+}
+
+// knownWorker returns what to store of a worker.
+func (w *worker) known() KnownWorker {
+	k := KnownWorker{ID: w.ID, Address: w.Address, Closed: w.closed}
+	if !w.closed {
+		return k
+	}
+	for a := range w.attempts {
+		k.Runs = append(k.Runs, KnownRun{Task: a.task.id().String(), Run: a.run})
+	}
+	sort.Slice(k.Runs, func(a, b int) bool { return k.Runs[a].Task < k.Runs[b].Task })
+	return k
+}
+
+// inheritRuns books the runs that may be on a closed worker, as if it had
+// reported them. They go when it reports, or when its lease must have ended.
+func (c *Cell) inheritRuns(w *worker, runs []KnownRun, now time.Time) {
+	w.closed, w.accounted = true, true
+	for _, r := range runs {
+		t := c.taskNamed(r.Task)
+		if t == nil || t.done || t.stage.job.final != "" || t.stage.step.AllowDuplicates {
+			continue
+		}
+		if r.Run < t.lastRun || t.find(w, r.Run) != nil {
+			continue
+		}
+		c.superseded(t, r.Run, now)
+		c.adopt(t, w, r.Run, now).inherited = true
+	}
+}
+
+// superseded drops inherited runs of a task of which a later run is reported: an
+// owner starts a task again only when its run before has certainly ended.
+func (c *Cell) superseded(t *task, run uint64, now time.Time) {
+	for i := len(t.attempts) - 1; i >= 0; i-- {
+		if a := t.attempts[i]; a.inherited && a.run < run {
+			c.drop(a, "superseded", now)
+		}
+	}
+}
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -151,6 +151,10 @@
 		}
 	}
 	a.worker.remove(a)
+	if a.worker.closed {
+		// The store lists the run.
+		c.known.changed(a.worker.ID)
+	}
 	if a.makesRoomFor != nil {
 		a.makesRoomFor.preempting--
 		a.makesRoomFor = nil
--- a/internal/cell/known_worker.go
+++ b/internal/cell/known_worker.go
@@ -4,4 +4,8 @@
 type KnownWorker struct {
 	ID      string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"`
+	// Closed says that no run was started there since this was stored, and that
+	// Runs are all that may still be there.
+	Closed bool       `cbor:"3,keyasint,omitempty"`
+	Runs   []KnownRun `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -39,7 +39,7 @@
 
 // Inherit takes in the workers that an earlier owner stored in a chunk. Those
 // that the roster lacks are looked at like the others. It must be called after
-// SetRoster.
+// SetRoster and after the jobs were loaded.
 func (c *Cell) Inherit(number int, workers []KnownWorker, version uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -52,7 +52,10 @@
 			c.workers[k.ID] = w
 			c.unregister(w, now)
 		}
-		w.saved = true
+		w.saved = !k.Closed
+		if k.Closed {
+			c.inheritRuns(w, k.Runs, now)
+		}
 	}
 }
 
@@ -67,7 +70,7 @@
 	}
 	for id, w := range c.workers {
 		if chunk := byNumber[chunkOf(id)]; chunk != nil {
-			chunk.Workers = append(chunk.Workers, KnownWorker{ID: id, Address: w.Address})
+			chunk.Workers = append(chunk.Workers, w.known())
 		}
 	}
 	chunks := make([]WorkerChunk, 0, len(byNumber))
@@ -85,7 +88,7 @@
 		c.known.versions[chunk.Number] = version
 		for _, k := range chunk.Workers {
 			if w := c.workers[k.ID]; w != nil {
-				w.saved = true
+				w.saved = !k.Closed
 			}
 		}
 	}
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -45,6 +45,8 @@
 	lives   int
 	records []*job.Record
 	stored  map[string]*job.Progress
+	// chunks are the stored known workers.
+	chunks  map[int]WorkerChunk
 	version uint64
 	owners  []*modelOwner
 	late    []func()
@@ -53,7 +55,7 @@
 }
 
 func newModel(rt *rapid.T) *model {
-	m := &model{rt: rt, now: siteStart, stored: map[string]*job.Progress{}, open: map[string]string{}, done: map[string]bool{}}
+	m := &model{rt: rt, now: siteStart, stored: map[string]*job.Progress{}, chunks: map[int]WorkerChunk{}, open: map[string]string{}, done: map[string]bool{}}
 	for range 3 {
 		m.addWorker()
 	}
@@ -108,18 +110,15 @@
 	}
 	o := &modelOwner{cell: c, since: m.now}
 	for _, w := range m.workers {
-		switch {
-		case !w.alive:
-		case rapid.IntRange(0, 4).Draw(m.rt, "unlisted") == 0:
-			c.Inherit(chunkOf(w.roster.ID), []KnownWorker{{ID: w.roster.ID, Address: w.roster.Address}}, m.version, m.now)
-		default:
+		if w.alive && rapid.IntRange(0, 4).Draw(m.rt, "unlisted") > 0 {
 			c.register(w.roster, m.now)
 		}
 	}
-	for commit := c.NextCommit(10); commit != nil; commit = c.NextCommit(10) {
-		c.Committed(commit, m.version)
+	for _, number := range slices.Sorted(maps.Keys(m.chunks)) {
+		c.Inherit(number, m.chunks[number].Workers, m.version, m.now)
 	}
 	m.owners = append(m.owners, o)
+	m.commit(o, true)
 }
 
 // current is the owner whose claim holds.
@@ -178,10 +177,12 @@
 			}
 			w.runs = map[string]*modelRun{}
 			m.addWorker()
-			c := m.current().cell
-			c.register(m.workers[len(m.workers)-1].roster, m.now)
-			c.workers[m.workers[len(m.workers)-1].roster.ID].saved = true
+			m.current().cell.register(m.workers[len(m.workers)-1].roster, m.now)
+			m.commit(m.current(), true)
 		}
+	case 3:
+		w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "cut")]
+		w.cut = !w.cut
 	case 2:
 		m.now = m.now.Add(4 * time.Second)
 		for _, w := range m.workers {
@@ -213,7 +214,7 @@
 	}
 	report, err := w.look(look)
 	m.rt.Logf("%v term %d: look at %s lost %v: %v %v", m.now.Sub(siteStart), o.cell.settings.Term, w.roster.ID, lost, report, err)
-	if lost && w.alive {
+	if (lost || w.cut) && w.alive {
 		err = runner.ErrNoAnswer
 	}
 	m.now = m.now.Add(2 * time.Millisecond)
@@ -264,6 +265,9 @@
 		if w.roster.ID != id {
 			continue
 		}
+		if w.cut && fate < 4 {
+			fate = 4
+		}
 		switch fate {
 		case 4: // carried out, no answer
 			_ = act(w) // nobody hears of it
@@ -312,6 +316,9 @@
 	for _, item := range commit.Items {
 		m.stored[item.Job] = item.Progress
 	}
+	for _, chunk := range commit.Chunks {
+		m.chunks[chunk.Number] = chunk
+	}
 	o.cell.Committed(commit, m.version)
 }
 
@@ -320,9 +327,9 @@
 	m.takeOver(true)
 	o := m.current()
 	for _, w := range m.workers {
+		w.cut = false
 		if w.alive {
 			o.cell.register(w.roster, m.now)
-			o.cell.workers[w.roster.ID].saved = true
 		}
 	}
 	for range 400 {
--- a/internal/cell/model_worker_test.go
+++ b/internal/cell/model_worker_test.go
@@ -11,9 +11,12 @@
 
 // modelWorker plays one life of a worker exactly as the platform describes it.
 type modelWorker struct {
-	world    *model
-	roster   roster.Worker
-	alive    bool
+	world  *model
+	roster roster.Worker
+	alive  bool
+	// cut says that what it answers gets lost.
+	cut bool
+	// cut says that what it answers gets lost.
 	token    uint64
 	leaseEnd time.Duration
 	runs     map[string]*modelRun
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -3,8 +3,9 @@
 import "time"
 
 // recover ends the time in which runs of an earlier owner may go on unseen: it
-// is over when every known worker has reported, or when the longest lease that
-// the earlier owner can have given must have ended.
+// is over when every known worker has reported or its runs are known from the
+// store, or when the longest lease that the earlier owner can have given must have
+// ended.
 func (c *Cell) recover(now time.Time) {
 	if !c.recovering {
 		return
@@ -32,7 +33,7 @@
 		return false
 	}
 	for _, w := range c.workers {
-		if !w.reported {
+		if !w.reported && !w.accounted {
 			return false
 		}
 	}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -34,6 +34,7 @@
 // watch looks after the runs on one worker: ends of leases, stops without an
 // answer, stalled and slow runs, leaving workers, and tail targets.
 func (c *Cell) watch(w *worker, now time.Time) {
+	c.watchClosing(w, now)
 	if c.watchLease(w, now) {
 		return
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -18,8 +18,15 @@
 	// reported says that it answered a look under this ownership since it was
 	// last taken as lapsed; its books are complete only then.
 	reported bool
-	// saved says that the store names the worker among those on which runs may be.
-	saved      bool
+	// saved says that the store names the worker among those on which runs may be
+	// started.
+	saved bool
+	// closed says that nothing is started here until the worker is open again, and
+	// that the store was or is being told so.
+	closed bool
+	// accounted says that the runs that an earlier owner can have left here are
+	// booked, although the worker has not reported.
+	accounted  bool
 	lastReport time.Time
 	failingAt  time.Time
 	// clock is the worker's clock at clockAt on ours.
@@ -78,7 +85,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	if !w.reported || !w.saved || w.Draining || now.Sub(w.lastReport) > reportFresh {
+	if !w.reported || !w.saved || w.closed || w.Draining || now.Sub(w.lastReport) > reportFresh {
 		return false
 	}
 	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
