Ends are acknowledged only when an overtaken owner can start nothing

The new owner had heard of the success on A and acknowledged it, A crashed, and the overtaken owner, which found A gone, started the task on B, which had not seen the new token yet. Cause: acknowledging does not wait for the fencing token to be everywhere. Now it waits until every worker was heard, or the earlier owner has stopped or must have noticed (1.5 s). TestEndsAreAcknowledgedWhenTheEarlierOwnerIsFenced replays the sequence without random draws; it failed before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -30,6 +30,8 @@
 	// recovering says that some worker of the time before this ownership has
 	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
 	recovering bool
+	// fenced says that the earlier owner can start nothing any more.
+	fenced bool
 	durations  durations
 	known      knownWorkers
 	// missing are jobs that workers report and the cell does not know; absent are
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -17,9 +17,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.dirty) == 0 && len(c.known.unsaved) == 0 {
-		for _, w := range c.workers {
-			w.acked = w.seen
-		}
+		c.acknowledgeAll()
 		return nil
 	}
 	commit := &Commit{Chunks: c.takeChunks(), acks: map[*worker]uint64{}}
@@ -30,6 +28,9 @@
 		delete(c.dirty, j)
 		commit.Items = append(commit.Items, CommitItem{Job: j.record.ID, Progress: j.progress(), Version: j.progressVersion, state: j})
 	}
+	if !c.fenced {
+		return commit
+	}
 	// Only now does the commit, with those before it, cover all ends seen so far.
 	for _, w := range c.workers {
 		commit.acks[w] = w.seen
@@ -37,6 +38,18 @@
 	return commit
 }
 
+// acknowledgeAll has all ends acknowledged that were seen, as all are stored. Not
+// while an overtaken owner may act: it would take a run for lost whose worker
+// crashed, and start the task again after its success was acknowledged.
+func (c *Cell) acknowledgeAll() {
+	if !c.fenced {
+		return
+	}
+	for _, w := range c.workers {
+		w.acked = w.seen
+	}
+}
+
 // Committed takes in that a commit was stored under a version.
 func (c *Cell) Committed(commit *Commit, version uint64) {
 	c.mu.Lock()
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -208,3 +208,28 @@
 		t.Errorf("chunks to store: %+v", commit.Chunks)
 	}
 }
+
+// Symptom: a task is started again after its success was acknowledged.
+// Sequence: A runs the task; the owner is overtaken and goes on acting for a
+// moment. The new owner hears of the success on A, stores and acknowledges it; A
+// crashes. The old owner finds A gone and starts the task on B, which has not seen
+// the new fencing token yet.
+// Cause: an end was acknowledged while the earlier owner could still start runs.
+func TestEndsAreAcknowledgedWhenTheEarlierOwnerIsFenced(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	r := s.record(1, step(1))
+	s.cell.Load(r, nil, 0)
+	s.end("a", r.ID+".0.0.0", 1, runner.Done)
+	s.report("a")
+	s.plan()
+	s.commit()
+	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 0 {
+		t.Errorf("end %d is acknowledged before b was heard", look.Acknowledged)
+	}
+	s.report("b")
+	s.plan()
+	s.commit()
+	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 1 {
+		t.Errorf("end %d is acknowledged after all workers were heard, want 1", look.Acknowledged)
+	}
+}
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -10,8 +10,10 @@
 	if !c.recovering {
 		return
 	}
+	c.fenced = c.settings.EarlierStopped || now.Sub(c.began) >= overtakenFor
 	if now.Sub(c.began) >= c.unseenLimit() || c.allReported() {
 		c.recovering = false
+		c.fenced = true
 		c.log.WithField("took_ms", now.Sub(c.began).Milliseconds()).Info("recovered")
 	}
 }
