Idle workers are parked until they are needed

Ruled out: planning passes, the store. Idle workers beyond 128, or half as many as have runs, get no look and are not named in the store. A stage without room wakes as many as it lacks, near its data first; a woken worker is used when it is stored and has answered.

TestModel with parking: 150,000 sequences pass.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -19,9 +19,12 @@
 	began time.Time
 	// watchedAt is when the runs were last looked through.
 	watchedAt time.Time
-	jobs      map[string]*jobState
-	active    map[string]*jobState
-	workers   map[string]*worker
+	// parkedAt is when workers were last parked, parked how many are.
+	parkedAt time.Time
+	parked   int
+	jobs     map[string]*jobState
+	active   map[string]*jobState
+	workers  map[string]*worker
 	// waiting are the stages with tasks to place, in no order.
 	waiting map[*stage]struct{}
 	orders  []Order
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -19,7 +19,7 @@
 // roster and goes on running what its owner told it. A new owner that knows the
 // roster alone takes those runs as not there and starts them again. Every worker
 // is therefore stored before the first run is placed on it, and stays stored
-// until nothing can run there any more.
+// until nothing can run there any more, or it is parked.
 type knownWorkers struct {
 	unsaved  map[int]struct{}
 	versions map[int]uint64
@@ -52,6 +52,10 @@
 			c.workers[k.ID] = w
 			c.unregister(w, now)
 		}
+		if w.parked {
+			w.parked = false
+			c.parked--
+		}
 		w.saved = !k.Closed
 		if k.Closed {
 			c.inheritRuns(w, k.Runs, now)
@@ -69,7 +73,7 @@
 		byNumber[n] = &WorkerChunk{Number: n, Workers: []KnownWorker{}, Version: c.known.versions[n]}
 	}
 	for id, w := range c.workers {
-		if chunk := byNumber[chunkOf(id)]; chunk != nil {
+		if chunk := byNumber[chunkOf(id)]; chunk != nil && !w.parked {
 			chunk.Workers = append(chunk.Workers, w.known())
 		}
 	}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -8,12 +8,12 @@
 )
 
 // NextLook returns where and how to look at a worker next; ok is false if the
-// worker is no longer known.
+// worker is no longer known, or parked.
 func (c *Cell) NextLook(id string, now time.Time) (target runner.Target, look runner.Look, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if w == nil {
+	if w == nil || w.parked {
 		return target, look, false
 	}
 	look = runner.Look{Token: c.settings.Term, Acknowledged: w.acked}
@@ -60,7 +60,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if w == nil {
+	if w == nil || w.parked {
 		return
 	}
 	if w.clockAt.IsZero() {
@@ -151,7 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if w == nil {
+	if w == nil || w.parked {
 		return
 	}
 	if errors.Is(err, runner.ErrGone) {
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -104,7 +104,7 @@
 	}
 	term := uint64(len(m.owners) + 1)
 	m.rt.Logf("%v term %d taken, earlier stopped %v", m.now.Sub(siteStart), term, earlierStopped)
-	c := New(Settings{Term: term, EarlierStopped: earlierStopped, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond}, m.now, quietLog())
+	c := New(Settings{Term: term, EarlierStopped: earlierStopped, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, SpareWorkers: 1}, m.now, quietLog())
 	for _, r := range m.records {
 		c.Load(r, m.stored[r.ID], m.version)
 	}
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -1,5 +1,5 @@
 package cell
 
 // Order is something the owner must carry out: a StartOrder, StopOrder,
-// PaceOrder or AdviceOrder.
+// PaceOrder, AdviceOrder or LookOrder.
 type Order interface{ isOrder() }
--- /dev/null
+++ b/internal/cell/parking.go
@@ -0,0 +1,202 @@
+package cell
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// spareShare is how many idle workers are kept awake for each one with runs, if
+	// that is more than Settings.SpareWorkers: a burst of twice the usual load finds
+	// room on them at once.
+	spareShare = 0.5
+	// parkAfter is how long a worker must have been idle to be parked; most runs of
+	// a job follow one another within this.
+	parkAfter = 2 * time.Second
+	// parkPeriod is how often workers are parked.
+	parkPeriod = time.Second
+	// rousers is for how many stages, the most urgent ones, a planning pass wakes
+	// parked workers. Each of them goes through all workers.
+	rousers = 8
+	// comingFor is how long a woken worker counts as room that is about to come: a
+	// commit and a look, some 20 ms, or half a second where the store is slow.
+	comingFor = 500 * time.Millisecond
+)
+
+// park takes idle workers out of use until they are needed. A parked worker gets
+// no run and no look, and the store does not name it.
+//
+// Load pattern: 3,000 workers of which 300 have runs. Looks at idle workers took
+// most of the owner's processor, and a new owner, who has to hear every worker that
+// the store names, needed 1.5 to 3.8 s for them while leases ran out.
+func (c *Cell) park(now time.Time) {
+	if c.settings.SpareWorkers == 0 || c.recovering || now.Sub(c.parkedAt) < parkPeriod {
+		return
+	}
+	c.parkedAt = now
+	busy := 0
+	var idle []*worker
+	for _, w := range c.workers {
+		switch {
+		case w.parked:
+		case len(w.attempts) > 0:
+			busy++
+			w.idleSince = time.Time{}
+		case w.idleSince.IsZero():
+			w.idleSince = now
+		case w.mayPark(now):
+			idle = append(idle, w)
+		}
+	}
+	spare := max(c.settings.SpareWorkers, int(spareShare*float64(busy)))
+	if len(idle) <= spare {
+		return
+	}
+	sort.Slice(idle, func(a, b int) bool {
+		if !idle[a].idleSince.Equal(idle[b].idleSince) {
+			return idle[a].idleSince.Before(idle[b].idleSince)
+		}
+		return idle[a].ID < idle[b].ID
+	})
+	for _, w := range idle[:len(idle)-spare] {
+		w.parked, w.saved, w.reported = true, false, false
+		c.parked++
+		c.known.changed(w.ID)
+	}
+}
+
+// mayPark reports whether nothing of ours can be on an idle worker and nothing is
+// left to tell it.
+func (w *worker) mayPark(now time.Time) bool {
+	return w.reported && w.saved && !w.closed && w.unlistedAt.IsZero() && w.acked == w.seen && now.Sub(w.idleSince) >= parkAfter
+}
+
+// wakeUp has a parked worker looked at, and used as soon as the store names it and
+// it has answered.
+func (c *Cell) wakeUp(w *worker, now time.Time) {
+	w.parked = false
+	c.parked--
+	w.wokenAt, w.idleSince = now, now
+	c.known.changed(w.ID)
+	c.orders = append(c.orders, LookOrder{Worker: w.ID})
+}
+
+// coming reports whether a worker was woken and will be usable in a moment.
+func (w *worker) coming(now time.Time) bool {
+	return !w.parked && !w.wokenAt.IsZero() && now.Sub(w.wokenAt) < comingFor && !w.usable(now)
+}
+
+// wakeFor wakes parked workers for the idle tasks of a stage that the usable ones
+// have no room for, and reports whether some are coming.
+func (c *Cell) wakeFor(s *stage, room *room, now time.Time) bool {
+	if c.parked == 0 || room.woken == rousers {
+		return false
+	}
+	room.woken++
+	wanted := c.shortOf(s, room)
+	if wanted <= 0 {
+		return false
+	}
+	share := s.guessedShare()
+	var parked []*worker
+	for _, w := range c.workers {
+		if !c.eligible(s, w) || !s.step.Occupied().Fits(w.Capacity) {
+			continue
+		}
+		switch {
+		case w.coming(now):
+			wanted -= c.takes(s, w) * share
+		case w.parked && !w.Draining && w.unlistedAt.IsZero():
+			parked = append(parked, w)
+		}
+	}
+	sort.Slice(parked, func(a, b int) bool { return s.wakesFirst(parked[a], parked[b]) })
+	for _, w := range parked {
+		if wanted <= 0 {
+			break
+		}
+		c.wakeUp(w, now)
+		wanted -= c.takes(s, w) * share
+	}
+	return wanted <= 0 || len(parked) > 0
+}
+
+// wakesFirst reports whether a stage has a woken before b: near its data, and
+// whole racks, for gangs that belong into one.
+func (s *stage) wakesFirst(a, b *worker) bool {
+	if near := a.Rack == s.step.DataRack; near != (b.Rack == s.step.DataRack) {
+		return near
+	}
+	if a.Rack != b.Rack {
+		return a.Rack < b.Rack
+	}
+	return a.ID < b.ID
+}
+
+// guessedShare is the assumed share of workers, of which the adviser was not
+// asked, that may run the stage.
+func (s *stage) guessedShare() float64 {
+	if s.job.record.Advice == nil {
+		return 1
+	}
+	return guessedGood
+}
+
+// shortOf returns for how many tasks of a stage the usable workers have no room.
+// Where the urgent reserve keeps the stage out, that is all of them.
+func (c *Cell) shortOf(s *stage, room *room) float64 {
+	wanted := float64(len(s.idle))
+	if s.job.record.Advice != nil {
+		wanted *= wantedRoom
+	}
+	if !room.allows(s.job.record.Priority, s.step.Occupied().MilliCPU) {
+		return wanted
+	}
+	for _, w := range room.usable {
+		if !c.eligible(s, w) {
+			continue
+		}
+		offered := c.takes(s, w)
+		if v, known := s.advice.verdicts[w.ID]; !known {
+			offered *= s.guessedShare()
+		} else if !v.good {
+			continue
+		}
+		wanted -= offered
+	}
+	return wanted
+}
+
+// wakeNear wakes parked workers near a stage's data, and reports whether the stage
+// should wait for them: far from its data a task takes several times as long.
+func (c *Cell) wakeNear(s *stage, now time.Time) bool {
+	if c.parked == 0 || s.step.DataRack == "" {
+		return false
+	}
+	wanted := float64(len(s.idle))
+	coming := false
+	var parked []*worker
+	for _, w := range c.workers {
+		if w.Rack != s.step.DataRack || !c.eligible(s, w) {
+			continue
+		}
+		switch {
+		case w.parked && !w.Draining && w.unlistedAt.IsZero():
+			parked = append(parked, w)
+		case w.coming(now):
+			coming = true
+			wanted -= c.takes(s, w)
+		case w.usable(now):
+			wanted -= c.takes(s, w)
+		}
+	}
+	for _, w := range parked {
+		if wanted <= 0 {
+			break
+		}
+		c.wakeUp(w, now)
+		coming = true
+		wanted -= c.takes(s, w)
+	}
+	return coming
+}
--- /dev/null
+++ b/internal/cell/parking_test.go
@@ -0,0 +1,176 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
+)
+
+// idleSite has idle workers, of which all that are looked at have reported.
+func idleSite(t *testing.T, workers, spare int) *site {
+	var all []roster.Worker
+	for n := range workers {
+		w := usualWorker(fmt.Sprintf("w%02d", n))
+		w.Rack = fmt.Sprintf("r%d", n/4)
+		all = append(all, w)
+	}
+	settings := Settings{Term: 1, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, SpareWorkers: spare}
+	s := newSiteWith(t, settings, all...)
+	s.hear()
+	return s
+}
+
+// hear has every worker report that the owner looks at.
+func (s *site) hear() {
+	for _, id := range s.cell.WorkerIDs() {
+		s.report(id)
+	}
+}
+
+// wide returns a step whose tasks fill a worker each.
+func wide(count int) job.Step {
+	st := step(count)
+	st.Need.MilliCPU = 16000
+	return st
+}
+
+// startAll plans until nothing more is started, and returns how many tasks were.
+func (s *site) startAll() int {
+	n := 0
+	for range 5 {
+		for _, o := range s.plan() {
+			s.confirm(o)
+			n++
+		}
+		s.commit()
+		s.hear()
+	}
+	return n
+}
+
+// Load: 20 workers, 2 needed. Looks at the others cost processor for nothing.
+func TestIdleWorkersAreParked(t *testing.T) {
+	s := idleSite(t, 20, 4)
+	if n := s.startAll(); n != 0 {
+		t.Fatalf("%d starts of nothing", n)
+	}
+	if got := len(s.cell.WorkerIDs()); got != 4 {
+		t.Errorf("%d idle workers are looked at, want 4", got)
+	}
+	s.cell.Add(s.record(1, wide(2)), true)
+	if n := s.startAll(); n != 2 {
+		t.Errorf("%d starts, want 2", n)
+	}
+}
+
+// Load: a step wider than the workers that are kept ready.
+func TestParkedWorkersWakeForAWideStep(t *testing.T) {
+	s := idleSite(t, 20, 4)
+	s.startAll()
+	s.cell.Add(s.record(1, wide(17)), true)
+	if n := s.startAll(); n != 17 {
+		t.Errorf("%d starts, want 17", n)
+	}
+}
+
+// Symptom: letters stand still beside thousands of idle workers.
+// Sequence: the workers in use are full but for the share that is kept for urgent
+// work; all others are parked.
+// Cause: the reserve counts as room for the letters, so nobody is woken.
+func TestTheUrgentReserveIsNoRoomForOthers(t *testing.T) {
+	s := idleSite(t, 20, 1)
+	small := s.record(1, step(15))
+	s.cell.Add(small, true)
+	s.startAll()
+	letters := s.record(2, step(4))
+	letters.Priority = 2
+	s.cell.Add(letters, true)
+	if n := s.startAll(); n != 4 {
+		t.Errorf("%d letters are started, want 4", n)
+	}
+}
+
+// Symptom: tasks run far from their data, three times as long, although the
+// machines beside the data are idle.
+// Sequence: the workers of the data's rack are parked, another one has room.
+// Cause: only workers in use are compared.
+func TestParkedWorkersWakeNearTheData(t *testing.T) {
+	s := idleSite(t, 20, 2)
+	s.startAll()
+	near := step(2)
+	near.DataRack = "r3"
+	s.cell.Add(s.record(1, near), true)
+	for range 5 {
+		for _, o := range s.plan() {
+			if rack := s.cell.workers[o.Worker.ID].Rack; rack != "r3" {
+				t.Errorf("%s is started in rack %s", o.Start.Task, rack)
+			}
+		}
+		s.commit()
+		s.hear()
+	}
+}
+
+// Symptom: a new owner places nothing for seconds on a site of thousands of
+// workers, and leases run out meanwhile.
+// Sequence: 3,000 workers, a tenth of them in use; the owner is lost.
+// Cause: the new owner waits until it has heard all of them.
+func TestANewOwnerHearsOnlyWorkersInUse(t *testing.T) {
+	before := idleSite(t, 20, 2)
+	for range 4 {
+		before.startAll()
+		before.pass(time.Second)
+		before.hear()
+	}
+	chunks := map[int]WorkerChunk{}
+	for id := range before.cell.workers {
+		before.cell.known.changed(id)
+	}
+	for _, chunk := range before.cell.NextCommit(100).Chunks {
+		chunks[chunk.Number] = chunk
+	}
+	s := idleSite(t, 20, 2)
+	for number, chunk := range chunks {
+		s.cell.Inherit(number, chunk.Workers, 7, s.now)
+	}
+	if got := len(s.cell.WorkerIDs()); got > 4 {
+		t.Errorf("%d workers are looked at, want the two in store and the two that are kept ready", got)
+	}
+	s.hear()
+	s.plan()
+	if s.cell.recovering {
+		t.Error("not recovered although all workers in use were heard")
+	}
+}
+
+// Symptom: workers are woken and parked again and again.
+// Sequence: a job's steps leave a worker idle for a moment between them.
+// Cause: a worker is parked as soon as it is idle.
+func TestAWorkerIsParkedOnlyAfterAWhile(t *testing.T) {
+	s := idleSite(t, 6, 1)
+	s.cell.Add(s.record(1, wide(5)), true)
+	s.startAll()
+	awake := len(s.cell.WorkerIDs())
+	for id, runs := range s.runs {
+		for _, r := range runs {
+			s.end(id, r.Task, r.Run, "done")
+		}
+	}
+	s.pass(parkAfter / 2)
+	s.hear()
+	s.startAll()
+	if got := len(s.cell.WorkerIDs()); got != awake {
+		t.Errorf("%d of %d workers are awake after %v", got, awake, parkAfter/2)
+	}
+	for range 4 {
+		s.pass(parkPeriod)
+		s.hear()
+		s.startAll()
+	}
+	if got := len(s.cell.WorkerIDs()); got != 1 {
+		t.Errorf("%d workers are awake after a long time, want 1", got)
+	}
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -10,6 +10,9 @@
 // placeStage starts what it can of a stage and asks for advice or makes room
 // for the rest.
 func (c *Cell) placeStage(s *stage, room *room, now time.Time) {
+	if c.wakeNear(s, now) {
+		return
+	}
 	var fitting []candidate
 	if s.step.Occupied().Fits(room.most) {
 		fitting = c.fitting(s, room, now)
@@ -35,6 +38,9 @@
 	if s.job.record.Advice != nil {
 		c.askAdvice(s, room, now)
 	}
+	if c.wakeFor(s, room, now) {
+		return
+	}
 	c.preempt(s, room, now)
 }
 
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -16,6 +16,7 @@
 		for _, w := range c.workers {
 			c.watch(w, now)
 		}
+		c.park(now)
 	}
 	c.placeAll(now, slots)
 	orders := c.orders
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	for _, w := range c.workers {
-		if !w.reported && !w.accounted {
+		if !w.parked && !w.reported && !w.accounted {
 			return false
 		}
 	}
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -22,6 +22,8 @@
 	// that fit nowhere are passed over without a look at each worker.
 	most  resource.Amount
 	slots AdviceSlots
+	// woken counts the stages that had parked workers woken.
+	woken int
 }
 
 func (c *Cell) newRoom(now time.Time) *room {
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -41,7 +41,12 @@
 	if w == nil {
 		w = newWorker(r)
 		c.workers[r.ID] = w
-		c.known.changed(r.ID)
+		if awake := len(c.workers) - 1 - c.parked; c.settings.SpareWorkers > 0 && awake >= c.settings.SpareWorkers {
+			w.parked = true
+			c.parked++
+		} else {
+			c.known.changed(r.ID)
+		}
 		c.log.WithFields(workerFields(w)).Info("worker_added")
 	}
 	if r.Draining && !w.Draining {
@@ -61,12 +66,15 @@
 	}
 }
 
-// WorkerIDs returns the workers that should be looked at.
+// WorkerIDs returns the workers that should be looked at: all but parked ones.
 func (c *Cell) WorkerIDs() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ids := make([]string, 0, len(c.workers))
-	for id := range c.workers {
+	for id, w := range c.workers {
+		if w.parked {
+			continue
+		}
 		ids = append(ids, id)
 	}
 	return ids
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -14,6 +14,9 @@
 	EarlierStopped bool
 	// StopGrace is the longest time a stop may take on the worker.
 	StopGrace time.Duration
+	// SpareWorkers is how many idle workers are kept ready at least; idle workers
+	// beyond are parked. 0 parks none.
+	SpareWorkers int
 	// Early is how much before its time an occurrence may start.
 	Early time.Duration
 }
--- a/internal/cell/site_test.go
+++ b/internal/cell/site_test.go
@@ -33,10 +33,13 @@
 var siteStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newSite(t *testing.T, term uint64, workers ...roster.Worker) *site {
+	return newSiteWith(t, Settings{Term: term, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond}, workers...)
+}
+
+func newSiteWith(t *testing.T, settings Settings, workers ...roster.Worker) *site {
 	s := &site{t: t, now: siteStart, clock: map[string]time.Duration{}, ends: map[string][]runner.End{},
 		runs: map[string][]runner.RunState{}, slots: AdviceSlots{Quick: 2, Any: 4}}
-	s.cell = New(Settings{Term: term, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond},
-		s.now, quietLog())
+	s.cell = New(settings, s.now, quietLog())
 	s.cell.SetRoster(workers, s.now)
 	s.commit()
 	return s
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -15,6 +15,7 @@
 	ActiveJobs   int
 	Workers      int
 	Usable       int
+	Parked       int
 	WaitingTasks int
 	// FreeShare is the share of the usable workers' processors that is free.
 	FreeShare float64
@@ -27,6 +28,7 @@
 	s := c.stats
 	s.ActiveJobs = len(c.active)
 	s.Workers = len(c.workers)
+	s.Parked = c.parked
 	for st := range c.waiting {
 		s.WaitingTasks += len(st.idle)
 	}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -34,6 +34,10 @@
 // watch looks after the runs on one worker: ends of leases, stops without an
 // answer, stalled and slow runs, leaving workers, and tail targets.
 func (c *Cell) watch(w *worker, now time.Time) {
+	if w.parked {
+		c.watchParked(w, now)
+		return
+	}
 	c.watchClosing(w, now)
 	if c.watchLease(w, now) {
 		return
@@ -57,6 +61,14 @@
 	}
 }
 
+// watchParked forgets a parked worker that left.
+func (c *Cell) watchParked(w *worker, now time.Time) {
+	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
+		c.parked--
+		c.forget(w)
+	}
+}
+
 // watchLease drops the runs of a worker whose lease must have ended, and
 // forgets workers that left. It reports whether nothing else is to be done.
 func (c *Cell) watchLease(w *worker, now time.Time) bool {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -26,7 +26,12 @@
 	closed bool
 	// accounted says that the runs that an earlier owner can have left here are
 	// booked, although the worker has not reported.
-	accounted  bool
+	accounted bool
+	// parked says that the worker is out of use until it is needed; wokenAt is when
+	// it was needed last, and idleSince since when it has no runs.
+	parked     bool
+	wokenAt    time.Time
+	idleSince  time.Time
 	lastReport time.Time
 	failingAt  time.Time
 	// clock is the worker's clock at clockAt on ours.
--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"gentianstand/internal/celljobs"
@@ -132,9 +131,9 @@
 }
 
 // followRoster takes in workers that come, drain and go.
-func (o *Owner) followRoster(ctx context.Context, wg *sync.WaitGroup) {
+func (o *Owner) followRoster(ctx context.Context) {
 	for {
-		o.startLooking(ctx, wg)
+		o.startLooking(ctx)
 		if !wait(ctx, rosterPeriod) {
 			return
 		}
--- a/internal/cellowner/look_loop.go
+++ b/internal/cellowner/look_loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"gentianstand/internal/runner"
@@ -25,19 +24,19 @@
 )
 
 // startLooking begins a look loop for each worker that has none.
-func (o *Owner) startLooking(ctx context.Context, wg *sync.WaitGroup) {
+func (o *Owner) startLooking(ctx context.Context) {
 	for _, id := range o.cell.WorkerIDs() {
 		o.lookingMu.Lock()
 		_, there := o.looking[id]
 		o.looking[id] = struct{}{}
 		o.lookingMu.Unlock()
 		if !there {
-			wg.Go(func() { o.lookLoop(ctx, id) })
+			o.loops.Go(func() { o.lookLoop(ctx, id) })
 		}
 	}
 }
 
-// lookLoop looks at one worker until the cell forgets it.
+// lookLoop looks at one worker until the cell forgets or parks it.
 func (o *Owner) lookLoop(ctx context.Context, id string) {
 	defer func() {
 		o.lookingMu.Lock()
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -18,6 +18,8 @@
 	cell  *cell.Cell
 	claim store.Check
 
+	// loops are those under way.
+	loops   sync.WaitGroup
 	kick    chan struct{}
 	kickLog chan struct{}
 	// kickJobs has the store asked for jobs at once.
@@ -57,12 +59,11 @@
 	o.deps.Metrics.RecoverSeconds.UpdateDuration(began)
 	o.deps.Log.WithField("took_ms", time.Since(began).Milliseconds()).Info("cell_loaded")
 	loaded()
-	var wg sync.WaitGroup
-	wg.Go(func() { o.planLoop(ctx) })
-	wg.Go(func() { o.commitLoop(ctx) })
-	wg.Go(func() { o.followJobs(ctx) })
-	wg.Go(func() { o.followRoster(ctx, &wg) })
-	wg.Wait()
+	o.loops.Go(func() { o.planLoop(ctx) })
+	o.loops.Go(func() { o.commitLoop(ctx) })
+	o.loops.Go(func() { o.followJobs(ctx) })
+	o.loops.Go(func() { o.followRoster(ctx) })
+	o.loops.Wait()
 	return nil
 }
 
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,6 +50,10 @@
 			for _, order := range orders {
 				o.carryOut(ctx, order)
 			}
+			if slices.ContainsFunc(orders, isLook) {
+				o.startLooking(ctx)
+				o.wakeCommit()
+			}
 		}
 		if !wait(ctx, gap) {
 			return
@@ -56,11 +61,16 @@
 	}
 }
 
+func isLook(order cell.Order) bool {
+	_, ok := order.(cell.LookOrder)
+	return ok
+}
+
 // summarize logs the state of the cell, so that an operator sees why work waits.
 func (o *Owner) summarize(now time.Time) {
 	s := o.cell.Stats(now)
 	o.deps.Log.WithFields(logrus.Fields{"jobs": s.ActiveJobs, "waiting_tasks": s.WaitingTasks, "workers": s.Workers,
-		"usable": s.Usable, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
+		"usable": s.Usable, "parked": s.Parked, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
 		"failed": s.Failed, "lost": s.Lost, "stops": s.Stops, "preemptions": s.Preemptions, "moves": s.Moves,
 		"advice_calls": s.AdviceCalls}).Info("cell_state")
 }
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -30,6 +30,10 @@
 	// (about 1.5 s) after the last extension, which is up to a second old; each
 	// second more delays the restart of what ran on a lost worker.
 	lease = 3500 * time.Millisecond
+	// spareWorkers is how many idle workers are kept ready at least. Sites of some
+	// dozens of workers park none; with thousands, the widest steps that were seen,
+	// 120 tasks on as many workers of which a third is allowed, need 360.
+	spareWorkers = 128
 	// memoryShare of the limit is what the garbage collector aims to stay below;
 	// the rest is for stacks and for bytes that wait in sockets.
 	memoryShare = 0.7
@@ -77,7 +81,7 @@
 	advisers := cellpeer.NewAdvicePool(d, c, o.Adviser)
 	newOwner := func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
 		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), EarlierStopped: earlierStopped, StopGrace: s.StopGrace,
-			Early: s.Early}
+			SpareWorkers: spareWorkers, Early: s.Early}
 		return cellowner.New(settings, claim, cellowner.Deps{
 			Store: w, Jobs: jobs, Roster: o.Roster(w, log), Runner: o.Workers, Advisers: advisers,
 			Leadership: l, Metrics: m, Log: log,
