A new owner makes itself known; instances without the store ask others for the claim

Cause: an instance learned of a new owner only by reading the claim, weak ones up to 1.1 s late, those cut off from the store not before the cut ended. Ruled out: slow acceptance (p90 21 ms), advice (8 failed calls). A new owner pings all others with its claim; pings are answered with the newest claim; an instance whose owner is silent or says that it owns nothing reads the claim at once, or asks eight others. TestInstanceWithoutTheStoreLearnsTheNewOwner fails without it (it never learns).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -34,9 +34,9 @@
 	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
 	recovering bool
 	// fenced says that the earlier owner can start nothing any more.
-	fenced bool
-	durations  durations
-	known      knownWorkers
+	fenced    bool
+	durations durations
+	known     knownWorkers
 	// missing are jobs that workers report and the cell does not know; absent are
 	// those of them that the store does not have either.
 	missing map[string]struct{}
--- a/internal/cellleader/claim.go
+++ b/internal/cellleader/claim.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/store"
 )
 
@@ -38,3 +39,14 @@
 	}
 	return c, nil
 }
+
+// message returns the claim as other instances are told of it.
+func (c *claim) message() *cellpb.Claim {
+	return &cellpb.Claim{Holder: c.Holder, Address: c.Address, Incarnation: c.Incarnation, Term: c.Term,
+		Released: c.Released, Returned: c.Returned, Version: c.version}
+}
+
+func claimFrom(m *cellpb.Claim) claim {
+	return claim{Holder: m.Holder, Address: m.Address, Incarnation: m.Incarnation, Term: m.Term,
+		Released: m.Released, Returned: m.Returned, version: m.Version}
+}
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -33,6 +33,9 @@
 	case reply.Term > known.Term:
 		l.refresh(ctx)
 	case !reply.Owner:
+		if l.refresh(ctx); l.current().version > known.version {
+			return
+		}
 		l.setVacant(now)
 		l.contest(ctx, known, takeOver{"the named owner does not own the cell", true})
 	default:
@@ -74,6 +77,9 @@
 
 func (l *Leader) ownerSilent(ctx context.Context, known claim, now time.Time) {
 	l.clients.Distrust(known.Address)
+	if l.refresh(ctx); l.current().version > known.version {
+		return
+	}
 	l.mu.Lock()
 	silentFrom := l.heardAt
 	if silentFrom.IsZero() {
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/store"
 )
 
@@ -117,7 +118,7 @@
 
 // pingAll pings instances at the same time.
 func (l *Leader) pingAll(ctx context.Context, instances []cellpeer.Instance, term uint64) <-chan cellpeer.PingAnswer {
-	return l.clients.PingAll(ctx, instances, l.directory.Self().Name, term)
+	return l.clients.PingAll(ctx, instances, &cellpb.PingRequest{From: l.directory.Self().Name, Term: term})
 }
 
 func (l *Leader) readClaim(ctx context.Context) (claim, error) {
@@ -130,14 +131,32 @@
 	return decodeClaim(row)
 }
 
-// refresh reads the claim.
+// refresh reads the claim, or asks the others for it where the store cannot be
+// read: without the store this instance could not answer its callers at all if it
+// did not know the owner.
 func (l *Leader) refresh(ctx context.Context) {
-	c, err := l.readClaim(ctx)
-	if err != nil {
+	if l.store.Reachable() {
+		c, err := l.readClaim(ctx)
+		if err == nil {
+			l.learn(c)
+			return
+		}
 		l.log.WithError(err).Info("claim_not_read")
-		return
 	}
-	l.learn(c)
+	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	for answer := range l.pingAll(callCtx, l.directory.Sample(claimSample), 0) {
+		if answer.Reply.GetClaim() != nil {
+			l.learn(claimFrom(answer.Reply.Claim))
+		}
+	}
+}
+
+// current returns the newest claim seen.
+func (l *Leader) current() claim {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
 }
 
 // learn takes in a claim. A newer one ends this instance's own term.
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -229,6 +229,40 @@
 	}
 }
 
+// Symptom: for as long as an instance lacked the store, its callers got 503 for
+// every question about a job, and what they handed in was noticed late.
+// Sequence: an instance loses the store; the owner is lost and another one takes
+// over; or the other way round.
+// Cause: only the row in the store told who the new owner is.
+func TestInstanceWithoutTheStoreLearnsTheNewOwner(t *testing.T) {
+	for name, storeFirst := range map[string]bool{"store lost first": true, "owner lost first": false} {
+		t.Run(name, func(t *testing.T) {
+			members := group(t, 4)
+			first := owner(t, members)
+			others := without(members, first)
+			cut := others[0]
+			loseStore := func() {
+				cut.proxy.Refuse(true)
+				cut.proxy.Reset()
+			}
+			if storeFirst {
+				loseStore()
+			}
+			first.die()
+			if !storeFirst {
+				loseStore()
+			}
+			next := owner(t, without(others, cut))
+			for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				if address, _ := cut.leader.Owner(); address == next.front.Address() {
+					return
+				}
+			}
+			t.Error("the instance without the store does not know the new owner")
+		})
+	}
+}
+
 // Symptom: the cell's owner changed again and again.
 // Sequence: the store serves nobody for a while.
 // Cause: an outage for all was taken for a failure of the owner.
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -20,6 +20,9 @@
 	// that among hundreds of instances the last does not wait for half a minute.
 	firstCandidates = 8
 	crowdStagger    = 5 * time.Millisecond
+	// claimSample is how many others are asked for the claim where the store cannot
+	// be read. One in three of them knowing it is enough to hear of it at once.
+	claimSample = 8
 	// heardLately is how lately another instance must have heard the owner for
 	// this one to believe that it is itself the one that is cut off.
 	heardLately = 700 * time.Millisecond
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -93,19 +93,22 @@
 }
 
 // Ping answers another instance.
-func (l *Leader) Ping(from string, term uint64) *cellpb.PingReply {
-	if from != l.directory.Self().Name {
+func (l *Leader) Ping(r *cellpb.PingRequest) *cellpb.PingReply {
+	if r.From != l.directory.Self().Name {
 		l.pinged.Store(true)
 	}
+	if r.Claim != nil {
+		l.learn(claimFrom(r.Claim))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reply := &cellpb.PingReply{Term: l.known.Term, Owner: l.term != nil, StoreOk: l.store.Reachable(), HeardMillis: -1, Stopping: l.stopping}
+	reply := &cellpb.PingReply{Claim: l.known.message(), Term: l.known.Term, Owner: l.term != nil, StoreOk: l.store.Reachable(), HeardMillis: -1, Stopping: l.stopping}
 	if !l.heardAt.IsZero() {
 		reply.HeardMillis = time.Since(l.heardAt).Milliseconds()
 	}
 	if l.term != nil {
-		if term > l.term.number {
-			l.log.WithFields(logrus.Fields{"from": from, "term": term}).Info("later_term_heard")
+		if r.Term > l.term.number {
+			l.log.WithFields(logrus.Fields{"from": r.From, "term": r.Term}).Info("later_term_heard")
 			l.term.Overtaken("another instance knows a later term")
 			reply.Owner = false
 			return reply
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/store"
 )
 
@@ -83,4 +84,21 @@
 	l.vacantFrom = time.Time{}
 	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why.reason}).Info("ownership_taken")
 	l.term = l.newTerm(c, why.earlierStopped)
+	go l.announce(c)
+}
+
+// announce tells the others of this instance's claim. News of jobs goes to the
+// owner that an instance knows; until it reads the claim by itself, half a second
+// later, what it accepts is found by the owner's next read of the store only.
+func (l *Leader) announce(c claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	ping := &cellpb.PingRequest{From: l.directory.Self().Name, Term: c.Term, Claim: c.message()}
+	heard := 0
+	for answer := range l.clients.PingAll(ctx, l.directory.Others(), ping) {
+		if answer.Reply != nil {
+			heard++
+		}
+	}
+	l.log.WithFields(logrus.Fields{"term": c.Term, "heard": heard}).Info("ownership_announced")
 }
--- a/internal/cellpeer/directory.go
+++ b/internal/cellpeer/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -55,6 +56,13 @@
 	return list
 }
 
+// Sample returns n other instances at random, or all if there are fewer.
+func (d *Directory) Sample(n int) []Instance {
+	others := d.Others()
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	return others[:min(len(others), n)]
+}
+
 // Known reports whether the list was read at least once.
 func (d *Directory) Known() bool {
 	d.mu.RLock()
--- a/internal/cellpeer/owning.go
+++ b/internal/cellpeer/owning.go
@@ -9,9 +9,9 @@
 
 // Owning is the part of an instance that owns cells, as its peers see it.
 type Owning interface {
-	// Ping answers whether this instance owns the cell, and takes in that the
-	// caller knows a term.
-	Ping(from string, term uint64) *cellpb.PingReply
+	// Ping answers whether this instance owns the cell, and takes in the term
+	// that the caller knows, and the claim that it announces.
+	Ping(r *cellpb.PingRequest) *cellpb.PingReply
 	// TakeOver makes this instance the owner at once.
 	TakeOver(ctx context.Context, from string, term uint64) bool
 	// Submitted, Cancelled, State and Waiting report false if this instance does
--- a/internal/cellpeer/server.go
+++ b/internal/cellpeer/server.go
@@ -28,7 +28,7 @@
 
 // Ping implements cellpb.Cells.
 func (s *Server) Ping(_ context.Context, r *cellpb.PingRequest) (*cellpb.PingReply, error) {
-	return s.owning.Ping(r.From, r.Term), nil
+	return s.owning.Ping(r), nil
 }
 
 // TakeOver implements cellpb.Cells.
--- a/internal/cellpeer/store_finder.go
+++ b/internal/cellpeer/store_finder.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
+
+	"gentianstand/internal/cellpeer/cellpb"
 )
 
 const (
@@ -92,10 +93,8 @@
 func (f *StoreFinder) ask() Instance {
 	ctx, cancel := context.WithTimeout(context.Background(), findWait)
 	defer cancel()
-	others := f.directory.Others()
-	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
-	others = others[:min(len(others), findSample)]
-	for answer := range f.clients.PingAll(ctx, others, f.directory.Self().Name, 0) {
+	some := f.directory.Sample(findSample)
+	for answer := range f.clients.PingAll(ctx, some, &cellpb.PingRequest{From: f.directory.Self().Name}) {
 		if answer.Reply.GetStoreOk() && !answer.Reply.GetStopping() {
 			return answer.Instance
 		}
--- a/internal/cellpeer/store_finder_test.go
+++ b/internal/cellpeer/store_finder_test.go
@@ -24,7 +24,7 @@
 	hold chan struct{}
 }
 
-func (p *pingable) Ping(string, uint64) *cellpb.PingReply {
+func (p *pingable) Ping(*cellpb.PingRequest) *cellpb.PingReply {
 	p.pings.Add(1)
 	if p.hold != nil {
 		<-p.hold
--- a/internal/cellpeer/survey.go
+++ b/internal/cellpeer/survey.go
@@ -14,15 +14,15 @@
 	Reply *cellpb.PingReply
 }
 
-// PingAll pings instances at the same time, in the name of the instance from,
-// and returns the answers as they come. The channel is closed after the last
-// one; a caller that has heard enough may leave the rest unread.
-func (c *Clients) PingAll(ctx context.Context, instances []Instance, from string, term uint64) <-chan PingAnswer {
+// PingAll sends a ping to instances at the same time and returns the answers as
+// they come. The channel is closed after the last one; a caller that has heard
+// enough may leave the rest unread.
+func (c *Clients) PingAll(ctx context.Context, instances []Instance, ping *cellpb.PingRequest) <-chan PingAnswer {
 	answers := make(chan PingAnswer, len(instances))
 	var pings sync.WaitGroup
 	for _, instance := range instances {
 		pings.Go(func() {
-			reply, err := c.To(instance.Address).Ping(ctx, &cellpb.PingRequest{From: from, Term: term})
+			reply, err := c.To(instance.Address).Ping(ctx, ping)
 			if err != nil {
 				reply = nil
 			}
