--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -12,7 +12,7 @@
 	silentLimit = 900 * time.Millisecond
 	// storelessLimit is how long the owner may say that it does not reach the
 	// store, while the asking instance does.
-	storelessLimit = 600 * time.Millisecond
+	storelessLimit = 250 * time.Millisecond
 	// stagger spaces the attempts of the instances, in an order that changes with
 	// every term, so that one of them usually takes over alone.
 	stagger = 120 * time.Millisecond
