One sequence row instead of a check a job; ended jobs are stored first

Cause: every end makes its job dirty, and a commit took 33 jobs, because each needs a check and a put beside up to 16 chunks in 100 entries. All writes of an owner now replace one sequence row, so that a late one finds it changed; the checks of single jobs and chunks are gone, a commit holds 97, and jobs that have ended go first. Bookkeeping of versions (FoundVersions) is removed. TestEndedJobsAreStoredFirst fails on the version before; TestALateCommitHasNoEffect and TestCommitsGoOnAfterALostAnswer keep what the checks gave.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -57,7 +57,7 @@
 
 // Load takes in a job that an earlier owner may have begun. progress is nil if
 // none was stored.
-func (c *Cell) Load(r *job.Record, p *job.Progress, progressVersion uint64) {
+func (c *Cell) Load(r *job.Record, p *job.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.Withdrawn || c.jobs[r.ID] != nil {
@@ -65,7 +65,6 @@
 	}
 	j := newJobState(r)
 	j.inherited = true
-	j.progressVersion = progressVersion
 	if p != nil {
 		j.restore(p)
 	}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -11,8 +11,8 @@
 	acks map[*worker]uint64
 }
 
-// NextCommit returns what to store, at most limit jobs, or nil if everything is
-// stored. Only one commit may be under way at a time.
+// NextCommit returns what to store, at most limit jobs and chunks, or nil if
+// everything is stored. Only one commit may be under way at a time.
 func (c *Cell) NextCommit(limit int) *Commit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -21,14 +21,9 @@
 		return nil
 	}
 	commit := &Commit{Chunks: c.takeChunks(), acks: map[*worker]uint64{}}
-	for j := range c.dirty {
-		if len(commit.Items) == limit {
-			return commit
-		}
-		delete(c.dirty, j)
-		commit.Items = append(commit.Items, CommitItem{Job: j.record.ID, Progress: j.progress(), Version: j.progressVersion, state: j})
-	}
-	if !c.fenced {
+	c.takeDirty(commit, limit, true)
+	c.takeDirty(commit, limit, false)
+	if len(c.dirty) > 0 || !c.fenced {
 		return commit
 	}
 	// Only now does the commit, with those before it, cover all ends seen so far.
@@ -38,6 +33,24 @@
 	return commit
 }
 
+// takeDirty moves jobs into a commit, those that have ended or the others.
+//
+// Load pattern: every end makes its job dirty. In a slow store, where a commit takes
+// half a second, all 200 jobs of a large site are dirty all the time, and jobs that
+// had ended were shown seconds late when they queued behind the others.
+func (c *Cell) takeDirty(commit *Commit, limit int, ended bool) {
+	for j := range c.dirty {
+		if len(commit.Items)+len(commit.Chunks) >= limit {
+			return
+		}
+		if (j.final != "") != ended {
+			continue
+		}
+		delete(c.dirty, j)
+		commit.Items = append(commit.Items, CommitItem{Job: j.record.ID, Progress: j.progress(), state: j})
+	}
+}
+
 // acknowledgeAll has all ends acknowledged that were seen, as all are stored. Not
 // while an overtaken owner may act: it would take a run for lost whose worker
 // crashed, and start the task again after its success was acknowledged.
@@ -50,37 +63,31 @@
 	}
 }
 
-// Committed takes in that a commit was stored under a version.
-func (c *Cell) Committed(commit *Commit, version uint64) {
+// Committed takes in that a commit was stored.
+func (c *Cell) Committed(commit *Commit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, item := range commit.Items {
-		item.state.progressVersion = version
 		if item.Progress.Final != "" {
 			item.state.visible = item.Progress.Final
 		}
 	}
-	c.chunksStored(commit.Chunks, version)
+	c.chunksStored(commit.Chunks)
 	for w, seen := range commit.acks {
 		w.acked = max(w.acked, seen)
 	}
 }
 
 // NotCommitted takes in that a commit was not stored, or not for certain. Its
-// jobs and chunks are stored again. found, if not nil, holds the versions found
-// in the store: an earlier attempt may have taken effect after all.
-func (c *Cell) NotCommitted(commit *Commit, found *FoundVersions) {
+// jobs and chunks are stored again.
+func (c *Cell) NotCommitted(commit *Commit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if found == nil {
-		found = &FoundVersions{}
+	for _, chunk := range commit.Chunks {
+		c.known.unsaved[chunk.Number] = struct{}{}
 	}
-	c.chunksNotStored(commit.Chunks, found.Chunks)
 	for _, item := range commit.Items {
 		c.dirty[item.state] = struct{}{}
-		if v, ok := found.Jobs[item.Job]; ok {
-			item.state.progressVersion = v
-		}
 	}
 }
 
--- a/internal/cell/commit_item.go
+++ b/internal/cell/commit_item.go
@@ -6,7 +6,5 @@
 type CommitItem struct {
 	Job      string
 	Progress *job.Progress
-	// Version is the stored progress this one replaces, 0 for none.
-	Version uint64
-	state   *jobState
+	state    *jobState
 }
--- /dev/null
+++ b/internal/cell/commit_test.go
@@ -0,0 +1,40 @@
+package cell
+
+import (
+	"testing"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// Symptom: in a slow store jobs are shown as completed seconds after their last
+// task has ended.
+// Sequence: more jobs have news than one commit holds, some of them have ended.
+// Cause: the ended ones wait their turn among all others.
+func TestEndedJobsAreStoredFirst(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	var ended []string
+	for n := range 8 {
+		r := s.record(n+1, step(1))
+		if n%4 > 0 {
+			r.Steps = append(r.Steps, step(1))
+			r.Steps[1].After = []int{0}
+		} else {
+			ended = append(ended, r.ID)
+		}
+		s.cell.Add(r, true)
+	}
+	for _, o := range s.plan() {
+		s.confirm(o)
+		s.finish(o, runner.Done)
+	}
+	s.report("a")
+	commit := s.cell.NextCommit(2)
+	s.cell.Committed(commit)
+	for _, id := range ended {
+		if state, _ := s.cell.State(id); state != job.Completed {
+			t.Errorf("job %s is shown as %s after the first commit", id, state)
+		}
+	}
+}
--- a/internal/cell/job_state.go
+++ b/internal/cell/job_state.go
@@ -18,8 +18,6 @@
 	endedAt time.Time
 	// visible is the final state that is stored and may be shown.
 	visible job.State
-	// progressVersion is the version of the stored progress, 0 if none.
-	progressVersion uint64
 	// chain is the ideal duration of the longest chain of steps.
 	chain time.Duration
 	// depth is the number of stages on the longest chain.
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -20,14 +20,9 @@
 // roster alone takes those runs as not there and starts them again. Every worker
 // is therefore stored before the first run is placed on it, and stays stored
 // until nothing can run there any more, or it is parked.
-type knownWorkers struct {
-	unsaved  map[int]struct{}
-	versions map[int]uint64
-}
+type knownWorkers struct{ unsaved map[int]struct{} }
 
-func newKnownWorkers() knownWorkers {
-	return knownWorkers{unsaved: map[int]struct{}{}, versions: map[int]uint64{}}
-}
+func newKnownWorkers() knownWorkers { return knownWorkers{unsaved: map[int]struct{}{}} }
 
 func chunkOf(workerID string) int {
 	h := fnv.New32a()
@@ -40,10 +35,9 @@
 // Inherit takes in the workers that an earlier owner stored in a chunk. Those
 // that the roster lacks are looked at like the others. It must be called after
 // SetRoster and after the jobs were loaded.
-func (c *Cell) Inherit(number int, workers []KnownWorker, version uint64, now time.Time) {
+func (c *Cell) Inherit(workers []KnownWorker, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.known.versions[number] = version
 	for _, k := range workers {
 		w := c.workers[k.ID]
 		if w == nil {
@@ -70,7 +64,7 @@
 	}
 	byNumber := map[int]*WorkerChunk{}
 	for n := range c.known.unsaved {
-		byNumber[n] = &WorkerChunk{Number: n, Workers: []KnownWorker{}, Version: c.known.versions[n]}
+		byNumber[n] = &WorkerChunk{Number: n, Workers: []KnownWorker{}}
 	}
 	for id, w := range c.workers {
 		if chunk := byNumber[chunkOf(id)]; chunk != nil && !w.parked {
@@ -86,10 +80,9 @@
 	return chunks
 }
 
-// chunksStored notes that chunks were stored under a version; c.mu is held.
-func (c *Cell) chunksStored(chunks []WorkerChunk, version uint64) {
+// chunksStored notes that chunks were stored; c.mu is held.
+func (c *Cell) chunksStored(chunks []WorkerChunk) {
 	for _, chunk := range chunks {
-		c.known.versions[chunk.Number] = version
 		for _, k := range chunk.Workers {
 			if w := c.workers[k.ID]; w != nil {
 				w.saved = !k.Closed
@@ -97,13 +90,3 @@
 		}
 	}
 }
-
-// chunksNotStored has chunks stored again; c.mu is held.
-func (c *Cell) chunksNotStored(chunks []WorkerChunk, versions map[int]uint64) {
-	for _, chunk := range chunks {
-		c.known.unsaved[chunk.Number] = struct{}{}
-		if v, ok := versions[chunk.Number]; ok {
-			c.known.versions[chunk.Number] = v
-		}
-	}
-}
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -123,7 +123,7 @@
 		t.Fatalf("state %q was shown before it was stored", state)
 	}
 	commit := s.cell.NextCommit(10)
-	s.cell.NotCommitted(commit, nil)
+	s.cell.NotCommitted(commit)
 	if _, look, _ := s.cell.NextLook("a", s.now); look.Acknowledged != 0 {
 		t.Fatal("the end was acknowledged although the commit failed")
 	}
@@ -161,7 +161,7 @@
 func TestLeaseOfTheEarlierOwnerCounts(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
-	s.cell.Load(r, nil, 0)
+	s.cell.Load(r, nil)
 	task := r.ID + ".0.0.0"
 	s.runs["a"] = []runner.RunState{{Task: task, Run: 1, Percent: 10}}
 	s.report("a")
@@ -218,7 +218,7 @@
 func TestEndsAreAcknowledgedWhenTheEarlierOwnerIsFenced(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
-	s.cell.Load(r, nil, 0)
+	s.cell.Load(r, nil)
 	s.end("a", r.ID+".0.0.0", 1, runner.Done)
 	s.report("a")
 	s.plan()
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -46,12 +46,11 @@
 	records []*job.Record
 	stored  map[string]*job.Progress
 	// chunks are the stored known workers.
-	chunks  map[int]WorkerChunk
-	version uint64
-	owners  []*modelOwner
-	late    []func()
-	open    map[string]string
-	done    map[string]bool
+	chunks map[int]WorkerChunk
+	owners []*modelOwner
+	late   []func()
+	open   map[string]string
+	done   map[string]bool
 }
 
 func newModel(rt *rapid.T) *model {
@@ -106,7 +105,7 @@
 	m.rt.Logf("%v term %d taken, earlier stopped %v", m.now.Sub(siteStart), term, earlierStopped)
 	c := New(Settings{Term: term, EarlierStopped: earlierStopped, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, SpareWorkers: 1}, m.now, quietLog())
 	for _, r := range m.records {
-		c.Load(r, m.stored[r.ID], m.version)
+		c.Load(r, m.stored[r.ID])
 	}
 	o := &modelOwner{cell: c, since: m.now}
 	for _, w := range m.workers {
@@ -115,7 +114,7 @@
 		}
 	}
 	for _, number := range slices.Sorted(maps.Keys(m.chunks)) {
-		c.Inherit(number, m.chunks[number].Workers, m.version, m.now)
+		c.Inherit(m.chunks[number].Workers, m.now)
 	}
 	m.owners = append(m.owners, o)
 	m.commit(o, true)
@@ -232,7 +231,7 @@
 func (m *model) find(o *modelOwner, id string) {
 	for _, r := range m.records {
 		if r.ID == id {
-			o.cell.Load(r, m.stored[id], m.version)
+			o.cell.Load(r, m.stored[id])
 			return
 		}
 	}
@@ -302,24 +301,27 @@
 	}
 }
 
-// commit stores progress if the owner's claim holds.
+// commit stores progress if the owner's claim holds. Without an answer it may have
+// taken effect all the same.
 func (m *model) commit(o *modelOwner, answers bool) {
 	commit := o.cell.NextCommit(10)
 	if commit == nil {
 		return
 	}
-	if o != m.current() || !answers {
-		o.cell.NotCommitted(commit, nil)
-		return
-	}
-	m.version++
-	for _, item := range commit.Items {
-		m.stored[item.Job] = item.Progress
+	stored := o == m.current() && (answers || rapid.Bool().Draw(m.rt, "takes effect"))
+	if stored {
+		for _, item := range commit.Items {
+			m.stored[item.Job] = item.Progress
+		}
+		for _, chunk := range commit.Chunks {
+			m.chunks[chunk.Number] = chunk
+		}
 	}
-	for _, chunk := range commit.Chunks {
-		m.chunks[chunk.Number] = chunk
+	if !stored || !answers {
+		o.cell.NotCommitted(commit)
+		return
 	}
-	o.cell.Committed(commit, m.version)
+	o.cell.Committed(commit)
 }
 
 // finishAll heals everything and waits until all jobs are shown as complete.
--- a/internal/cell/parking_test.go
+++ b/internal/cell/parking_test.go
@@ -133,8 +133,8 @@
 		chunks[chunk.Number] = chunk
 	}
 	s := idleSite(t, 20, 2)
-	for number, chunk := range chunks {
-		s.cell.Inherit(number, chunk.Workers, 7, s.now)
+	for _, chunk := range chunks {
+		s.cell.Inherit(chunk.Workers, s.now)
 	}
 	if got := len(s.cell.WorkerIDs()); got > 4 {
 		t.Errorf("%d workers are looked at, want the two in store and the two that are kept ready", got)
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -19,7 +19,7 @@
 func TestFailuresHeardOutOfOrderAllCount(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
-	s.cell.Load(r, nil, 0)
+	s.cell.Load(r, nil)
 	task := r.ID + ".0.0.0"
 	s.end("a", task, 2, runner.FailedRun)
 	s.end("b", task, 1, runner.FailedRun)
@@ -58,7 +58,7 @@
 
 	next := newSite(t, 2, usualWorker("a"))
 	next.ends = s.ends
-	next.cell.Load(r, commit.Items[0].Progress, 7)
+	next.cell.Load(r, commit.Items[0].Progress)
 	next.report("a")
 	if got := next.cell.jobs[r.ID].stages[0].tasks[0].failures(); got != 1 {
 		t.Errorf("%d failures are counted, want 1", got)
@@ -72,7 +72,7 @@
 func TestTasksOfOlderJobsWaitForSilentWorkers(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	older := s.record(1, step(1))
-	s.cell.Load(older, nil, 0)
+	s.cell.Load(older, nil)
 	s.report("a")
 	if len(s.plan()) != 0 {
 		t.Fatal("a task of an older job was started while a worker had not reported")
@@ -105,7 +105,7 @@
 	second := step(1)
 	second.After = []int{0}
 	r := s.record(1, step(1), second)
-	s.cell.Load(r, nil, 0)
+	s.cell.Load(r, nil)
 	first := r.ID + ".0.0.0"
 	s.runs["a"] = []runner.RunState{{Task: first, Run: 1, Percent: 10}}
 	s.report("a")
@@ -205,9 +205,9 @@
 func TestWorkersThatLeftTheRosterAreAccountedFor(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"))
 	r := s.record(1, step(1))
-	s.cell.Load(r, nil, 0)
+	s.cell.Load(r, nil)
 	task := r.ID + ".0.0.0"
-	s.cell.Inherit(chunkOf("b"), []KnownWorker{{ID: "b", Address: "b:1"}}, 3, s.now)
+	s.cell.Inherit([]KnownWorker{{ID: "b", Address: "b:1"}}, s.now)
 	s.report("a")
 	if again, ok := s.plan()[task]; ok {
 		t.Fatalf("run %d was started although b has not reported", again.Start.Run)
@@ -243,7 +243,7 @@
 	if len(commit.Chunks) != 1 || commit.Chunks[0].Workers[0].ID != "b" && len(commit.Chunks[0].Workers) < 2 {
 		t.Fatalf("chunks %+v", commit.Chunks)
 	}
-	s.cell.Committed(commit, 9)
+	s.cell.Committed(commit)
 	if starts := s.plan(); len(starts) != 1 {
 		t.Errorf("%d starts after the worker was stored, want one", len(starts))
 	}
@@ -278,10 +278,10 @@
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"), usualWorker("c"))
 	s.now = before.now
 	s.runs["a"] = before.runs["a"]
-	s.cell.Load(r, nil, 0)
-	s.cell.Load(waiting, nil, 0)
+	s.cell.Load(r, nil)
+	s.cell.Load(waiting, nil)
 	for _, chunk := range commit.Chunks {
-		s.cell.Inherit(chunk.Number, chunk.Workers, 7, s.now)
+		s.cell.Inherit(chunk.Workers, s.now)
 	}
 	s.report("a")
 	s.report("c")
@@ -308,9 +308,9 @@
 func TestAReportedRunReplacesAnOlderStoredOne(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"))
 	r := s.record(1, step(1))
-	s.cell.Load(r, nil, 0)
+	s.cell.Load(r, nil)
 	task := r.ID + ".0.0.0"
-	s.cell.Inherit(chunkOf("b"), []KnownWorker{{ID: "b", Address: "b:1", Closed: true, Runs: []KnownRun{{Task: task, Run: 1}}}}, 3, s.now)
+	s.cell.Inherit([]KnownWorker{{ID: "b", Address: "b:1", Closed: true, Runs: []KnownRun{{Task: task, Run: 1}}}}, s.now)
 	s.runs["a"] = []runner.RunState{{Task: task, Run: 2, Percent: 50}}
 	s.report("a")
 	s.plan()
--- a/internal/cell/site_test.go
+++ b/internal/cell/site_test.go
@@ -126,7 +126,7 @@
 // commit stores everything that is dirty.
 func (s *site) commit() {
 	for commit := s.cell.NextCommit(40); commit != nil; commit = s.cell.NextCommit(40) {
-		s.cell.Committed(commit, 7)
+		s.cell.Committed(commit)
 	}
 }
 
--- a/internal/cell/worker_chunk.go
+++ b/internal/cell/worker_chunk.go
@@ -4,6 +4,4 @@
 type WorkerChunk struct {
 	Number  int
 	Workers []KnownWorker
-	// Version is the stored value this one replaces, 0 for none.
-	Version uint64
 }
--- a/internal/celljobs/doc.go
+++ b/internal/celljobs/doc.go
@@ -4,7 +4,9 @@
 //
 // Progress is in the cell's own partition, beside the claim, so that the owner's
 // writes can demand that its ownership still holds; it has one writer, which
-// stores many jobs at once. Records have many writers and are spread over
+// stores many jobs at once. Each of its writes also replaces the sequence row: a
+// write without an answer that takes effect after a later one would otherwise bring
+// old progress back. Records have many writers and are spread over
 // jobPartitions others.
 package celljobs
 
@@ -30,6 +32,9 @@
 	jobPrefix     = "job/"
 	cancelPrefix  = "cancel/"
 	workersPrefix = "workers/"
+	// SequenceKey is the key, in the table of progress, of the row that every write
+	// of the owner replaces.
+	SequenceKey = "sequence"
 )
 
 // recordPartition returns the partition of a job's record and cancellation.
--- a/internal/cellowner/commit_loop.go
+++ b/internal/cellowner/commit_loop.go
@@ -20,9 +20,9 @@
 	commitRetry = 200 * time.Millisecond
 	// commitTimeout bounds one commit; a slow store needs some 250 ms.
 	commitTimeout = 1500 * time.Millisecond
-	// commitJobs is the most jobs in one transaction: a check and a put each, the
-	// check of the ownership, and room for all chunks of the known workers.
-	commitJobs = (store.MaxEntries - 1 - 32) / 2
+	// commitPuts is the most jobs and chunks of known workers in one transaction,
+	// beside the checks of the claim and the sequence and the put of the sequence.
+	commitPuts = store.MaxEntries - 3
 	// keepEnded is how long ended jobs are kept: callers may ask for 120 s, and
 	// a delayed repeat of a submission has to find its job.
 	keepEnded = 240 * time.Second
@@ -76,7 +76,7 @@
 func (o *Owner) commitOnce(ctx context.Context) commitResult {
 	o.commitMu.Lock()
 	defer o.commitMu.Unlock()
-	commit := o.cell.NextCommit(commitJobs)
+	commit := o.cell.NextCommit(commitPuts)
 	if commit == nil {
 		return nothingToCommit
 	}
@@ -84,7 +84,7 @@
 	tx, err := o.transaction(commit)
 	if err != nil {
 		o.deps.Log.WithError(err).Error("progress_not_encoded")
-		o.cell.NotCommitted(commit, nil)
+		o.cell.NotCommitted(commit)
 		return notCommitted
 	}
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
@@ -95,19 +95,21 @@
 	if err != nil {
 		return o.commitFailed(ctx, commit, err)
 	}
-	o.cell.Committed(commit, version)
+	o.sequence = version
+	o.cell.Committed(commit)
 	o.announceStored()
 	return committed
 }
 
 func (o *Owner) transaction(commit *cell.Commit) (store.Tx, error) {
-	tx := store.Tx{Partition: o.deps.Jobs.ProgressPartition(), Checks: []store.Check{o.claim}}
+	sequence := store.Check{Table: celljobs.TableProgress, Key: celljobs.SequenceKey, Version: o.sequence}
+	tx := store.Tx{Partition: o.deps.Jobs.ProgressPartition(), Checks: []store.Check{o.claim, sequence},
+		Puts: []store.Put{{Table: celljobs.TableProgress, Key: celljobs.SequenceKey, Value: []byte{}}}}
 	for _, item := range commit.Items {
 		value, err := job.EncodeProgress(item.Progress)
 		if err != nil {
 			return tx, fmt.Errorf("job %s: %w", item.Job, err)
 		}
-		tx.Checks = append(tx.Checks, store.Check{Table: celljobs.TableProgress, Key: item.Job, Version: item.Version})
 		tx.Puts = append(tx.Puts, store.Put{Table: celljobs.TableProgress, Key: item.Job, Value: value})
 	}
 	for _, chunk := range commit.Chunks {
@@ -116,41 +118,33 @@
 			return tx, err
 		}
 		key := celljobs.WorkersKey(chunk.Number)
-		tx.Checks = append(tx.Checks, store.Check{Table: celljobs.TableProgress, Key: key, Version: chunk.Version})
 		tx.Puts = append(tx.Puts, store.Put{Table: celljobs.TableProgress, Key: key, Value: value})
 	}
 	return tx, nil
 }
 
 // commitFailed learns what it can from a failed commit. After a lost answer the
-// next attempt finds other versions than it expects: those of the first attempt.
-// Only this owner writes progress while its claim holds, so it may go on from
-// them; and a late effect of the first attempt then meets a changed row.
+// next attempt finds another version of the sequence row than it expects: that of
+// the first attempt. Only this owner writes it while its claim holds, so it may go
+// on from there; and a late effect of the first attempt then meets a changed row.
 func (o *Owner) commitFailed(ctx context.Context, commit *cell.Commit, err error) commitResult {
 	o.deps.Metrics.CommitErrors.Inc()
+	o.cell.NotCommitted(commit)
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
 		if ctx.Err() == nil {
 			o.deps.Log.WithField("jobs", len(commit.Items)).WithError(err).Info("commit_failed")
 		}
-		o.cell.NotCommitted(commit, nil)
 		return notCommitted
 	}
-	found := &cell.FoundVersions{Jobs: map[string]uint64{}, Chunks: map[int]uint64{}}
 	for _, row := range conflict.Rows {
-		if row.Table == o.claim.Table && row.Key == o.claim.Key {
-			if row.Version != o.claim.Version {
-				return claimLost
-			}
-			continue
+		switch {
+		case row.Table == o.claim.Table && row.Key == o.claim.Key && row.Version != o.claim.Version:
+			return claimLost
+		case row.Table == celljobs.TableProgress && row.Key == celljobs.SequenceKey:
+			o.sequence = row.Version
 		}
-		if chunk, ok := celljobs.ParseWorkersKey(row.Key); ok {
-			found.Chunks[chunk] = row.Version
-			continue
-		}
-		found.Jobs[row.Key] = row.Version
 	}
-	o.cell.NotCommitted(commit, found)
 	return committed
 }
 
--- /dev/null
+++ b/internal/cellowner/commit_test.go
@@ -0,0 +1,113 @@
+package cellowner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+	"gentianstand/internal/store"
+)
+
+// lateStore applies transactions, or keeps them back and leaves them unanswered.
+type lateStore struct {
+	store.Store
+	rows    map[string]store.Row
+	version uint64
+	keep    bool
+	kept    []store.Tx
+}
+
+func (s *lateStore) Commit(_ context.Context, tx store.Tx) (uint64, error) {
+	if s.keep {
+		s.kept = append(s.kept, tx)
+		return 0, store.ErrUnknown
+	}
+	return s.apply(tx)
+}
+
+func (s *lateStore) apply(tx store.Tx) (uint64, error) {
+	var now []store.Row
+	changed := false
+	for _, c := range tx.Checks {
+		row := s.rows[c.Key]
+		row.Table, row.Key = c.Table, c.Key
+		now = append(now, row)
+		changed = changed || row.Version != c.Version
+	}
+	if changed {
+		return 0, &store.ConflictError{Rows: now}
+	}
+	s.version++
+	for _, p := range tx.Puts {
+		s.rows[p.Key] = store.Row{Table: p.Table, Key: p.Key, Value: p.Value, Version: s.version}
+	}
+	return s.version, nil
+}
+
+// Symptom: a task that had ended ran again after a take-over.
+// Sequence: a commit gets no answer; the next one is stored; then the first one
+// takes effect.
+// Cause: older progress replaces newer.
+func TestALateCommitHasNoEffect(t *testing.T) {
+	client := &losing{}
+	o, order := ownerOfOne(t, client)
+	rows := &lateStore{rows: map[string]store.Row{}}
+	o.deps.Store = rows
+	o.deps.Jobs = celljobs.New(store.NewWatched(rows), "cell-0")
+	o.start(t.Context(), order)
+	client.running = []runner.RunState{{Task: order.Start.Task, Run: order.Start.Run, Percent: 50, Saved: "half"}}
+	o.look(t, client)
+	o.cell.Cancel("00000000000000aa", time.Now())
+	rows.keep = true
+	if got := o.commitOnce(t.Context()); got != notCommitted {
+		t.Fatalf("the commit without an answer: %v", got)
+	}
+	rows.keep = false
+	if got := o.commitOnce(t.Context()); got != committed {
+		t.Fatalf("the next commit: %v", got)
+	}
+	before := rows.version
+	if _, err := rows.apply(rows.kept[0]); err == nil || rows.version != before {
+		t.Error("the late commit took effect")
+	}
+}
+
+// Symptom: nothing is stored any more after one lost answer.
+// Sequence: a commit takes effect, its answer gets lost.
+// Cause: the owner goes on expecting the sequence row from before.
+func TestCommitsGoOnAfterALostAnswer(t *testing.T) {
+	client := &losing{}
+	o, _ := ownerOfOne(t, client)
+	rows := &lateStore{rows: map[string]store.Row{}, keep: true}
+	o.deps.Store = rows
+	o.deps.Jobs = celljobs.New(store.NewWatched(rows), "cell-0")
+	o.cell.Cancel("00000000000000aa", time.Now())
+	o.commitOnce(t.Context())
+	rows.keep = false
+	if _, err := rows.apply(rows.kept[0]); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		o.commitOnce(t.Context())
+	}
+	if got := o.commitOnce(t.Context()); got != nothingToCommit {
+		t.Errorf("still to commit: %v", got)
+	}
+	if state, _ := o.cell.State("00000000000000aa"); state != job.Cancelled {
+		t.Errorf("state %s", state)
+	}
+}
+
+// look has the owner take in what its worker reports.
+func (o *Owner) look(t *testing.T, client runner.Client) {
+	t.Helper()
+	sentAt := time.Now()
+	report, err := client.Look(t.Context(), runner.Target{}, runner.Look{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.cell.Reported("w", report, sentAt, time.Now())
+}
--- a/internal/cellowner/orders_test.go
+++ b/internal/cellowner/orders_test.go
@@ -54,7 +54,7 @@
 	worker := roster.Worker{ID: "w", Service: "desk", Capacity: resource.Amount{MilliCPU: 1000, MemoryMiB: 1000}}
 	o.cell.SetRoster([]roster.Worker{worker}, time.Now())
 	commit := o.cell.NextCommit(1)
-	o.cell.Committed(commit, 1)
+	o.cell.Committed(commit)
 	sentAt := time.Now()
 	report, err := client.Look(t.Context(), runner.Target{}, runner.Look{})
 	if err != nil {
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -34,7 +34,9 @@
 	jobsVersion   uint64
 	rosterVersion uint64
 	commitMu      sync.Mutex
-	patience      patience
+	// sequence is the version of the sequence row.
+	sequence uint64
+	patience patience
 }
 
 // New returns an owner whose writes demand that claim, the row of its
@@ -85,6 +87,11 @@
 	o.jobsVersion = version
 	o.rosterVersion = workers.Version
 	o.takeIn(rows, progress)
+	for _, row := range progress {
+		if row.Key == celljobs.SequenceKey {
+			o.sequence = row.Version
+		}
+	}
 	o.cell.SetRoster(workers.Workers, time.Now())
 	o.inheritWorkers(progress)
 	return nil
@@ -103,7 +110,7 @@
 		if err != nil {
 			o.deps.Log.WithField("chunk", chunk).WithError(err).Error("workers_unreadable")
 		}
-		o.cell.Inherit(chunk, workers, row.Version, now)
+		o.cell.Inherit(workers, now)
 	}
 }
 
@@ -144,7 +151,7 @@
 			return
 		}
 	}
-	o.cell.Load(r, p, kept.Version)
+	o.cell.Load(r, p)
 }
 
 // Submitted takes in a job that an instance has stored and tells of.
