A loss of the store counts from the last answer

After a real cut, though, the owner kept the cell for 1.4 to 1.7 s, because the loss counted anew from the moment in which a call was given up. Now it counts from the last answer to any call; pings say for how long the store has not served the owner, and it is overtaken after 0.6 s, or the time that the asking instance itself waits for answers. The holder of the last claim has no place among the candidates any more: it delayed the first of them by 0.12 s. TestOneSlowCallBesideAnsweredOnesIsNoLoss and TestALossCountsFromTheLastAnswer fail on the version before.

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -63,14 +63,10 @@
 	l.mu.Lock()
 	l.heardAt = now
 	l.vacantFrom = time.Time{}
-	if reply.StoreOk {
-		l.storelessFrom = time.Time{}
-	} else if l.storelessFrom.IsZero() {
-		l.storelessFrom = now
-	}
-	from := l.storelessFrom
 	l.mu.Unlock()
-	if limit := storelessLimit + l.delay(known.Term); !from.IsZero() && now.Sub(from) > limit && l.store.GoodFor(now) > limit {
+	lost := time.Duration(reply.StoreLostMillis) * time.Millisecond
+	limit := max(storelessLimit, l.store.Limit()) + l.delay(known.Term)
+	if lost > limit && l.store.GoodFor(now) > storeBackWithin {
 		l.take(ctx, known, takeOver{"the owner does not reach the store", false})
 	}
 }
@@ -124,7 +120,14 @@
 // instances together, and among equals by lot.
 func (l *Leader) delay(term uint64) time.Duration {
 	self := l.directory.Self()
-	all := append(l.directory.Others(), self)
+	all := []cellpeer.Instance{self}
+	for _, other := range l.directory.Others() {
+		// The holder of the last claim does not succeed itself, or knows before all
+		// others that it may; see returns.
+		if other.Name != l.current().Holder {
+			all = append(all, other)
+		}
+	}
 	sort.Slice(all, func(a, b int) bool {
 		if all[a].Cores != all[b].Cores {
 			return all[a].Cores > all[b].Cores
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -30,8 +30,6 @@
 	known claim
 	// heardAt is when the owner last confirmed that it is one.
 	heardAt time.Time
-	// storelessFrom is since when the owner says that it lacks the store.
-	storelessFrom time.Time
 	// vacantFrom is since when nobody is known to own the cell.
 	vacantFrom time.Time
 	term       *term
@@ -170,7 +168,6 @@
 	if c.version > l.known.version {
 		l.log.WithFields(logrus.Fields{"owner": c.Holder, "term": c.Term, "released": c.Released}).Info("owner_known")
 		l.heardAt = time.Time{}
-		l.storelessFrom = time.Time{}
 		l.vacantFrom = time.Now()
 	}
 	l.known = c
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -10,9 +10,13 @@
 	// silentLimit is how long the owner may be silent. Three pings in a row have
 	// failed then; a pause of the runtime or a busy processor takes less.
 	silentLimit = 900 * time.Millisecond
-	// storelessLimit is how long the owner may say that it does not reach the
-	// store, while the asking instance does.
-	storelessLimit = 250 * time.Millisecond
+	// storelessLimit is how long the store may not serve the owner while it serves
+	// the asking instance. In a store that is 60 times slower some call is answered
+	// every 0.3 s, and a take-over there, which reads everything, takes 2.6 s.
+	storelessLimit = 600 * time.Millisecond
+	// storeBackWithin is within how long of one another instances notice that the
+	// store is back: 0.1 s were seen.
+	storeBackWithin = 300 * time.Millisecond
 	// stagger spaces the attempts of the instances, in an order that changes with
 	// every term, so that one of them usually takes over alone.
 	stagger = 120 * time.Millisecond
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -20,7 +20,10 @@
 	Store
 
 	mu sync.Mutex
-	// badSince is when the first call failed after the last answer, or zero.
+	// answeredAt is when the last call was answered.
+	answeredAt time.Time
+	// badSince is since when no call was answered, as far as the calls that have
+	// failed tell, or zero.
 	badSince time.Time
 	// goodSince is when the first call was answered after a failure.
 	goodSince time.Time
@@ -32,7 +35,7 @@
 
 // NewWatched returns s with its health watched.
 func NewWatched(s Store) *Watched {
-	return &Watched{Store: s, goodSince: time.Now(), pending: map[int]time.Time{}}
+	return &Watched{Store: s, answeredAt: time.Now(), goodSince: time.Now(), pending: map[int]time.Time{}}
 }
 
 // Reachable reports whether the last call was answered and none is overdue.
@@ -42,7 +45,10 @@
 // have lately taken.
 func (w *Watched) Limit() time.Duration { return w.patience.limit() }
 
-// LostFor returns for how long the store has not served this instance, or 0.
+// LostFor returns for how long the store has not served this instance, or 0. One
+// call without an answer counts only from the last answer to another one: its
+// connection may have gone silent alone, and in a store that is 60 times slower
+// some calls take more than half a second while others are answered.
 func (w *Watched) LostFor(now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -51,7 +57,7 @@
 	}
 	overdue := max(overdueLeast, time.Duration(overdueShare*float64(w.patience.limit())))
 	for _, began := range w.pending {
-		if late := now.Sub(began); late > overdue {
+		if late := now.Sub(later(began, w.answeredAt)); late > overdue {
 			return late
 		}
 	}
@@ -96,8 +102,9 @@
 // Changes implements Store.
 func (w *Watched) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
 	if wait > 0 {
+		// A feed that waits may be silent for all of its time: that says nothing.
 		page, err := w.Store.Changes(ctx, table, after, wait)
-		w.note(ctx, err)
+		w.note(ctx, time.Now(), err)
 		return page, err
 	}
 	done := w.begin()
@@ -124,14 +131,18 @@
 		case errors.Is(err, ErrUnknown) && errors.Is(ctx.Err(), context.DeadlineExceeded):
 			w.patience.gaveUp(time.Since(began))
 		}
-		w.note(ctx, err)
+		w.note(ctx, began, err)
 	}
 }
 
-func (w *Watched) note(ctx context.Context, err error) {
+// note takes in how a call ended that was not answered since began.
+func (w *Watched) note(ctx context.Context, began time.Time, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknown)
+	if !failed {
+		w.answeredAt = time.Now()
+	}
 	switch {
 	case !failed && !w.badSince.IsZero():
 		w.badSince = time.Time{}
@@ -140,6 +151,13 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		// The caller gave up; that says nothing about the store.
 	case w.badSince.IsZero():
-		w.badSince = time.Now()
+		w.badSince = later(began, w.answeredAt)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
--- a/internal/store/watched_test.go
+++ b/internal/store/watched_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -78,3 +79,46 @@
 		t.Errorf("limit %v after the slow time", got)
 	}
 }
+
+// Symptom: in a store 60 times slower the owner was overtaken, and the cell stood
+// still for 2.6 s.
+// Sequence: one call takes a second while others are answered.
+// Cause: the oldest call under way alone decided whether the store is lost.
+func TestOneSlowCallBesideAnsweredOnesIsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{took: 2 * time.Second}
+		w := NewWatched(s)
+		go func() { _, _ = w.Commit(t.Context(), Tx{}) }() // its result is scripted
+		synctest.Wait()
+		for range 5 {
+			time.Sleep(200 * time.Millisecond)
+			s.took = time.Millisecond
+			_, _ = w.Commit(t.Context(), Tx{}) // as above
+		}
+		if lost := w.LostFor(time.Now()); lost > 0 {
+			t.Errorf("lost for %v", lost)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+// Symptom: an owner that was cut off from the store kept the cell for 1.7 s.
+// Sequence: a call is not answered, and given up.
+// Cause: with its end the loss counted from that moment, instead of from the last
+// answer.
+func TestALossCountsFromTheLastAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{took: time.Hour}
+		w := NewWatched(s)
+		began := time.Now()
+		for range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, _ = w.Commit(ctx, Tx{}) // its result is scripted
+			cancel()
+		}
+		if lost := w.LostFor(time.Now()); lost < time.Since(began) {
+			t.Errorf("lost for %v, %v after the last answer", lost, time.Since(began))
+		}
+	})
+}
