--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -15,6 +15,10 @@
 // again. The store answers in a few milliseconds when it is well.
 const unknownRetry = 60 * time.Millisecond
 
+// probeTimeout bounds a probe: a store that is 60 times slower answers a read within
+// 0.3 s.
+const probeTimeout = 500 * time.Millisecond
+
 // lostForGood is how long the store must have been lost for a write with an
 // unknown outcome to be given up. Single answers get lost for less, and outages
 // last from two to ten seconds: a caller who waits three would learn nothing
@@ -60,6 +64,15 @@
 	return err == nil, err
 }
 
+// Probe asks the store for something harmless, and returns an error unless it
+// answers soon.
+func (b *Jobs) Probe(ctx context.Context, id string) error {
+	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := b.store.Get(callCtx, TableJobs, b.RecordPartition(id), JobKey(id))
+	return err
+}
+
 // Cancel stores a cancellation and reports whether the job is known. An unknown
 // job is withdrawn: its submission, if it is still on its way, has no effect.
 // known says that the caller is already sure that the job exists.
--- a/internal/cellpeer/server.go
+++ b/internal/cellpeer/server.go
@@ -81,6 +81,9 @@
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("record", err.Error())
 	}
+	if err := s.probe(ctx, record.ID); err != nil {
+		return nil, err
+	}
 	created, err := s.jobs.Create(ctx, record)
 	if err != nil {
 		return nil, storeError(err)
@@ -88,8 +91,23 @@
 	return &cellpb.StoreJobReply{Created: created}, nil
 }
 
+// probe makes sure that the store answers before something is written for another
+// instance. In the first moments of an outage an instance does not know yet that the
+// store is lost. A write would leave the outcome open, where the caller could have
+// been told that nothing was done, and could have come back.
+func (s *Server) probe(ctx context.Context, id string) error {
+	if err := s.jobs.Probe(ctx, id); err != nil {
+		s.log.WithField("job", id).WithError(err).Info("not_stored_for_another")
+		return twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return nil
+}
+
 // StoreCancel implements cellpb.Cells.
 func (s *Server) StoreCancel(ctx context.Context, r *cellpb.StoreCancelRequest) (*cellpb.StoreCancelReply, error) {
+	if err := s.probe(ctx, r.Job); err != nil {
+		return nil, err
+	}
 	known, err := s.jobs.Cancel(ctx, r.Job, false)
 	if err != nil {
 		return nil, storeError(err)
