--- a/internal/cell/advice_book.go
+++ b/internal/cell/advice_book.go
@@ -17,15 +17,6 @@
 	retryAt time.Time
 }
 
-// ticketFor returns a valid ticket for a worker.
-func (b *adviceBook) ticketFor(id string, now time.Time) (string, bool) {
-	v, ok := b.verdicts[id]
-	if !ok || !v.good || !now.Before(v.until) {
-		return "", false
-	}
-	return v.ticket, true
-}
-
 // expire makes the stage ask about a worker again before using it.
 func (b *adviceBook) expire(id string) {
 	v := b.verdicts[id]
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -57,7 +57,7 @@
 func (c *Cell) fitting(s *stage, room *room, now time.Time) []candidate {
 	var list []candidate
 	need := s.step.Occupied()
-	for _, w := range c.allowed(s, room, now) {
+	for _, w := range c.allowed(s, room, now, now) {
 		if !need.Fits(w.free()) || !c.eligible(s, w) {
 			continue
 		}
@@ -77,14 +77,14 @@
 }
 
 // allowed returns the usable workers for which the stage needs no ticket or has
-// a valid one.
-func (c *Cell) allowed(s *stage, room *room, now time.Time) []*worker {
+// one that is valid until later than until.
+func (c *Cell) allowed(s *stage, room *room, now, until time.Time) []*worker {
 	if s.job.record.Advice == nil {
 		return room.usable
 	}
 	var list []*worker
 	for id, v := range s.advice.verdicts {
-		if !v.good || !now.Before(v.until) {
+		if !v.good || !until.Before(v.until) {
 			continue
 		}
 		if w := c.workers[id]; w != nil && w.usable(now) {
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -25,11 +25,12 @@
 	}
 	s.preemptedAt = now
 	wanted := len(s.idle) - s.preempting
-	for _, w := range c.allowed(s, room, now) {
+	// The tickets have to outlast a stop.
+	for _, w := range c.allowed(s, room, now, now.Add(c.settings.StopGrace)) {
 		if wanted == 0 {
 			return
 		}
-		if !c.eligible(s, w) || !c.mayRun(s, w, now) {
+		if !c.eligible(s, w) {
 			continue
 		}
 		if victim := c.victim(s, w, now); victim != nil {
@@ -42,16 +43,6 @@
 	}
 }
 
-// mayRun reports whether the adviser allows the worker, with a ticket that
-// outlasts a stop.
-func (c *Cell) mayRun(s *stage, w *worker, now time.Time) bool {
-	if s.job.record.Advice == nil {
-		return true
-	}
-	_, ok := s.advice.ticketFor(w.ID, now.Add(c.settings.StopGrace))
-	return ok
-}
-
 // victim returns the run on a worker whose stop makes room for a task of the
 // stage and loses least: only work that resumes from a checkpoint.
 func (c *Cell) victim(s *stage, w *worker, now time.Time) *attempt {
--- a/internal/cellowner/look_loop.go
+++ b/internal/cellowner/look_loop.go
@@ -55,7 +55,7 @@
 		if !ok {
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, look.Wait+o.patience.limit())
+		callCtx, cancel := context.WithTimeout(ctx, look.Wait+o.patience.Limit())
 		report, err := o.deps.Runner.Look(callCtx, target, look)
 		cancel()
 		o.deps.Metrics.Looks.Inc()
--- a/internal/cellowner/orders.go
+++ b/internal/cellowner/orders.go
@@ -22,10 +22,10 @@
 // late effect of the first one meets the same run, or one that has ended, and the
 // worker declines it.
 func (o *Owner) start(ctx context.Context, order cell.StartOrder) {
-	answer, err := o.startOnce(ctx, order, o.patience.brief())
+	answer, err := o.startOnce(ctx, order, o.patience.Within(briefFactor, briefLeast))
 	if errors.Is(err, runner.ErrNoAnswer) && o.deps.Leadership.Confirmed() {
 		o.deps.Metrics.StartRepeats.Inc()
-		answer, err = o.startOnce(ctx, order, o.patience.limit())
+		answer, err = o.startOnce(ctx, order, o.patience.Limit())
 	}
 	o.checkFence(err)
 	o.cell.StartAnswered(order, answer, err, time.Now())
@@ -44,13 +44,13 @@
 	if err != nil {
 		o.deps.Metrics.StartErrors.Inc()
 	} else {
-		o.patience.answered(time.Since(began))
+		o.patience.Answered(time.Since(began))
 	}
 	return answer, err
 }
 
 func (o *Owner) stop(ctx context.Context, order cell.StopOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, o.patience.limit())
+	callCtx, cancel := context.WithTimeout(ctx, o.patience.Limit())
 	defer cancel()
 	answer, err := o.deps.Runner.Stop(callCtx, order.Worker, order.Stop)
 	o.checkFence(err)
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -9,6 +9,7 @@
 	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/job"
+	"gentianstand/internal/patience"
 	"gentianstand/internal/store"
 )
 
@@ -36,7 +37,7 @@
 	commitMu      sync.Mutex
 	// sequence is the version of the sequence row.
 	sequence uint64
-	patience patience
+	patience *patience.Patience
 }
 
 // New returns an owner whose writes demand that claim, the row of its
@@ -45,7 +46,7 @@
 	return &Owner{
 		deps: deps, claim: claim, cell: cell.New(s, time.Now(), deps.Log),
 		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1), kickJobs: make(chan struct{}, 1),
-		stored: make(chan struct{}), looking: map[string]struct{}{},
+		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{},
 	}
 }
 
--- a/internal/cellpeer/client.go
+++ b/internal/cellpeer/client.go
@@ -1,12 +1,12 @@
 package cellpeer
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/httpclient"
 )
 
 const (
@@ -14,7 +14,6 @@
 	dialTimeout = 400 * time.Millisecond
 	// idleConnections is how many connections to one instance are kept.
 	idleConnections = 4
-	idleTimeout     = 30 * time.Second
 )
 
 // Clients makes clients for other instances; each address has its own
@@ -46,12 +45,7 @@
 	if found := c.byTarget[address]; found != nil {
 		return found
 	}
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+	transport := httpclient.NewTransport(dialTimeout, idleConnections)
 	made := &client{
 		Cells:     cellpb.NewCellsProtobufClient("http://"+address, &http.Client{Transport: transport}),
 		transport: transport,
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"gentianstand/internal/patience"
 )
 
 // overdueShare of the wait for an answer is how long a call may be unanswered
@@ -30,12 +32,13 @@
 	// pending are the starts of the calls under way.
 	pending  map[int]time.Time
 	next     int
-	patience patience
+	patience *patience.Patience
 }
 
 // NewWatched returns s with its health watched.
 func NewWatched(s Store) *Watched {
-	return &Watched{Store: s, answeredAt: time.Now(), goodSince: time.Now(), pending: map[int]time.Time{}}
+	return &Watched{Store: s, answeredAt: time.Now(), goodSince: time.Now(), pending: map[int]time.Time{},
+		patience: patience.New(callPatience)}
 }
 
 // Reachable reports whether the last call was answered and none is overdue.
@@ -43,7 +46,7 @@
 
 // Limit returns how long to wait for the answer to a call, from how long answers
 // have lately taken.
-func (w *Watched) Limit() time.Duration { return w.patience.limit() }
+func (w *Watched) Limit() time.Duration { return w.patience.Limit() }
 
 // LostFor returns for how long the store has not served this instance, or 0. One
 // call without an answer counts only from the last answer to another one: its
@@ -55,7 +58,7 @@
 	if !w.badSince.IsZero() {
 		return max(1, now.Sub(w.badSince))
 	}
-	overdue := max(overdueLeast, time.Duration(overdueShare*float64(w.patience.limit())))
+	overdue := max(overdueLeast, time.Duration(overdueShare*float64(w.patience.Limit())))
 	for _, began := range w.pending {
 		if late := now.Sub(later(began, w.answeredAt)); late > overdue {
 			return late
@@ -127,9 +130,9 @@
 		w.mu.Unlock()
 		switch {
 		case err == nil:
-			w.patience.answered(time.Since(began))
+			w.patience.Answered(time.Since(began))
 		case errors.Is(err, ErrUnknown) && errors.Is(ctx.Err(), context.DeadlineExceeded):
-			w.patience.gaveUp(time.Since(began))
+			w.patience.GaveUp(time.Since(began))
 		}
 		w.note(ctx, began, err)
 	}
--- a/internal/store/watched_test.go
+++ b/internal/store/watched_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"gentianstand/internal/patience"
 )
 
 // scripted answers calls as a test says.
@@ -55,27 +57,27 @@
 // Load: a store turns 60 times slower and back. The wait follows in a few calls,
 // so that calls are not given up and repeated into its queues.
 func TestPatienceFollowsASlowStore(t *testing.T) {
-	var p patience
+	p := patience.New(callPatience)
 	for range 50 {
-		p.answered(5 * time.Millisecond)
+		p.Answered(5 * time.Millisecond)
 	}
-	if got := p.limit(); got != patienceLeast {
+	if got := p.Limit(); got != callPatience.Least {
 		t.Errorf("limit %v with answers of 5 ms", got)
 	}
-	p.gaveUp(patienceLeast)
-	if got := p.limit(); got < 700*time.Millisecond {
+	p.GaveUp(callPatience.Least)
+	if got := p.Limit(); got < 700*time.Millisecond {
 		t.Errorf("limit %v after one call that was given up", got)
 	}
 	for range 20 {
-		p.answered(600 * time.Millisecond)
+		p.Answered(600 * time.Millisecond)
 	}
-	if got := p.limit(); got != patienceMost {
+	if got := p.Limit(); got != callPatience.Most {
 		t.Errorf("limit %v with answers of 600 ms", got)
 	}
 	for range 60 {
-		p.answered(5 * time.Millisecond)
+		p.Answered(5 * time.Millisecond)
 	}
-	if got := p.limit(); got != patienceLeast {
+	if got := p.Limit(); got != callPatience.Least {
 		t.Errorf("limit %v after the slow time", got)
 	}
 }
