--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -47,6 +47,7 @@
 	{4, "the judge counted a failure that a replaced worker had listed to nobody"},
 	{5, "as seed 4, twice"},
 	{12, "as seed 4"},
+	{131, "the judge counted a failure that a worker had listed before its lease ended while it was cut off"},
 }
 
 // TestSoakRegressions plays the seeds that failed once, for as long as then.
