Instances renew their rows; the dead are passed over and removed

Rows are renewed every 20 s, on the reader's clock, which starts afresh after a time without reads; a row unchanged for 70 s is passed over, for 10 minutes removed, unless it has changed.

--- a/internal/cellpeer/directory.go
+++ b/internal/cellpeer/directory.go
@@ -22,23 +22,45 @@
 	directoryWait   = time.Second
 	// registerRetry is the pause before a failed registration is tried again.
 	registerRetry = 300 * time.Millisecond
+	// renewPeriod is how often an instance writes its row anew, so that others see
+	// that it lives.
+	renewPeriod = 20 * time.Second
+	// goneAfter is how long a row may stay unchanged, on the reader's clock, before
+	// its instance is taken as gone: three renewals and some time.
+	goneAfter = 70 * time.Second
+	// removeAfter is how long a row may stay unchanged before it is removed.
+	removeAfter = 10 * time.Minute
+	// readGap is the time between two reads from which all rows start afresh: while
+	// the store was away, nobody could renew.
+	readGap = 10 * time.Second
 )
 
 // Directory knows the instances that have registered themselves in the store.
+//
+// What can go wrong: an instance that is replaced for good leaves its row behind.
+// With 220 replacements a day most rows would be of the dead after a week; calls for
+// advice would go to them first, and searches for an instance with the store would
+// find nobody. Rows are therefore renewed, and those that are not are passed over.
 type Directory struct {
 	self  Instance
 	store store.Store
 	log   logrus.FieldLogger
 
 	mu      sync.RWMutex
-	others  map[string]Instance
+	others  map[string]listed
 	version uint64
 	read    bool
+	// readAt is when the list was last read.
+	readAt time.Time
+	// row is what this instance writes, renewedAt when it last did; only Run uses
+	// them.
+	row       store.Tx
+	renewedAt time.Time
 }
 
 // NewDirectory returns a directory that knows only this instance.
 func NewDirectory(self Instance, s store.Store, log logrus.FieldLogger) *Directory {
-	return &Directory{self: self, store: s, log: log, others: map[string]Instance{}}
+	return &Directory{self: self, store: s, log: log, others: map[string]listed{}}
 }
 
 // Self returns this instance.
@@ -49,8 +71,10 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	list := make([]Instance, 0, len(d.others))
-	for _, i := range d.others {
-		list = append(list, i)
+	for _, l := range d.others {
+		if l.unchangedFor(d.readAt) < goneAfter {
+			list = append(list, l.Instance)
+		}
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].Name < list[b].Name })
 	return list
@@ -75,6 +99,8 @@
 	d.register(ctx)
 	for ctx.Err() == nil {
 		d.follow(ctx)
+		d.renew(ctx)
+		d.removeOld(ctx)
 		select {
 		case <-ctx.Done():
 		case <-time.After(directoryPeriod):
@@ -88,15 +114,8 @@
 		d.log.WithError(err).Error("instance_not_encoded")
 		return
 	}
-	tx := store.Tx{Puts: []store.Put{{Table: tableInstances, Key: d.self.Name, Value: value}}}
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, directoryWait)
-		_, err := d.store.Commit(callCtx, tx)
-		cancel()
-		if err == nil {
-			return
-		}
-		d.log.WithError(err).Info("instance_not_registered")
+	d.row = store.Tx{Puts: []store.Put{{Table: tableInstances, Key: d.self.Name, Value: value}}}
+	for ctx.Err() == nil && !d.write(ctx) {
 		select {
 		case <-ctx.Done():
 		case <-time.After(registerRetry):
@@ -104,6 +123,52 @@
 	}
 }
 
+// renew writes this instance's row anew if it is time.
+func (d *Directory) renew(ctx context.Context) {
+	if time.Since(d.renewedAt) >= renewPeriod {
+		d.write(ctx)
+	}
+}
+
+func (d *Directory) write(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, directoryWait)
+	defer cancel()
+	if _, err := d.store.Commit(callCtx, d.row); err != nil {
+		d.log.WithError(err).Info("instance_not_registered")
+		return false
+	}
+	d.renewedAt = time.Now()
+	return true
+}
+
+// removeOld removes one row that was not renewed for long, unless it has changed
+// since.
+func (d *Directory) removeOld(ctx context.Context) {
+	old, ok := d.oldest()
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, directoryWait)
+	defer cancel()
+	_, err := d.store.Commit(callCtx, store.Tx{
+		Checks:   []store.Check{{Table: tableInstances, Key: old.Name, Version: old.version}},
+		Removals: []store.RowKey{{Table: tableInstances, Key: old.Name}},
+	})
+	d.log.WithField("peer", old.Name).WithError(err).Info("dead_instance_removed")
+}
+
+// oldest returns an instance whose row is to be removed.
+func (d *Directory) oldest() (listed, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, l := range d.others {
+		if l.unchangedFor(d.readAt) >= removeAfter {
+			return l, true
+		}
+	}
+	return listed{}, false
+}
+
 // Leave removes this instance from the list.
 func (d *Directory) Leave(ctx context.Context) {
 	tx := store.Tx{Removals: []store.RowKey{{Table: tableInstances, Key: d.self.Name}}}
@@ -140,10 +205,16 @@
 func (d *Directory) takeIn(rows []store.Row, version uint64, whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
+	before := d.others
 	if whole {
-		d.others = map[string]Instance{}
+		d.others = map[string]listed{}
 	}
-	d.version, d.read = version, true
+	if now.Sub(d.readAt) > readGap {
+		d.startAfresh(now)
+		before = nil
+	}
+	d.version, d.read, d.readAt = version, true, now
 	for _, row := range rows {
 		if row.Key == d.self.Name {
 			continue
@@ -157,6 +228,18 @@
 			d.log.WithField("peer", row.Key).WithError(err).Warn("instance_unreadable")
 			continue
 		}
-		d.others[i.Name] = i
+		l := listed{Instance: i, version: row.Version, changedAt: now}
+		if known, ok := before[i.Name]; ok && known.version == row.Version {
+			l.changedAt = known.changedAt
+		}
+		d.others[i.Name] = l
+	}
+}
+
+// startAfresh has all rows count as changed now; d.mu is held.
+func (d *Directory) startAfresh(now time.Time) {
+	for name, l := range d.others {
+		l.changedAt = now
+		d.others[name] = l
 	}
 }
--- /dev/null
+++ b/internal/cellpeer/listed.go
@@ -0,0 +1,14 @@
+package cellpeer
+
+import "time"
+
+// listed is an instance as its row in the store tells.
+type listed struct {
+	Instance
+	version uint64
+	// changedAt is when this reader last saw the row change.
+	changedAt time.Time
+}
+
+// unchangedFor returns for how long the row had been the same at the last read.
+func (l *listed) unchangedFor(readAt time.Time) time.Duration { return readAt.Sub(l.changedAt) }
--- a/internal/cellpeer/store_finder_test.go
+++ b/internal/cellpeer/store_finder_test.go
@@ -48,7 +48,7 @@
 		server := httptest.NewServer(NewServer(p, nil, nil, log))
 		t.Cleanup(server.Close)
 		name := fmt.Sprintf("edge-%d", i)
-		d.others[name] = Instance{Name: name, Address: server.Listener.Addr().String()}
+		d.others[name] = listed{Instance: Instance{Name: name, Address: server.Listener.Addr().String()}}
 	}
 	return NewStoreFinder(d, NewClients())
 }
