The next owner of a shard is told of a hand-over by the owner before

The log: the table went down at 22:31:25.5, and rack-1 and rack-2, whose rows had just been written for entry-2 and entry-0, were taken by them at 22:31:40.5, when the table was back. For 15 s nobody owned them, the leases of their workers lapsed after 10 s, and what ran there was started again. Ruled out: a starved process (no rights were lost). The owner before now sends the written row to the next one, which takes it as if it had read it; late offers, and those for another process, are passed over.

--- a/internal/ownership/keeper.go
+++ b/internal/ownership/keeper.go
@@ -33,6 +33,8 @@
 	configVersion uint64
 	view          live.View
 	electors      [][]live.Process
+	// offered are rows that other instances say name this process.
+	offered []live.Shard
 
 	// The fields below belong to Run.
 	observer *membership.Observer
@@ -103,6 +105,7 @@
 // does not answer it asks the electors instead.
 func (k *Keeper) cycle(ctx context.Context) {
 	view, err := k.read(ctx)
+	k.acceptOffered()
 	if err == nil {
 		// What was lost to others is dropped before the session counts as
 		// valid again, or this process would act on it in between.
--- a/internal/ownership/keeper_shards.go
+++ b/internal/ownership/keeper_shards.go
@@ -74,6 +74,7 @@
 			k.take(a.Shard)
 		} else {
 			k.give(a.Shard.Name, sentAt)
+			k.offer(a.Shard)
 		}
 	}
 }
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"gentianstand/internal/fault"
 	"gentianstand/internal/fleet"
@@ -39,6 +40,20 @@
 	return nil
 }
 
+// Give implements ownership.Peers.
+func (h *Hub) Give(ctx context.Context, shard live.Shard) error {
+	client, err := h.clientOf(shard.Owner.Instance)
+	if err != nil {
+		return err
+	}
+	row, err := json.Marshal(shard)
+	if err != nil {
+		return err
+	}
+	_, err = client.Give(ctx, &peerpb.GiveRequest{Row: row})
+	return err
+}
+
 // clientOf returns a client of an instance; this one is reached by its own
 // peer address like any other.
 func (h *Hub) clientOf(instance string) (peerpb.Peer, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"gentianstand/internal/config"
 	"gentianstand/internal/fault"
 	"gentianstand/internal/fleet"
 	"gentianstand/internal/live"
 	"gentianstand/internal/membership"
 	"gentianstand/internal/owner"
+	"gentianstand/internal/ownership"
 	"gentianstand/internal/peer/peerpb"
 	"gentianstand/internal/planner"
 )
@@ -23,11 +26,12 @@
 	owner   *owner.Owner
 	planner *planner.Planner
 	config  *config.Current
+	keeper  *ownership.Keeper
 }
 
 // NewServer returns the server of process me.
-func NewServer(me live.Process, hub *Hub, elector *membership.Elector, o *owner.Owner, p *planner.Planner, c *config.Current) *Server {
-	return &Server{me: me, hub: hub, elector: elector, owner: o, planner: p, config: c}
+func NewServer(me live.Process, hub *Hub, elector *membership.Elector, o *owner.Owner, p *planner.Planner, c *config.Current, k *ownership.Keeper) *Server {
+	return &Server{me: me, hub: hub, elector: elector, owner: o, planner: p, config: c, keeper: k}
 }
 
 // Beat implements peerpb.Peer.
@@ -48,6 +52,16 @@
 	return &peerpb.FenceReply{From: processToMessage(s.me)}, nil
 }
 
+// Give implements peerpb.Peer.
+func (s *Server) Give(_ context.Context, req *peerpb.GiveRequest) (*peerpb.GiveReply, error) {
+	var shard live.Shard
+	if err := json.Unmarshal(req.GetRow(), &shard); err != nil {
+		return nil, twirp.InvalidArgumentError("row", err.Error())
+	}
+	s.keeper.Given(shard)
+	return &peerpb.GiveReply{}, nil
+}
+
 // Report implements peerpb.Peer.
 func (s *Server) Report(ctx context.Context, req *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
 	reports := make([]fleet.Report, 0, len(req.GetWorkers()))
--- a/test/cell/fakes_test.go
+++ b/test/cell/fakes_test.go
@@ -136,6 +136,14 @@
 	return err
 }
 
+func (p peers) Give(ctx context.Context, shard live.Shard) error {
+	_, err := toPeer(ctx, p, shard.Owner.Instance, func(m *member) (struct{}, error) {
+		m.keeper.Given(shard)
+		return struct{}{}, nil
+	})
+	return err
+}
+
 func (p peers) Assign(ctx context.Context, instance string, order fleet.Order) error {
 	_, err := toPeer(ctx, p, instance, func(m *member) (struct{}, error) {
 		return struct{}{}, m.owner.Assign(order)
