--- a/internal/cell/closing.go
+++ b/internal/cell/closing.go
@@ -27,7 +27,7 @@
 	c.known.changed(w.ID)
 }
 
-// knownWorker returns what to store of a worker.
+// known returns what to store of a worker.
 func (w *worker) known() KnownWorker {
 	k := KnownWorker{ID: w.ID, Address: w.Address, Closed: w.closed}
 	if !w.closed {
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -15,9 +15,9 @@
 	parkAfter = 2 * time.Second
 	// parkPeriod is how often workers are parked.
 	parkPeriod = time.Second
-	// rousers is for how many stages, the most urgent ones, a planning pass wakes
+	// wakersPerPass is for how many stages, the most urgent ones, a planning pass wakes
 	// parked workers. Each of them goes through all workers.
-	rousers = 8
+	wakersPerPass = 8
 	// comingFor is how long a woken worker counts as room that is about to come: a
 	// commit and a look, some 20 ms, or half a second where the store is slow.
 	comingFor = 500 * time.Millisecond
@@ -89,7 +89,7 @@
 // wakeFor wakes parked workers for the idle tasks of a stage that the usable ones
 // have no room for, and reports whether some are coming.
 func (c *Cell) wakeFor(s *stage, room *room, now time.Time) bool {
-	if c.parked == 0 || room.woken == rousers {
+	if c.parked == 0 || room.woken == wakersPerPass {
 		return false
 	}
 	room.woken++
