A woken worker is used only after the store names it

Found in the last read of the change: a commit that names a worker may be under way when the worker is parked; its success marked the worker as stored, the next commit removed it from the store, and when it was woken it could get a run before the store named it again. A take-over at that moment would have started the run a second time. Parking and taking back now go through one function, which asks for a new commit and report either way; two copies of the bookkeeping are gone.

--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -47,8 +47,7 @@
 			c.unregister(w, now)
 		}
 		if w.parked {
-			w.parked = false
-			c.parked--
+			c.setParked(w, false)
 		}
 		w.saved = !k.Closed
 		if k.Closed {
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -59,12 +59,23 @@
 		return idle[a].ID < idle[b].ID
 	})
 	for _, w := range idle[:len(idle)-spare] {
-		w.parked, w.saved, w.reported = true, false, false
-		c.parked++
+		c.setParked(w, true)
 		c.known.changed(w.ID)
 	}
 }
 
+// setParked parks a worker or takes it back. Either way it is used only after the
+// store names it and it has reported: a commit that was under way when it was parked
+// may have marked it as stored since.
+func (c *Cell) setParked(w *worker, parked bool) {
+	w.parked, w.saved, w.reported = parked, false, false
+	if parked {
+		c.parked++
+		return
+	}
+	c.parked--
+}
+
 // mayPark reports whether nothing of ours can be on an idle worker and nothing is
 // left to tell it.
 func (w *worker) mayPark(now time.Time) bool {
@@ -74,8 +85,7 @@
 // wakeUp has a parked worker looked at, and used as soon as the store names it and
 // it has answered.
 func (c *Cell) wakeUp(w *worker, now time.Time) {
-	w.parked = false
-	c.parked--
+	c.setParked(w, false)
 	w.wokenAt, w.idleSince = now, now
 	c.known.changed(w.ID)
 	c.orders = append(c.orders, LookOrder{Worker: w.ID})
--- a/internal/cell/parking_test.go
+++ b/internal/cell/parking_test.go
@@ -174,3 +174,44 @@
 		t.Errorf("%d workers are awake after a long time, want 1", got)
 	}
 }
+
+// Symptom: a task runs twice after a take-over.
+// Sequence: a worker is parked while a commit that names it is under way; the commit
+// is stored, the next one no longer names the worker; then it is woken.
+// Cause: the late success marks it as stored, so it gets a run before the store names
+// it again, and the next owner does not look for the run there.
+func TestAWokenWorkerGetsNothingBeforeItIsStored(t *testing.T) {
+	s := idleSite(t, 2, 1)
+	for _, w := range s.cell.workers {
+		if w.parked {
+			s.cell.wakeUp(w, s.now)
+		}
+	}
+	s.commit()
+	s.hear()
+	s.plan()
+	for id := range s.cell.workers {
+		s.cell.known.changed(id)
+	}
+	underWay := s.cell.NextCommit(100)
+	for range 4 {
+		s.pass(parkPeriod)
+		s.hear()
+		s.plan()
+	}
+	if got := len(s.cell.WorkerIDs()); got != 1 {
+		t.Fatalf("%d workers are awake, want 1", got)
+	}
+	s.cell.Committed(underWay)
+	s.commit()
+	s.cell.Add(s.record(1, wide(2)), true)
+	started := len(s.plan())
+	s.hear()
+	if started += len(s.plan()); started != 1 {
+		t.Errorf("%d starts before the woken worker is stored, want 1", started)
+	}
+	s.commit()
+	if got := len(s.plan()); got != 1 {
+		t.Errorf("%d starts after it is stored, want 1", got)
+	}
+}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -42,8 +42,7 @@
 		w = newWorker(r)
 		c.workers[r.ID] = w
 		if awake := len(c.workers) - 1 - c.parked; c.settings.SpareWorkers > 0 && awake >= c.settings.SpareWorkers {
-			w.parked = true
-			c.parked++
+			c.setParked(w, true)
 		} else {
 			c.known.changed(r.ID)
 		}
