--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -91,6 +91,9 @@
 	c.orders = append(c.orders, LookOrder{Worker: w.ID})
 }
 
+// mayWake reports whether a worker is parked and may be used again.
+func (w *worker) mayWake() bool { return w.parked && !w.Draining && w.unlistedAt.IsZero() }
+
 // coming reports whether a worker was woken and will be usable in a moment.
 func (w *worker) coming(now time.Time) bool {
 	return !w.parked && !w.wokenAt.IsZero() && now.Sub(w.wokenAt) < comingFor && !w.usable(now)
@@ -116,19 +119,26 @@
 		switch {
 		case w.coming(now):
 			wanted -= c.takes(s, w) * share
-		case w.parked && !w.Draining && w.unlistedAt.IsZero():
+		case w.mayWake():
 			parked = append(parked, w)
 		}
 	}
 	sort.Slice(parked, func(a, b int) bool { return s.wakesFirst(parked[a], parked[b]) })
-	for _, w := range parked {
+	c.wakeSome(s, parked, wanted, share, now)
+	return wanted <= 0 || len(parked) > 0
+}
+
+// wakeSome wakes workers in their order until the tasks that are wanted have room,
+// share of which is counted, and returns how many it woke.
+func (c *Cell) wakeSome(s *stage, parked []*worker, wanted, share float64, now time.Time) int {
+	for i, w := range parked {
 		if wanted <= 0 {
-			break
+			return i
 		}
 		c.wakeUp(w, now)
 		wanted -= c.takes(s, w) * share
 	}
-	return wanted <= 0 || len(parked) > 0
+	return len(parked)
 }
 
 // wakesFirst reports whether a stage has a woken before b: near its data, and
@@ -191,7 +201,7 @@
 			continue
 		}
 		switch {
-		case w.parked && !w.Draining && w.unlistedAt.IsZero():
+		case w.mayWake():
 			parked = append(parked, w)
 		case w.coming(now):
 			coming = true
@@ -200,13 +210,5 @@
 			wanted -= c.takes(s, w)
 		}
 	}
-	for _, w := range parked {
-		if wanted <= 0 {
-			break
-		}
-		c.wakeUp(w, now)
-		coming = true
-		wanted -= c.takes(s, w)
-	}
-	return coming
+	return c.wakeSome(s, parked, wanted, 1, now) > 0 || coming
 }
