A further attempt at a write does not throw the first one away

The repeat then found the record of the attempt that was given up, took it for another submission's, and did not tell the owner: 52 jobs began 1.0 to 2.9 s late, when the owner next read the store.

Now the next attempt starts beside the first one and any answer counts. A record carries a number drawn for each submission; the one that this submission wrote is recognised and told. TestCreateSettlesALostAnswer demanded that it is not told, because a repeat at another instance must not look new to a later owner; that case now has a test of its own, and the old one demands that the own record is told.

--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -1,9 +1,11 @@
 package celljobs
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,20 +13,10 @@
 	"gentianstand/internal/store"
 )
 
-// unknownRetry is the pause before a write whose outcome is unknown is tried
-// again. The store answers in a few milliseconds when it is well.
-const unknownRetry = 60 * time.Millisecond
-
 // probeTimeout bounds a probe: a store that is 60 times slower answers a read within
 // 0.3 s.
 const probeTimeout = 500 * time.Millisecond
 
-// lostForGood is how long the store must have been lost for a write with an
-// unknown outcome to be given up. Single answers get lost for less, and outages
-// last from two to ten seconds: a caller who waits three would learn nothing
-// more by waiting on, and could have asked again.
-const lostForGood = 1200 * time.Millisecond
-
 // Jobs writes and reads the jobs of one cell.
 type Jobs struct {
 	store *store.Watched
@@ -44,7 +36,7 @@
 func (b *Jobs) Owns(partition string) bool { return strings.HasPrefix(partition, b.cell+"/") }
 
 // Create stores a record. A record that is already there counts as stored, so a
-// submission may be repeated; created says that this call wrote it. It returns
+// submission may be repeated; created says that this submission wrote it. It returns
 // store.ErrUnavailable only if no attempt can have taken effect, and
 // store.ErrUnknown otherwise.
 func (b *Jobs) Create(ctx context.Context, r *job.Record) (created bool, err error) {
@@ -59,11 +51,20 @@
 	}
 	var conflict *store.ConflictError
 	if err = b.settle(ctx, tx); errors.As(err, &conflict) {
-		return false, nil
+		return isStored(tx.Puts[0], conflict.Rows), nil
 	}
 	return err == nil, err
 }
 
+// isStored reports whether one of the rows is what a put writes: then an attempt
+// whose answer is missing has taken effect. Records differ in their submission, so
+// the row of another submission of the same job is not taken for it.
+func isStored(put store.Put, rows []store.Row) bool {
+	return slices.ContainsFunc(rows, func(row store.Row) bool {
+		return row.Table == put.Table && row.Key == put.Key && bytes.Equal(row.Value, put.Value)
+	})
+}
+
 // Probe asks the store for something harmless, and returns an error unless it
 // answers soon.
 func (b *Jobs) Probe(ctx context.Context, id string) error {
@@ -113,33 +114,6 @@
 	return false, nil
 }
 
-// settle repeats a transaction while its outcome is unknown and ctx allows. The
-// transactions here may be repeated: a second effect finds the first one's row.
-func (b *Jobs) settle(ctx context.Context, tx store.Tx) error {
-	unknown := false
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, b.store.Limit())
-		_, err := b.store.Commit(callCtx, tx)
-		cancel()
-		switch {
-		case errors.Is(err, store.ErrUnknown):
-			unknown = true
-		case errors.Is(err, store.ErrUnavailable) && unknown:
-			// This attempt did nothing, but an earlier one may have.
-		default:
-			return err
-		}
-		if lost := b.store.LostFor(time.Now()); lost > lostForGood {
-			return fmt.Errorf("%w: it has been lost for %s", store.ErrUnknown, lost.Round(time.Millisecond))
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("%w: gave up", store.ErrUnknown)
-		case <-time.After(unknownRetry):
-		}
-	}
-}
-
 // State reads the state of a job; ok is false if it was never accepted.
 func (b *Jobs) State(ctx context.Context, id string) (state job.State, ok bool, err error) {
 	record, err := b.store.Get(ctx, TableJobs, b.RecordPartition(id), JobKey(id))
--- a/internal/celljobs/jobs_test.go
+++ b/internal/celljobs/jobs_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gentianstand/internal/job"
@@ -29,7 +31,7 @@
 	if len(tx.Checks) > 0 && l.row.Version != tx.Checks[0].Version {
 		return 0, &store.ConflictError{Rows: []store.Row{l.row}}
 	}
-	l.row = store.Row{Key: tx.Puts[0].Key, Value: tx.Puts[0].Value, Version: l.row.Version + 1}
+	l.row = store.Row{Table: tx.Puts[0].Table, Key: tx.Puts[0].Key, Value: tx.Puts[0].Value, Version: l.row.Version + 1}
 	if l.losses > 0 {
 		l.losses--
 		return 0, store.ErrUnknown
@@ -43,21 +45,97 @@
 	return &job.Record{ID: "5c0e7a21d94b36f8", Steps: []job.Step{{Count: 1}}}
 }
 
-// Symptom: a caller was told that its job was not accepted, and it ran.
+// Symptom: a caller was told that its job was not accepted, and it ran; or a job
+// began seconds late.
 // Sequence: the store takes the record and its answer is lost; the repeat finds
 // the record.
-// Cause: the repeat's conflict was told as a failure.
+// Cause: the repeat's conflict was told as a failure; then it was taken for the
+// record of another submission, and the owner was not told.
 func TestCreateSettlesALostAnswer(t *testing.T) {
 	l := &lossy{losses: 1}
 	created, err := newJobs(l).Create(t.Context(), record())
-	if err != nil || created {
-		t.Errorf("created %v, error %v; want accepted, and not told as new", created, err)
+	if err != nil || !created {
+		t.Errorf("created %v, error %v; want accepted, and told as new", created, err)
 	}
 	if l.calls != 2 {
 		t.Errorf("%d calls, want 2", l.calls)
 	}
 }
 
+// Symptom: a task runs twice around a take-over.
+// Sequence: a caller hands a job in again at another instance; that instance tells
+// the new owner of it, which then takes it for one that no earlier owner has begun.
+// Cause to be ruled out: the record of an earlier submission is taken for the own.
+func TestRecordOfAnEarlierSubmissionIsNotNew(t *testing.T) {
+	l := &lossy{}
+	jobs := newJobs(l)
+	first, repeat := record(), record()
+	first.Submission, repeat.Submission = 1, 2
+	if created, err := jobs.Create(t.Context(), first); err != nil || !created {
+		t.Fatalf("first: created %v, error %v", created, err)
+	}
+	l.losses = 1
+	if created, err := jobs.Create(t.Context(), repeat); err != nil || created {
+		t.Errorf("repeat: created %v, error %v; want accepted, and not told as new", created, err)
+	}
+}
+
+// slow is a store that answers each write after some time.
+type slow struct {
+	*lossy
+	mu    sync.Mutex
+	takes []time.Duration
+}
+
+func (s *slow) Commit(ctx context.Context, tx store.Tx) (uint64, error) {
+	s.mu.Lock()
+	version, err := s.lossy.Commit(ctx, tx)
+	takes := s.takes[min(s.calls, len(s.takes))-1]
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return 0, store.ErrUnknown
+	case <-time.After(takes):
+		return version, err
+	}
+}
+
+// Symptom: in the first second of a slow store jobs are accepted after 1.3 s instead
+// of 0.7 s.
+// Sequence: the first attempt is given up after 0.45 s, and the next one needs 0.7 s
+// again.
+// Cause: the answer to the first attempt was thrown away.
+func TestAnswerToTheFirstAttemptCountsWhileTheSecondIsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slow{lossy: &lossy{}, takes: []time.Duration{700 * time.Millisecond}}
+		began := time.Now()
+		created, err := New(store.NewWatched(s), "cell").Create(t.Context(), record())
+		if err != nil || !created {
+			t.Errorf("created %v, error %v", created, err)
+		}
+		if took := time.Since(began); took != 700*time.Millisecond {
+			t.Errorf("took %v, want as long as the first answer", took)
+		}
+	})
+}
+
+// Symptom: a caller waits for its whole deadline although the store is well.
+// Sequence: the connection of the first attempt has gone silent.
+// Cause to be ruled out: the write waits for an answer that never comes.
+func TestSecondAttemptOvertakesASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slow{lossy: &lossy{}, takes: []time.Duration{time.Hour, 4 * time.Millisecond}}
+		began := time.Now()
+		created, err := New(store.NewWatched(s), "cell").Create(t.Context(), record())
+		if err != nil || !created {
+			t.Errorf("created %v, error %v", created, err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
 // Symptom: a caller was told "never runs" about a job that ran.
 // Sequence: the first write has no answer, the second is refused.
 // Cause: only the last attempt was looked at.
--- /dev/null
+++ b/internal/celljobs/settle.go
@@ -0,0 +1,109 @@
+package celljobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"gentianstand/internal/store"
+)
+
+const (
+	// unknownRetry is the pause before a write whose outcome is unknown is tried
+	// again. The store answers in a few milliseconds when it is well.
+	unknownRetry = 60 * time.Millisecond
+	// lostForGood is how long the store must have been lost for a write with an
+	// unknown outcome to be given up. Single answers get lost for less, and outages
+	// last from two to ten seconds: a caller who waits three would learn nothing
+	// more by waiting on, and could have asked again.
+	lostForGood = 1200 * time.Millisecond
+	// attemptFactor is how many times the usual wait an attempt may take in all: a
+	// store that has just become 100 times slower answers after 0.7 s, and the wait
+	// begins at 0.45 s.
+	attemptFactor = 2
+	// attemptsOpen bounds the attempts of one write that wait for an answer.
+	attemptsOpen = 3
+)
+
+// attempts are the attempts at one transaction. It may be applied more than once:
+// the second time it finds the rows of the first.
+//
+// Load pattern: a store becomes 100 times slower for five seconds. The first writes
+// of each instance were given up after 0.45 s and made again, and took 1.3 s where
+// the answer to the first attempt came after 0.7 s.
+type attempts struct {
+	store *store.Watched
+	tx    store.Tx
+	ended chan error
+	open  int
+	// unknown says that an attempt ended without an answer.
+	unknown bool
+}
+
+// settle makes attempts at a transaction, a further one whenever no answer has
+// come for the usual time, until one is answered, ctx ends, or the store is lost.
+// It returns store.ErrUnavailable only if no attempt can have taken effect.
+func (b *Jobs) settle(ctx context.Context, tx store.Tx) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := &attempts{store: b.store, tx: tx, ended: make(chan error, attemptsOpen)}
+	for {
+		if a.open < attemptsOpen {
+			a.begin(ctx)
+		}
+		if done, err := a.await(ctx); done {
+			return err
+		}
+		if lost := b.store.LostFor(time.Now()); lost > lostForGood {
+			return fmt.Errorf("%w: it has been lost for %s", store.ErrUnknown, lost.Round(time.Millisecond))
+		}
+	}
+}
+
+// begin sends the transaction once more.
+func (a *attempts) begin(ctx context.Context) {
+	a.open++
+	limit := attemptFactor * a.store.Limit()
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		_, err := a.store.Commit(callCtx, a.tx)
+		a.ended <- err
+	}()
+}
+
+// await waits until an attempt settles the outcome, or it is time for another one.
+func (a *attempts) await(ctx context.Context) (done bool, err error) {
+	next := time.NewTimer(a.store.Limit())
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return true, fmt.Errorf("%w: gave up", store.ErrUnknown)
+		case <-next.C:
+			return false, nil
+		case err := <-a.ended:
+			if a.settles(err) {
+				return true, err
+			}
+			if a.open == 0 {
+				next.Reset(unknownRetry)
+			}
+		}
+	}
+}
+
+// settles takes in how an attempt ended and reports whether that is the outcome. An
+// attempt that did nothing tells nothing about one whose answer is missing.
+func (a *attempts) settles(err error) bool {
+	a.open--
+	switch {
+	case errors.Is(err, store.ErrUnknown):
+		a.unknown = true
+		return false
+	case errors.Is(err, store.ErrUnavailable):
+		return !a.unknown && a.open == 0
+	}
+	return true
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -67,6 +68,7 @@
 	if err := r.Check(); err != nil {
 		return fault.New(fault.BadRequest, "job %s: %w", r.ID, err)
 	}
+	r.Submission = rand.Uint64()
 	created, err := i.create(ctx, r)
 	i.metrics.SubmitSeconds.UpdateDuration(began)
 	if err != nil {
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -36,6 +36,9 @@
 	// Withdrawn marks the record of a job that was cancelled before it was
 	// known. It keeps a delayed write of the submission from taking effect.
 	Withdrawn bool `cbor:"13,keyasint,omitempty"`
+	// Submission is drawn for each submission by a caller, so that an instance can
+	// tell the record that it wrote itself from that of a repeat.
+	Submission uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
