An owner whose machine refuses connections is overtaken after 0.3 s

The machine of a process that ended refuses connections at once.

Ruled out: a refusal as proof that the process has ended (cuts refuse, too); the successor therefore still treats the earlier owner as one that may act, as the existing test demands. What stays: two refusals 0.1 s apart, no instance that heard the owner within a ping period, then the candidates in their order.

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -29,7 +29,7 @@
 	now := time.Now()
 	switch {
 	case err != nil:
-		l.ownerSilent(ctx, known, now)
+		l.ownerSilent(ctx, known, err, now)
 	case reply.Term > known.Term:
 		l.refresh(ctx)
 	case !reply.Owner:
@@ -63,6 +63,7 @@
 	l.mu.Lock()
 	l.heardAt = now
 	l.vacantFrom = time.Time{}
+	l.refusals = 0
 	l.mu.Unlock()
 	lost := time.Duration(reply.StoreLostMillis) * time.Millisecond
 	limit := max(storelessLimit, l.store.Limit()) + l.delay(known.Term)
@@ -71,29 +72,42 @@
 	}
 }
 
-func (l *Leader) ownerSilent(ctx context.Context, known claim, now time.Time) {
+func (l *Leader) ownerSilent(ctx context.Context, known claim, err error, now time.Time) {
 	l.clients.Distrust(known.Address)
 	if l.refresh(ctx); l.current().version > known.version {
 		return
 	}
-	l.mu.Lock()
-	silentFrom := l.heardAt
-	if silentFrom.IsZero() {
-		if l.vacantFrom.IsZero() {
-			l.vacantFrom = now
-		}
-		silentFrom = l.vacantFrom
-	}
-	l.mu.Unlock()
-	if now.Sub(silentFrom) < silentLimit+l.delay(known.Term) {
+	silence := l.noteSilence(err, now)
+	silent, heard := silence.limits()
+	if now.Sub(silence.from) < silent+l.delay(known.Term) {
 		return
 	}
-	if l.othersHear(ctx, known) {
+	if l.othersHear(ctx, known, heard) {
 		return
 	}
 	l.take(ctx, known, takeOver{"the owner is silent", false})
 }
 
+// noteSilence takes in that a ping failed. After a refusal the next one follows soon.
+func (l *Leader) noteSilence(err error, now time.Time) silence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cellpeer.Refused(err) {
+		l.refusals++
+		time.AfterFunc(refusedPause, l.stepSoon)
+	} else {
+		l.refusals = 0
+	}
+	from := l.heardAt
+	if from.IsZero() {
+		if l.vacantFrom.IsZero() {
+			l.vacantFrom = now
+		}
+		from = l.vacantFrom
+	}
+	return silence{from, l.refusals}
+}
+
 func (l *Leader) setVacant(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,9 +170,9 @@
 	return h.Sum32()
 }
 
-// othersHear reports whether another instance heard the owner lately: then this
-// one is cut off from it, and a take-over would only disturb.
-func (l *Leader) othersHear(ctx context.Context, known claim) bool {
+// othersHear reports whether another instance heard the owner within a time: then
+// this one is cut off from it, and a take-over would only disturb.
+func (l *Leader) othersHear(ctx context.Context, known claim, lately time.Duration) bool {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	others := slices.DeleteFunc(l.directory.Others(), func(i cellpeer.Instance) bool { return i.Name == known.Holder })
@@ -167,7 +181,7 @@
 			continue
 		}
 		heard := answer.Reply.HeardMillis
-		if answer.Reply.Term == known.Term && heard >= 0 && heard < heardLately.Milliseconds() {
+		if answer.Reply.Term == known.Term && heard >= 0 && heard < lately.Milliseconds() {
 			return true
 		}
 	}
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -30,11 +30,14 @@
 	known claim
 	// heardAt is when the owner last confirmed that it is one.
 	heardAt time.Time
+	// refusals is how many pings of the owner in a row were refused.
+	refusals int
 	// vacantFrom is since when nobody is known to own the cell.
 	vacantFrom time.Time
 	term       *term
 	stopping   bool
-	wake       chan struct{}
+	// wake has the next step taken at once.
+	wake chan struct{}
 }
 
 // New returns a leader that owns nothing.
@@ -71,6 +74,14 @@
 	}
 }
 
+// stepSoon has the next step taken without waiting for its turn.
+func (l *Leader) stepSoon() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // step is one round: an owner verifies its claim, another instance follows.
 func (l *Leader) step(ctx context.Context) {
 	l.mu.Lock()
@@ -168,6 +179,7 @@
 	if c.version > l.known.version {
 		l.log.WithFields(logrus.Fields{"owner": c.Holder, "term": c.Term, "released": c.Released}).Info("owner_known")
 		l.heardAt = time.Time{}
+		l.refusals = 0
 		l.vacantFrom = time.Now()
 	}
 	l.known = c
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -10,6 +10,15 @@
 	// silentLimit is how long the owner may be silent. Three pings in a row have
 	// failed then; a pause of the runtime or a busy processor takes less.
 	silentLimit = 900 * time.Millisecond
+	// refusalsEnough pings that are refused in a row, refusedPause apart, make an owner
+	// count as gone after refusedLimit: one refusal may come from a restart of less
+	// than that.
+	refusalsEnough = 2
+	refusedPause   = 100 * time.Millisecond
+	refusedLimit   = 300 * time.Millisecond
+	// refusedHeard is heardLately for an owner that refuses connections. Each instance
+	// pings it every pingPeriod, so another one that reaches it has heard it within.
+	refusedHeard = pingPeriod
 	// storelessLimit is how long the store may not serve the owner while it serves
 	// the asking instance. In a store that is 60 times slower some call is answered
 	// every 0.3 s, and a take-over there, which reads everything, takes 2.6 s.
--- /dev/null
+++ b/internal/cellleader/silence_test.go
@@ -0,0 +1,36 @@
+package cellleader
+
+import (
+	"testing"
+	"time"
+)
+
+// Symptom: after a crash of the owner no task starts for 1.4 s.
+// Sequence: the owner's process ends; its machine refuses connections at once.
+// Cause: refusals were waited for as long as for an answer that is late.
+func TestRefusalsCountSoonerThanSilence(t *testing.T) {
+	for _, test := range []struct {
+		refusals      int
+		silent, heard time.Duration
+	}{
+		{0, silentLimit, heardLately},
+		{refusalsEnough - 1, silentLimit, heardLately},
+		{refusalsEnough, refusedLimit, refusedHeard},
+		{refusalsEnough + 1, refusedLimit, refusedHeard},
+	} {
+		silent, heard := silence{refusals: test.refusals}.limits()
+		if silent != test.silent || heard != test.heard {
+			t.Errorf("%d refusals: silent %v, heard %v, want %v and %v", test.refusals, silent, heard, test.silent, test.heard)
+		}
+	}
+}
+
+// Symptom: a living owner is overtaken.
+// Sequence: it refuses an instance twice, and answers the others, which ping it once
+// in each period.
+// Cause to be ruled out: what the others heard in their last period does not count.
+func TestOthersArePingedWithinTheTimeThatCounts(t *testing.T) {
+	if refusedHeard < pingPeriod || heardLately < pingPeriod {
+		t.Errorf("%v and %v, but the others ping every %v", refusedHeard, heardLately, pingPeriod)
+	}
+}
