Tasks that may run twice are copied when their run is doubtful

A run that is being stopped, slow, or on a silent worker now gets a second one elsewhere; the first to end counts and the other is stopped. The failure of a run whose task is done no longer counts towards the job's attempts.

Ruled out: more than two runs of a task, and copies beside their original (tests).

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -43,6 +43,9 @@
 	// seenStopping says that a report after the stop's answer still showed the
 	// run, so that its end will be listed.
 	seenStopping bool
+	// slow says that another run of the task would end sooner; only of tasks that may
+	// run twice, runs of others are stopped.
+	slow bool
 	// makesRoomFor is the stage that the run was preempted for, or nil.
 	makesRoomFor *stage
 }
--- a/internal/cell/closing.go
+++ b/internal/cell/closing.go
@@ -17,8 +17,7 @@
 // store therefore says of such a worker that nothing was started there since, and
 // what may still be there: only those tasks have to wait.
 func (c *Cell) watchClosing(w *worker, now time.Time) {
-	silent := !w.failingAt.IsZero() && now.Sub(w.failingAt) >= closeAfter
-	closed := w.Draining || silent || (w.closed && !w.reported)
+	closed := w.Draining || w.silent(now) || (w.closed && !w.reported)
 	if closed == w.closed {
 		return
 	}
@@ -27,6 +26,11 @@
 	c.known.changed(w.ID)
 }
 
+// silent reports whether a worker has not answered for some time.
+func (w *worker) silent(now time.Time) bool {
+	return !w.failingAt.IsZero() && now.Sub(w.failingAt) >= closeAfter
+}
+
 // known returns what to store of a worker.
 func (w *worker) known() KnownWorker {
 	k := KnownWorker{ID: w.ID, Address: w.Address, Closed: w.closed}
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -103,6 +103,10 @@
 // taskFailed counts a failed run once and gives the job up when its attempts
 // are used up. Tasks that last may fail any number of times.
 func (c *Cell) taskFailed(t *task, w *worker, run uint64, now time.Time) {
+	if t.done {
+		// A copy of it succeeded.
+		return
+	}
 	counted := t
 	if t.stage.step.Gang {
 		// A gang fails as a whole, whichever members list it.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -139,11 +139,15 @@
 		if !room.allows(s.job.record.Priority, need.MilliCPU) {
 			return
 		}
-		at := c.pick(s, s.tasks[index], fitting)
+		t := s.tasks[index]
+		at := c.pick(s, t, fitting)
+		if at < 0 && len(t.attempts) > 0 {
+			// The others may take the worker on which this one runs.
+			continue
+		}
 		if at < 0 {
 			return
 		}
-		t := s.tasks[index]
 		c.start(t, fitting[at], t.nextRun(c.settings.Term), now)
 		room.free -= need.MilliCPU
 	}
@@ -160,7 +164,7 @@
 	second := -1
 	for i := range fitting {
 		w := fitting[i].w
-		if !need.Fits(w.free()) || !c.eligible(s, w) {
+		if !need.Fits(w.free()) || !c.eligible(s, w) || !t.mayTake(w) {
 			continue
 		}
 		if !slices.Contains(t.failedOn, w.ID) {
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -14,7 +14,8 @@
 	step  *job.Step
 	after []*stage
 	tasks []*task
-	// idle are the indexes of tasks without a run that are not done, ascending.
+	// idle are the indexes of tasks to place, ascending: those without a run that are
+	// not done, and those that are to have another one.
 	idle []int
 	done int
 	// toEnd is the ideal time from the stage's start to the end of the job.
@@ -86,15 +87,16 @@
 	}
 }
 
-// addIdle puts a task among the idle ones.
-func (s *stage) addIdle(index int) {
+// addIdle puts a task among the idle ones and reports whether it was not there.
+func (s *stage) addIdle(index int) bool {
 	at := sort.SearchInts(s.idle, index)
 	if at < len(s.idle) && s.idle[at] == index {
-		return
+		return false
 	}
 	s.idle = append(s.idle, 0)
 	copy(s.idle[at+1:], s.idle[at:])
 	s.idle[at] = index
+	return true
 }
 
 // runs returns how many runs of the stage exist.
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -11,6 +11,7 @@
 	Stops        uint64
 	Preemptions  uint64
 	Moves        uint64
+	Copies       uint64
 	AdviceCalls  uint64
 	ActiveJobs   int
 	Workers      int
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -53,6 +53,7 @@
 		case a.phase == running:
 			c.watchProgress(a, now)
 		}
+		c.copyIfDoubtful(a, now)
 	}
 	if w.servers > 0 && w.fillers > 0 {
 		c.paceFillers(w, now)
@@ -114,27 +115,43 @@
 		c.stop(a, "stalled", now)
 		return
 	}
-	if c.slow(a, now) {
+	if !a.slow && c.slow(a) {
 		c.log.WithFields(attemptFields(a)).WithField("elapsed_ms", a.elapsed(now).Milliseconds()).Info("run_slow")
 		a.worker.health.failed(a.task.stage.id.Job, now)
+		if step.AllowDuplicates {
+			a.slow = true
+			return
+		}
 		c.stats.Moves++
 		c.stop(a, "slow", now)
+		return
 	}
+	a.slow = a.slow || step.AllowDuplicates && c.copyPays(a)
 }
 
 // slow reports whether a run would take much longer here than a fresh one.
-func (c *Cell) slow(a *attempt, now time.Time) bool {
-	elapsed := a.changedAt.Sub(a.confirmedAt)
-	if elapsed < slowLeast || a.percent <= 0 || a.percent >= 90 {
+func (c *Cell) slow(a *attempt) bool {
+	if a.changedAt.Sub(a.confirmedAt) < slowLeast || a.percent <= 0 || a.percent >= 90 {
 		return false
 	}
-	step := a.task.stage.step
-	left := time.Duration(float64(elapsed) * float64(100-a.percent) / float64(a.percent))
+	fresh := c.freshDuration(a)
+	return a.projectedLeft() > time.Duration(slowFactor*float64(fresh+c.settings.StopGrace))+slowLeast
+}
+
+// projectedLeft returns how long a run with some progress still needs at its speed
+// so far.
+func (a *attempt) projectedLeft() time.Duration {
+	elapsed := a.changedAt.Sub(a.confirmedAt)
+	return time.Duration(float64(elapsed) * float64(100-a.percent) / float64(a.percent))
+}
+
+// freshDuration returns how long another run of the attempt's task would take.
+func (c *Cell) freshDuration(a *attempt) time.Duration {
 	fresh := c.usualDuration(a)
-	if step.Checkpoint && a.task.saved != "" {
-		fresh = fresh * time.Duration(100-a.percent) / 100
+	if a.task.stage.step.Checkpoint && a.task.saved != "" {
+		return fresh * time.Duration(100-a.percent) / 100
 	}
-	return left > time.Duration(slowFactor*float64(fresh+c.settings.StopGrace))+slowLeast
+	return fresh
 }
 
 // usualDuration returns how long a fresh run of the attempt's task would take:
