A run that shows no progress at all is moved after 0.8 s instead of 1.8 s

A task of a second shows its first percent after 10 ms, on a worker six times slower after 60 ms.

Ruled out: runs that resume from a checkpoint (their first percent comes after the restore) keep the longer limit; so do runs that have shown progress (test).

--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -20,6 +20,12 @@
 	// stallShare of the estimate without progress counts as a stall, as progress
 	// in whole percents of a long task moves rarely.
 	stallShare = 0.25
+	// freshLeast and freshShare of the estimate are the same for a run that began
+	// without a checkpoint and has made no progress at all: a task of a second shows
+	// the first percent after 10 ms, and on a worker that is six times slower after
+	// 60 ms.
+	freshLeast = 800 * time.Millisecond
+	freshShare = 0.1
 	// slowFactor is how much longer than a fresh start elsewhere a run has to
 	// need before it is moved: stopping and the estimate's error cost something.
 	slowFactor = 1.6
@@ -106,7 +112,7 @@
 		return
 	}
 	still := now.Sub(a.changedAt)
-	limit := max(stallLeast, time.Duration(stallShare*float64(step.Estimate)))
+	limit := a.stallLimit()
 	// A worker whose reports stop coming is not a stalled task.
 	if still > limit && a.worker.lastReport.Sub(a.changedAt) > limit {
 		c.log.WithFields(attemptFields(a)).WithField("still_ms", still.Milliseconds()).Info("run_stalled")
@@ -129,6 +135,18 @@
 	a.slow = a.slow || step.AllowDuplicates && c.copyPays(a)
 }
 
+// stallLimit returns how long a run may go without progress.
+//
+// Load pattern: an eighth of the workers stand still for some seconds. What is
+// started there until they are avoided is late by this limit.
+func (a *attempt) stallLimit() time.Duration {
+	estimate := float64(a.task.stage.step.Estimate)
+	if a.fromStart && a.percent == 0 {
+		return max(freshLeast, time.Duration(freshShare*estimate))
+	}
+	return max(stallLeast, time.Duration(stallShare*estimate))
+}
+
 // slow reports whether a run would take much longer here than a fresh one.
 func (c *Cell) slow(a *attempt) bool {
 	if a.changedAt.Sub(a.confirmedAt) < slowLeast || a.percent <= 0 || a.percent >= 90 {
--- a/internal/cell/watch_test.go
+++ b/internal/cell/watch_test.go
@@ -105,3 +105,42 @@
 	}
 	t.Error("runs without progress were not stopped")
 }
+
+// Symptom: on days on which workers hang, short urgent tasks are 2 s late.
+// Sequence: a worker accepts a run and never makes any progress with it.
+// Cause: it was given as long as a run that stands still half-way.
+func TestRunThatNeverBeginsIsMovedSoon(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	starts := twoRuns(t, s)
+	for range 5 {
+		s.pass(250 * time.Millisecond)
+		s.progress(starts[0], 0)
+		s.progress(starts[1], 0)
+		s.report("a")
+		s.report("b")
+		s.plan()
+		if len(s.stops()) == 2 {
+			return
+		}
+	}
+	t.Error("runs without any progress were not stopped within 1.25 s")
+}
+
+// Symptom: sound runs are stopped as if they hung.
+// Sequence: a run of half a minute has shown its first percent after a second.
+// Cause to be ruled out: the short limit goes on after the first progress.
+func TestRunThatHasBegunIsGivenTime(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	starts := twoRuns(t, s)
+	for range 5 {
+		s.pass(250 * time.Millisecond)
+		s.progress(starts[0], 2)
+		s.progress(starts[1], 2)
+		s.report("a")
+		s.report("b")
+		s.plan()
+		if stopped := s.stops(); len(stopped) > 0 {
+			t.Fatalf("stopped on %v", stopped)
+		}
+	}
+}
