An instance that was cut off with others does not take the cell over when it is back

Its own connections were dead for one more timeout, the other cut ones had not heard the owner either, and nobody else answered its question. It was a weak instance: loading took 1.1 s, hearing all workers up to 5.3 s, and then it was overtaken as silent itself.

Now at least half of the others must answer or refuse the connection, or the store must have served this instance for as long as an owner may be silent. A first trial that asked for one answer only was not enough: cut instances answer one another.

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -82,7 +82,7 @@
 	if now.Sub(silence.from) < silent+l.delay(known.Term) {
 		return
 	}
-	if l.othersHear(ctx, known, heard) {
+	if !l.survey(ctx, known, heard).allows(l.store.GoodFor(time.Now())) {
 		return
 	}
 	l.take(ctx, known, takeOver{"the owner is silent", false})
@@ -170,22 +170,27 @@
 	return h.Sum32()
 }
 
-// othersHear reports whether another instance heard the owner within a time: then
-// this one is cut off from it, and a take-over would only disturb.
-func (l *Leader) othersHear(ctx context.Context, known claim, lately time.Duration) bool {
+// survey asks the other instances whether they heard the owner lately.
+func (l *Leader) survey(ctx context.Context, known claim, lately time.Duration) survey {
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	others := slices.DeleteFunc(l.directory.Others(), func(i cellpeer.Instance) bool { return i.Name == known.Holder })
+	result := survey{asked: len(others)}
 	for answer := range l.pingAll(callCtx, others, known.Term) {
+		if answer.Refused {
+			result.reached++
+		}
 		if answer.Reply == nil {
 			continue
 		}
+		result.reached++
 		heard := answer.Reply.HeardMillis
 		if answer.Reply.Term == known.Term && heard >= 0 && heard < lately.Milliseconds() {
-			return true
+			result.heard = true
+			break
 		}
 	}
-	return false
+	return result
 }
 
 func (l *Leader) ping(ctx context.Context, address string, term uint64) (*cellpb.PingReply, error) {
--- a/internal/cellpeer/survey.go
+++ b/internal/cellpeer/survey.go
@@ -12,6 +12,8 @@
 	Instance Instance
 	// Reply is nil if there was no answer.
 	Reply *cellpb.PingReply
+	// Refused says that nothing listens there; see Refused.
+	Refused bool
 }
 
 // PingAll sends a ping to instances at the same time and returns the answers as
@@ -26,7 +28,7 @@
 			if err != nil {
 				reply = nil
 			}
-			answers <- PingAnswer{instance, reply}
+			answers <- PingAnswer{instance, reply, Refused(err)}
 		})
 	}
 	go func() {
