A weak owner yields to a stronger instance; a hand-over waits for silent owners

Cause, found by reading for the yielding: an owner that takes over from a silent one may be asked to stop, or crash, at once. Its successor was told that no earlier owner acts any more, but the silent one may for 1.5 s after it was overtaken; it could start a task again whose success the third owner had acknowledged.

A hand-over now waits until the owner is 1.5 s old if it came after a silent one. The claim says whether it was made beside an owner that may live, and a new process of the holder reckons with that one, too. An owner that is at least as old hands the cell over to a stronger instance (TestWeakOwnerYieldsToAStrongerInstance); successors are asked for before the term ends and not after, when nothing is started any more.

--- a/internal/cellleader/claim.go
+++ b/internal/cellleader/claim.go
@@ -25,6 +25,9 @@
 	Released bool `cbor:"5,keyasint,omitempty"`
 	// Returned says that the holder's process before this one held the cell, too.
 	Returned bool `cbor:"6,keyasint,omitempty"`
+	// Doubtful says that an owner before this one may have been alive when the claim
+	// was made.
+	Doubtful bool `cbor:"7,keyasint,omitempty"`
 	// version is the row's version, 0 if there is no row.
 	version uint64
 }
@@ -40,7 +43,8 @@
 	return c, nil
 }
 
-// message returns the claim as other instances are told of it.
+// message returns the claim as other instances are told of it. Doubtful is left out:
+// it counts in a take-over, which reads the row.
 func (c *claim) message() *cellpb.Claim {
 	return &cellpb.Claim{Holder: c.Holder, Address: c.Address, Incarnation: c.Incarnation, Term: c.Term,
 		Released: c.Released, Returned: c.Returned, Version: c.version}
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -15,11 +15,11 @@
 	known := l.known
 	l.mu.Unlock()
 	if l.returns(known) {
-		l.take(ctx, known, takeOver{"the owner's process was replaced", true})
+		l.take(ctx, known, takeOver{reason: "the owner's process was replaced", earlierStopped: true})
 		return
 	}
 	if l.ownerless(known) {
-		l.contest(ctx, known, takeOver{"the cell has no owner", true})
+		l.contest(ctx, known, takeOver{reason: "the cell has no owner", earlierStopped: true})
 		return
 	}
 	reply, err := l.ping(ctx, known.Address, known.Term)
@@ -34,7 +34,7 @@
 			return
 		}
 		l.setVacant(now)
-		l.contest(ctx, known, takeOver{"the named owner does not own the cell", true})
+		l.contest(ctx, known, takeOver{reason: "the named owner does not own the cell", earlierStopped: true})
 	default:
 		l.heard(ctx, known, reply, now)
 	}
@@ -65,7 +65,7 @@
 	lost := time.Duration(reply.StoreLostMillis) * time.Millisecond
 	limit := max(storelessLimit, l.store.Limit()) + l.delay(known.Term)
 	if lost > limit && l.store.GoodFor(now) > storeBackWithin {
-		l.take(ctx, known, takeOver{"the owner does not reach the store", false})
+		l.take(ctx, known, takeOver{reason: "the owner does not reach the store"})
 	}
 }
 
@@ -82,7 +82,7 @@
 	if !l.survey(ctx, known, heard).allows(l.store.GoodFor(time.Now())) {
 		return
 	}
-	l.take(ctx, known, takeOver{"the owner is silent", false})
+	l.take(ctx, known, takeOver{reason: "the owner is silent"})
 }
 
 // noteSilence takes in that a ping failed. After a refusal the next one follows soon.
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// verify reads the owner's own row once in a while.
+// verify reads the owner's own row once in a while, and looks for a stronger owner.
 func (l *Leader) verify(ctx context.Context, t *term) {
 	if time.Since(t.verifiedAt) < verifyPeriod {
 		return
@@ -109,6 +109,7 @@
 			l.learn(c)
 		}
 	}()
+	l.yield(ctx, t)
 }
 
 // askAround asks the others for a later term. An owner that lacks the store and
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -63,6 +63,12 @@
 }
 
 func join(t *testing.T, name, storeAddress string) *member {
+	t.Helper()
+	return joinWith(t, name, storeAddress, 1)
+}
+
+// joinWith starts a member with some processor.
+func joinWith(t *testing.T, name, storeAddress string, cores float64) *member {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(t.Output())
@@ -82,7 +88,7 @@
 		t.Fatal(err)
 	}
 	m.front = front
-	self := cellpeer.Instance{Name: name, Address: front.Address(), Incarnation: name, StartedAt: time.Now()}
+	self := cellpeer.Instance{Name: name, Address: front.Address(), Incarnation: name, StartedAt: time.Now(), Cores: cores}
 	directory := cellpeer.NewDirectory(self, watched, log)
 	clients := cellpeer.NewClients()
 	ownerMetrics := cellowner.NewMetrics(metrics.NewSet())
@@ -188,6 +194,47 @@
 	}
 }
 
+// Symptom: a task runs twice.
+// Sequence: an owner is cut off and overtaken; its successor is asked to stop at once
+// and hands the cell over.
+// Cause: the third owner was told that no earlier one acts any more, but the first one
+// may, for as long as a confirmation of its ownership lasts.
+func TestHandOverWaitsUntilTheSilentOwnerCannotAct(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	first.front.Cut(true, true)
+	second := owner(t, without(members, first))
+	overtakenAt := time.Now()
+	second.leader.HandOver(t.Context())
+	third := owner(t, without(without(members, first), second))
+	if third.term.Load() <= second.term.Load() || !third.earlier.Load() {
+		t.Errorf("term %d after %d, earlier owners known to have stopped: %v", third.term.Load(), second.term.Load(), third.earlier.Load())
+	}
+	if passed := time.Since(overtakenAt); passed < time.Second {
+		t.Errorf("handed over %v after the take-over; the first owner could act for 1.5 s", passed)
+	}
+}
+
+// Symptom: after a moment without the strong instances everything is slow for good.
+// Sequence: a weak instance owns the cell; a strong one joins.
+// Cause: an owner kept the cell for as long as it lived.
+func TestWeakOwnerYieldsToAStrongerInstance(t *testing.T) {
+	backing := httptest.NewServer(standin.NewStore())
+	t.Cleanup(backing.Close)
+	weak := joinWith(t, "edge-weak", backing.Listener.Addr().String(), 0.2)
+	owner(t, []*member{weak})
+	strong := joinWith(t, "edge-strong", backing.Listener.Addr().String(), 0.8)
+	for end := time.Now().Add(30 * time.Second); !strong.owns() && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if !strong.owns() || weak.owns() {
+		t.Fatalf("strong owns %v, weak owns %v", strong.owns(), weak.owns())
+	}
+	if !strong.earlier.Load() {
+		t.Error("the new owner does not know that the earlier one has stopped")
+	}
+}
+
 // Symptom: jobs were accepted and their ends never shown.
 // Sequence: the store stops serving the owner and serves the others.
 // Cause: the owner lives and answers, so nobody took over.
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -51,6 +51,9 @@
 	verifyPeriod = time.Second
 	// storeTimeout bounds one call to the store about the ownership.
 	storeTimeout = time.Second
+	// yieldAfter is how long an owner keeps the cell at least before it hands it over
+	// to a stronger instance: until no owner before it can act any more.
+	yieldAfter = confirmedFor
 	// handOverTimeout bounds the hand-over of a stopping owner.
 	handOverTimeout = 1500 * time.Millisecond
 )
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -11,8 +11,7 @@
 	"gentianstand/internal/cellpeer/cellpb"
 )
 
-// HandOver gives the cell up for a planned stop: it stores what is not stored,
-// and has another instance take over at once.
+// HandOver gives the cell up for a planned stop.
 func (l *Leader) HandOver(ctx context.Context) {
 	l.mu.Lock()
 	l.stopping = true
@@ -21,17 +20,37 @@
 	if t == nil {
 		return
 	}
+	t.awaitSoleOwnership(ctx)
 	callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
+	l.giveUp(callCtx, t, known, l.successors(callCtx, known))
+}
+
+// awaitSoleOwnership waits until no owner before this one can act any more, so that a
+// successor need not reckon with them.
+func (t *term) awaitSoleOwnership(ctx context.Context) {
+	if t.earlierStopped {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(t.began.Add(confirmedFor))):
+	}
+}
+
+// giveUp ends this instance's term: it stores what is not stored, and has the first
+// of the successors that can take over at once. They are asked for before, because
+// nothing is started from the end of the term on.
+func (l *Leader) giveUp(ctx context.Context, t *term, known claim, successors []cellpeer.Instance) {
 	t.end()
-	t.owner.Flush(callCtx)
+	t.owner.Flush(ctx)
 	l.mu.Lock()
 	if l.term == t {
 		l.term = nil
 	}
 	l.mu.Unlock()
-	for _, next := range l.successors(callCtx, known) {
-		reply, err := l.clients.To(next.Address).TakeOver(callCtx, &cellpb.TakeOverRequest{From: l.directory.Self().Name, Term: known.Term})
+	for _, next := range successors {
+		reply, err := l.clients.To(next.Address).TakeOver(ctx, &cellpb.TakeOverRequest{From: l.directory.Self().Name, Term: known.Term})
 		if err == nil && reply.Taken {
 			l.log.WithFields(logrus.Fields{"term": known.Term, "to": next.Name}).Info("ownership_handed_over")
 			return
@@ -39,8 +58,8 @@
 		l.log.WithField("to", next.Name).WithError(err).Info("hand_over_refused")
 	}
 	released := known
-	released.Released = true
-	if _, err := l.write(callCtx, released, known.version); err != nil {
+	released.Released, released.Doubtful = true, false
+	if _, err := l.write(ctx, released, known.version); err != nil {
 		// The others find this instance silent, or that it owns nothing.
 		l.log.WithError(err).Warn("ownership_not_released")
 	}
@@ -67,8 +86,8 @@
 	return list
 }
 
-// TakeOver makes this instance the owner because the owner of a term is
-// stopping, and reports whether it became one.
+// TakeOver makes this instance the owner because the owner of a term gives the cell
+// up, and reports whether it became one.
 func (l *Leader) TakeOver(ctx context.Context, from string, term uint64) bool {
 	l.mu.Lock()
 	known, stopping := l.known, l.stopping
@@ -89,7 +108,7 @@
 	if known.Term != term || known.Holder != from {
 		return false
 	}
-	return l.take(ctx, known, takeOver{"the owner is stopping", true})
+	return l.take(ctx, known, takeOver{reason: "the owner gave the cell up", earlierStopped: true, handedOver: true})
 }
 
 // Ping answers another instance.
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -17,6 +17,18 @@
 	// earlierStopped says that the earlier owner gives no orders any more: its
 	// process ended, or it said that it does not own the cell.
 	earlierStopped bool
+	// handedOver says that it gave the cell up when no owner before it could act any
+	// more either.
+	handedOver bool
+}
+
+// allStopped reports whether no owner up to the one of a claim can act any more.
+//
+// What can go wrong: an owner is silent, but lives; its successor ends 0.2 s later,
+// and the next owner knows that the process of its predecessor has ended. The first
+// one may act for 1.5 s after it was overtaken all the same.
+func (t takeOver) allStopped(c claim) bool {
+	return t.earlierStopped && (t.handedOver || !c.Doubtful)
 }
 
 // take tries to become the owner and reports whether it did.
@@ -31,8 +43,9 @@
 		return false
 	}
 	self := l.directory.Self()
+	why.earlierStopped = why.allStopped(current)
 	next := claim{Holder: self.Name, Address: self.Address, Incarnation: self.Incarnation, Term: current.Term + 1,
-		Returned: current.Holder == self.Name}
+		Returned: current.Holder == self.Name, Doubtful: !why.earlierStopped}
 	version, err := l.write(ctx, next, current.version)
 	if err != nil {
 		// The write may have taken effect; the next round reads the row and finds
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -19,16 +19,19 @@
 	done   chan struct{}
 	loaded atomic.Bool
 	// confirmedAt is in nanoseconds since the term began.
-	began       time.Time
-	confirmedAt atomic.Int64
-	verifiedAt  time.Time
-	lost        sync.Once
+	began time.Time
+	// earlierStopped says that no owner before this one can act any more.
+	earlierStopped bool
+	confirmedAt    atomic.Int64
+	verifiedAt     time.Time
+	lost           sync.Once
 }
 
 // newTerm makes and starts an owner for a claim.
 func (l *Leader) newTerm(c claim, earlierStopped bool) *term {
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: time.Now()}
+	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: time.Now(),
+		earlierStopped: earlierStopped}
 	t.owner = l.newOwner(c.Term, earlierStopped, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
 	go t.run(ctx)
 	return t
