The refusal of a repeated start does not count for the first attempt

The refusal was taken for proof that the run does not exist, and the task was started elsewhere.

Ruled out: fencing (both runs are of one term), stops (none was sent before).

A refusal that follows an attempt without an answer now has the run revoked.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianstand/internal/job"
 	"gentianstand/internal/runner"
 )
@@ -22,7 +24,7 @@
 	case err == nil:
 		c.confirmed(a, now)
 	case errors.As(err, &refusal):
-		c.refused(a, refusal.Reason, now)
+		c.refused(a, refusal, now)
 	case errors.Is(err, runner.ErrGone):
 		// The worker's next look finds the same and drops all its runs.
 		c.drop(a, "worker_replaced", now)
@@ -43,11 +45,18 @@
 	a.task.stage.job.started = true
 }
 
-// refused takes in that a worker declined a start, so the run does not exist.
-func (c *Cell) refused(a *attempt, reason runner.RefusalReason, now time.Time) {
-	c.log.WithFields(attemptFields(a)).WithField("reason", reason).Info("start_refused")
+// refused takes in that a worker declined a start. The run does not exist, unless the
+// start was sent before.
+//
+// What can go wrong: the link of the owner is full, and a start is on its way for 0.5
+// s. The worker declines the repeat, because it is full or not well for a moment, and
+// then gets the first one. If the refusal counted for both, the task would run here
+// and, started again, elsewhere. It shows as "start_refused" and "second_run_found" of
+// one run. So a repeated start is revoked.
+func (c *Cell) refused(a *attempt, refusal *runner.Refusal, now time.Time) {
+	c.log.WithFields(attemptFields(a)).WithFields(logrus.Fields{"reason": refusal.Reason, "repeated": refusal.Repeated}).Info("start_refused")
 	s := a.task.stage
-	switch reason {
+	switch refusal.Reason {
 	case runner.BadTicket:
 		s.advice.expire(a.worker.ID)
 	case runner.Unhealthy, runner.NoRoom:
@@ -57,7 +66,11 @@
 		c.stop(a, "run_too_old", now)
 		return
 	}
-	c.drop(a, "refused_"+string(reason), now)
+	if refusal.Repeated {
+		c.stop(a, "refused_when_repeated", now)
+		return
+	}
+	c.drop(a, "refused_"+string(refusal.Reason), now)
 }
 
 // StopAnswered takes in the result of a stop order. An unanswered one is
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -251,7 +252,7 @@
 		switch order := order.(type) {
 		case StartOrder:
 			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.start(order.Start) },
-				func(err error) { o.cell.StartAnswered(order, runner.Answer{}, err, m.now) })
+				func(err error) { o.cell.StartAnswered(order, runner.Answer{}, m.repeated(err), m.now) })
 		case StopOrder:
 			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.stop(order.Stop) },
 				func(err error) { o.cell.StopAnswered(order, runner.Answer{}, err, m.now) })
@@ -259,6 +260,15 @@
 	}
 }
 
+// repeated is how a start ends after one more attempt, if the first one had no answer:
+// the worker may decline it and yet carry the first one out, before or after.
+func (m *model) repeated(err error) error {
+	if errors.Is(err, runner.ErrNoAnswer) && rapid.Bool().Draw(m.rt, "repeat declined") {
+		return &runner.Refusal{Reason: runner.Unhealthy, Repeated: true}
+	}
+	return err
+}
+
 func (m *model) deliver(fate int, id string, act func(*modelWorker) error, answer func(error)) {
 	for _, w := range m.workers {
 		if w.roster.ID != id {
--- a/internal/cellowner/orders.go
+++ b/internal/cellowner/orders.go
@@ -26,6 +26,10 @@
 	if errors.Is(err, runner.ErrNoAnswer) && o.deps.Leadership.Confirmed() {
 		o.deps.Metrics.StartRepeats.Inc()
 		answer, err = o.startOnce(ctx, order, o.patience.Limit())
+		var refusal *runner.Refusal
+		if errors.As(err, &refusal) {
+			err = &runner.Refusal{Reason: refusal.Reason, Repeated: true}
+		}
 	}
 	o.checkFence(err)
 	o.cell.StartAnswered(order, answer, err, time.Now())
--- a/internal/cellowner/orders_test.go
+++ b/internal/cellowner/orders_test.go
@@ -88,6 +88,43 @@
 	}
 }
 
+// declining is a worker on which the first start arrives late, after it has declined
+// the repeat.
+type declining struct{ losing }
+
+func (d *declining) Start(_ context.Context, _ runner.Target, s runner.Start) (runner.Answer, error) {
+	d.starts = append(d.starts, s)
+	if len(d.starts) == 1 {
+		return runner.Answer{}, runner.ErrNoAnswer
+	}
+	d.running = []runner.RunState{{Task: d.starts[0].Task, Run: d.starts[0].Run}}
+	return runner.Answer{}, &runner.Refusal{Reason: runner.Unhealthy}
+}
+
+// TestRefusalOfARepeatIsNoProof: symptom: a task runs twice. Sequence: a start is on
+// its way for half a second; its repeat is declined; then the first one arrives and
+// is carried out. Cause: the refusal of the repeat was taken for both, and the task
+// was placed again.
+func TestRefusalOfARepeatIsNoProof(t *testing.T) {
+	client := &declining{}
+	o, order := ownerOfOne(t, client)
+	o.start(t.Context(), order)
+	stopped := false
+	for _, wait := range []time.Duration{0, time.Second} {
+		for _, next := range o.cell.Plan(time.Now().Add(wait), cell.AdviceSlots{}) {
+			switch next := next.(type) {
+			case cell.StopOrder:
+				stopped = stopped || next.Stop.Run == order.Start.Run
+			case cell.StartOrder:
+				t.Errorf("started again as run %d while run %d may exist", next.Start.Run, order.Start.Run)
+			}
+		}
+	}
+	if !stopped {
+		t.Error("the run that may exist is not stopped")
+	}
+}
+
 // TestStartThatIsNeverAnswered: symptom: a task never runs, or runs twice, while
 // its worker leaves all orders unanswered. Sequence: no start is answered. Cause
 // to be ruled out: starts are repeated for ever, or the run is not revoked.
