Waves of upkeep

internal/upkeep decides (pure): as few machines at once as still finish in six tenths of the time, those with the fewest runs first; their workers get nothing new and are emptied; the upkeep is ordered when a worker is empty, or after 6 s if no run on it is protected. An order without an answer keeps its place among those that may be down, and is repeated until it is answered: it may be carried out 12 s later. The cell moves runs with a checkpoint and lasting tasks off, the latter within the budget of their step. The owner orders under its term, waits for the lease of an earlier holder, keeps which machines have begun beside the progress, and reports to the operator. platform/ lists machines, orders, and reads and reports waves.

Weighed: ordering at once and letting the platform end the runs (loses their work, and lasting tasks together); a stage of its own for machines that are chosen in a pass in which a run may still be placed on them (taken: an order waits for the next pass).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -37,6 +37,8 @@
 	fenced    bool
 	durations durations
 	known     knownWorkers
+	// gone are workers whose life has ended and that the roster may still list.
+	gone map[string]struct{}
 	// missing are jobs that workers report and the cell does not know; absent are
 	// those of them that the store does not have either.
 	missing map[string]struct{}
@@ -50,7 +52,7 @@
 		settings: s, log: log, began: now, recovering: true,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
-		known: newKnownWorkers(), missing: map[string]struct{}{}, absent: map[string]struct{}{},
+		known: newKnownWorkers(), gone: map[string]struct{}{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}},
 	}
 }
--- /dev/null
+++ b/internal/cell/evacuate_test.go
@@ -0,0 +1,184 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
+)
+
+// lasting returns a step of lasting tasks, one on a worker, of which some may be away.
+func lasting(count, mayMiss int) job.Step {
+	s := step(count)
+	s.LongRunning, s.MayMiss, s.MaxPerWorker = true, mayMiss, 1
+	return s
+}
+
+// started starts all tasks of a job.
+func (s *site) started(r *job.Record) map[string]StartOrder {
+	s.t.Helper()
+	s.cell.Add(r, true)
+	starts := s.plan()
+	for _, o := range starts {
+		s.confirm(o)
+	}
+	return starts
+}
+
+// look has workers report and the cell plan, as the owner does every few moments.
+func (s *site) look(workers ...string) map[string]StartOrder {
+	s.t.Helper()
+	s.pass(100 * time.Millisecond)
+	for _, id := range workers {
+		s.report(id)
+	}
+	return s.plan()
+}
+
+// Symptom: an upkeep ends tasks that were started just before.
+// Sequence: a worker is to be emptied while tasks wait for room.
+// Cause to be ruled out: it still gets new tasks.
+func TestWorkerThatIsEmptiedGetsNothingNew(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	s.cell.Evacuate([]string{"a"})
+	s.cell.Add(s.record(1, step(2)), true)
+	if starts := s.look("a"); len(starts) > 0 {
+		t.Errorf("started on a worker that is emptied: %v", starts)
+	}
+	s.cell.Evacuate(nil)
+	if starts := s.look("a"); len(starts) != 2 {
+		t.Errorf("%d starts after the upkeep was taken back, want 2", len(starts))
+	}
+}
+
+// Symptom: an upkeep throws work away, or waits for a long run.
+// Sequence: a worker is emptied on which a run of ten seconds checkpoints, another one
+// does not, and a third is nearly done.
+// Cause to be ruled out: runs are stopped that cannot resume, or that end soon.
+func TestOnlyLongRunsWithACheckpointAreMoved(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	saves, cannot, short := step(1), step(1), step(1)
+	saves.Estimate, saves.Checkpoint = 10*time.Second, true
+	cannot.Estimate = 10 * time.Second
+	short.Checkpoint = true
+	s.started(s.record(1, saves, cannot, short))
+	s.look("a")
+	s.cell.Evacuate([]string{"a"})
+	s.look("a")
+	var stopped []string
+	for _, o := range s.orders {
+		if stop, ok := o.(StopOrder); ok {
+			stopped = append(stopped, stop.Stop.Task)
+		}
+	}
+	if want := "0000000000000001.0.0.0"; len(stopped) != 1 || stopped[0] != want {
+		t.Errorf("stopped %v, want %s alone", stopped, want)
+	}
+	if load := s.cell.WorkerLoad("a"); load.Runs != 3 || load.Protected {
+		t.Errorf("load %+v, want three runs, none protected", load)
+	}
+}
+
+// Symptom: a service of several lasting tasks is gone for seconds during a wave.
+// Sequence: the workers of two of its tasks are emptied together; one may be away.
+// Cause to be ruled out: each worker is emptied without regard to the other.
+func TestLastingTasksAreMovedWithinTheirBudget(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"), usualWorker("c"))
+	s.report("a")
+	s.report("b")
+	starts := s.started(s.record(1, lasting(2, 1)))
+	for _, o := range starts {
+		s.progress(o, atWork)
+	}
+	s.report("c")
+	s.look("a", "b", "c")
+	s.cell.Evacuate([]string{"a", "b"})
+	s.look("a", "b", "c")
+	stopped := s.stops()
+	if len(stopped) != 1 {
+		t.Fatalf("stopped on %v, want one of two", stopped)
+	}
+	for id, other := range map[string]string{"a": "b", "b": "a"} {
+		if stopped[id] && !s.cell.WorkerLoad(other).Protected {
+			t.Errorf("the task on %s may be ended while the one of %s is away", other, id)
+		}
+	}
+	s.movedTo(starts, stopped, "c")
+	s.look("a", "b", "c")
+	if again := s.stops(); len(again) != 1 || again["c"] {
+		t.Errorf("stopped on %v after the first one is at work again, want the other one", again)
+	}
+}
+
+// movedTo ends the stopped runs and has their tasks at work on a worker.
+func (s *site) movedTo(starts map[string]StartOrder, stopped map[string]bool, worker string) {
+	s.t.Helper()
+	for _, o := range starts {
+		if stopped[o.Worker.ID] {
+			s.finish(o, "stopped")
+		}
+	}
+	for _, o := range s.look("a", "b", "c") {
+		if o.Worker.ID != worker {
+			s.t.Fatalf("moved to %s, want %s", o.Worker.ID, worker)
+		}
+		s.confirm(o)
+		s.progress(o, atWork)
+	}
+}
+
+// Symptom: an upkeep ends tasks that nobody knew of.
+// Sequence: a new owner sees to a wave before it has heard a worker.
+// Cause to be ruled out: a worker without booked runs counts as empty.
+func TestWorkerThatWasNotHeardIsNotEmpty(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	if load := s.cell.WorkerLoad("a"); load.Runs == 0 || !load.Protected {
+		t.Errorf("load %+v of a worker that was not heard", load)
+	}
+}
+
+// Symptom: a take-over in the middle of a wave takes 5.3 s.
+// Sequence: an upkeep ends a worker's life; a heartbeat of it that was written before is
+// read from the roster.
+// Cause: it was taken for a new worker, and stored as one that may have runs.
+func TestEndedWorkerDoesNotComeBackByAnOldHeartbeat(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	s.cell.Ended("a", s.now)
+	old := roster.Change{Workers: []roster.Worker{usualWorker("a")}}
+	s.cell.UpdateRoster(old, s.now)
+	s.cell.SetRoster(old.Workers, s.now)
+	if ids := s.cell.WorkerIDs(); len(ids) > 0 {
+		t.Errorf("workers %v after the end of their lives", ids)
+	}
+	s.cell.UpdateRoster(roster.Change{Removed: []string{"a"}}, s.now)
+	if len(s.cell.gone) > 0 {
+		t.Error("it is remembered after the roster has dropped it")
+	}
+}
+
+func TestParkedWorkerEndsLikeOthers(t *testing.T) {
+	s := idleSite(t, 6, 2)
+	s.pass(parkAfter + parkPeriod)
+	s.hear()
+	s.plan()
+	s.pass(parkAfter + parkPeriod)
+	s.hear()
+	s.plan()
+	before := s.cell.Stats(s.now)
+	if before.Parked == 0 {
+		t.Fatal("nothing is parked")
+	}
+	for id, w := range s.cell.workers {
+		if w.parked {
+			s.cell.Ended(id, s.now)
+			break
+		}
+	}
+	if after := s.cell.Stats(s.now); after.Workers != before.Workers-1 || after.Parked != before.Parked-1 {
+		t.Errorf("%d workers of which %d are parked, before %d and %d", after.Workers, after.Parked, before.Workers, before.Parked)
+	}
+}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -155,10 +155,7 @@
 		return
 	}
 	if errors.Is(err, runner.ErrGone) {
-		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_replaced")
-		c.loseAll(w, "worker_replaced", now)
-		delete(c.workers, w.ID)
-		c.known.changed(w.ID)
+		c.remove(w, now)
 		return
 	}
 	if w.failingAt.IsZero() {
@@ -167,6 +164,22 @@
 	}
 }
 
+// remove takes a worker out whose life has ended. Until the roster drops it, news of it
+// there is old.
+//
+// What can go wrong: a heartbeat that is read after the end brings the worker back. It
+// is stored as one that may have runs, answers nothing, and holds the next owner up.
+func (c *Cell) remove(w *worker, now time.Time) {
+	c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_replaced")
+	c.loseAll(w, "worker_replaced", now)
+	if w.parked {
+		c.parked--
+	}
+	delete(c.workers, w.ID)
+	c.gone[w.ID] = struct{}{}
+	c.known.changed(w.ID)
+}
+
 // loseAll drops every run of a worker: it is certain that none goes on.
 func (c *Cell) loseAll(w *worker, why string, now time.Time) {
 	for a := range w.attempts {
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -92,7 +92,9 @@
 }
 
 // mayWake reports whether a worker is parked and may be used again.
-func (w *worker) mayWake() bool { return w.parked && !w.Draining && w.unlistedAt.IsZero() }
+func (w *worker) mayWake() bool {
+	return w.parked && !w.Draining && !w.evacuating && w.unlistedAt.IsZero()
+}
 
 // coming reports whether a worker was woken and will be usable in a moment.
 func (w *worker) coming(now time.Time) bool {
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -20,6 +20,11 @@
 			c.unregister(w, now)
 		}
 	}
+	for id := range c.gone {
+		if !listed[id] {
+			delete(c.gone, id)
+		}
+	}
 }
 
 // UpdateRoster takes in what has changed in the list.
@@ -30,6 +35,7 @@
 		c.register(r, now)
 	}
 	for _, id := range change.Removed {
+		delete(c.gone, id)
 		if w := c.workers[id]; w != nil {
 			c.unregister(w, now)
 		}
@@ -37,6 +43,9 @@
 }
 
 func (c *Cell) register(r roster.Worker, now time.Time) {
+	if _, ended := c.gone[r.ID]; ended {
+		return
+	}
 	w := c.workers[r.ID]
 	if w == nil {
 		w = newWorker(r)
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -56,6 +56,8 @@
 			}
 		case w.Draining:
 			c.watchLeaving(a, now)
+		case w.evacuating:
+			c.evacuate(a, now)
 		case a.phase == running:
 			c.watchProgress(a, now)
 		}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -27,6 +27,9 @@
 	// accounted says that the runs that an earlier owner can have left here are
 	// booked, although the worker has not reported.
 	accounted bool
+	// evacuating says that the worker gets nothing new and is emptied, because its
+	// machine is about to have its upkeep.
+	evacuating bool
 	// parked says that the worker is out of use until it is needed; wokenAt is when
 	// it was needed last, and idleSince since when it has no runs.
 	parked     bool
@@ -90,7 +93,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	if !w.reported || !w.saved || w.closed || w.Draining || now.Sub(w.lastReport) > reportFresh {
+	if !w.reported || !w.saved || w.closed || w.Draining || w.evacuating || now.Sub(w.lastReport) > reportFresh {
 		return false
 	}
 	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
--- a/internal/cellowner/deps.go
+++ b/internal/cellowner/deps.go
@@ -16,6 +16,7 @@
 	Roster     roster.Source
 	Runner     runner.Client
 	Advisers   Advisers
+	Upkeep     UpkeepDeps
 	Leadership Leadership
 	Metrics    *Metrics
 	Log        logrus.FieldLogger
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -18,6 +18,8 @@
 	deps  Deps
 	cell  *cell.Cell
 	claim store.Check
+	// term is the fencing token of this ownership.
+	term uint64
 
 	// loops are those under way.
 	loops   sync.WaitGroup
@@ -44,7 +46,7 @@
 // ownership, is unchanged.
 func New(s cell.Settings, claim store.Check, deps Deps) *Owner {
 	return &Owner{
-		deps: deps, claim: claim, cell: cell.New(s, time.Now(), deps.Log),
+		deps: deps, claim: claim, term: s.Term, cell: cell.New(s, time.Now(), deps.Log),
 		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1), kickJobs: make(chan struct{}, 1),
 		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{},
 	}
@@ -66,6 +68,7 @@
 	o.loops.Go(func() { o.commitLoop(ctx) })
 	o.loops.Go(func() { o.followJobs(ctx) })
 	o.loops.Go(func() { o.followRoster(ctx) })
+	o.loops.Go(func() { o.upkeepLoop(ctx) })
 	o.loops.Wait()
 	return nil
 }
--- a/internal/command/instance.go
+++ b/internal/command/instance.go
@@ -51,6 +51,7 @@
 	outside := node.Outside{
 		Store: platform.NewStore(given.Store), Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(given.Adviser),
 		Roster: platform.RosterIn, Catalogs: platform.CatalogsIn, Callers: platform.NewCallers,
+		Waves: platform.WavesIn, Fleet: platform.NewFleet(given.Fleet),
 	}
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -84,12 +84,20 @@
 			SpareWorkers: spareWorkers, Early: s.Early}
 		return cellowner.New(settings, claim, cellowner.Deps{
 			Store: w, Jobs: jobs, Roster: o.Roster(w, log), Runner: o.Workers, Advisers: advisers,
-			Leadership: l, Metrics: m, Log: log,
+			Upkeep: newUpkeep(s, o, w, log), Leadership: l, Metrics: m, Log: log,
 		})
 	}
 	return cellleader.New(theCell, d, c, w, newOwner, log)
 }
 
+// newUpkeep returns what the owner needs for waves, or nothing where there are none.
+func newUpkeep(s Settings, o Outside, w *store.Watched, log *logrus.Entry) cellowner.UpkeepDeps {
+	if o.Fleet == nil {
+		return cellowner.UpkeepDeps{}
+	}
+	return cellowner.UpkeepDeps{Source: o.Waves(w, log), Fleet: o.Fleet, Holder: s.Name, Lasts: s.UpkeepLasts, HolderLease: s.HolderLease}
+}
+
 func newIntake(jobs *celljobs.Jobs, w *store.Watched, l *cellleader.Leader, d *cellpeer.Directory, c *cellpeer.Clients, set *metrics.Set, log *logrus.Entry) *intake.Intake {
 	return intake.New(jobs, w, l, d, c, intake.NewMetrics(set), log)
 }
--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -11,6 +11,7 @@
 	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
 	"gentianstand/internal/store"
+	"gentianstand/internal/upkeep"
 )
 
 // Outside is everything that speaks to callers, workers and the platform.
@@ -21,6 +22,10 @@
 	// Roster and Catalogs read from the store that they are given.
 	Roster   func(store.Store, logrus.FieldLogger) roster.Source
 	Catalogs func(store.Store) catalog.Source
+	// Waves reads from the store that it is given; Fleet is nil where the platform
+	// has no machines to order about.
+	Waves func(store.Store, logrus.FieldLogger) upkeep.Source
+	Fleet upkeep.Fleet
 	// Callers is the handler of the callers' address.
 	Callers func(*intake.Intake, *catalog.Current, logrus.FieldLogger) http.Handler
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -24,6 +24,11 @@
 	MaxLease  time.Duration
 	StopGrace time.Duration
 	Early     time.Duration
+	// Fleet is the address of the platform's list of machines, or empty. UpkeepLasts
+	// and HolderLease are its figures; see cellowner.UpkeepDeps.
+	Fleet       string
+	UpkeepLasts time.Duration
+	HolderLease time.Duration
 	// TerminationGrace is the time between a request to stop and the end by force.
 	TerminationGrace time.Duration
 	// Cores is the share of a core the process may use, times their number.
--- /dev/null
+++ b/internal/upkeep/had.go
@@ -0,0 +1,32 @@
+package upkeep
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Table has a row for each wave: the machines that have begun.
+const Table = "upkeep"
+
+// Key is the row of a wave.
+func Key(wave uint64) string { return strconv.FormatUint(wave, 10) }
+
+// EncodeHad returns the bytes of a list of machines.
+func EncodeHad(machines []string) ([]byte, error) {
+	data, err := cbor.Marshal(machines)
+	if err != nil {
+		return nil, fmt.Errorf("machines of a wave: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeHad reads what EncodeHad wrote.
+func DecodeHad(data []byte) ([]string, error) {
+	var machines []string
+	if err := cbor.Unmarshal(data, &machines); err != nil {
+		return nil, fmt.Errorf("machines of a wave: %w", err)
+	}
+	return machines, nil
+}
--- /dev/null
+++ b/internal/upkeep/stage.go
@@ -0,0 +1,36 @@
+package upkeep
+
+import "time"
+
+// stage is how far a machine of a wave has come.
+type stage int
+
+const (
+	// waiting machines are not touched yet.
+	waiting stage = iota
+	// emptying machines get nothing new.
+	emptying
+	// ordered machines were ordered to begin, and have not answered.
+	ordered
+	// begun machines are down for their upkeep.
+	begun
+	// done machines are up again, or do not belong to the wave.
+	done
+)
+
+// progress is what is known of one machine of a wave.
+type progress struct {
+	stage stage
+	// worker is the machine's life before the upkeep.
+	worker string
+	// since is when it began to be emptied.
+	since time.Time
+	// sending says that an order is under way; after one without an answer the next
+	// one goes out at retryAt.
+	sending bool
+	retryAt time.Time
+}
+
+// down reports whether the machine is or may be down for its upkeep. An order
+// without an answer may be carried out seconds later.
+func (p *progress) down() bool { return p.stage == ordered || p.stage == begun }
--- /dev/null
+++ b/internal/upkeep/tracker.go
@@ -0,0 +1,189 @@
+package upkeep
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// emptyGuess is about how long it takes to empty a worker: a stop takes up to 0.9
+	// s, and lasting tasks are moved one after the other.
+	emptyGuess = 2500 * time.Millisecond
+	// emptyPatience is how long a worker is given to become empty. What cannot be
+	// stopped without losing its work is ended then: it would hold the wave up.
+	emptyPatience = 6 * time.Second
+	// retryPause is the time between two orders for a machine that did not answer or
+	// was busy; the fleet takes some dozens of calls a second from all instances.
+	retryPause = 500 * time.Millisecond
+	// usedShare of the wave's time is planned with; the rest is for machines that are
+	// busy and for an owner that is lost meanwhile.
+	usedShare = 0.6
+)
+
+// Tracker follows one wave. It is not safe for concurrent use.
+type Tracker struct {
+	wave Wave
+	// lasts is how long one upkeep takes.
+	lasts    time.Duration
+	seenAt   time.Time
+	machines map[string]*progress
+}
+
+// NewTracker returns a tracker of a wave that was first seen at now. had are the
+// machines that are known to have begun already.
+func NewTracker(w Wave, lasts time.Duration, had []string, now time.Time) *Tracker {
+	t := &Tracker{wave: w, lasts: lasts, seenAt: now, machines: map[string]*progress{}}
+	for _, name := range w.Machines {
+		t.machines[name] = &progress{}
+	}
+	for _, name := range had {
+		if p := t.machines[name]; p != nil {
+			p.stage = done
+		}
+	}
+	return t
+}
+
+// Wave returns the wave.
+func (t *Tracker) Wave() Wave { return t.wave }
+
+// Plan says what to do now. listed are all machines by name, load tells what runs on a
+// worker.
+//
+// Load pattern: a third of all machines within 15 s, ten at once. If all ten were
+// emptied at once, a fifth of the room would be gone when the wave begins, and the last
+// seconds of its time would go unused.
+func (t *Tracker) Plan(now time.Time, listed map[string]Machine, load func(worker string) Load) Plan {
+	t.observe(listed)
+	t.choose(now, listed, load)
+	var plan Plan
+	free := t.wave.AtOnce - t.count((*progress).down)
+	for _, name := range t.wave.Machines {
+		p := t.machines[name]
+		switch {
+		case p.stage == emptying:
+			plan.Empty = append(plan.Empty, p.worker)
+			if free > 0 && listed[name].Up && t.ready(p, load(p.worker), now) {
+				plan.Begin = append(plan.Begin, name)
+				free--
+			}
+		case p.stage == ordered:
+			plan.Empty = append(plan.Empty, p.worker)
+			if !p.sending && !now.Before(p.retryAt) {
+				plan.Begin = append(plan.Begin, name)
+			}
+		}
+	}
+	plan.Completed = t.count(func(p *progress) bool { return p.stage < begun }) == 0
+	return plan
+}
+
+// observe takes in what the fleet lists. A machine that is gone needs no upkeep.
+func (t *Tracker) observe(listed map[string]Machine) {
+	for name, p := range t.machines {
+		m, there := listed[name]
+		switch {
+		case !there:
+			p.stage = done
+		case p.stage == begun && m.Up && m.Worker != p.worker:
+			p.stage = done
+		case p.stage == emptying && m.Up && m.Worker != p.worker:
+			// The worker crashed, and its next life has to be emptied, too.
+			p.worker = m.Worker
+		case p.stage == waiting && m.InUpkeep:
+			// Ordered by an earlier owner.
+			p.stage = ordered
+			p.worker = m.Worker
+		}
+	}
+}
+
+// choose has as many machines emptied as the wave's time asks for, those with the
+// fewest runs first.
+func (t *Tracker) choose(now time.Time, listed map[string]Machine, load func(worker string) Load) {
+	var candidates []string
+	for _, name := range t.wave.Machines {
+		if t.machines[name].stage == waiting && listed[name].Up {
+			candidates = append(candidates, name)
+		}
+	}
+	runs := func(name string) int { return load(listed[name].Worker).Runs }
+	sort.SliceStable(candidates, func(a, b int) bool { return runs(candidates[a]) < runs(candidates[b]) })
+	busy := t.count(func(p *progress) bool { return p.stage == emptying || p.down() })
+	for _, name := range candidates {
+		if busy >= t.parallel(now) {
+			return
+		}
+		*t.machines[name] = progress{stage: emptying, worker: listed[name].Worker, since: now}
+		busy++
+	}
+}
+
+// parallel is how many machines are in work at once: as few as still finish in time.
+func (t *Tracker) parallel(now time.Time) int {
+	planned := usedShare * t.wave.Within.Seconds()
+	if now.Sub(t.seenAt).Seconds() > planned {
+		return t.wave.AtOnce
+	}
+	rounds := max(1, math.Floor(planned/(emptyGuess+t.lasts).Seconds()))
+	needed := int(math.Ceil(float64(len(t.wave.Machines)) / rounds))
+	return max(1, min(needed, t.wave.AtOnce))
+}
+
+// ready reports whether the upkeep of a machine may begin. A worker that is chosen in
+// this pass may still get a run until the plan is carried out.
+func (t *Tracker) ready(p *progress, l Load, now time.Time) bool {
+	if !now.After(p.since) {
+		return false
+	}
+	return l.Runs == 0 || !l.Protected && now.Sub(p.since) >= emptyPatience
+}
+
+func (t *Tracker) count(is func(*progress) bool) int {
+	n := 0
+	for _, p := range t.machines {
+		if is(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// Sending takes in that the upkeep of a machine is being ordered.
+func (t *Tracker) Sending(machine string) {
+	p := t.machines[machine]
+	p.stage, p.sending = ordered, true
+}
+
+// Begun takes in that the upkeep of a machine was begun, and returns the worker whose
+// life ended with it.
+func (t *Tracker) Begun(machine string) (worker string) {
+	p := t.machines[machine]
+	p.stage, p.sending = begun, false
+	return p.worker
+}
+
+// Unanswered takes in that an order may have been carried out, or may be yet. It is
+// repeated until it is answered.
+func (t *Tracker) Unanswered(machine string, now time.Time) {
+	p := t.machines[machine]
+	p.sending, p.retryAt = false, now.Add(retryPause)
+}
+
+// Unneeded takes in that a machine does not belong to the wave.
+func (t *Tracker) Unneeded(machine string) {
+	p := t.machines[machine]
+	p.stage, p.sending = done, false
+}
+
+// Had returns the machines whose upkeep has begun, for an owner after this one.
+func (t *Tracker) Had() []string {
+	var names []string
+	for _, name := range t.wave.Machines {
+		if t.machines[name].stage >= begun {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/upkeep/tracker_test.go
@@ -0,0 +1,197 @@
+package upkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet is a world of machines that the tests move by hand.
+type fleet struct {
+	listed map[string]Machine
+	loads  map[string]Load
+	names  []string
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{listed: map[string]Machine{}, loads: map[string]Load{}}
+	for i := range n {
+		name := fmt.Sprintf("m-%d", i)
+		f.names = append(f.names, name)
+		f.listed[name] = Machine{Name: name, Worker: "w-" + name, Up: true}
+	}
+	return f
+}
+
+func (f *fleet) load(worker string) Load { return f.loads[worker] }
+
+func (f *fleet) tracker(atOnce int, within time.Duration) *Tracker {
+	return NewTracker(Wave{Number: 1, Machines: f.names, Within: within, AtOnce: atOnce}, 2*time.Second, nil, start)
+}
+
+// set changes a machine's state.
+func (f *fleet) set(name, worker string, up bool) {
+	f.listed[name] = Machine{Name: name, Worker: worker, Up: up, InUpkeep: !up}
+}
+
+// Symptom: tasks are ended by an upkeep although their worker was to be emptied.
+// Sequence: an idle worker is chosen; it gets a run before it is told so.
+// Cause to be ruled out: the upkeep is ordered in the pass that chooses the worker.
+func TestUpkeepIsNotOrderedInThePassThatChoosesAWorker(t *testing.T) {
+	f := newFleet(1)
+	tracker := f.tracker(1, 10*time.Second)
+	if plan := tracker.Plan(start, f.listed, f.load); len(plan.Begin) > 0 || len(plan.Empty) != 1 {
+		t.Errorf("first pass: %+v", plan)
+	}
+	if plan := tracker.Plan(start.Add(time.Second), f.listed, f.load); len(plan.Begin) != 1 {
+		t.Errorf("second pass: %+v", plan)
+	}
+}
+
+// Symptom: lasting tasks of one step are gone together.
+// Sequence: the time for emptying a worker is over while a task on it is protected.
+// Cause to be ruled out: patience goes before protection.
+func TestProtectedRunsHoldAnUpkeepBack(t *testing.T) {
+	f := newFleet(1)
+	f.loads["w-m-0"] = Load{Runs: 1, Protected: true}
+	tracker := f.tracker(1, 10*time.Second)
+	tracker.Plan(start, f.listed, f.load)
+	if plan := tracker.Plan(start.Add(time.Hour), f.listed, f.load); len(plan.Begin) > 0 {
+		t.Error("ordered beside a protected run")
+	}
+	f.loads["w-m-0"] = Load{Runs: 1}
+	if plan := tracker.Plan(start.Add(emptyPatience), f.listed, f.load); len(plan.Begin) != 1 {
+		t.Error("a run that may be ended holds the wave up")
+	}
+}
+
+// Symptom: a wave is reported as completed while a machine has had no upkeep.
+// Sequence: an order gets no answer, and the machine is listed as up with the same
+// worker.
+// Cause to be ruled out: sent counts as begun.
+func TestOrderWithoutAnAnswerIsRepeated(t *testing.T) {
+	f := newFleet(2)
+	tracker := f.tracker(1, 10*time.Second)
+	tracker.Plan(start, f.listed, f.load)
+	now := start.Add(time.Second)
+	first := tracker.Plan(now, f.listed, f.load)
+	tracker.Sending(first.Begin[0])
+	tracker.Unanswered(first.Begin[0], now)
+	now = now.Add(retryPause)
+	again := tracker.Plan(now, f.listed, f.load)
+	if again.Completed || len(again.Begin) != 1 || again.Begin[0] != first.Begin[0] {
+		t.Errorf("after an order without an answer: %+v, want %v again and nothing else", again, first.Begin)
+	}
+}
+
+// Symptom: a new owner empties machines that have had their upkeep.
+// Sequence: an owner is lost in the middle of a wave.
+// Cause to be ruled out: what the store tells is not used.
+func TestNextOwnerGoesOnWithTheRest(t *testing.T) {
+	f := newFleet(3)
+	tracker := NewTracker(Wave{Number: 1, Machines: f.names, Within: time.Second, AtOnce: 3}, 2*time.Second, []string{"m-1", "m-2"}, start)
+	if plan := tracker.Plan(start, f.listed, f.load); len(plan.Empty) != 1 || plan.Empty[0] != "w-m-0" {
+		t.Errorf("plan %+v", plan)
+	}
+}
+
+// Symptom: a wave never ends.
+// Sequence: a machine of it is taken away.
+// Cause to be ruled out: it is waited for.
+func TestMachineThatIsGoneNeedsNoUpkeep(t *testing.T) {
+	f := newFleet(1)
+	tracker := f.tracker(1, time.Second)
+	delete(f.listed, "m-0")
+	if !tracker.Plan(start, f.listed, f.load).Completed {
+		t.Error("the wave waits for a machine that is gone")
+	}
+}
+
+// TestWavesKeepTheirLimit plays random waves on a fleet whose answers get lost and whose
+// orders are carried out late, and checks that no more machines are down than the wave
+// allows, that none begins twice, and that the wave ends with every machine done.
+func TestWavesKeepTheirLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 12).Draw(rt, "machines"))
+		atOnce := rapid.IntRange(1, 5).Draw(rt, "at once")
+		tracker := f.tracker(atOnce, time.Duration(rapid.IntRange(1, 30).Draw(rt, "within"))*time.Second)
+		w := &waveWorld{rt: rt, fleet: f, atOnce: atOnce, upAt: map[string]time.Time{}, had: map[string]bool{}, late: map[string]time.Time{}}
+		now := start
+		for range 2000 {
+			now = now.Add(300 * time.Millisecond)
+			w.pass(now)
+			plan := tracker.Plan(now, f.listed, f.load)
+			for _, name := range plan.Begin {
+				tracker.Sending(name)
+				w.order(tracker, name, now)
+			}
+			if plan.Completed {
+				for _, name := range f.names {
+					if !w.had[name] {
+						rt.Fatalf("completed without %s", name)
+					}
+				}
+				return
+			}
+		}
+		rt.Fatalf("the wave does not end: %d of %d", len(w.had), len(f.names))
+	})
+}
+
+// waveWorld carries out orders, at once, late, or without an answer.
+type waveWorld struct {
+	rt     *rapid.T
+	fleet  *fleet
+	atOnce int
+	upAt   map[string]time.Time
+	had    map[string]bool
+	// late are orders that are yet to be carried out.
+	late map[string]time.Time
+}
+
+func (w *waveWorld) begin(name string, now time.Time) {
+	if w.had[name] {
+		return
+	}
+	if len(w.upAt) >= w.atOnce {
+		w.rt.Fatalf("%s begins while %d are down, %d may be", name, len(w.upAt), w.atOnce)
+	}
+	w.had[name] = true
+	w.upAt[name] = now.Add(2 * time.Second)
+	w.fleet.set(name, "", false)
+}
+
+func (w *waveWorld) pass(now time.Time) {
+	for name, at := range w.upAt {
+		if !now.Before(at) {
+			delete(w.upAt, name)
+			w.fleet.set(name, "next-"+name, true)
+		}
+	}
+	for name, at := range w.late {
+		if !now.Before(at) {
+			delete(w.late, name)
+			w.begin(name, now)
+		}
+	}
+}
+
+func (w *waveWorld) order(tracker *Tracker, name string, now time.Time) {
+	switch rapid.IntRange(0, 4).Draw(w.rt, "fate") {
+	case 0: // carried out seconds later, no answer
+		w.late[name] = now.Add(time.Duration(rapid.IntRange(1, 12).Draw(w.rt, "late")) * time.Second)
+		tracker.Unanswered(name, now)
+	case 1: // lost
+		tracker.Unanswered(name, now)
+	case 2: // carried out, no answer
+		w.begin(name, now)
+		tracker.Unanswered(name, now)
+	default:
+		w.begin(name, now)
+		tracker.Begun(name)
+	}
+}
--- /dev/null
+++ b/internal/upkeep/wave.go
@@ -0,0 +1,13 @@
+package upkeep
+
+import "time"
+
+// Wave is an operator's wish for the upkeep of some machines.
+type Wave struct {
+	Number   uint64
+	Machines []string
+	// Within is the time in which all of them should have had their upkeep.
+	Within time.Duration
+	// AtOnce is how many of them may be down for it at the same time.
+	AtOnce int
+}
