A take-over does not wait for workers that the store does not name

The new owner took every listed worker for one that may have runs, though an owner stores a worker before its first run there, and an overtaken one can store nothing more.

Ruled out: named workers that are silent (they still hold a recovery up, as before); a chunk that cannot be read (then all listed ones do, test).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -33,6 +33,9 @@
 	// recovering says that some worker of the time before this ownership has
 	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
 	recovering bool
+	// inheritedAll says that all workers on which an earlier owner can have started
+	// runs are known.
+	inheritedAll bool
 	// fenced says that the earlier owner can start nothing any more.
 	fenced    bool
 	durations durations
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -49,6 +49,7 @@
 		if w.parked {
 			c.setParked(w, false)
 		}
+		w.named = true
 		w.saved = !k.Closed
 		if k.Closed {
 			c.inheritRuns(w, k.Runs, now)
@@ -56,6 +57,22 @@
 	}
 }
 
+// InheritedAll tells that Inherit was called with every chunk. On other workers no
+// earlier owner can have started anything: it would have stored them before, and since
+// this owner holds the claim it can store nothing more.
+//
+// What can go wrong: a new owner waits 5.3 s for workers that it finds in the roster and
+// that do not answer, because they crashed, or their machines have their upkeep. It
+// shows as "worker_not_heard" of workers without runs before "recovered".
+func (c *Cell) InheritedAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inheritedAll = true
+	for _, w := range c.workers {
+		w.accounted = w.accounted || !w.named
+	}
+}
+
 // takeChunks returns the chunks to store; c.mu is held.
 func (c *Cell) takeChunks() []WorkerChunk {
 	if len(c.known.unsaved) == 0 {
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -117,6 +117,7 @@
 	for _, number := range slices.Sorted(maps.Keys(m.chunks)) {
 		c.Inherit(m.chunks[number].Workers, m.now)
 	}
+	c.InheritedAll()
 	m.owners = append(m.owners, o)
 	m.commit(o, true)
 }
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// mostUnheardLogged bounds the lines about workers that a recovery waited for.
+const mostUnheardLogged = 5
+
 // recover ends the time in which runs of an earlier owner may go on unseen: it
 // is over when every known worker has reported or its runs are known from the
 // store, or when the longest lease that the earlier owner can have given must have
@@ -12,6 +15,7 @@
 	}
 	c.fenced = c.settings.EarlierStopped || now.Sub(c.began) >= overtakenFor
 	if now.Sub(c.began) >= c.unseenLimit() || c.allReported() {
+		c.logUnheard()
 		c.recovering = false
 		c.fenced = true
 		c.log.WithField("took_ms", now.Sub(c.began).Milliseconds()).Info("recovered")
@@ -30,12 +34,27 @@
 	return limit + overtakenFor
 }
 
+// logUnheard logs the workers that held the recovery up.
+func (c *Cell) logUnheard() {
+	logged := 0
+	for _, w := range c.workers {
+		if w.unheard() && logged < mostUnheardLogged {
+			logged++
+			c.log.WithFields(workerFields(w)).Warn("worker_not_heard")
+		}
+	}
+}
+
+// unheard reports whether an earlier owner may have left runs on a worker that are not
+// booked.
+func (w *worker) unheard() bool { return !w.parked && !w.reported && !w.accounted }
+
 func (c *Cell) allReported() bool {
 	if len(c.workers) == 0 {
 		return false
 	}
 	for _, w := range c.workers {
-		if !w.parked && !w.reported && !w.accounted {
+		if w.unheard() {
 			return false
 		}
 	}
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -248,3 +248,42 @@
 		t.Errorf("%d starts after the worker was stored, want one", len(starts))
 	}
 }
+
+// Symptom: after a take-over in the middle of a wave of upkeep nothing older is started
+// for 5.3 s.
+// Sequence: workers are down when the owner is lost; the roster still lists them, the
+// store does not name them any more.
+// Cause: the new owner waited for them like for workers that may have runs.
+func TestWorkersThatTheStoreDoesNotNameDoNotHoldARecoveryUp(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("down"))
+	older := s.record(1, step(1))
+	s.cell.Load(older, nil)
+	s.cell.Inherit([]KnownWorker{{ID: "a", Address: "a:1"}}, s.now)
+	s.cell.InheritedAll()
+	s.report("a")
+	if starts := s.plan(); len(starts) != 1 {
+		t.Errorf("%d starts beside a worker that the store does not name, want 1", len(starts))
+	}
+	later := newSite(t, 2, usualWorker("a"))
+	later.cell.Load(older, nil)
+	later.cell.Inherit([]KnownWorker{{ID: "a", Address: "a:1"}}, later.now)
+	later.cell.InheritedAll()
+	later.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{usualWorker("down")}}, later.now)
+	later.report("a")
+	if starts := later.plan(); len(starts) != 1 {
+		t.Errorf("%d starts beside a worker that the roster adds later, want 1", len(starts))
+	}
+}
+
+// Symptom: a task runs twice.
+// Sequence: a part of the stored workers cannot be read; a worker in it is silent.
+// Cause to be ruled out: workers that are not named count as unused all the same.
+func TestUnreadWorkersHoldARecoveryUp(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	s.cell.Load(s.record(1, step(1)), nil)
+	s.cell.Inherit([]KnownWorker{{ID: "a", Address: "a:1"}}, s.now)
+	s.report("a")
+	if starts := s.plan(); len(starts) > 0 {
+		t.Errorf("started beside a worker that may have runs: %v", starts)
+	}
+}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -49,6 +49,7 @@
 	w := c.workers[r.ID]
 	if w == nil {
 		w = newWorker(r)
+		w.accounted = c.inheritedAll
 		c.workers[r.ID] = w
 		if awake := len(c.workers) - 1 - c.parked; c.settings.SpareWorkers > 0 && awake >= c.settings.SpareWorkers {
 			c.setParked(w, true)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -21,6 +21,8 @@
 	// saved says that the store names the worker among those on which runs may be
 	// started.
 	saved bool
+	// named says that an earlier owner had stored the worker.
+	named bool
 	// closed says that nothing is started here until the worker is open again, and
 	// that the store was or is being told so.
 	closed bool
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -104,6 +104,7 @@
 // missing from the roster.
 func (o *Owner) inheritWorkers(progress []store.Row) {
 	now := time.Now()
+	all := true
 	for _, row := range progress {
 		chunk, ok := celljobs.ParseWorkersKey(row.Key)
 		if !ok {
@@ -112,9 +113,13 @@
 		workers, err := celljobs.DecodeWorkers(row.Value)
 		if err != nil {
 			o.deps.Log.WithField("chunk", chunk).WithError(err).Error("workers_unreadable")
+			all = false
 		}
 		o.cell.Inherit(workers, now)
 	}
+	if all {
+		o.cell.InheritedAll()
+	}
 }
 
 // takeIn fills the cell with stored rows.
