The soak disturbs the connections between instances, too

An instance takes -peer-address, the address under which others reach it, where they cannot use the one it listens on; the soak gives the address of a proxy there, and cuts (one way or both), refuses, delays and resets. The seeds that failed once draw from the list as it was then, so they play the same faults.

--- a/internal/command/instance.go
+++ b/internal/command/instance.go
@@ -23,12 +23,15 @@
 type instanceFlags struct {
 	settingsFile string
 	logLevel     string
+	peerAddress  string
 }
 
 func (f *instanceFlags) register(s *settings.Settings) {
 	s.StringVar(&f.settingsFile, "settings-file", os.Getenv(platform.SettingsVariable),
 		"path of the platform's settings file; by default what "+platform.SettingsVariable+" names")
 	s.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
+	s.StringVar(&f.peerAddress, "peer-address", "",
+		"host:port under which other instances reach this one, if they cannot use the address that it listens on")
 	s.Check("settings-file", "a path", func() bool { return f.settingsFile != "" })
 	s.Check("log-level", "debug, info, warn, error", func() bool {
 		return f.logLevel == "debug" || f.logLevel == "info" || f.logLevel == "warn" || f.logLevel == "error"
@@ -47,6 +50,11 @@
 		fmt.Fprintln(std.Err, err)
 		return exitUsage
 	}
+	given.PeerAddress = f.peerAddress
+	if err := given.Check(); err != nil {
+		fmt.Fprintln(std.Err, err)
+		return exitUsage
+	}
 	log := node.NewLog(f.logLevel, given.Name, std.Out)
 	outside := node.Outside{
 		Store: platform.NewStore(given.Store), Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(given.Adviser),
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,6 +17,9 @@
 	ReadyListen   string
 	PeerListen    string
 	MetricsListen string
+	// PeerAddress is where other instances reach this one; empty if that is
+	// PeerListen.
+	PeerAddress string
 	// Store and Adviser are addresses of the platform's services.
 	Store   string
 	Adviser string
@@ -37,17 +40,23 @@
 	MemoryMiB int64
 }
 
+// namedAddress is an address and what it is for.
+type namedAddress struct{ name, value string }
+
 // Check reports everything that is wrong with the settings.
 func (s *Settings) Check() error {
 	var problems []error
 	if s.Name == "" {
 		problems = append(problems, errors.New("the name of the instance is empty"))
 	}
-	addresses := []struct{ name, value string }{
+	addresses := []namedAddress{
 		{"address for callers", s.CallerListen}, {"address for readiness", s.ReadyListen},
 		{"address for instances", s.PeerListen}, {"address for metrics", s.MetricsListen},
 		{"address of the store", s.Store},
 	}
+	if s.PeerAddress != "" {
+		addresses = append(addresses, namedAddress{"address told to instances", s.PeerAddress})
+	}
 	for _, a := range addresses {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			problems = append(problems, fmt.Errorf("%s: %w", a.name, err))
--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestSettingsAreCheckedAllTogether(t *testing.T) {
+	good := Settings{Name: "edge-1", CallerListen: "127.0.0.1:1", ReadyListen: "127.0.0.1:2", PeerListen: "127.0.0.1:3",
+		MetricsListen: "127.0.0.1:4", Store: "127.0.0.1:5", MaxLease: time.Second}
+	if err := good.Check(); err != nil {
+		t.Errorf("good settings: %v", err)
+	}
+	bad := good
+	bad.Name, bad.Store, bad.PeerAddress, bad.MaxLease = "", "nowhere", "127.0.0.1", 0
+	err := bad.Check()
+	if err == nil {
+		t.Fatal("nothing is wrong")
+	}
+	for _, part := range []string{"name of the instance", "address of the store", "address told to instances", "longest lease"} {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("%q is not in: %v", part, err)
+		}
+	}
+}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -77,11 +77,46 @@
 		proxy.Refuse(false)
 	}},
 	{"a worker is replaced", func(w *world, rnd *rand.Rand) { w.replaceWorker(rnd.Intn(workers)) }},
+	{"an instance is not heard by the others", func(w *world, rnd *rand.Rand) {
+		peer := w.pick(rnd).peer
+		out := rnd.Intn(2) == 0
+		peer.Cut(out, !out || rnd.Intn(2) == 0)
+		pause(rnd, 500, 4000)
+		peer.Heal()
+		peer.Reset()
+	}},
+	{"an instance refuses the others", func(w *world, rnd *rand.Rand) {
+		peer := w.pick(rnd).peer
+		peer.Refuse(true)
+		peer.Reset()
+		pause(rnd, 200, 3000)
+		peer.Refuse(false)
+	}},
+	{"no instance hears another", func(w *world, rnd *rand.Rand) {
+		for _, p := range w.procs {
+			p.peer.Cut(true, true)
+		}
+		pause(rnd, 500, 4000)
+		for _, p := range w.procs {
+			p.peer.Heal()
+			p.peer.Reset()
+		}
+	}},
+	{"an instance is slow to answer the others", func(w *world, rnd *rand.Rand) {
+		peer := w.pick(rnd).peer
+		peer.Delay(time.Duration(50+rnd.Intn(250)) * time.Millisecond)
+		pause(rnd, 500, 3000)
+		peer.Delay(0)
+	}},
 }
 
-// play injects faults until ctx ends, several at a time, and returns their
+// beforePeerFaults is how many faults there were before those between instances. A seed
+// draws from the list as long as it was when the seed failed.
+const beforePeerFaults = 14
+
+// play injects some of the faults until ctx ends, several at a time, and returns their
 // names in order.
-func play(ctx context.Context, w *world, rnd *rand.Rand) []string {
+func play(ctx context.Context, w *world, rnd *rand.Rand, faults []fault) []string {
 	var wg sync.WaitGroup
 	var names []string
 	for ctx.Err() == nil {
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"gentianstand/platform/standin"
 )
 
 const settingsText = `node_name = "%[1]s"
@@ -35,8 +37,10 @@
 
 // process is one instance of the system, restarted under the same name.
 type process struct {
-	name     string
-	ip       string
+	name string
+	ip   string
+	// peer is where the other instances reach this one.
+	peer     *standin.Proxy
 	settings string
 	binary   string
 	log      *os.File
@@ -59,13 +63,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &process{name: name, ip: ip, settings: path, binary: binary, log: log}
+	peer, err := standin.NewProxy("127.0.0.1:0", ip+":7720")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &process{name: name, ip: ip, peer: peer, settings: path, binary: binary, log: log}
 }
 
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(p.binary, "instance", "-settings-file", p.settings)
+	cmd := exec.Command(p.binary, "instance", "-settings-file", p.settings, "-peer-address", p.peer.Address())
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,20 +34,22 @@
 	binary := build(t)
 	for seed := first; seed <= last; seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			soak(t, binary, int64(seed), time.Duration(*seconds)*time.Second)
+			soak(t, binary, int64(seed), time.Duration(*seconds)*time.Second, faults)
 		})
 	}
 }
 
-// regressions are the seeds that ever failed, with the cause.
+// regressions are the seeds that ever failed, with the number of faults that they drew
+// from and the cause.
 var regressions = []struct {
-	seed  int64
-	cause string
+	seed   int64
+	faults int
+	cause  string
 }{
-	{4, "the judge counted a failure that a replaced worker had listed to nobody"},
-	{5, "as seed 4, twice"},
-	{12, "as seed 4"},
-	{131, "the judge counted a failure that a worker had listed before its lease ended while it was cut off"},
+	{4, beforePeerFaults, "the judge counted a failure that a replaced worker had listed to nobody"},
+	{5, beforePeerFaults, "as seed 4, twice"},
+	{12, beforePeerFaults, "as seed 4"},
+	{131, beforePeerFaults, "the judge counted a failure that a worker had listed before its lease ended while it was cut off"},
 }
 
 // TestSoakRegressions plays the seeds that failed once, for as long as then.
@@ -56,7 +58,7 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) {
 			t.Logf("failed because: %s", r.cause)
-			soak(t, binary, r.seed, regressionTime)
+			soak(t, binary, r.seed, regressionTime, faults[:r.faults])
 		})
 	}
 }
@@ -71,7 +73,7 @@
 	return binary
 }
 
-func soak(t *testing.T, binary string, seed int64, length time.Duration) {
+func soak(t *testing.T, binary string, seed int64, length time.Duration, faults []fault) {
 	rnd := rand.New(rand.NewSource(seed))
 	w := newWorld(t, binary, int(seed))
 	waitFor(t, "all processes are ready", func() bool {
@@ -91,7 +93,7 @@
 		defer close(callersDone)
 		c.run(ctx, rand.New(rand.NewSource(callerSeed)))
 	}()
-	played := play(ctx, w, rnd)
+	played := play(ctx, w, rnd, faults)
 	<-callersDone
 	var left []string
 	waitFor(t, "all accepted jobs have ended", func() bool {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -72,6 +72,7 @@
 func (w *world) close() {
 	for _, p := range w.procs {
 		p.end()
+		p.peer.Close()
 	}
 	for i := range w.storeAt {
 		w.storeAt[i].Close()
