--- /dev/null
+++ b/internal/node/catalog_follower_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/store"
+)
+
+// scripted is a source that answers from a list.
+type scripted struct {
+	answers []scriptedAnswer
+	asked   []string
+	waits   []time.Duration
+}
+
+type scriptedAnswer struct {
+	version uint64
+	at      uint64
+	err     error
+}
+
+func (s *scripted) next(call string) (*catalog.Catalog, uint64, error) {
+	s.asked = append(s.asked, call)
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	if a.err != nil || a.version == 0 {
+		return nil, a.at, a.err
+	}
+	return catalog.New(a.version, 0, nil), a.at, nil
+}
+
+func (s *scripted) Newest(context.Context) (*catalog.Catalog, uint64, error) { return s.next("newest") }
+
+func (s *scripted) Since(_ context.Context, _ uint64, wait time.Duration) (*catalog.Catalog, uint64, error) {
+	s.waits = append(s.waits, wait)
+	return s.next("since")
+}
+
+func followerOf(answers ...scriptedAnswer) (*catalogFollower, *scripted, *logtest.Hook) {
+	log, hook := logtest.NewNullLogger()
+	source := &scripted{answers: answers}
+	return &catalogFollower{source: source, current: &catalog.Current{}, log: log}, source, hook
+}
+
+// Symptom: changes of the configuration are not seen any more.
+// Sequence: the store drops its history.
+// Cause to be ruled out: the feed is asked for what it no longer has.
+func TestFollowerReadsAnewWhenTheHistoryIsGone(t *testing.T) {
+	f, source, _ := followerOf(scriptedAnswer{version: 1, at: 10}, scriptedAnswer{err: store.ErrHistoryGone}, scriptedAnswer{version: 2, at: 30})
+	for range 3 {
+		if err := f.step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []string{"newest", "since", "newest"}; len(source.asked) != 3 || source.asked[2] != want[2] || f.current.Get().Version != 2 {
+		t.Errorf("asked %v, version %d; want %v and 2", source.asked, f.current.Get().Version, want)
+	}
+}
+
+// Symptom: callers are refused for a second after the end of an outage.
+// Sequence: the store is away, and comes back.
+// Cause to be ruled out: the question that would notice it waits for news.
+func TestFollowerAsksWithoutWaitingWhileTheStoreIsLost(t *testing.T) {
+	f, source, hook := followerOf(scriptedAnswer{version: 1, at: 10}, scriptedAnswer{err: store.ErrUnavailable},
+		scriptedAnswer{err: store.ErrUnavailable}, scriptedAnswer{at: 11})
+	for range 4 {
+		f.note(f.step(t.Context()))
+	}
+	if want := []time.Duration{catalogWait, catalogProbe, catalogProbe}; len(source.waits) != 3 || source.waits[0] != want[0] || source.waits[2] != want[2] {
+		t.Errorf("waits %v, want %v", source.waits, want)
+	}
+	var events []string
+	for _, e := range hook.AllEntries() {
+		events = append(events, e.Message)
+	}
+	if len(events) != 3 || events[1] != "store_lost" || events[2] != "store_back" {
+		t.Errorf("events %v, want one line for the loss and one for the return", events)
+	}
+}
--- /dev/null
+++ b/internal/node/readiness_test.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"gentianstand/internal/catalog"
+)
+
+func TestReadiness(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		known, stopping bool
+		want            int
+	}{
+		{"no configuration yet", false, false, http.StatusServiceUnavailable},
+		{"at work", true, false, http.StatusOK},
+		{"stopping", true, true, http.StatusServiceUnavailable},
+	} {
+		r := readiness{&catalog.Current{}, &atomic.Bool{}}
+		r.stopping.Store(test.stopping)
+		if test.known {
+			r.current.Advance(catalog.New(1, 0, nil))
+		}
+		answer := httptest.NewRecorder()
+		r.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/ready", nil))
+		if answer.Code != test.want {
+			t.Errorf("%s: %d, want %d", test.name, answer.Code, test.want)
+		}
+	}
+}
+
+// Symptom: after a planned stop callers find their open connection broken.
+// Sequence: an instance stops while callers keep connections to it.
+// Cause to be ruled out: answers do not say that the connection ends.
+func TestStoppingInstanceClosesItsConnectionsWithTheAnswer(t *testing.T) {
+	stopping := &atomic.Bool{}
+	handler := closing{http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), stopping}
+	for _, want := range []string{"", "close"} {
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/", nil))
+		if got := answer.Header().Get("Connection"); got != want {
+			t.Errorf("Connection %q, want %q", got, want)
+		}
+		stopping.Store(true)
+	}
+}
