--- a/internal/command/instance.go
+++ b/internal/command/instance.go
@@ -21,16 +21,16 @@
 
 // instanceFlags are the settings of our own for this command.
 type instanceFlags struct {
-	settingsFile string
-	logLevel     string
-	peerAddress  string
+	settingsFile  string
+	logLevel      string
+	peerAdvertise string
 }
 
 func (f *instanceFlags) register(s *settings.Settings) {
 	s.StringVar(&f.settingsFile, "settings-file", os.Getenv(platform.SettingsVariable),
 		"path of the platform's settings file; by default what "+platform.SettingsVariable+" names")
 	s.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
-	s.StringVar(&f.peerAddress, "peer-address", "",
+	s.StringVar(&f.peerAdvertise, "peer-advertise", "",
 		"host:port under which other instances reach this one, if they cannot use the address that it listens on")
 	s.Check("settings-file", "a path", func() bool { return f.settingsFile != "" })
 	s.Check("log-level", "debug, info, warn, error", func() bool {
@@ -50,7 +50,7 @@
 		fmt.Fprintln(std.Err, err)
 		return exitUsage
 	}
-	given.PeerAddress = f.peerAddress
+	given.PeerAdvertise = f.peerAdvertise
 	if err := given.Check(); err != nil {
 		fmt.Fprintln(std.Err, err)
 		return exitUsage
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -65,7 +65,7 @@
 func newCurrent() *catalog.Current { return &catalog.Current{} }
 
 func newSelf(s Settings) cellpeer.Instance {
-	return cellpeer.Instance{Name: s.Name, Address: cmp.Or(s.PeerAddress, s.PeerListen), Zone: s.Zone, Incarnation: uuid.NewString(), StartedAt: time.Now(), Cores: s.Cores}
+	return cellpeer.Instance{Name: s.Name, Address: cmp.Or(s.PeerAdvertise, s.PeerListen), Zone: s.Zone, Incarnation: uuid.NewString(), StartedAt: time.Now(), Cores: s.Cores}
 }
 
 func newWatched(o Outside) *store.Watched { return store.NewWatched(o.Store) }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,9 +17,9 @@
 	ReadyListen   string
 	PeerListen    string
 	MetricsListen string
-	// PeerAddress is where other instances reach this one; empty if that is
+	// PeerAdvertise is where other instances reach this one; empty if that is
 	// PeerListen.
-	PeerAddress string
+	PeerAdvertise string
 	// Store and Adviser are addresses of the platform's services.
 	Store   string
 	Adviser string
@@ -54,8 +54,8 @@
 		{"address for instances", s.PeerListen}, {"address for metrics", s.MetricsListen},
 		{"address of the store", s.Store},
 	}
-	if s.PeerAddress != "" {
-		addresses = append(addresses, namedAddress{"address told to instances", s.PeerAddress})
+	if s.PeerAdvertise != "" {
+		addresses = append(addresses, namedAddress{"address told to instances", s.PeerAdvertise})
 	}
 	for _, a := range addresses {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -13,7 +13,7 @@
 		t.Errorf("good settings: %v", err)
 	}
 	bad := good
-	bad.Name, bad.Store, bad.PeerAddress, bad.MaxLease = "", "nowhere", "127.0.0.1", 0
+	bad.Name, bad.Store, bad.PeerAdvertise, bad.MaxLease = "", "nowhere", "127.0.0.1", 0
 	err := bad.Check()
 	if err == nil {
 		t.Fatal("nothing is wrong")
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -73,7 +73,7 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(p.binary, "instance", "-settings-file", p.settings, "-peer-address", p.peer.Address())
+	cmd := exec.Command(p.binary, "instance", "-settings-file", p.settings, "-peer-advertise", p.peer.Address())
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return err
