--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -41,10 +41,22 @@
 	if a.confirmedAt.IsZero() {
 		a.confirmedAt = now
 		a.changedAt = now
+		c.noteWait(a.task, now)
 	}
 	a.task.stage.job.started = true
 }
 
+// noteWait tells how long a task has waited for its first start.
+func (c *Cell) noteWait(t *task, now time.Time) {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	if c.settings.Waited != nil && !t.stage.readyAt.IsZero() {
+		c.settings.Waited(t.stage.job.record.Priority, now.Sub(t.stage.readyAt))
+	}
+}
+
 // refused takes in that a worker declined a start. The run does not exist, unless the
 // start was sent before.
 //
--- a/internal/cell/ask_test.go
+++ b/internal/cell/ask_test.go
@@ -155,3 +155,35 @@
 		t.Errorf("started with ticket %q", o.Start.Ticket)
 	}
 }
+
+// A task's wait counts from the time at which it could have been started, and once.
+func TestWaitForTheFirstStart(t *testing.T) {
+	var waited []time.Duration
+	settings := Settings{Term: 1, Lease: 3500 * time.Millisecond, Waited: func(_ int, d time.Duration) { waited = append(waited, d) }}
+	s := newSiteWith(t, settings, usualWorker("a"))
+	two := s.record(1, step(1), step(1))
+	two.Steps[1].After = []int{0}
+	s.cell.Add(two, true)
+	s.plan()
+	s.pass(300 * time.Millisecond)
+	s.report("a")
+	for _, o := range s.plan() {
+		s.confirm(o)
+		s.pass(time.Second)
+		s.finish(o, runner.FailedRun)
+		s.report("a")
+	}
+	for _, o := range s.plan() {
+		s.confirm(o)
+		s.pass(time.Second)
+		s.finish(o, runner.Done)
+		s.report("a")
+	}
+	for _, o := range s.plan() {
+		s.pass(20 * time.Millisecond)
+		s.confirm(o)
+	}
+	if len(waited) != 2 || waited[0] < 300*time.Millisecond || waited[0] > 400*time.Millisecond || waited[1] != 20*time.Millisecond {
+		t.Errorf("waits %v, want about 300 ms for the first task and 20 ms for the second", waited)
+	}
+}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -32,7 +32,13 @@
 	room := c.newRoom(now)
 	room.slots = slots
 	for _, s := range c.inOrder(now) {
-		if c.heldBack(s) || !s.due(now, c.settings.Early) {
+		if !s.due(now, c.settings.Early) {
+			continue
+		}
+		if s.readyAt.IsZero() {
+			s.readyAt = now
+		}
+		if c.heldBack(s) {
 			continue
 		}
 		c.placeStage(s, room, now)
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -19,6 +19,9 @@
 	SpareWorkers int
 	// Early is how much before its time an occurrence may start.
 	Early time.Duration
+	// Waited is told how long a task has waited for its first start, with the priority
+	// of its queue; nil is nobody. It is called under the cell's lock.
+	Waited func(priority int, wait time.Duration)
 }
 
 const (
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -18,6 +18,8 @@
 	// not done, and those that are to have another one.
 	idle []int
 	done int
+	// readyAt is when its tasks could first have been started.
+	readyAt time.Time
 	// toEnd is the ideal time from the stage's start to the end of the job.
 	toEnd time.Duration
 	// depth is the number of stages on the longest chain to the end of the job.
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -11,6 +11,8 @@
 	stage *stage
 	index int
 	done  bool
+	// begun says that a run of it was confirmed under this owner.
+	begun bool
 	// attempts are its runs: at most one, but for copies that may run twice.
 	attempts []*attempt
 	// failedRuns are the runs that ended as failed, each counted once. A new owner
--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -17,6 +17,13 @@
 	AdviceSeconds  *metrics.Histogram
 	PlanSeconds    *metrics.Histogram
 	RecoverSeconds *metrics.Histogram
+	// UrgentWaitSeconds and WaitSeconds are how long tasks of the most urgent queues,
+	// and of the others, waited for their first start.
+	UrgentWaitSeconds *metrics.Histogram
+	WaitSeconds       *metrics.Histogram
+	// FreeShare and WaitingTasks are those of the last summary.
+	FreeShare    *metrics.Gauge
+	WaitingTasks *metrics.Gauge
 }
 
 // NewMetrics registers the metrics in a set.
@@ -35,5 +42,10 @@
 		AdviceSeconds:  set.NewHistogram("gentianstand_cell_advice_seconds"),
 		PlanSeconds:    set.NewHistogram("gentianstand_cell_plan_seconds"),
 		RecoverSeconds: set.NewHistogram("gentianstand_cell_take_over_seconds"),
+
+		UrgentWaitSeconds: set.NewHistogram(`gentianstand_cell_wait_seconds{urgent="true"}`),
+		WaitSeconds:       set.NewHistogram(`gentianstand_cell_wait_seconds{urgent="false"}`),
+		FreeShare:         set.NewGauge("gentianstand_cell_free_share", nil),
+		WaitingTasks:      set.NewGauge("gentianstand_cell_waiting_tasks", nil),
 	}
 }
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -40,13 +40,17 @@
 	// sequence is the version of the sequence row.
 	sequence uint64
 	patience *patience.Patience
+	waits    *waits
 }
 
 // New returns an owner whose writes demand that claim, the row of its
 // ownership, is unchanged.
 func New(s cell.Settings, claim store.Check, deps Deps) *Owner {
+	waits := newWaits(deps.Metrics)
+	s.Waited = waits.note
 	return &Owner{
-		deps: deps, claim: claim, term: s.Term, cell: cell.New(s, time.Now(), deps.Log),
+		waits: waits,
+		deps:  deps, claim: claim, term: s.Term, cell: cell.New(s, time.Now(), deps.Log),
 		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1), kickJobs: make(chan struct{}, 1),
 		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{},
 	}
