A holder that waits for the answer to its claim is not overtaken

Others read the new claim at 11.55 s and asked its holder, which got the answer to its write at 11.65 s and knew the term before alone until then.

Ruled out: a lost write (its answer came), a second claim in the same term.

A holder that knows an earlier term than its claim's has not disowned the cell, unless it stays so for as long as an owner may be silent.

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -33,7 +33,9 @@
 		if l.refresh(ctx); l.current().version > known.version {
 			return
 		}
-		l.setVacant(now)
+		if !disowns(reply, known.Term, l.vacantFor(now)) {
+			return
+		}
 		l.contest(ctx, known, takeOver{reason: "the named owner does not own the cell", earlierStopped: true})
 	default:
 		l.heard(ctx, known, reply, now)
@@ -105,12 +107,26 @@
 	return silence{from, l.refusals}
 }
 
-func (l *Leader) setVacant(now time.Time) {
+// disowns reports whether the answer of a claim's holder says that it does not own the
+// cell.
+//
+// What can go wrong: in a slow store others read a new claim 0.1 s before its holder has
+// the answer to its write. It knows the term before alone, and owns nothing yet; it
+// would be overtaken at once, and everything read again. It shows as "ownership_taken"
+// twice within half a second. A holder that has not learned of its claim after the time
+// that it may be silent is taken for one that never will.
+func disowns(reply *cellpb.PingReply, term uint64, vacant time.Duration) bool {
+	return reply.Term >= term || vacant >= silentLimit
+}
+
+// vacantFor returns for how long nobody is known to own the cell.
+func (l *Leader) vacantFor(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.vacantFrom.IsZero() {
 		l.vacantFrom = now
 	}
+	return now.Sub(l.vacantFrom)
 }
 
 // contest takes an ownerless cell over after this instance's delay.
