A take-over from an owner that refuses connections does not wait for a read

The claim is read once more before it is written anyway.

Ruled out: the pings (refused within 1 ms, 0.1 s apart), the survey (5 ms).

Now that read goes on beside.

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -73,7 +73,14 @@
 
 func (l *Leader) ownerSilent(ctx context.Context, known claim, err error, now time.Time) {
 	l.clients.Distrust(known.Address)
-	if l.refresh(ctx); l.current().version > known.version {
+	if cellpeer.Refused(err) {
+		// In a store that is 60 times slower a read takes 0.2 s; take reads the claim
+		// before anything is decided by it.
+		l.refreshBeside(ctx)
+	} else {
+		l.refresh(ctx)
+	}
+	if l.current().version > known.version {
 		return
 	}
 	silence := l.noteSilence(err, now)
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -22,6 +22,8 @@
 	newOwner  NewOwner
 	log       logrus.FieldLogger
 
+	// refreshing says that refreshBeside is at work.
+	refreshing atomic.Bool
 	// pinged says that another instance has pinged this one.
 	pinged atomic.Bool
 
@@ -170,6 +172,17 @@
 	}
 }
 
+// refreshBeside refreshes without waiting for it, unless that is under way.
+func (l *Leader) refreshBeside(ctx context.Context) {
+	if !l.refreshing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer l.refreshing.Store(false)
+		l.refresh(ctx)
+	}()
+}
+
 // current returns the newest claim seen.
 func (l *Leader) current() claim {
 	l.mu.Lock()
