--- /dev/null
+++ b/internal/cell/model_ends_test.go
@@ -0,0 +1,72 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+func (m *model) endSomeRun() {
+	for _, w := range m.workers {
+		if len(w.runs) == 0 {
+			continue
+		}
+		task := slices.Min(slices.Collect(maps.Keys(w.runs)))
+		r := w.runs[task]
+		how := runner.Done
+		switch {
+		case r.stop:
+			how = runner.Stopped
+		case rapid.IntRange(0, 4).Draw(m.rt, "fails") == 0:
+			how = runner.FailedRun
+		}
+		w.end(task, r.run, how)
+		return
+	}
+}
+
+// finishAll heals everything and waits until all jobs are shown as complete.
+func (m *model) finishAll() {
+	m.takeOver(true)
+	o := m.current()
+	for _, w := range m.workers {
+		w.cut = false
+		if w.alive {
+			o.cell.register(w.roster, m.now)
+		}
+	}
+	for range 400 {
+		m.now = m.now.Add(50 * time.Millisecond)
+		for _, w := range m.workers {
+			w.lapse()
+			m.look(o, w, false)
+			for task, r := range w.runs {
+				how := runner.Done
+				if r.stop {
+					how = runner.Stopped
+				}
+				w.end(task, r.run, how)
+			}
+		}
+		m.plan(o, false)
+		m.commit(o, true)
+		if m.allComplete(o) {
+			return
+		}
+	}
+	m.rt.Fatalf("not all jobs completed after the faults had ended")
+}
+
+func (m *model) allComplete(o *modelOwner) bool {
+	for _, r := range m.records {
+		if state, _ := o.cell.State(r.ID); state != job.Completed {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/cell/model_orders_test.go
@@ -0,0 +1,64 @@
+package cell
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+
+	"pgregory.net/rapid"
+
+	"gentianstand/internal/runner"
+)
+
+// plan carries the orders out; some get no answer, some arrive late or never.
+func (m *model) plan(o *modelOwner, faults bool) {
+	orders := o.cell.Plan(m.now, AdviceSlots{})
+	sort.Slice(orders, func(a, b int) bool { return fmt.Sprint(orders[a]) < fmt.Sprint(orders[b]) })
+	for _, order := range orders {
+		m.rt.Logf("%v term %d: %T %v", m.now.Sub(siteStart), o.cell.settings.Term, order, order)
+		fate := 0
+		if faults {
+			fate = rapid.IntRange(0, 6).Draw(m.rt, "fate")
+		}
+		switch order := order.(type) {
+		case StartOrder:
+			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.start(order.Start) },
+				func(err error) { o.cell.StartAnswered(order, runner.Answer{}, m.repeated(err), m.now) })
+		case StopOrder:
+			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.stop(order.Stop) },
+				func(err error) { o.cell.StopAnswered(order, runner.Answer{}, err, m.now) })
+		}
+	}
+}
+
+// repeated is how a start ends after one more attempt, if the first one had no answer:
+// the worker may decline it and yet carry the first one out, before or after.
+func (m *model) repeated(err error) error {
+	if errors.Is(err, runner.ErrNoAnswer) && rapid.Bool().Draw(m.rt, "repeat declined") {
+		return &runner.Refusal{Reason: runner.Unhealthy, Repeated: true}
+	}
+	return err
+}
+
+func (m *model) deliver(fate int, id string, act func(*modelWorker) error, answer func(error)) {
+	for _, w := range m.workers {
+		if w.roster.ID != id {
+			continue
+		}
+		if w.cut && fate < 4 {
+			fate = 4
+		}
+		switch fate {
+		case 4: // carried out, no answer
+			_ = act(w) // nobody hears of it
+			answer(runner.ErrNoAnswer)
+		case 5: // carried out late, no answer
+			m.late = append(m.late, func() { _ = act(w) }) // as above
+			answer(runner.ErrNoAnswer)
+		case 6: // never carried out
+			answer(runner.ErrNoAnswer)
+		default:
+			answer(act(w))
+		}
+	}
+}
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -1,11 +1,9 @@
 package cell
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
-	"sort"
 	"testing"
 	"time"
 
@@ -245,78 +243,6 @@
 	o.cell.Absent(id)
 }
 
-// plan carries the orders out; some get no answer, some arrive late or never.
-func (m *model) plan(o *modelOwner, faults bool) {
-	orders := o.cell.Plan(m.now, AdviceSlots{})
-	sort.Slice(orders, func(a, b int) bool { return fmt.Sprint(orders[a]) < fmt.Sprint(orders[b]) })
-	for _, order := range orders {
-		m.rt.Logf("%v term %d: %T %v", m.now.Sub(siteStart), o.cell.settings.Term, order, order)
-		fate := 0
-		if faults {
-			fate = rapid.IntRange(0, 6).Draw(m.rt, "fate")
-		}
-		switch order := order.(type) {
-		case StartOrder:
-			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.start(order.Start) },
-				func(err error) { o.cell.StartAnswered(order, runner.Answer{}, m.repeated(err), m.now) })
-		case StopOrder:
-			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.stop(order.Stop) },
-				func(err error) { o.cell.StopAnswered(order, runner.Answer{}, err, m.now) })
-		}
-	}
-}
-
-// repeated is how a start ends after one more attempt, if the first one had no answer:
-// the worker may decline it and yet carry the first one out, before or after.
-func (m *model) repeated(err error) error {
-	if errors.Is(err, runner.ErrNoAnswer) && rapid.Bool().Draw(m.rt, "repeat declined") {
-		return &runner.Refusal{Reason: runner.Unhealthy, Repeated: true}
-	}
-	return err
-}
-
-func (m *model) deliver(fate int, id string, act func(*modelWorker) error, answer func(error)) {
-	for _, w := range m.workers {
-		if w.roster.ID != id {
-			continue
-		}
-		if w.cut && fate < 4 {
-			fate = 4
-		}
-		switch fate {
-		case 4: // carried out, no answer
-			_ = act(w) // nobody hears of it
-			answer(runner.ErrNoAnswer)
-		case 5: // carried out late, no answer
-			m.late = append(m.late, func() { _ = act(w) }) // as above
-			answer(runner.ErrNoAnswer)
-		case 6: // never carried out
-			answer(runner.ErrNoAnswer)
-		default:
-			answer(act(w))
-		}
-	}
-}
-
-func (m *model) endSomeRun() {
-	for _, w := range m.workers {
-		if len(w.runs) == 0 {
-			continue
-		}
-		task := slices.Min(slices.Collect(maps.Keys(w.runs)))
-		r := w.runs[task]
-		how := runner.Done
-		switch {
-		case r.stop:
-			how = runner.Stopped
-		case rapid.IntRange(0, 4).Draw(m.rt, "fails") == 0:
-			how = runner.FailedRun
-		}
-		w.end(task, r.run, how)
-		return
-	}
-}
-
 // commit stores progress if the owner's claim holds. Without an answer it may have
 // taken effect all the same.
 func (m *model) commit(o *modelOwner, answers bool) {
@@ -339,44 +265,3 @@
 	}
 	o.cell.Committed(commit)
 }
-
-// finishAll heals everything and waits until all jobs are shown as complete.
-func (m *model) finishAll() {
-	m.takeOver(true)
-	o := m.current()
-	for _, w := range m.workers {
-		w.cut = false
-		if w.alive {
-			o.cell.register(w.roster, m.now)
-		}
-	}
-	for range 400 {
-		m.now = m.now.Add(50 * time.Millisecond)
-		for _, w := range m.workers {
-			w.lapse()
-			m.look(o, w, false)
-			for task, r := range w.runs {
-				how := runner.Done
-				if r.stop {
-					how = runner.Stopped
-				}
-				w.end(task, r.run, how)
-			}
-		}
-		m.plan(o, false)
-		m.commit(o, true)
-		if m.allComplete(o) {
-			return
-		}
-	}
-	m.rt.Fatalf("not all jobs completed after the faults had ended")
-}
-
-func (m *model) allComplete(o *modelOwner) bool {
-	for _, r := range m.records {
-		if state, _ := o.cell.State(r.ID); state != job.Completed {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/internal/cellleader/hand_over_test.go
@@ -0,0 +1,66 @@
+package cellleader_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gentianstand/platform/standin"
+)
+
+// Symptom: a planned restart of the owner stalled all work for seconds.
+// Sequence: the owner is asked to stop.
+// Cause: its successor waited for its silence.
+func TestStoppingOwnerHandsOver(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	first.leader.HandOver(t.Context())
+	if first.owns() {
+		t.Error("the owner still owns the cell")
+	}
+	next := owner(t, without(members, first))
+	if next.term.Load() != first.term.Load()+1 || !next.earlier.Load() {
+		t.Errorf("term %d after %d, earlier owner known to have stopped: %v", next.term.Load(), first.term.Load(), next.earlier.Load())
+	}
+}
+
+// Symptom: a task runs twice.
+// Sequence: an owner is cut off and overtaken; its successor is asked to stop at once
+// and hands the cell over.
+// Cause: the third owner was told that no earlier one acts any more, but the first one
+// may, for as long as a confirmation of its ownership lasts.
+func TestHandOverWaitsUntilTheSilentOwnerCannotAct(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	first.front.Cut(true, true)
+	second := owner(t, without(members, first))
+	overtakenAt := time.Now()
+	second.leader.HandOver(t.Context())
+	third := owner(t, without(without(members, first), second))
+	if third.term.Load() <= second.term.Load() || !third.earlier.Load() {
+		t.Errorf("term %d after %d, earlier owners known to have stopped: %v", third.term.Load(), second.term.Load(), third.earlier.Load())
+	}
+	if passed := time.Since(overtakenAt); passed < time.Second {
+		t.Errorf("handed over %v after the take-over; the first owner could act for 1.5 s", passed)
+	}
+}
+
+// Symptom: after a moment without the strong instances everything is slow for good.
+// Sequence: a weak instance owns the cell; a strong one joins.
+// Cause: an owner kept the cell for as long as it lived.
+func TestWeakOwnerYieldsToAStrongerInstance(t *testing.T) {
+	backing := httptest.NewServer(standin.NewStore())
+	t.Cleanup(backing.Close)
+	weak := joinWith(t, "edge-weak", backing.Listener.Addr().String(), 0.2)
+	owner(t, []*member{weak})
+	strong := joinWith(t, "edge-strong", backing.Listener.Addr().String(), 0.8)
+	for end := time.Now().Add(30 * time.Second); !strong.owns() && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if !strong.owns() || weak.owns() {
+		t.Fatalf("strong owns %v, weak owns %v", strong.owns(), weak.owns())
+	}
+	if !strong.earlier.Load() {
+		t.Error("the new owner does not know that the earlier one has stopped")
+	}
+}
