Workers on which tasks of three jobs go three times too slowly are avoided

A run that will take three times the usual, or has, counts against its worker, once, and is no success.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -46,6 +46,8 @@
 	// slow says that another run of the task would end sooner; only of tasks that may
 	// run twice, runs of others are stopped.
 	slow bool
+	// blamed says that the run was counted against its worker's health.
+	blamed bool
 	// makesRoomFor is the stage that the run was preempted for, or nil.
 	makesRoomFor *stage
 }
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -35,6 +35,9 @@
 			t.stage.markSuccessors()
 			c.noteDuration(a, now)
 		}
+		if a == nil || !a.blamed {
+			w.health.succeeded()
+		}
 		c.taskDone(t, w, now)
 	case runner.FailedRun:
 		c.taskFailed(t, w, e.Run, now)
@@ -55,6 +58,9 @@
 func (c *Cell) noteDuration(a *attempt, now time.Time) {
 	step := a.task.stage.step
 	if a.fromStart && !step.LongRunning && !step.Gang && !step.Fills {
+		if a.elapsed(now) > suspectFactor*c.usualDuration(a) {
+			a.blameWorker(now)
+		}
 		c.durations.add(a.task.stage.job.record.Queue, now.Sub(a.orderedAt))
 	}
 }
@@ -71,7 +77,6 @@
 
 // taskDone books a success. One end of a gang's member stands for all.
 func (c *Cell) taskDone(t *task, w *worker, now time.Time) {
-	w.health.succeeded()
 	members := []*task{t}
 	if t.stage.step.Gang {
 		members = t.stage.tasks
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -29,6 +29,9 @@
 	// slowFactor is how much longer than a fresh start elsewhere a run has to
 	// need before it is moved: stopping and the estimate's error cost something.
 	slowFactor = 1.6
+	// suspectFactor is how many times longer than usual a run takes whose worker is
+	// likely slow: tasks of one queue differ by up to 2.5 times.
+	suspectFactor = 3
 	// siblingLeast is the progress in percent from which a sibling's speed tells
 	// something; progress is reported in whole percents.
 	siblingLeast = 10
@@ -118,14 +121,17 @@
 	// A worker whose reports stop coming is not a stalled task.
 	if still > limit && a.worker.lastReport.Sub(a.changedAt) > limit {
 		c.log.WithFields(attemptFields(a)).WithField("still_ms", still.Milliseconds()).Info("run_stalled")
-		a.worker.health.failed(a.task.stage.id.Job, now)
+		a.blameWorker(now)
 		c.stats.Moves++
 		c.stop(a, "stalled", now)
 		return
 	}
+	if c.suspicious(a) {
+		a.blameWorker(now)
+	}
 	if !a.slow && c.slow(a) {
 		c.log.WithFields(attemptFields(a)).WithField("elapsed_ms", a.elapsed(now).Milliseconds()).Info("run_slow")
-		a.worker.health.failed(a.task.stage.id.Job, now)
+		a.blameWorker(now)
 		if step.AllowDuplicates {
 			a.slow = true
 			return
@@ -158,6 +164,28 @@
 	return a.projectedLeft() > time.Duration(slowFactor*float64(fresh+c.settings.StopGrace))+slowLeast
 }
 
+// suspicious reports whether a run goes so slowly that its worker is likely at fault.
+//
+// Load pattern: a sixth of the workers are six times slower. A task of 0.8 s is not
+// worth a move there, so nothing was held against the worker, and it went on getting
+// urgent tasks for as long as it was slow.
+func (c *Cell) suspicious(a *attempt) bool {
+	elapsed := a.changedAt.Sub(a.confirmedAt)
+	if !a.fromStart || elapsed < copyLeast || a.percent <= 0 {
+		return false
+	}
+	return elapsed+a.projectedLeft() > suspectFactor*c.usualDuration(a)
+}
+
+// blameWorker counts a run against its worker's health, once.
+func (a *attempt) blameWorker(now time.Time) {
+	if a.blamed {
+		return
+	}
+	a.blamed = true
+	a.worker.health.failed(a.task.stage.id.Job, now)
+}
+
 // projectedLeft returns how long a run with some progress still needs at its speed
 // so far.
 func (a *attempt) projectedLeft() time.Duration {
--- a/internal/cell/watch_test.go
+++ b/internal/cell/watch_test.go
@@ -144,3 +144,53 @@
 		}
 	}
 }
+
+// slowJobs has tasks of several jobs go at a sixth of their speed on worker a.
+func slowJobs(t *testing.T, s *site, jobs int) []StartOrder {
+	t.Helper()
+	s.report("a")
+	var starts []StartOrder
+	for n := range jobs {
+		s.cell.Add(s.record(n+1, step(1)), true)
+	}
+	for _, o := range s.plan() {
+		s.confirm(o)
+		starts = append(starts, o)
+	}
+	for tick := 1; tick <= 3; tick++ {
+		s.pass(300 * time.Millisecond)
+		for i := range s.runs["a"] {
+			s.runs["a"][i].Percent = 5 * tick
+		}
+		s.report("a")
+		s.plan()
+	}
+	return starts
+}
+
+// Symptom: urgent tasks are late for as long as a worker is slow.
+// Sequence: a worker becomes six times slower; its short tasks are not worth a move.
+// Cause: nothing was held against the worker, and it went on getting tasks.
+func TestWorkerOnWhichTasksOfThreeJobsAreSlowIsAvoided(t *testing.T) {
+	for jobs, avoided := range map[int]bool{badStreak - 1: false, badStreak: true} {
+		s := newSite(t, 1, usualWorker("a"))
+		slowJobs(t, s, jobs)
+		if got := s.cell.workers["a"].health.avoided(s.now); got != avoided {
+			t.Errorf("slow tasks of %d jobs: avoided %v", jobs, got)
+		}
+	}
+}
+
+// Symptom: a slow worker is never avoided.
+// Sequence: between two slow tasks another slow one ends.
+// Cause to be ruled out: an end that comes six times too late counts as a success.
+func TestLateEndOnASlowWorkerIsNoSuccess(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	starts := slowJobs(t, s, badStreak-1)
+	s.pass(5 * time.Second)
+	s.finish(starts[0], runner.Done)
+	s.report("a")
+	if streak := s.cell.workers["a"].health.streak; streak != badStreak-1 {
+		t.Errorf("streak %d after a late end, want %d", streak, badStreak-1)
+	}
+}
