Stages that ask for advice together spread over the workers

All stages asked about the same emptiest workers; the first ones filled these.

Ruled out as what binds there: the advice.

Stages ask about the workers that take most of their tasks first, and among equals each in an order of its own.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"sort"
 	"time"
 
 	"gentianstand/internal/advice"
@@ -76,8 +75,8 @@
 	if wanted <= 0 {
 		return nil
 	}
-	emptiestFirst(renew, s)
-	emptiestFirst(unknown, s)
+	c.mostRoomFirst(renew, s)
+	c.mostRoomFirst(unknown, s)
 	var ids []string
 	for _, w := range renew {
 		if len(ids) == mostAsked || wanted <= 0 {
@@ -105,19 +104,6 @@
 	return float64(n)
 }
 
-func emptiestFirst(list []*worker, s *stage) {
-	sort.Slice(list, func(i, k int) bool {
-		a, b := list[i], list[k]
-		if s.step.Fills && a.servers != b.servers {
-			return a.servers < b.servers
-		}
-		if x, y := a.free().MilliCPU, b.free().MilliCPU; x != y {
-			return x > y
-		}
-		return a.ID < b.ID
-	})
-}
-
 // Advised takes in the answer to a question about a stage.
 func (c *Cell) Advised(stage job.StageID, asked []string, tickets []advice.Ticket, err error, now time.Time) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/cell/ask_order_test.go
@@ -0,0 +1,66 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/resource"
+)
+
+// askedTogether has stages ask about workers in one pass and returns how many workers
+// they ask about in all, each counted once, and how many questions there are.
+func askedTogether(s *site, stages int) (workers, questions int) {
+	all := manyWorkers(24)
+	for _, w := range all {
+		s.report(w.ID)
+	}
+	for n := range stages {
+		s.cell.Add(advised(s.record(n+1, step(2)), 30*time.Millisecond), true)
+	}
+	s.slots = AdviceSlots{Quick: stages}
+	s.plan()
+	seen := map[string]bool{}
+	for _, q := range s.questions() {
+		questions++
+		for _, id := range q.Workers {
+			seen[id] = true
+		}
+	}
+	return len(seen), questions
+}
+
+// Symptom: after a restart of all instances stages ask for advice several times each,
+// while workers stand idle.
+// Sequence: many stages ask at the same time.
+// Cause: all of them asked about the same emptiest workers, and the first ones filled
+// these.
+func TestStagesThatAskTogetherSpreadOverTheWorkers(t *testing.T) {
+	s := newSite(t, 1, manyWorkers(24)...)
+	if workers, questions := askedTogether(s, 4); questions != 4 || workers < 2*leastAsked {
+		t.Errorf("%d questions about %d workers in all, want 4 about %d at least", questions, workers, 2*leastAsked)
+	}
+}
+
+// Symptom: a stage of many tasks asks about workers that are nearly full.
+// Sequence: some workers have room for all of its tasks, others for one.
+// Cause to be ruled out: the lot goes before the room.
+func TestWorkersWithMoreRoomAreAskedAboutFirst(t *testing.T) {
+	workers := manyWorkers(24)
+	for i := range workers {
+		if i%2 == 1 {
+			workers[i].Capacity = resource.Amount{MilliCPU: 1000, MemoryMiB: 32768}
+		}
+	}
+	s := newSite(t, 1, workers...)
+	for _, w := range workers {
+		s.report(w.ID)
+	}
+	s.cell.Add(advised(s.record(1, step(4)), 30*time.Millisecond), true)
+	s.slots = AdviceSlots{Quick: 1}
+	s.plan()
+	for _, id := range s.questions()[0].Workers[:leastAsked] {
+		if s.cell.workers[id].Capacity.MilliCPU < 4000 {
+			t.Errorf("asked about %s, which has room for one task, among the first", id)
+		}
+	}
+}
