A new owner reads the cell again where the store does not answer, and gives up after 10 s

The new owner's reads of silent partitions had no limit and were never answered; it answered pings, so nobody overtook it.

Ruled out: the take-over itself (one, announced to all eight others), the feed (it starts after the cell was read).

A page is read again after 1.5 s without an answer, until 10 s have passed; then the ownership is given up.

--- a/internal/celljobs/read.go
+++ b/internal/celljobs/read.go
@@ -26,7 +26,7 @@
 		wg.Go(func() {
 			for n := range next {
 				r := &results[n]
-				r.rows, r.version, r.err = store.ReadAll(ctx, b.store, TableJobs, partitionName(b.cell, n))
+				r.rows, r.version, r.err = store.ReadAll(ctx, store.Persistent{Store: b.store}, TableJobs, partitionName(b.cell, n))
 			}
 		})
 	}
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -13,6 +13,11 @@
 	"gentianstand/internal/store"
 )
 
+// loadTimeout bounds the reading of a cell, which takes 0.1 s, and 1.2 s in a store that
+// is 100 times slower. Parts of the store may be away for some seconds; another instance
+// then fares no better, unless this one is cut off.
+const loadTimeout = 10 * time.Second
+
 // Owner owns one cell for one term.
 type Owner struct {
 	deps  Deps
@@ -82,6 +87,8 @@
 // nothing that is written meanwhile is missed; progress is written by this owner
 // alone.
 func (o *Owner) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	var kept stored
 	var reads sync.WaitGroup
 	reads.Go(func() { kept.readProgress(ctx, o.deps) })
--- /dev/null
+++ b/internal/store/persistent.go
@@ -0,0 +1,45 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// pageTimeout bounds one attempt to read a page; a store that is 100 times slower
+	// needs 0.8 s.
+	pageTimeout = 1500 * time.Millisecond
+	// pageRetry is the pause after an attempt that the store refused.
+	pageRetry = 100 * time.Millisecond
+)
+
+// Persistent is a Store that reads a page again while the store does not answer or
+// refuses, until the context ends. Contexts therefore need a deadline.
+//
+// What can go wrong: some partitions of the store are silent for seconds, and a
+// connection that has lost an answer never delivers another one. An owner whose first
+// reads meet that would wait for ever; it answers pings, so nobody overtakes it, and
+// nothing is planned any more. It shows as "ownership_taken" without "cell_loaded".
+type Persistent struct{ Store }
+
+// Read implements Store.
+func (p Persistent) Read(ctx context.Context, table, partition, from string) (Page, error) {
+	for {
+		page, err := p.readOnce(ctx, table, partition, from)
+		if !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrUnknown) {
+			return page, err
+		}
+		select {
+		case <-ctx.Done():
+			return page, err
+		case <-time.After(pageRetry):
+		}
+	}
+}
+
+func (p Persistent) readOnce(ctx context.Context, table, partition, from string) (Page, error) {
+	callCtx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return p.Store.Read(callCtx, table, partition, from)
+}
--- /dev/null
+++ b/internal/store/persistent_test.go
@@ -0,0 +1,58 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// moody is a store whose first reads go as told: an error at once, or nil for no answer.
+type moody struct {
+	Store
+	first []error
+	reads int
+}
+
+func (m *moody) Read(ctx context.Context, _, _, _ string) (Page, error) {
+	m.reads++
+	if m.reads > len(m.first) {
+		return Page{Version: 7}, nil
+	}
+	if err := m.first[m.reads-1]; err != nil {
+		return Page{}, err
+	}
+	<-ctx.Done()
+	return Page{}, ErrUnknown
+}
+
+// Symptom: an owner reads the cell for ever, and nothing is planned any more.
+// Sequence: a partition of the store is silent, and answers later on new connections.
+// Cause: the read had no limit, and was not repeated.
+func TestSilentReadIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &moody{first: []error{nil, ErrUnavailable, nil}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		page, err := Persistent{m}.Read(ctx, "jobs", "cell-0/001", "")
+		if err != nil || page.Version != 7 || m.reads != 4 {
+			t.Errorf("page %+v, error %v after %d reads", page, err, m.reads)
+		}
+	})
+}
+
+func TestPersistentReadEndsWithItsContextAndWithOtherErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		silent := &moody{first: make([]error, 100)}
+		if _, err := (Persistent{silent}).Read(ctx, "jobs", "", ""); !errors.Is(err, ErrUnknown) {
+			t.Errorf("error %v at the deadline", err)
+		}
+		other := &moody{first: []error{ErrHistoryGone}}
+		if _, err := (Persistent{other}).Read(t.Context(), "jobs", "", ""); !errors.Is(err, ErrHistoryGone) || other.reads != 1 {
+			t.Errorf("error %v after %d reads", err, other.reads)
+		}
+	})
+}
