The soak notices processes of another run at its addresses

Ours could not bind ("address already in use" in the kept logs of node-0 and node-1), the old ones answered that they were ready, and jobs were handed to them.

Addresses differ by test process now, and a world fails at once if one of them is taken.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -38,9 +40,26 @@
 	lives    int
 }
 
-// newWorld starts the stand-ins and the processes. Each world has its own
-// loopback addresses, so that several can run beside one another.
-func newWorld(t *testing.T, binary string, net int) *world {
+// address returns the loopback address of an instance. Each world of each test process
+// has its own, so that several can run beside one another.
+func address(t *testing.T, world, instance int) string {
+	t.Helper()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, world%250, instance+1)
+	// A process that an earlier run left behind would answer in place of ours.
+	for _, port := range []string{"7720", "8161", "8167"} {
+		l, err := net.Listen("tcp", ip+":"+port)
+		if err != nil {
+			t.Fatalf("a process of another run has the address: %v", err)
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return ip
+}
+
+// newWorld starts the stand-ins and the processes.
+func newWorld(t *testing.T, binary string, number int) *world {
 	t.Helper()
 	w := &world{t: t, judge: standin.NewJudge(taskCPU), store: standin.NewStore()}
 	storeServer := httptest.NewServer(w.store)
@@ -58,8 +77,7 @@
 			t.Fatal(err)
 		}
 		w.storeAt = append(w.storeAt, proxy)
-		ip := fmt.Sprintf("127.77.%d.%d", net%250, i+1)
-		p := newProcess(t, binary, dir, i, ip, proxy.Address(), adviser.Listener.Addr().String())
+		p := newProcess(t, binary, dir, i, address(t, number, i), proxy.Address(), adviser.Listener.Addr().String())
 		if err := p.start(); err != nil {
 			t.Fatal(err)
 		}
