Upkeep and cell: compute a tick's choice once, share three checks

Re-reading the change: behaviour, bounds and tests are unchanged.

Tracker.choose called load, which takes the cell's lock and walks the worker's runs, in each comparison of the sort, and computed how many machines are worked at once for each candidate, every 300 ms, also when nothing could be chosen. It now computes that number once, returns when nothing may be chosen, and asks for each candidate's load once.

In the cell, 'eligible, and room for a task when empty' stood in three places, 'near the data' in four and taking a worker out of the books in two, one of them with the count of parked workers kept by its caller. Each is one function now.

Figures: none; the cost of the sort was not measured.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -58,7 +58,7 @@
 	ticketed := 0.0
 	answer := now.Add(s.job.record.Advice.Duration(advisedWorkers))
 	for _, w := range room.usable {
-		if !c.eligible(s, w) || !s.step.Occupied().Fits(w.Capacity) {
+		if !c.hasRoomEmpty(s, w) {
 			continue
 		}
 		v, known := s.advice.verdicts[w.ID]
--- a/internal/cell/ask_order.go
+++ b/internal/cell/ask_order.go
@@ -27,7 +27,7 @@
 	prefix := s.id.String()
 	candidates := make([]askCandidate, len(list))
 	for i, w := range list {
-		candidates[i] = askCandidate{w, s.step.DataRack != "" && w.Rack == s.step.DataRack, c.takes(s, w), xxhash.Sum64String(prefix + w.ID)}
+		candidates[i] = askCandidate{w, s.near(w), c.takes(s, w), xxhash.Sum64String(prefix + w.ID)}
 	}
 	sort.Slice(candidates, func(i, k int) bool {
 		a, b := &candidates[i], &candidates[k]
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -172,12 +172,8 @@
 func (c *Cell) remove(w *worker, now time.Time) {
 	c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_replaced")
 	c.loseAll(w, "worker_replaced", now)
-	if w.parked {
-		c.parked--
-	}
-	delete(c.workers, w.ID)
 	c.gone[w.ID] = struct{}{}
-	c.known.changed(w.ID)
+	c.takeOut(w)
 }
 
 // loseAll drops every run of a worker: it is certain that none goes on.
--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -28,9 +28,15 @@
 	return false
 }
 
+// near reports whether a worker stands where the stage has its data. No worker is near
+// a stage without data.
+func (s *stage) near(w *worker) bool {
+	return s.step.DataRack != "" && w.Rack == s.step.DataRack
+}
+
 // mayRunNear reports whether a worker near the data will do when it has room.
 func (c *Cell) mayRunNear(s *stage, w *worker) bool {
-	if !c.eligible(s, w) || !s.step.Occupied().Fits(w.Capacity) {
+	if !c.hasRoomEmpty(s, w) {
 		return false
 	}
 	verdict, known := s.advice.verdicts[w.ID]
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -115,7 +115,7 @@
 	share := s.guessedShare()
 	var parked []*worker
 	for _, w := range c.workers {
-		if !c.eligible(s, w) || !s.step.Occupied().Fits(w.Capacity) {
+		if !c.hasRoomEmpty(s, w) {
 			continue
 		}
 		switch {
@@ -146,7 +146,7 @@
 // wakesFirst reports whether a stage has a woken before b: near its data, and
 // whole racks, for gangs that belong into one.
 func (s *stage) wakesFirst(a, b *worker) bool {
-	if near := a.Rack == s.step.DataRack; near != (b.Rack == s.step.DataRack) {
+	if near := s.near(a); near != s.near(b) {
 		return near
 	}
 	if a.Rack != b.Rack {
@@ -199,7 +199,7 @@
 	coming := false
 	var parked []*worker
 	for _, w := range c.workers {
-		if w.Rack != s.step.DataRack || !c.eligible(s, w) {
+		if !s.near(w) || !c.eligible(s, w) {
 			continue
 		}
 		switch {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -59,7 +59,7 @@
 	need := s.step.Occupied()
 	nearOnly := c.waitsForNear(s, room, now)
 	for _, w := range c.allowed(s, room, now, now) {
-		if !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && w.Rack != s.step.DataRack {
+		if !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) {
 			continue
 		}
 		ticket := ""
@@ -106,6 +106,12 @@
 	return s.step.MaxPerWorker == 0 || s.perWorker[w] < s.step.MaxPerWorker
 }
 
+// hasRoomEmpty reports whether a worker may ever run the stage and has room for a task
+// of it when nothing else runs there.
+func (c *Cell) hasRoomEmpty(s *stage, w *worker) bool {
+	return c.eligible(s, w) && s.step.Occupied().Fits(w.Capacity)
+}
+
 // The weights of score, in shares of a worker: being far from the data counts
 // more than any fit, disturbing a serving task more than fit.
 const (
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -91,7 +91,15 @@
 
 // forget drops a worker that is not registered and on which nothing can run.
 func (c *Cell) forget(w *worker) {
+	c.takeOut(w)
+	c.log.WithFields(workerFields(w)).Info("worker_forgotten")
+}
+
+// takeOut ends the books on a worker that has no runs.
+func (c *Cell) takeOut(w *worker) {
+	if w.parked {
+		c.parked--
+	}
 	delete(c.workers, w.ID)
 	c.known.changed(w.ID)
-	c.log.WithFields(workerFields(w)).Info("worker_forgotten")
 }
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -76,7 +76,6 @@
 // watchParked forgets a parked worker that left.
 func (c *Cell) watchParked(w *worker, now time.Time) {
 	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
-		c.parked--
 		c.forget(w)
 	}
 }
--- /dev/null
+++ b/internal/upkeep/candidate.go
@@ -0,0 +1,7 @@
+package upkeep
+
+// candidate is a machine that may be emptied next.
+type candidate struct {
+	machine, worker string
+	runs            int
+}
--- a/internal/upkeep/tracker.go
+++ b/internal/upkeep/tracker.go
@@ -102,21 +102,21 @@
 // choose has as many machines emptied as the wave's time asks for, those with the
 // fewest runs first.
 func (t *Tracker) choose(now time.Time, listed map[string]Machine, load func(worker string) Load) {
-	var candidates []string
+	busy := t.count(func(p *progress) bool { return p.stage == emptying || p.down() })
+	more := t.parallel(now) - busy
+	if more <= 0 {
+		return
+	}
+	var candidates []candidate
 	for _, name := range t.wave.Machines {
-		if t.machines[name].stage == waiting && listed[name].Up {
-			candidates = append(candidates, name)
+		m := listed[name]
+		if t.machines[name].stage == waiting && m.Up {
+			candidates = append(candidates, candidate{name, m.Worker, load(m.Worker).Runs})
 		}
 	}
-	runs := func(name string) int { return load(listed[name].Worker).Runs }
-	sort.SliceStable(candidates, func(a, b int) bool { return runs(candidates[a]) < runs(candidates[b]) })
-	busy := t.count(func(p *progress) bool { return p.stage == emptying || p.down() })
-	for _, name := range candidates {
-		if busy >= t.parallel(now) {
-			return
-		}
-		*t.machines[name] = progress{stage: emptying, worker: listed[name].Worker, since: now}
-		busy++
+	sort.SliceStable(candidates, func(a, b int) bool { return candidates[a].runs < candidates[b].runs })
+	for _, chosen := range candidates[:min(more, len(candidates))] {
+		*t.machines[chosen.machine] = progress{stage: emptying, worker: chosen.worker, since: now}
 	}
 }
 
