Cell: stages that wait for long are told with their reason

Ruled out: tickets that run out, questions not asked (unknown=0), accelerators (each worker has the 8).

--- /dev/null
+++ b/internal/cell/long_wait.go
@@ -0,0 +1,116 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/resource"
+)
+
+// longWaitAfter is how long a stage must have had tasks to place to be told to
+// operators: an ordinary wait for room or for slow advice is over before.
+const longWaitAfter = 8 * time.Second
+
+// WaitReason is why a stage has waited for long.
+type WaitReason string
+
+const (
+	// NoWorkerFits says that no known worker could hold one task, even when idle.
+	NoWorkerFits WaitReason = "no_worker_fits"
+	// AdviceDenies says that the adviser refused every worker that could.
+	AdviceDenies WaitReason = "advice_denies"
+	// TooFewPlaces says that a gang has more members than the workers that may run it
+	// hold when they are idle.
+	TooFewPlaces WaitReason = "too_few_places"
+	// NoRoom says that the stage could run, and others use the room.
+	NoRoom WaitReason = "no_room"
+)
+
+// LongWait describes a stage that has waited for long.
+type LongWait struct {
+	Stage  job.StageID
+	Queue  string
+	Reason WaitReason
+	Waited time.Duration
+	// Idle is how many of the Tasks wait, Need what each of them takes.
+	Idle, Tasks int
+	Need        resource.Amount
+	// Able is how many workers could hold a task when idle, Denied how many of them
+	// the adviser refused, and Unknown of how many it was not asked.
+	Able, Denied, Unknown int
+	// Places is how many tasks the able workers that are not denied hold when idle.
+	Places int
+}
+
+// Impossible reports whether the wait cannot end with the workers that are known.
+func (l *LongWait) Impossible() bool { return l.Reason != NoRoom }
+
+// LongWaits returns the stages that have waited for long, impossible ones first, then
+// those with the longest wait.
+func (c *Cell) LongWaits(now time.Time) []LongWait {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var waits []LongWait
+	for s := range c.waiting {
+		if !s.readyAt.IsZero() && now.Sub(s.readyAt) >= longWaitAfter {
+			waits = append(waits, c.explain(s, now))
+		}
+	}
+	sort.Slice(waits, func(i, k int) bool {
+		a, b := &waits[i], &waits[k]
+		switch {
+		case a.Impossible() != b.Impossible():
+			return a.Impossible()
+		case a.Waited != b.Waited:
+			return a.Waited > b.Waited
+		}
+		return a.Stage.Job < b.Stage.Job
+	})
+	return waits
+}
+
+// explain finds out why a stage waits.
+func (c *Cell) explain(s *stage, now time.Time) LongWait {
+	l := LongWait{Stage: s.id, Queue: s.job.record.Queue, Waited: now.Sub(s.readyAt),
+		Idle: len(s.idle), Tasks: len(s.tasks), Need: s.step.Occupied()}
+	for _, w := range c.workers {
+		if !c.hasRoomEmpty(s, w) {
+			continue
+		}
+		l.Able++
+		verdict, known := s.advice.verdicts[w.ID]
+		switch {
+		case s.job.record.Advice == nil:
+		case !known:
+			l.Unknown++
+		case !verdict.good:
+			l.Denied++
+			continue
+		}
+		l.Places += s.placesEmpty(w)
+	}
+	l.Reason = l.reason(s.step.Gang)
+	return l
+}
+
+// placesEmpty returns how many of the stage's tasks an idle worker holds.
+func (s *stage) placesEmpty(w *worker) int {
+	limit := len(s.tasks)
+	if s.step.MaxPerWorker > 0 {
+		limit = min(limit, s.step.MaxPerWorker)
+	}
+	return int(s.step.Occupied().CountIn(w.Capacity, int64(limit)))
+}
+
+func (l *LongWait) reason(gang bool) WaitReason {
+	switch {
+	case l.Able == 0:
+		return NoWorkerFits
+	case l.Able == l.Denied:
+		return AdviceDenies
+	case gang && l.Places < l.Tasks:
+		return TooFewPlaces
+	}
+	return NoRoom
+}
--- /dev/null
+++ b/internal/cell/long_wait_test.go
@@ -0,0 +1,53 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+)
+
+// Symptom: tasks wait for good beside workers that are nine tenths free, and neither
+// log nor metric says why.
+// Sequence: the adviser allows a stage on no worker; or no worker holds a task, or not
+// all members of a gang.
+// Cause: a wait that cannot end looked like one for room.
+func TestLongWaitsAreExplained(t *testing.T) {
+	large := step(1)
+	large.Need.MilliCPU = 17000
+	gang := step(3)
+	gang.Gang = true
+	gang.Need.MilliCPU = 16000
+	full := step(40)
+	full.Need.MilliCPU = 16000
+	for _, test := range []struct {
+		name    string
+		step    job.Step
+		advised bool
+		want    WaitReason
+	}{
+		{"a task is larger than any worker", large, false, NoWorkerFits},
+		{"advice allows none", step(1), true, AdviceDenies},
+		{"a gang is larger than all workers", gang, false, TooFewPlaces},
+		{"others use the room", full, false, NoRoom},
+	} {
+		s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+		s.report("a")
+		s.report("b")
+		r := s.record(1, test.step)
+		if test.advised {
+			r = advised(r, 30*time.Millisecond)
+		}
+		s.cell.Add(r, true)
+		s.plan()
+		s.advise()
+		if waits := s.cell.LongWaits(s.now); len(waits) > 0 {
+			t.Errorf("%s: told at once: %+v", test.name, waits)
+		}
+		s.pass(longWaitAfter)
+		waits := s.cell.LongWaits(s.now)
+		if len(waits) != 1 || waits[0].Reason != test.want || waits[0].Waited != longWaitAfter {
+			t.Errorf("%s: %+v", test.name, waits)
+		}
+	}
+}
--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -24,6 +24,8 @@
 	// FreeShare and WaitingTasks are those of the last summary.
 	FreeShare    *metrics.Gauge
 	WaitingTasks *metrics.Gauge
+	// ImpossibleTasks are those of WaitingTasks that no known worker may or can run.
+	ImpossibleTasks *metrics.Gauge
 }
 
 // NewMetrics registers the metrics in a set.
@@ -47,5 +49,6 @@
 		WaitSeconds:       set.NewHistogram(`gentianstand_cell_wait_seconds{urgent="false"}`),
 		FreeShare:         set.NewGauge("gentianstand_cell_free_share", nil),
 		WaitingTasks:      set.NewGauge("gentianstand_cell_waiting_tasks", nil),
+		ImpossibleTasks:   set.NewGauge("gentianstand_cell_impossible_tasks", nil),
 	}
 }
