Leader: a silent owner is missed after 0.5 s instead of 0.9 s

The limits allowed for pings each 250 ms by every instance, and for what any of them had heard in the last 0.7 s.

Change: the three instances that would succeed it first ping every 125 ms with a timeout of 200 ms, all others every 500 ms; silent after two pings in a row, the second one over a new connection, unless another instance has heard it in the last 0.35 s. What a holder may take to learn of its claim, and for how long the store must have served an instance that others do not answer, keep their 0.9 s under names of their own: the tests of these two name the new constants, with the same values.

Ruled out: a take-over from an owner that is merely slow; the survey of the others stays.

--- a/internal/cellleader/candidates.go
+++ b/internal/cellleader/candidates.go
@@ -10,8 +10,16 @@
 	"gentianstand/internal/cellpeer"
 )
 
-// delay is how long this instance leaves a term to others.
-func (l *Leader) delay(term uint64) time.Duration {
+// place is where an instance stands among those that may succeed an owner.
+type place struct {
+	// number counts from 0, the first to succeed.
+	number int
+	// weak says that others have more processors.
+	weak bool
+}
+
+// place returns this instance's place for a term.
+func (l *Leader) place(term uint64) place {
 	self := l.directory.Self()
 	candidates := []cellpeer.Instance{self}
 	for _, other := range l.directory.Others() {
@@ -21,32 +29,39 @@
 			candidates = append(candidates, other)
 		}
 	}
-	return candidateDelay(self, candidates, term)
+	return placeAmong(self, candidates, term)
 }
 
-// candidateDelay is how long one of the candidates leaves a term to others: the
-// strongest come first, because the owner of a large cell works more than all other
-// instances together, and among equals the lot decides.
-func candidateDelay(self cellpeer.Instance, candidates []cellpeer.Instance, term uint64) time.Duration {
+// delay is how long this instance leaves a term to others.
+func (l *Leader) delay(term uint64) time.Duration { return l.place(term).delay() }
+
+// placeAmong returns the place of one of the candidates: the strongest come first,
+// because the owner of a large cell works more than all other instances together, and
+// among equals the lot decides.
+func placeAmong(self cellpeer.Instance, candidates []cellpeer.Instance, term uint64) place {
 	sort.Slice(candidates, func(a, b int) bool {
 		if candidates[a].Cores != candidates[b].Cores {
 			return candidates[a].Cores > candidates[b].Cores
 		}
 		return lot(candidates[a].Name, term) < lot(candidates[b].Name, term)
 	})
-	place := slices.IndexFunc(candidates, func(i cellpeer.Instance) bool { return i.Name == self.Name })
-	if self.Cores < candidates[0].Cores {
-		return placeDelay(place) + weakDelay
-	}
-	return placeDelay(place)
+	number := slices.IndexFunc(candidates, func(i cellpeer.Instance) bool { return i.Name == self.Name })
+	return place{number: number, weak: self.Cores < candidates[0].Cores}
 }
 
-// placeDelay returns the delay of a place in the order of candidates.
-func placeDelay(place int) time.Duration {
-	if place <= firstCandidates {
-		return time.Duration(place) * stagger
+// eager reports whether an instance in this place pings the owner often.
+func (p place) eager() bool { return p.number < eagerPlaces }
+
+// delay is how long an instance in this place leaves a term to others.
+func (p place) delay() time.Duration {
+	d := time.Duration(min(p.number, firstCandidates)) * stagger
+	if p.number > firstCandidates {
+		d += time.Duration(p.number-firstCandidates) * crowdStagger
+	}
+	if p.weak {
+		d += weakDelay
 	}
-	return firstCandidates*stagger + time.Duration(place-firstCandidates)*crowdStagger
+	return d
 }
 
 func lot(name string, term uint64) uint32 {
--- a/internal/cellleader/candidates_test.go
+++ b/internal/cellleader/candidates_test.go
@@ -28,7 +28,7 @@
 	all := candidates(6, 29)
 	slowestStrong, quickestWeak := time.Duration(0), time.Hour
 	for _, i := range all {
-		delay := candidateDelay(i, append([]cellpeer.Instance(nil), all...), 7)
+		delay := placeAmong(i, append([]cellpeer.Instance(nil), all...), 7).delay()
 		if i.Cores == 0.8 {
 			slowestStrong = max(slowestStrong, delay)
 			continue
@@ -48,10 +48,29 @@
 	for _, all := range [][]cellpeer.Instance{candidates(9, 0), candidates(0, 9)} {
 		quickest := time.Hour
 		for _, i := range all {
-			quickest = min(quickest, candidateDelay(i, append([]cellpeer.Instance(nil), all...), 7))
+			quickest = min(quickest, placeAmong(i, append([]cellpeer.Instance(nil), all...), 7).delay())
 		}
 		if quickest != 0 {
 			t.Errorf("the first of %d equal instances waits %v", len(all), quickest)
 		}
 	}
 }
+
+// Symptom: the owner of a large site spends its processor on pings.
+// Load: 44 instances follow one owner. Limit: as few as succeed it first ask often.
+func TestFewInstancesAskOftenAfterTheOwner(t *testing.T) {
+	all := candidates(9, 35)
+	eager := 0
+	for _, i := range all {
+		p := placeAmong(i, append([]cellpeer.Instance(nil), all...), 7)
+		if p.eager() {
+			eager++
+		}
+		if p.eager() && p.weak {
+			t.Errorf("%s is eager, and weak", i.Name)
+		}
+	}
+	if eager != eagerPlaces {
+		t.Errorf("%d of %d are eager", eager, len(all))
+	}
+}
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -9,10 +9,20 @@
 	"gentianstand/internal/cellpeer/cellpb"
 )
 
+// followDue reports whether it is this instance's turn to ask after the owner. Those
+// that would succeed it last ask less often, unless it refuses connections.
+func (l *Leader) followDue(now time.Time) bool {
+	l.mu.Lock()
+	known, since, refusals := l.known, now.Sub(l.followedAt), l.refusals
+	l.mu.Unlock()
+	return refusals > 0 || since >= crowdPeriod || l.place(known.Term).eager()
+}
+
 // follow watches the owner and takes over when it is gone.
 func (l *Leader) follow(ctx context.Context) {
 	l.mu.Lock()
 	known := l.known
+	l.followedAt = time.Now()
 	l.mu.Unlock()
 	if l.returns(known) {
 		l.take(ctx, known, takeOver{reason: "the owner's process was replaced", earlierStopped: true})
@@ -123,7 +133,7 @@
 // twice within half a second. A holder that has not learned of its claim after the time
 // that it may be silent is taken for one that never will.
 func disowns(reply *cellpb.PingReply, term uint64, vacant time.Duration) bool {
-	return reply.Term >= term || vacant >= silentLimit
+	return reply.Term >= term || vacant >= vacantLimit
 }
 
 // vacantFor returns for how long nobody is known to own the cell.
@@ -173,7 +183,7 @@
 }
 
 func (l *Leader) ping(ctx context.Context, address string, term uint64) (*cellpb.PingReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	return l.clients.To(address).Ping(callCtx, &cellpb.PingRequest{From: l.directory.Self().Name, Term: term})
 }
--- a/internal/cellleader/follow_test.go
+++ b/internal/cellleader/follow_test.go
@@ -20,7 +20,7 @@
 		want   bool
 	}{
 		{"its write is under way", 4, 100 * time.Millisecond, false},
-		{"it never learns of its claim", 4, silentLimit, true},
+		{"it never learns of its claim", 4, vacantLimit, true},
 		{"it has given the cell up", 5, 0, true},
 		{"it knows a later owner", 6, 0, true},
 	} {
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -31,6 +31,8 @@
 	// known is the newest claim seen, since knownAt; its term never falls.
 	known   claim
 	knownAt time.Time
+	// followedAt is when this instance last asked after the owner.
+	followedAt time.Time
 	// heardAt is when the owner last confirmed that it is one.
 	heardAt time.Time
 	// refusals is how many pings of the owner in a row were refused.
@@ -96,7 +98,7 @@
 	case t != nil:
 		l.verify(ctx, t)
 	case stopping:
-	default:
+	case l.followDue(time.Now()):
 		l.follow(ctx)
 	}
 }
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -3,22 +3,36 @@
 import "time"
 
 const (
-	// pingPeriod is how often the owner is pinged by each other instance.
-	pingPeriod = 250 * time.Millisecond
-	// pingTimeout bounds a ping; calls between instances take about 3 ms.
-	pingTimeout = 350 * time.Millisecond
-	// silentLimit is how long the owner may be silent. Three pings in a row have
-	// failed then; a pause of the runtime or a busy processor takes less.
-	silentLimit = 900 * time.Millisecond
+	// pingPeriod is how often the owner is pinged by each of the eagerPlaces instances
+	// that would succeed it first, crowdPeriod how often by each of the others: with 44
+	// instances the owner gets 104 pings a second, and would get 344.
+	pingPeriod  = 125 * time.Millisecond
+	crowdPeriod = 500 * time.Millisecond
+	eagerPlaces = 3
+	// followTimeout bounds a ping of the owner, pingTimeout one of any other instance;
+	// calls between instances take about 3 ms, at one that is short of processor up to
+	// 0.1 s.
+	followTimeout = 200 * time.Millisecond
+	pingTimeout   = 350 * time.Millisecond
+	// silentLimit is how long the owner may be silent. Two pings in a row, the second
+	// one over a new connection, have failed then, and no other instance has heard it
+	// for heardLately.
+	silentLimit = 500 * time.Millisecond
+	// vacantLimit is how long the holder of a new claim may not know of it: the answer
+	// of a store that is 100 times slower takes 0.7 s.
+	vacantLimit = 900 * time.Millisecond
+	// storeTrusted is how long the store must have served an instance that most others
+	// do not answer for it to believe that they are away, and not itself.
+	storeTrusted = 900 * time.Millisecond
 	// refusalsEnough pings that are refused in a row, refusedPause apart, make an owner
 	// count as gone after refusedLimit: one refusal may come from a restart of less
 	// than that.
 	refusalsEnough = 2
 	refusedPause   = 100 * time.Millisecond
 	refusedLimit   = 300 * time.Millisecond
-	// refusedHeard is heardLately for an owner that refuses connections. Each instance
-	// pings it every pingPeriod, so another one that reaches it has heard it within.
-	refusedHeard = pingPeriod
+	// refusedHeard is heardLately for an owner that refuses connections. The eager
+	// instances ping it every pingPeriod, so one that reaches it has heard it within.
+	refusedHeard = 250 * time.Millisecond
 	// storelessLimit is how long the store may not serve the owner while it serves
 	// the asking instance. In a store that is 60 times slower some call is answered
 	// every 0.3 s, and a take-over there, which reads everything, takes 2.6 s.
@@ -42,8 +56,10 @@
 	// be read. One in three of them knowing it is enough to hear of it at once.
 	claimSample = 8
 	// heardLately is how lately another instance must have heard the owner for
-	// this one to believe that it is itself the one that is cut off.
-	heardLately = 700 * time.Millisecond
+	// this one to believe that it is itself the one that is cut off: three pings of an
+	// eager one. Less than silentLimit by more than pingPeriod, so that instances that
+	// lost the owner at the same time do not wait for one another.
+	heardLately = 350 * time.Millisecond
 	// confirmedFor is how long a confirmation of the ownership lasts. The cell
 	// counts on it: see overtakenFor there.
 	confirmedFor = 1500 * time.Millisecond
--- a/internal/cellleader/silence_test.go
+++ b/internal/cellleader/silence_test.go
@@ -34,3 +34,16 @@
 		t.Errorf("%v and %v, but the others ping every %v", refusedHeard, heardLately, pingPeriod)
 	}
 }
+
+// Symptom: nothing starts for 1.3 s after the owner lost power.
+// Sequence: all instances hear it last within one period of each other.
+// Cause to be ruled out: the first to succeed it still counts what another one heard
+// just before the loss.
+func TestInstancesThatLoseTheOwnerTogetherDoNotWaitForOneAnother(t *testing.T) {
+	if heardLately+pingPeriod > silentLimit {
+		t.Errorf("silent after %v, but the others count what they heard in the last %v", silentLimit, heardLately)
+	}
+	if 2*followTimeout > silentLimit {
+		t.Errorf("silent after %v, before a second ping of %v has failed", silentLimit, followTimeout)
+	}
+}
--- a/internal/cellleader/survey.go
+++ b/internal/cellleader/survey.go
@@ -24,5 +24,5 @@
 	if s.heard {
 		return false
 	}
-	return 2*s.reached > s.asked || storeGoodFor >= silentLimit
+	return 2*s.reached > s.asked || storeGoodFor >= storeTrusted
 }
