--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -42,6 +42,7 @@
 	if c.wakeFor(s, room, now) {
 		return
 	}
+	c.reserve(s, room, now)
 	c.preempt(s, room, now)
 }
 
@@ -59,7 +60,7 @@
 	need := s.step.Occupied()
 	nearOnly := c.waitsForNear(s, room, now)
 	for _, w := range c.allowed(s, room, now, now) {
-		if !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) {
+		if !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
 			continue
 		}
 		ticket := ""
@@ -147,7 +148,7 @@
 			return
 		}
 		t := s.tasks[index]
-		at := c.pick(s, t, fitting)
+		at := c.pick(s, t, fitting, now)
 		if at < 0 && len(t.attempts) > 0 {
 			// The others may take the worker on which this one runs.
 			continue
@@ -166,12 +167,12 @@
 // Load pattern: two workers fail all that they start, and are always free. A task
 // that avoided only the last one went from one to the other until its attempts were
 // used up.
-func (c *Cell) pick(s *stage, t *task, fitting []candidate) int {
+func (c *Cell) pick(s *stage, t *task, fitting []candidate, now time.Time) int {
 	need := s.step.Occupied()
 	second := -1
 	for i := range fitting {
 		w := fitting[i].w
-		if !need.Fits(w.free()) || !c.eligible(s, w) || !t.mayTake(w) {
+		if !need.Fits(w.free()) || !c.eligible(s, w) || !t.mayTake(w) || !c.leftFor(s, w, now) {
 			continue
 		}
 		if !slices.Contains(t.failedOn, w.ID) {
@@ -256,6 +257,11 @@
 	t.attempts = append(t.attempts, a)
 	t.stage.takeIdle(t.index)
 	on.w.add(a)
+	if r := on.w.reserved; r != nil && r.stage == t.stage {
+		on.w.reserved = nil
+	} else if r != nil {
+		r.spare = r.spare.Sub(t.stage.step.Occupied())
+	}
 	c.stats.Starts++
 	c.orders = append(c.orders, StartOrder{Worker: on.w.target, Task: t.id(), Start: runner.Start{
 		Task: t.id().String(), Run: run, Spec: t.stage.job.record.Spec, Token: c.settings.Term,
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -31,6 +31,7 @@
 	}
 	room := c.newRoom(now)
 	room.slots = slots
+	c.renewReservations(room, now)
 	for _, s := range c.inOrder(now) {
 		if !s.due(now, c.settings.Early) {
 			continue
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -24,12 +24,14 @@
 	// that fit nowhere are passed over without a look at each worker.
 	most  resource.Amount
 	slots AdviceSlots
+	// reserved counts the workers that are reserved for each stage.
+	reserved map[*stage]int
 	// woken counts the stages that had parked workers woken.
 	woken int
 }
 
 func (c *Cell) newRoom(now time.Time) *room {
-	r := &room{byRack: map[string][]*worker{}}
+	r := &room{byRack: map[string][]*worker{}, reserved: map[*stage]int{}}
 	for _, w := range c.workers {
 		if w.usable(now) {
 			r.usable = append(r.usable, w)
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -10,6 +10,7 @@
 	Lost         uint64
 	Stops        uint64
 	Preemptions  uint64
+	Reservations uint64
 	Moves        uint64
 	Copies       uint64
 	AdviceCalls  uint64
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -51,6 +51,8 @@
 	unlistedAt time.Time
 	drainSeen  time.Time
 	health     health
+	// reserved keeps the worker's room for a large task, or is nil.
+	reserved *reservation
 	// fillers and servers count runs that fill and runs with a tail target.
 	fillers, servers int
 }
