--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,12 +12,17 @@
 	// MaxBodyBytes bounds the body of a submission.
 	MaxBodyBytes int64
 	byHost       map[string][]Queue
+	services     map[string]struct{}
 }
 
-// New returns a catalog of queues.
-func New(version uint64, maxBodyBytes int64, queues []Queue) *Catalog {
-	c := &Catalog{Version: version, MaxBodyBytes: maxBodyBytes, byHost: map[string][]Queue{}}
+// New returns a catalog of queues, and of services beside those that the queues use.
+func New(version uint64, maxBodyBytes int64, queues []Queue, services []string) *Catalog {
+	c := &Catalog{Version: version, MaxBodyBytes: maxBodyBytes, byHost: map[string][]Queue{}, services: map[string]struct{}{}}
+	for _, s := range services {
+		c.services[s] = struct{}{}
+	}
 	for _, q := range queues {
+		c.services[q.Service] = struct{}{}
 		host := strings.ToLower(q.Host)
 		c.byHost[host] = append(c.byHost[host], q)
 	}
@@ -27,6 +32,12 @@
 	return c
 }
 
+// NamesService reports whether the configuration names a service.
+func (c *Catalog) NamesService(name string) bool {
+	_, named := c.services[name]
+	return named
+}
+
 // Match returns the queue with the longest prefix of path on host, and what
 // follows the prefix.
 func (c *Catalog) Match(host, path string) (*Queue, string, bool) {
--- a/internal/node/catalog_follower_test.go
+++ b/internal/node/catalog_follower_test.go
@@ -31,7 +31,7 @@
 	if a.err != nil || a.version == 0 {
 		return nil, a.at, a.err
 	}
-	return catalog.New(a.version, 0, nil), a.at, nil
+	return catalog.New(a.version, 0, nil, nil), a.at, nil
 }
 
 func (s *scripted) Newest(context.Context) (*catalog.Catalog, uint64, error) { return s.next("newest") }
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -21,6 +21,7 @@
 	"gentianstand/internal/cellowner"
 	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/intake"
+	"gentianstand/internal/roster"
 	"gentianstand/internal/store"
 )
 
@@ -78,19 +79,28 @@
 
 func newOwnerMetrics(set *metrics.Set) *cellowner.Metrics { return cellowner.NewMetrics(set) }
 
-func newLeader(s Settings, o Outside, d *cellpeer.Directory, c *cellpeer.Clients, w *store.Watched, jobs *celljobs.Jobs, m *cellowner.Metrics, log *logrus.Entry) *cellleader.Leader {
+func newLeader(s Settings, o Outside, d *cellpeer.Directory, c *cellpeer.Clients, w *store.Watched, jobs *celljobs.Jobs, current *catalog.Current, m *cellowner.Metrics, log *logrus.Entry) *cellleader.Leader {
 	advisers := cellpeer.NewAdvicePool(d, c, o.Adviser)
 	newOwner := func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
 		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), EarlierStopped: earlierStopped, StopGrace: s.StopGrace,
 			SpareWorkers: spareWorkers, Early: s.Early, FarFactor: s.FarFactor}
 		return cellowner.New(settings, claim, cellowner.Deps{
-			Store: w, Jobs: jobs, Roster: o.Roster(w, log), Runner: o.Workers, Advisers: advisers,
+			Store: w, Jobs: jobs, Roster: roster.NewNamed(o.Roster(w, log), namedIn(current)), Runner: o.Workers, Advisers: advisers,
 			Upkeep: newUpkeep(s, o, w, log), Leadership: l, Metrics: m, Log: log,
 		})
 	}
 	return cellleader.New(theCell, d, c, w, newOwner, log)
 }
 
+// namedIn reports whether the catalog in force names a service; before there is one, all
+// count as named.
+func namedIn(current *catalog.Current) func(service string) bool {
+	return func(service string) bool {
+		c := current.Get()
+		return c == nil || c.NamesService(service)
+	}
+}
+
 // newUpkeep returns what the owner needs for waves, or nothing where there are none.
 func newUpkeep(s Settings, o Outside, w *store.Watched, log *logrus.Entry) cellowner.UpkeepDeps {
 	if o.Fleet == nil {
--- /dev/null
+++ b/internal/roster/named.go
@@ -0,0 +1,61 @@
+package roster
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Named passes over the workers of services that the configuration does not name. They
+// are kept, because a later configuration may name them. It is safe for concurrent use.
+//
+// What can go wrong: an entry of another writer, which is none of ours, is taken as a
+// worker; it is called for ever and never answers. It shows as a "worker_silent" of a
+// service that no queue has.
+type Named struct {
+	source Source
+	// named reports whether the configuration in force names a service; before there is
+	// one it has to say so of all, or a new owner would begin without workers.
+	named func(service string) bool
+
+	mu sync.Mutex
+	// strangers are the workers that were passed over, by id.
+	strangers map[string]Worker
+}
+
+// NewNamed returns source without the workers of services that are not named.
+func NewNamed(source Source, named func(service string) bool) *Named {
+	return &Named{source: source, named: named, strangers: map[string]Worker{}}
+}
+
+// All implements Source.
+func (n *Named) All(ctx context.Context) (Change, error) {
+	change, err := n.source.All(ctx)
+	return n.filter(change), err
+}
+
+// Since implements Source.
+func (n *Named) Since(ctx context.Context, version uint64, wait time.Duration) (Change, error) {
+	change, err := n.source.Since(ctx, version, wait)
+	return n.filter(change), err
+}
+
+// filter holds strangers back, and adds those that have been named since.
+func (n *Named) filter(change Change) Change {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, id := range change.Removed {
+		delete(n.strangers, id)
+	}
+	for _, w := range change.Workers {
+		n.strangers[w.ID] = w
+	}
+	change.Workers = nil
+	for id, w := range n.strangers {
+		if n.named(w.Service) {
+			change.Workers = append(change.Workers, w)
+			delete(n.strangers, id)
+		}
+	}
+	return change
+}
--- /dev/null
+++ b/internal/roster/named_test.go
@@ -0,0 +1,57 @@
+package roster
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// scripted returns one change after the other.
+type scripted []Change
+
+func (s *scripted) All(context.Context) (Change, error) { return s.next(), nil }
+
+func (s *scripted) Since(context.Context, uint64, time.Duration) (Change, error) {
+	return s.next(), nil
+}
+
+func (s *scripted) next() Change {
+	c := (*s)[0]
+	*s = (*s)[1:]
+	return c
+}
+
+// Symptom: an instance calls an address for ever that never answers.
+// Sequence: the list has an entry of a service that no configuration names; later one
+// does.
+// Cause: whatever was listed was taken as a worker of ours.
+func TestWorkersOfUnknownServicesAreHeldBackUntilTheyAreNamed(t *testing.T) {
+	ours, stranger, leaver := Worker{ID: "a", Service: "desk"}, Worker{ID: "b", Service: "other"}, Worker{ID: "c", Service: "other"}
+	source := &scripted{{Workers: []Worker{ours, stranger, leaver}, Version: 1}, {Removed: []string{"c"}, Version: 2}, {Version: 3}}
+	services := map[string]bool{"desk": true}
+	named := NewNamed(source, func(service string) bool { return services[service] })
+	for _, test := range []struct {
+		name string
+		want []string
+		then func()
+	}{
+		{"at first", []string{"a"}, nil},
+		{"one of them left", nil, func() { services["other"] = true }},
+		{"it is named now", []string{"b"}, nil},
+	} {
+		change, err := named.Since(t.Context(), 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, w := range change.Workers {
+			got = append(got, w.ID)
+		}
+		if len(got) != len(test.want) || len(got) > 0 && got[0] != test.want[0] {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+		if test.then != nil {
+			test.then()
+		}
+	}
+}
