--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -58,7 +58,7 @@
 	ticketed := 0.0
 	answer := now.Add(s.job.record.Advice.Duration(advisedWorkers))
 	for _, w := range room.usable {
-		if !c.hasRoomEmpty(s, w) {
+		if !c.hasRoomEmpty(s, w) || !c.uses(TicketsAhead) && c.takes(s, w) == 0 {
 			continue
 		}
 		v, known := s.advice.verdicts[w.ID]
--- a/internal/cell/closing.go
+++ b/internal/cell/closing.go
@@ -17,6 +17,9 @@
 // store therefore says of such a worker that nothing was started there since, and
 // what may still be there: only those tasks have to wait.
 func (c *Cell) watchClosing(w *worker, now time.Time) {
+	if !c.uses(Closing) {
+		return
+	}
 	closed := w.Draining || w.silent(now) || (w.closed && !w.reported)
 	if closed == w.closed {
 		return
--- a/internal/cell/copies.go
+++ b/internal/cell/copies.go
@@ -26,7 +26,7 @@
 func (c *Cell) copyIfDoubtful(a *attempt, now time.Time) {
 	t := a.task
 	s := t.stage
-	if !s.step.AllowDuplicates || s.step.Gang || t.done || s.job.final != "" || len(t.attempts) >= mostCopies {
+	if !c.uses(Copies) || !s.step.AllowDuplicates || s.step.Gang || t.done || s.job.final != "" || len(t.attempts) >= mostCopies {
 		return
 	}
 	if !a.doubtful(now) || !s.addIdle(t.index) {
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -59,7 +59,7 @@
 	step := a.task.stage.step
 	if a.fromStart && !step.LongRunning && !step.Gang && !step.Fills {
 		if a.elapsed(now) > suspectFactor*c.usualDuration(a) {
-			a.blameWorker(now)
+			c.blameWorker(a, now)
 		}
 		c.durations.add(a.task.stage.job.record.Queue, now.Sub(a.orderedAt))
 	}
@@ -121,7 +121,7 @@
 		return
 	}
 	c.stats.Failed++
-	w.health.failed(t.stage.id.Job, now)
+	c.noteFailure(w, t.stage.id.Job, now)
 	t.failedOn = append(t.failedOn, w.ID)
 	j := t.stage.job
 	if j.final == "" && !t.stage.step.LongRunning && counted.failures() >= max(1, j.record.MaxAttempts) {
--- /dev/null
+++ b/internal/cell/mechanism.go
@@ -0,0 +1,83 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Mechanism names a part of the policy that may be switched off alone, to measure what
+// it is worth or to go on without it when it does harm. None of them guards a promise:
+// without them work is slower or dearer, and as safe.
+type Mechanism string
+
+const (
+	// Parking takes idle workers out of use; see park.
+	Parking Mechanism = "parking"
+	// Preemption stops less urgent runs for the most urgent queue; see preempt.
+	Preemption Mechanism = "preemption"
+	// Copies starts a second run of a doubtful one; see copyIfDoubtful.
+	Copies Mechanism = "copies"
+	// Moves stops runs that stand still or are slow; see watchProgress.
+	Moves Mechanism = "moves"
+	// Quarantine avoids workers on which runs fail; see health.
+	Quarantine Mechanism = "quarantine"
+	// TicketsAhead asks for advice about workers without room; see askAdvice.
+	TicketsAhead Mechanism = "tickets-ahead"
+	// NearData waits for room near a stage's data; see waitsForNear.
+	NearData Mechanism = "near-data"
+	// LateLast puts work that is late anyway behind other work; see inOrder.
+	LateLast Mechanism = "late-last"
+	// UrgentReserve keeps processors for the most urgent queue; see room.allows.
+	UrgentReserve Mechanism = "urgent-reserve"
+	// Reservations keeps workers for large tasks; see reserve.
+	Reservations Mechanism = "reservations"
+	// Closing tells the store which workers are silent; see watchClosing.
+	Closing Mechanism = "closing"
+)
+
+// Mechanisms are all that there are, in the order of the planning pass.
+var Mechanisms = []Mechanism{LateLast, NearData, Reservations, Preemption, UrgentReserve, TicketsAhead, Quarantine, Moves, Copies, Closing, Parking}
+
+// Without is a set of mechanisms that are switched off. It implements flag.Value.
+type Without map[Mechanism]struct{}
+
+// String returns the set as Set takes it.
+func (w Without) String() string {
+	var names []string
+	for m := range w {
+		names = append(names, string(m))
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
+}
+
+// Set takes names with commas between them; an empty text is the empty set.
+func (w *Without) Set(text string) error {
+	set := Without{}
+	for name := range strings.SplitSeq(text, ",") {
+		m := Mechanism(strings.TrimSpace(name))
+		switch {
+		case slices.Contains(Mechanisms, m):
+			set[m] = struct{}{}
+		case m != "":
+			return fmt.Errorf("%q is no mechanism; there are %s", m, allNames())
+		}
+	}
+	*w = set
+	return nil
+}
+
+func allNames() string {
+	names := make([]string, len(Mechanisms))
+	for i, m := range Mechanisms {
+		names[i] = string(m)
+	}
+	return strings.Join(names, ", ")
+}
+
+// uses reports whether a mechanism is in use.
+func (c *Cell) uses(m Mechanism) bool {
+	_, off := c.settings.Without[m]
+	return !off
+}
--- /dev/null
+++ b/internal/cell/mechanism_test.go
@@ -0,0 +1,58 @@
+package cell
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestMechanismsAreReadByName(t *testing.T) {
+	for _, test := range []struct {
+		text, want string
+		ok         bool
+	}{
+		{"", "", true},
+		{"copies", "copies", true},
+		{" moves, copies ,", "copies,moves", true},
+		{"copies,speed", "", false},
+	} {
+		w := Without{}
+		err := w.Set(test.text)
+		if (err == nil) != test.ok || w.String() != test.want {
+			t.Errorf("%q: %q, error %v", test.text, w, err)
+		}
+		if err != nil && !strings.Contains(err.Error(), "speed") {
+			t.Errorf("%q: the error does not name what is wrong: %v", test.text, err)
+		}
+	}
+}
+
+// Symptom: a switch does nothing, and the mechanism is taken for worthless.
+// Sequence: the same load is replayed with and without each of two mechanisms.
+// Cause to be ruled out: the mechanism is in use although it is switched off.
+func TestMechanismsCanBeSwitchedOff(t *testing.T) {
+	for _, test := range []struct {
+		off   Mechanism
+		count func(Stats) uint64
+	}{
+		{Preemption, func(s Stats) uint64 { return s.Preemptions }},
+		{Reservations, func(s Stats) uint64 { return s.Reservations }},
+	} {
+		for _, without := range []Without{{}, {test.off: {}}} {
+			l := newLoad(t, 12)
+			l.cell.settings.Without = without
+			for range 10 {
+				l.submit("letters", 2, letters(10))
+			}
+			l.run(500*time.Millisecond, nil)
+			l.submit("transcode", 1, transcode())
+			for range 10 {
+				l.submit("lookup", 0, lookup(12))
+			}
+			l.run(2*time.Second, nil)
+			if got := test.count(l.cell.Stats(l.now)); (got == 0) != (len(without) == 1) {
+				t.Errorf("without %q: %d times", without, got)
+			}
+		}
+	}
+}
--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -13,7 +13,7 @@
 // once, a fifth of these tasks ran far away, beside a site that was a third idle; most
 // racks have room again within a fraction of a task. Worth of that day 0.89 -> 0.96.
 func (c *Cell) waitsForNear(s *stage, room *room, now time.Time) bool {
-	if s.step.DataRack == "" || c.settings.FarFactor <= 1 {
+	if s.step.DataRack == "" || c.settings.FarFactor <= 1 || !c.uses(NearData) {
 		return false
 	}
 	loss := (c.settings.FarFactor - 1) * float64(s.step.Estimate)
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -30,7 +30,7 @@
 // most of the owner's processor, and a new owner, who has to hear every worker that
 // the store names, needed 1.5 to 3.8 s for them while leases ran out.
 func (c *Cell) park(now time.Time) {
-	if c.settings.SpareWorkers == 0 || c.recovering || now.Sub(c.parkedAt) < parkPeriod {
+	if c.settings.SpareWorkers == 0 || !c.uses(Parking) || c.recovering || now.Sub(c.parkedAt) < parkPeriod {
 		return
 	}
 	c.parkedAt = now
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -61,7 +61,7 @@
 	entries := make([]entry, 0, len(c.waiting))
 	for s := range c.waiting {
 		start := s.latestStart(&c.durations)
-		entries = append(entries, entry{s, start, start.Before(now)})
+		entries = append(entries, entry{s, start, start.Before(now) && c.uses(LateLast)})
 	}
 	sort.Slice(entries, func(i, k int) bool {
 		a, b := &entries[i], &entries[k]
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -14,7 +14,7 @@
 // urgent queue. Load pattern: a burst of short urgent tasks meets workers full
 // of long ones, whose next end is seconds away.
 func (c *Cell) preempt(s *stage, room *room, now time.Time) {
-	if s.job.record.Priority > 0 || s.step.Gang || len(s.idle) <= s.preempting || s.job.age(now) < preemptAfter {
+	if !c.uses(Preemption) || s.job.record.Priority > 0 || s.step.Gang || len(s.idle) <= s.preempting || s.job.age(now) < preemptAfter {
 		return
 	}
 	if tooLate := s.job.objective(s, &c.durations).Sub(s.job.record.AcceptedAt); s.latestStart(&c.durations).Add(tooLate).Before(now) {
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -80,7 +80,7 @@
 // reserve keeps workers for the large tasks of a stage that found no room, those that
 // will have room first. Tasks of the most urgent queues stop others instead.
 func (c *Cell) reserve(s *stage, room *room, now time.Time) {
-	if s.job.record.Priority <= 0 || s.step.Fills || !room.mayReserve() {
+	if !c.uses(Reservations) || s.job.record.Priority <= 0 || s.step.Fills || !room.mayReserve() {
 		return
 	}
 	wanted := len(s.idle) - room.reserved[s]
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -24,6 +24,8 @@
 	// that fit nowhere are passed over without a look at each worker.
 	most  resource.Amount
 	slots AdviceSlots
+	// unreserved says that no processors are kept for the most urgent queue.
+	unreserved bool
 	// reserved counts the workers that are reserved for each stage.
 	reserved map[*stage]int
 	// woken counts the stages that had parked workers woken.
@@ -31,7 +33,7 @@
 }
 
 func (c *Cell) newRoom(now time.Time) *room {
-	r := &room{byRack: map[string][]*worker{}, reserved: map[*stage]int{}}
+	r := &room{byRack: map[string][]*worker{}, reserved: map[*stage]int{}, unreserved: !c.uses(UrgentReserve)}
 	for _, w := range c.workers {
 		if w.usable(now) {
 			r.usable = append(r.usable, w)
@@ -47,7 +49,7 @@
 
 // allows reports whether a queue of this priority may take more processors.
 func (r *room) allows(priority int, milliCPU int64) bool {
-	if priority <= 0 {
+	if priority <= 0 || r.unreserved {
 		return true
 	}
 	return float64(r.free-milliCPU) >= urgentReserve*float64(r.total)
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -51,7 +51,7 @@
 		w = newWorker(r)
 		w.accounted = c.inheritedAll
 		c.workers[r.ID] = w
-		if awake := len(c.workers) - 1 - c.parked; c.settings.SpareWorkers > 0 && awake >= c.settings.SpareWorkers {
+		if awake := len(c.workers) - 1 - c.parked; c.settings.SpareWorkers > 0 && c.uses(Parking) && awake >= c.settings.SpareWorkers {
 			c.setParked(w, true)
 		} else {
 			c.known.changed(r.ID)
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -22,6 +22,8 @@
 	FarFactor float64
 	// Early is how much before its time an occurrence may start.
 	Early time.Duration
+	// Without names the mechanisms that are switched off.
+	Without Without
 	// Waited is told how long a task has waited for its first start, with the priority
 	// of its queue; nil is nobody. It is called under the cell's lock.
 	Waited func(priority int, wait time.Duration)
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -119,29 +119,35 @@
 	limit := a.stallLimit()
 	// A worker whose reports stop coming is not a stalled task.
 	if still > limit && a.worker.lastReport.Sub(a.changedAt) > limit {
-		c.log.WithFields(attemptFields(a)).WithField("still_ms", still.Milliseconds()).Info("run_stalled")
-		a.blameWorker(now)
-		c.stats.Moves++
-		c.stop(a, "stalled", now)
+		c.blameWorker(a, now)
+		c.move(a, "stalled", still, now)
 		return
 	}
 	if c.suspicious(a) {
-		a.blameWorker(now)
+		c.blameWorker(a, now)
 	}
 	if !a.slow && c.slow(a) {
-		c.log.WithFields(attemptFields(a)).WithField("elapsed_ms", a.elapsed(now).Milliseconds()).Info("run_slow")
-		a.blameWorker(now)
+		c.blameWorker(a, now)
 		if step.AllowDuplicates {
 			a.slow = true
 			return
 		}
-		c.stats.Moves++
-		c.stop(a, "slow", now)
+		c.move(a, "slow", a.elapsed(now), now)
 		return
 	}
 	a.slow = a.slow || step.AllowDuplicates && c.copyPays(a)
 }
 
+// move stops a run so that its task starts elsewhere.
+func (c *Cell) move(a *attempt, why string, after time.Duration, now time.Time) {
+	if !c.uses(Moves) {
+		return
+	}
+	c.log.WithFields(attemptFields(a)).WithField("after_ms", after.Milliseconds()).Info("run_" + why)
+	c.stats.Moves++
+	c.stop(a, why, now)
+}
+
 // stallLimit returns how long a run may go without progress.
 //
 // Load pattern: an eighth of the workers stand still for some seconds. What is
@@ -177,12 +183,19 @@
 }
 
 // blameWorker counts a run against its worker's health, once.
-func (a *attempt) blameWorker(now time.Time) {
+func (c *Cell) blameWorker(a *attempt, now time.Time) {
 	if a.blamed {
 		return
 	}
 	a.blamed = true
-	a.worker.health.failed(a.task.stage.id.Job, now)
+	c.noteFailure(a.worker, a.task.stage.id.Job, now)
+}
+
+// noteFailure counts a failure of a job's run against a worker's health.
+func (c *Cell) noteFailure(w *worker, jobID string, now time.Time) {
+	if c.uses(Quarantine) {
+		w.health.failed(jobID, now)
+	}
 }
 
 // projectedLeft returns how long a run with some progress still needs at its speed
--- a/internal/command/instance.go
+++ b/internal/command/instance.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/fx"
 
+	"gentianstand/internal/cell"
 	"gentianstand/internal/node"
 	"gentianstand/internal/settings"
 	"gentianstand/platform"
@@ -24,6 +25,7 @@
 	settingsFile  string
 	logLevel      string
 	peerAdvertise string
+	without       cell.Without
 }
 
 func (f *instanceFlags) register(s *settings.Settings) {
@@ -32,6 +34,7 @@
 	s.StringVar(&f.logLevel, "log-level", "info", "debug, info, warn or error")
 	s.StringVar(&f.peerAdvertise, "peer-advertise", "",
 		"host:port under which other instances reach this one, if they cannot use the address that it listens on")
+	s.Var(&f.without, "without", "mechanisms of the planner to switch off, with commas between them; OPERATIONS.md lists them")
 	s.Check("settings-file", "a path", func() bool { return f.settingsFile != "" })
 	s.Check("log-level", "debug, info, warn, error", func() bool {
 		return f.logLevel == "debug" || f.logLevel == "info" || f.logLevel == "warn" || f.logLevel == "error"
@@ -51,6 +54,7 @@
 		return exitUsage
 	}
 	given.PeerAdvertise = f.peerAdvertise
+	given.Without = f.without
 	if err := given.Check(); err != nil {
 		fmt.Fprintln(std.Err, err)
 		return exitUsage
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -83,7 +83,7 @@
 	advisers := cellpeer.NewAdvicePool(d, c, o.Adviser)
 	newOwner := func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
 		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), EarlierStopped: earlierStopped, StopGrace: s.StopGrace,
-			SpareWorkers: spareWorkers, Early: s.Early, FarFactor: s.FarFactor}
+			SpareWorkers: spareWorkers, Early: s.Early, FarFactor: s.FarFactor, Without: s.Without}
 		return cellowner.New(settings, claim, cellowner.Deps{
 			Store: w, Jobs: jobs, Roster: roster.NewNamed(o.Roster(w, log), namedIn(current)), Runner: o.Workers, Advisers: advisers,
 			Upkeep: newUpkeep(s, o, w, log), Leadership: l, Metrics: m, Log: log,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"gentianstand/internal/cell"
 )
 
 // Settings are what an instance learns at its start.
@@ -36,6 +38,8 @@
 	HolderLease time.Duration
 	// TerminationGrace is the time between a request to stop and the end by force.
 	TerminationGrace time.Duration
+	// Without names the mechanisms of the planner that are switched off.
+	Without cell.Without
 	// Cores is the share of a core the process may use, times their number.
 	Cores float64
 	// MemoryMiB is the memory the process may use; 0 is no limit.
