--- a/internal/cell/mechanism.go
+++ b/internal/cell/mechanism.go
@@ -1,10 +1,6 @@
 package cell
 
-import (
-	"fmt"
-	"slices"
-	"strings"
-)
+import "strings"
 
 // Mechanism names a part of the policy that may be switched off alone, to measure what
 // it is worth or to go on without it when it does harm. None of them guards a promise:
@@ -39,35 +35,6 @@
 // Mechanisms are all that there are, in the order of the planning pass.
 var Mechanisms = []Mechanism{LateLast, NearData, Reservations, Preemption, UrgentReserve, TicketsAhead, Quarantine, Moves, Copies, Closing, Parking}
 
-// Without is a set of mechanisms that are switched off. It implements flag.Value.
-type Without map[Mechanism]struct{}
-
-// String returns the set as Set takes it.
-func (w Without) String() string {
-	var names []string
-	for m := range w {
-		names = append(names, string(m))
-	}
-	slices.Sort(names)
-	return strings.Join(names, ",")
-}
-
-// Set takes names with commas between them; an empty text is the empty set.
-func (w *Without) Set(text string) error {
-	set := Without{}
-	for name := range strings.SplitSeq(text, ",") {
-		m := Mechanism(strings.TrimSpace(name))
-		switch {
-		case slices.Contains(Mechanisms, m):
-			set[m] = struct{}{}
-		case m != "":
-			return fmt.Errorf("%q is no mechanism; there are %s", m, allNames())
-		}
-	}
-	*w = set
-	return nil
-}
-
 func allNames() string {
 	names := make([]string, len(Mechanisms))
 	for i, m := range Mechanisms {
--- a/internal/cell/reservation_test.go
+++ b/internal/cell/reservation_test.go
@@ -47,14 +47,11 @@
 	}
 }
 
-// Symptom: work stands still beside a free worker.
-// Sequence: a worker is reserved for a task; the task's job is cancelled, or is placed
-// elsewhere.
-// Cause to be ruled out: the reservation outlives what it was made for.
-func TestReservationsEndWithTheirTask(t *testing.T) {
-	s := newSite(t, 1, usualWorker("a"))
+// reserveBehind has worker "a" run a step, and a large task of a more urgent queue wait
+// for it. It returns the job of the latter.
+func (s *site) reserveBehind(running job.Step) *job.Record {
 	s.report("a")
-	s.cell.Add(s.record(1, thumbnails(4)), true)
+	s.cell.Add(s.record(1, running), true)
 	for _, start := range s.plan() {
 		s.confirm(start)
 	}
@@ -62,6 +59,16 @@
 	waiting.Priority = 1
 	s.cell.Add(waiting, true)
 	s.plan()
+	return waiting
+}
+
+// Symptom: work stands still beside a free worker.
+// Sequence: a worker is reserved for a task; the task's job is cancelled, or is placed
+// elsewhere.
+// Cause to be ruled out: the reservation outlives what it was made for.
+func TestReservationsEndWithTheirTask(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	waiting := s.reserveBehind(thumbnails(4))
 	if s.cell.workers["a"].reserved == nil {
 		t.Fatal("the worker is not reserved for the large task")
 	}
@@ -83,17 +90,9 @@
 // will not have may pass.
 func TestShortTasksPassInFrontOfAReservation(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
-	s.report("a")
 	long := thumbnails(1)
 	long.Estimate = 6 * time.Second
-	s.cell.Add(s.record(1, long), true)
-	for _, start := range s.plan() {
-		s.confirm(start)
-	}
-	waiting := s.record(2, transcode())
-	waiting.Priority = 1
-	s.cell.Add(waiting, true)
-	s.plan()
+	s.reserveBehind(long)
 	for n, test := range []struct {
 		estimate time.Duration
 		want     int
--- /dev/null
+++ b/internal/cell/without.go
@@ -0,0 +1,36 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Without is a set of mechanisms that are switched off. It implements flag.Value.
+type Without map[Mechanism]struct{}
+
+// String returns the set as Set takes it.
+func (w Without) String() string {
+	var names []string
+	for m := range w {
+		names = append(names, string(m))
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
+}
+
+// Set takes names with commas between them; an empty text is the empty set.
+func (w *Without) Set(text string) error {
+	set := Without{}
+	for name := range strings.SplitSeq(text, ",") {
+		m := Mechanism(strings.TrimSpace(name))
+		switch {
+		case slices.Contains(Mechanisms, m):
+			set[m] = struct{}{}
+		case m != "":
+			return fmt.Errorf("%q is no mechanism; there are %s", m, allNames())
+		}
+	}
+	*w = set
+	return nil
+}
