--- a/internal/celljobs/settle.go
+++ b/internal/celljobs/settle.go
@@ -37,8 +37,6 @@
 	tx    store.Tx
 	ended chan ended
 	open  int
-	// version is that of the rows that an attempt wrote.
-	version uint64
 	// unknown says that an attempt ended without an answer.
 	unknown bool
 }
