Cell: questions about full workers use half of the adviser's slow lanes

A trace of who asks: all 53 questions of 6 s are of video stages that found no room and renew their tickets for full workers, each 0.55 s of one of five lanes; 27 thumbnail and 16 rebuild stages were never asked about in 24 s.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -44,12 +44,27 @@
 	if len(workers) == 0 {
 		return
 	}
+	ahead := !c.hasRoomOn(s, workers)
+	if ahead && slow && !c.questions.mayAskAhead(room.slots) {
+		return
+	}
 	room.slots.take(slow)
 	b.asking = true
+	c.questions[s.id] = question{ahead: ahead, slow: slow}
 	c.stats.AdviceCalls++
 	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Cost: *s.job.record.Advice, Workers: workers, Slow: slow})
 }
 
+// hasRoomOn reports whether one of some workers has room for a task of the stage now.
+func (c *Cell) hasRoomOn(s *stage, ids []string) bool {
+	for _, id := range ids {
+		if c.takes(s, c.workers[id]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // worthAsking returns the workers to ask about, or none if the tickets at hand
 // will do: allowed workers whose tickets end before an answer would come, then
 // unknown ones, those with most room first.
@@ -108,6 +123,7 @@
 func (c *Cell) Advised(stage job.StageID, asked []string, tickets []advice.Ticket, err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.questions, stage)
 	j := c.jobs[stage.Job]
 	if j == nil {
 		return
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -42,6 +42,8 @@
 	// fenced says that the earlier owner can start nothing any more.
 	fenced    bool
 	durations durations
+	// questions are those to the adviser that are under way.
+	questions questions
 	known     knownWorkers
 	// gone are workers whose life has ended and that the roster may still list.
 	gone map[string]struct{}
@@ -58,7 +60,7 @@
 		settings: s, log: log, began: now, recovering: true,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
-		known: newKnownWorkers(), gone: map[string]struct{}{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
+		known: newKnownWorkers(), questions: questions{}, gone: map[string]struct{}{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}},
 	}
 }
--- /dev/null
+++ b/internal/cell/questions.go
@@ -0,0 +1,39 @@
+package cell
+
+import "gentianstand/internal/job"
+
+// aheadShare is the share of the adviser's lanes for slow calls that questions about full
+// workers may use at the same time.
+const aheadShare = 0.5
+
+// question is one to the adviser that is under way.
+type question struct {
+	// ahead says that it is about workers without room alone.
+	ahead bool
+	// slow says that it takes a lane for slow calls; see AdviceSlots.
+	slow bool
+}
+
+// questions are those under way, by the stage that asks.
+type questions map[job.StageID]question
+
+// mayAskAhead reports whether a slow question about full workers may begin beside those
+// under way. free are the lanes that are free.
+//
+// Load pattern: twice the traffic that fits. A dozen stages of a more urgent queue that
+// found no room renewed their tickets for full workers each second, which took all lanes
+// of the adviser; stages of other queues were never asked about, and 2,000 of their tasks
+// waited beside workers that were four fifths free, also after the traffic had ended.
+func (q questions) mayAskAhead(free AdviceSlots) bool {
+	ahead, lanes := 0, free.Any
+	for _, asked := range q {
+		if !asked.slow {
+			continue
+		}
+		lanes++
+		if asked.ahead {
+			ahead++
+		}
+	}
+	return float64(ahead+1) <= max(1, aheadShare*float64(lanes))
+}
--- /dev/null
+++ b/internal/cell/questions_test.go
@@ -0,0 +1,48 @@
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+// Symptom: work stands still beside workers that are four fifths free.
+// Sequence: stages of a more urgent queue find no room on the workers of their service
+// and renew their tickets there; stages of another service have room and no ticket yet.
+// Cause: the former took every lane of the adviser, for as long as they waited.
+func TestQuestionsAboutFullWorkersLeaveLanesToOthers(t *testing.T) {
+	other := usualWorker("b")
+	other.Service = "other"
+	s := newSite(t, 1, usualWorker("a"), other)
+	s.report("a")
+	s.report("b")
+	full := step(16)
+	s.cell.Add(s.record(1, full), true)
+	for _, start := range s.plan() {
+		s.confirm(start)
+	}
+	for n := range 6 {
+		waiting := advised(s.record(10+n, step(4)), 500*time.Millisecond)
+		waiting.Priority = 1
+		s.cell.Add(waiting, true)
+	}
+	free := advised(s.record(20, step(4)), 500*time.Millisecond)
+	free.Priority, free.Service = 2, "other"
+	s.cell.Add(free, true)
+	s.slots = AdviceSlots{Any: 4}
+	s.plan()
+	asked := map[string]bool{}
+	for _, q := range s.questions() {
+		asked[q.Stage.Job] = true
+	}
+	if !asked[free.ID] {
+		t.Errorf("the stage with room has no lane: %v", asked)
+	}
+	if len(asked) != 3 {
+		t.Errorf("%d questions, want one about room and half of the four lanes for others", len(asked))
+	}
+	s.slots = AdviceSlots{Any: 1}
+	s.plan()
+	if again := s.questions(); len(again) != 0 {
+		t.Errorf("more questions about full workers while two of four lanes have them: %v", again)
+	}
+}
