Store: calls that are given up teach patience again, though nobody was answered

Since the return of a silent store is noticed early, a call that was given up counted only if another one was answered meanwhile; when a store turns slow, all calls under way are given up before the first answer, so nothing was learned.

The test that demanded the condition, TestSilenceOfTheWholeStoreTeachesNoPatience, was wrong about what such calls tell, and is replaced by one as strict for the fault seen here; it fails with the condition. The rest of the change stays: the probe and the attempts beside one that hangs.

--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -118,12 +118,13 @@
 	return page, err
 }
 
-// begin books a call and returns what to call with its result. A call that was given
-// up tells of a slow store only if others were answered meanwhile.
+// begin books a call and returns what to call with its result. A call that was given up
+// makes the next ones wait longer, also if no other call was answered meanwhile.
 //
-// What can go wrong: the store is silent for three seconds. Each call that was given up
-// made the next ones wait longer, and after its return the commits and submissions that
-// hung were not made again for 2.2 s.
+// What can go wrong: a store turns 100 times slower. All calls that are under way are
+// given up before the first answer comes; if they taught nothing because nobody was
+// answered, the next ones would be given up as early, and commits be made again and
+// again into its queues. It cost 0.06 of the worth of such a day.
 func (w *Watched) begin() func(context.Context, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -134,12 +135,11 @@
 	return func(ctx context.Context, err error) {
 		w.mu.Lock()
 		delete(w.pending, id)
-		othersAnswered := w.answeredAt.After(began)
 		w.mu.Unlock()
 		switch {
 		case err == nil:
 			w.patience.Answered(time.Since(began))
-		case othersAnswered && errors.Is(err, ErrUnknown) && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		case errors.Is(err, ErrUnknown) && errors.Is(ctx.Err(), context.DeadlineExceeded):
 			w.patience.GaveUp(time.Since(began))
 		}
 		w.note(ctx, began, err)
