--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		_, waits := c.waiting[r.stage]
-		if !waits || !w.usable(now) || now.Sub(r.since) > reserveMost || !c.mayHold(r.stage, w, now) {
+		if !waits || !w.usable(now) || now.Sub(r.since) > reserveMost || !c.mayHold(r.stage, w) {
 			w.reserved = nil
 			continue
 		}
@@ -70,7 +70,7 @@
 }
 
 // mayHold reports whether a worker may run the stage when it has room.
-func (c *Cell) mayHold(s *stage, w *worker, now time.Time) bool {
+func (c *Cell) mayHold(s *stage, w *worker) bool {
 	if !c.hasRoomEmpty(s, w) {
 		return false
 	}
@@ -89,7 +89,7 @@
 	}
 	var free []*worker
 	for _, w := range c.allowed(s, room, now, now) {
-		if w.reserved == nil && s.large(w) && c.mayHold(s, w, now) {
+		if w.reserved == nil && s.large(w) && c.hasRoomEmpty(s, w) {
 			w.reserved = &reservation{stage: s, since: now}
 			c.expect(w, now)
 			free = append(free, w)
