Leader: an owner that is busy is not taken for a dead one, and hurried take-overs get harder

Cause: on the small twin of the large site the owner's link fills in a burst, its answers to pings take more than the 0.2 s after which they were given up, and it counts as silent after 0.5 s.

Now a ping is waited for up to 2 s beside the next ones; a late answer says that the owner lives and how slow it is, and it may be silent for three times its slowest answer of the last 5 s. An owner that is silent within 10 s of its take-over doubles the time for its successor (the claim counts them), up to 8 s. Refused connections count as before.

Ruled out: longer limits for all (a dead owner would be missed later everywhere).

The test of a late owner fails on the code before.

--- a/internal/cellleader/claim.go
+++ b/internal/cellleader/claim.go
@@ -28,6 +28,9 @@
 	// Doubtful says that an owner before this one may have been alive when the claim
 	// was made.
 	Doubtful bool `cbor:"7,keyasint,omitempty"`
+	// Hurried is how many owners in a row, up to this one, followed one that was silent
+	// after a short ownership; see silence.
+	Hurried uint32 `cbor:"8,keyasint,omitempty"`
 	// version is the row's version, 0 if there is no row.
 	version uint64
 }
@@ -47,10 +50,10 @@
 // it counts in a take-over, which reads the row.
 func (c *claim) message() *cellpb.Claim {
 	return &cellpb.Claim{Holder: c.Holder, Address: c.Address, Incarnation: c.Incarnation, Term: c.Term,
-		Released: c.Released, Returned: c.Returned, Version: c.version}
+		Released: c.Released, Returned: c.Returned, Version: c.version, Hurried: c.Hurried}
 }
 
 func claimFrom(m *cellpb.Claim) claim {
 	return claim{Holder: m.Holder, Address: m.Address, Incarnation: m.Incarnation, Term: m.Term,
-		Released: m.Released, Returned: m.Returned, version: m.Version}
+		Released: m.Released, Returned: m.Returned, version: m.Version, Hurried: m.Hurried}
 }
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -32,7 +32,7 @@
 		l.contest(ctx, known, takeOver{reason: "the cell has no owner", earlierStopped: true})
 		return
 	}
-	reply, err := l.ping(ctx, known.Address, known.Term)
+	reply, err := l.pingOwner(ctx, known)
 	now := time.Now()
 	switch {
 	case err != nil:
@@ -75,9 +75,9 @@
 	l.refusals = 0
 	l.mu.Unlock()
 	lost := time.Duration(reply.StoreLostMillis) * time.Millisecond
-	limit := max(storelessLimit, l.store.Limit()) + l.delay(known.Term)
+	limit := max(storelessLimit, l.store.Limit(), l.silenceFrom(now).patience()) + l.delay(known.Term)
 	if lost > limit && l.store.GoodFor(now) > storeBackWithin {
-		l.take(ctx, known, takeOver{reason: "the owner does not reach the store"})
+		l.take(ctx, known, takeOver{reason: "the owner does not reach the store", silent: true})
 	}
 }
 
@@ -101,7 +101,7 @@
 	if !l.survey(ctx, known, heard).allows(l.store.GoodFor(time.Now())) {
 		return
 	}
-	l.take(ctx, known, takeOver{reason: "the owner is silent"})
+	l.take(ctx, known, takeOver{reason: "the owner is silent", silent: true})
 }
 
 // noteSilence takes in that a ping failed. After a refusal the next one follows soon.
@@ -114,6 +114,17 @@
 	} else {
 		l.refusals = 0
 	}
+	return l.silenceLocked(now)
+}
+
+// silenceFrom returns what is known of the owner's silence.
+func (l *Leader) silenceFrom(now time.Time) silence {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silenceLocked(now)
+}
+
+func (l *Leader) silenceLocked(now time.Time) silence {
 	from := l.heardAt
 	if from.IsZero() {
 		if l.vacantFrom.IsZero() {
@@ -121,7 +132,8 @@
 		}
 		from = l.vacantFrom
 	}
-	return silence{from, l.refusals}
+	return silence{from: from, refusals: l.refusals, slowest: l.answers.lately(now),
+		hurried: l.known.Hurried, brief: now.Sub(l.knownAt) < briefOwnership}
 }
 
 // disowns reports whether the answer of a claim's holder says that it does not own the
@@ -182,8 +194,58 @@
 	return result
 }
 
-func (l *Leader) ping(ctx context.Context, address string, term uint64) (*cellpb.PingReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, followTimeout)
+// pong is the outcome of a ping.
+type pong struct {
+	reply *cellpb.PingReply
+	err   error
+}
+
+// pingOwner pings the holder of a claim and returns its answer if that comes within
+// followTimeout. A later one is taken in beside, if none is waited for already.
+func (l *Leader) pingOwner(ctx context.Context, known claim) (*cellpb.PingReply, error) {
+	limit := followTimeout
+	waits := l.awaiting.CompareAndSwap(false, true)
+	if waits {
+		limit = lateTimeout
+	}
+	sent := time.Now()
+	answer := make(chan pong, 1)
+	go func() {
+		reply, err := l.ping(ctx, known, limit)
+		if waits {
+			l.awaiting.Store(false)
+		}
+		if err == nil {
+			l.noteAnswer(known, reply, sent, time.Now())
+		}
+		answer <- pong{reply, err}
+	}()
+	timer := time.NewTimer(followTimeout)
+	defer timer.Stop()
+	select {
+	case got := <-answer:
+		return got.reply, got.err
+	case <-timer.C:
+		return nil, context.DeadlineExceeded
+	}
+}
+
+func (l *Leader) ping(ctx context.Context, known claim, limit time.Duration) (*cellpb.PingReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return l.clients.To(address).Ping(callCtx, &cellpb.PingRequest{From: l.directory.Self().Name, Term: term})
+	return l.clients.To(known.Address).Ping(callCtx, &cellpb.PingRequest{From: l.directory.Self().Name, Term: known.Term})
+}
+
+// noteAnswer takes in an answer of the holder of a claim, however late: it lived when it
+// was sent for.
+func (l *Leader) noteAnswer(c claim, reply *cellpb.PingReply, sent, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.version != l.known.version || !reply.Owner || reply.Term != c.Term {
+		return
+	}
+	l.answers.note(now.Sub(sent), now)
+	if sent.After(l.heardAt) {
+		l.heardAt = sent
+	}
 }
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -37,6 +37,10 @@
 	heardAt time.Time
 	// refusals is how many pings of the owner in a row were refused.
 	refusals int
+	// answers are those of the owner of the known claim.
+	answers answers
+	// awaiting says that the answer to a ping is waited for beyond followTimeout.
+	awaiting atomic.Bool
 	// vacantFrom is since when nobody is known to own the cell.
 	vacantFrom time.Time
 	term       *term
@@ -204,6 +208,7 @@
 		l.log.WithFields(logrus.Fields{"owner": c.Holder, "term": c.Term, "released": c.Released}).Info("owner_known")
 		l.heardAt = time.Time{}
 		l.refusals = 0
+		l.answers = answers{}
 		l.vacantFrom = time.Now()
 		l.knownAt = time.Now()
 	}
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -178,6 +178,23 @@
 	}
 }
 
+// Symptom: all work stops for seconds in a burst.
+// Sequence: the owner's link or processor is full, and it answers pings after 0.6 s.
+// Cause: an answer after the timeout of a ping was taken for none, so an owner that is
+// busy was taken for a dead one.
+func TestLateOwnerIsNotOvertaken(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	term := first.term.Load()
+	first.front.Delay(300 * time.Millisecond)
+	time.Sleep(4 * time.Second)
+	for _, m := range members {
+		if got := m.term.Load(); got > term {
+			t.Errorf("an owner that answers late in term %d was overtaken in term %d", term, got)
+		}
+	}
+}
+
 // Symptom: jobs were accepted and their ends never shown.
 // Sequence: the store stops serving the owner and serves the others.
 // Cause: the owner lives and answers, so nobody took over.
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -18,6 +18,21 @@
 	// one over a new connection, have failed then, and no other instance has heard it
 	// for heardLately.
 	silentLimit = 500 * time.Millisecond
+	// briefOwnership is how long an owner needs at most to hear all workers, on a small
+	// machine and in a slow store; one that is silent before may be at that yet. After it
+	// the next silence counts as one of its own.
+	briefOwnership = 10 * time.Second
+	// maxDoublings bounds how much harder a take-over gets: 8 s.
+	maxDoublings = 4
+	// slowFactor times its slowest answer of the last slowFor is what an owner may be
+	// silent for at least, up to patienceMost.
+	slowFactor   = 3
+	slowFor      = 5 * time.Second
+	patienceMost = silentLimit << maxDoublings
+	// lateTimeout is how long the answer to a ping is waited for after followTimeout,
+	// to learn that the owner lives and how slow it is. One such ping is under way at a
+	// time: more would load a busy owner further.
+	lateTimeout = 2 * time.Second
 	// vacantLimit is how long the holder of a new claim may not know of it: the answer
 	// of a store that is 100 times slower takes 0.7 s.
 	vacantLimit = 900 * time.Millisecond
--- a/internal/cellleader/silence_test.go
+++ b/internal/cellleader/silence_test.go
@@ -47,3 +47,35 @@
 		t.Errorf("silent after %v, before a second ping of %v has failed", silentLimit, followTimeout)
 	}
 }
+
+// Symptom: a calm site falls over for good in a burst, with a new owner every second.
+// Sequence: the owner's small machine answers late; its successor, which has all workers
+// to hear beside the same load, answers late, too.
+// Cause: each of them was missed after the same half second.
+func TestEachTakeOverAfterAShortOwnershipIsHarder(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		silence silence
+		want    time.Duration
+	}{
+		{"an owner of long", silence{}, silentLimit},
+		{"one that has just begun", silence{brief: true}, 2 * silentLimit},
+		{"the second after a short ownership", silence{hurried: 1, brief: true}, 4 * silentLimit},
+		{"one that lasts after two short ones", silence{hurried: 2}, 4 * silentLimit},
+		{"the tenth", silence{hurried: 10, brief: true}, patienceMost},
+		{"one that answers late", silence{slowest: 400 * time.Millisecond}, 1200 * time.Millisecond},
+		{"one that answers in time", silence{slowest: 20 * time.Millisecond}, silentLimit},
+		{"one that answers after minutes", silence{slowest: time.Minute}, patienceMost},
+	} {
+		silent, heard := test.silence.limits()
+		if silent != test.want {
+			t.Errorf("%s: missed after %v, want %v", test.name, silent, test.want)
+		}
+		if heard+pingPeriod > silent || heard < heardLately {
+			t.Errorf("%s: missed after %v, but the others count what they heard in the last %v", test.name, silent, heard)
+		}
+	}
+	if got, _ := (silence{refusals: refusalsEnough, hurried: 3, brief: true}).limits(); got != refusedLimit {
+		t.Errorf("an owner that refuses connections is missed after %v, want %v", got, refusedLimit)
+	}
+}
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -20,6 +20,8 @@
 	// handedOver says that it gave the cell up when no owner before it could act any
 	// more either.
 	handedOver bool
+	// silent says that the earlier owner lives as far as anyone knows, and was silent.
+	silent bool
 	// beside is the only earlier holder that may still act, if there is just one.
 	beside string
 }
@@ -42,6 +44,18 @@
 	return t
 }
 
+// hurried returns what the claim of a take-over says of the owners before it; current
+// is the claim before, which has been known for some time.
+func (t takeOver) hurried(current claim, known time.Duration) uint32 {
+	switch {
+	case known >= briefOwnership || t.handedOver:
+		return 0
+	case t.silent:
+		return current.Hurried + 1
+	}
+	return current.Hurried
+}
+
 // knownFor returns for how long the newest claim has been known here.
 func (l *Leader) knownFor() time.Duration {
 	l.mu.Lock()
@@ -63,7 +77,7 @@
 	why = why.after(current, l.knownFor())
 	self := l.directory.Self()
 	next := claim{Holder: self.Name, Address: self.Address, Incarnation: self.Incarnation, Term: current.Term + 1,
-		Returned: current.Holder == self.Name, Doubtful: !why.earlierStopped}
+		Returned: current.Holder == self.Name, Doubtful: !why.earlierStopped, Hurried: why.hurried(current, l.knownFor())}
 	version, err := l.write(ctx, next, current.version)
 	if err != nil {
 		// The write may have taken effect; the next round reads the row and finds
--- a/internal/cellleader/take_over_test.go
+++ b/internal/cellleader/take_over_test.go
@@ -35,3 +35,22 @@
 		}
 	}
 }
+
+func TestClaimCountsSilentOwnersOfAShortTime(t *testing.T) {
+	second := claim{Hurried: 1, version: 5}
+	for _, test := range []struct {
+		name  string
+		why   takeOver
+		known time.Duration
+		want  uint32
+	}{
+		{"silent after a short ownership", takeOver{silent: true}, briefOwnership - 1, 2},
+		{"silent after a long one", takeOver{silent: true}, briefOwnership, 0},
+		{"its process was replaced", takeOver{earlierStopped: true}, 0, 1},
+		{"handed over", takeOver{earlierStopped: true, handedOver: true}, 0, 0},
+	} {
+		if got := test.why.hurried(second, test.known); got != test.want {
+			t.Errorf("%s: %d, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/cellpeer/client.go
+++ b/internal/cellpeer/client.go
@@ -7,6 +7,7 @@
 
 	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/httpclient"
+	"gentianstand/internal/traffic"
 )
 
 const (
@@ -45,7 +46,7 @@
 	if found := c.byTarget[address]; found != nil {
 		return found
 	}
-	transport := httpclient.NewTransport(dialTimeout, idleConnections)
+	transport := httpclient.NewTransport(traffic.Peers, dialTimeout, idleConnections)
 	made := &client{
 		Cells:     cellpb.NewCellsProtobufClient("http://"+address, &http.Client{Transport: transport}),
 		transport: transport,
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"gentianstand/internal/traffic"
 )
 
 // idleTimeout is how long a connection without calls is kept: longer than any pause
@@ -12,10 +14,11 @@
 const idleTimeout = 30 * time.Second
 
 // NewTransport returns a transport that keeps up to idle connections to each address
-// and gives a new one up after dialTimeout. Calls are bounded by their contexts.
-func NewTransport(dialTimeout time.Duration, idle int) *http.Transport {
+// and gives a new one up after dialTimeout. Calls are bounded by their contexts. The
+// connections are counted for their purpose.
+func NewTransport(p traffic.Purpose, dialTimeout time.Duration, idle int) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         traffic.For(p).Dial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/traffic"
 )
 
 const (
@@ -25,13 +27,14 @@
 
 // server is one listener.
 type server struct {
-	name string
-	http *http.Server
-	log  logrus.FieldLogger
+	name    string
+	purpose traffic.Purpose
+	http    *http.Server
+	log     logrus.FieldLogger
 }
 
-func newServer(name, address string, h http.Handler, log logrus.FieldLogger) *server {
-	return &server{name: name, log: log, http: &http.Server{
+func newServer(name string, p traffic.Purpose, address string, h http.Handler, log logrus.FieldLogger) *server {
+	return &server{name: name, purpose: p, log: log, http: &http.Server{
 		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}}
 }
@@ -45,6 +48,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", s.name, err)
 	}
+	listener = traffic.For(s.purpose).Listen(listener)
 	go func() {
 		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.log.WithField("server", s.name).WithError(err).Error("server_ended")
--- /dev/null
+++ b/internal/traffic/counter.go
@@ -0,0 +1,49 @@
+package traffic
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Counter counts the connections of one purpose and their bytes, without the headers
+// of TCP and IP. It is safe for concurrent use.
+type Counter struct{ in, out, connections *metrics.Counter }
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// For returns the process's counter for a purpose.
+func For(p Purpose) *Counter {
+	return &Counter{
+		in:          metrics.GetOrCreateCounter(fmt.Sprintf(`gentianstand_traffic_bytes_total{purpose=%q,way="in"}`, p)),
+		out:         metrics.GetOrCreateCounter(fmt.Sprintf(`gentianstand_traffic_bytes_total{purpose=%q,way="out"}`, p)),
+		connections: metrics.GetOrCreateCounter(fmt.Sprintf(`gentianstand_traffic_connections_total{purpose=%q}`, p)),
+	}
+}
+
+// In, Out and Connections return what was counted since the start of the process.
+func (c *Counter) In() uint64          { return c.in.Get() }
+func (c *Counter) Out() uint64         { return c.out.Get() }
+func (c *Counter) Connections() uint64 { return c.connections.Get() }
+
+// Dial returns dial with its connections counted.
+func (c *Counter) Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return c.conn(conn), nil
+	}
+}
+
+// Listen returns a listener whose connections are counted.
+func (c *Counter) Listen(l net.Listener) net.Listener { return &listener{l, c} }
+
+func (c *Counter) conn(conn net.Conn) net.Conn {
+	c.connections.Inc()
+	return &countedConn{conn, c}
+}
