--- a/internal/cell/mechanism.go
+++ b/internal/cell/mechanism.go
@@ -30,10 +30,12 @@
 	Reservations Mechanism = "reservations"
 	// Closing tells the store which workers are silent; see watchClosing.
 	Closing Mechanism = "closing"
+	// Relays reaches workers through other instances; see package relay.
+	Relays Mechanism = "relays"
 )
 
 // Mechanisms are all that there are, in the order of the planning pass.
-var Mechanisms = []Mechanism{LateLast, NearData, Reservations, Preemption, UrgentReserve, TicketsAhead, Quarantine, Moves, Copies, Closing, Parking}
+var Mechanisms = []Mechanism{LateLast, NearData, Reservations, Preemption, UrgentReserve, TicketsAhead, Quarantine, Moves, Copies, Closing, Parking, Relays}
 
 func allNames() string {
 	names := make([]string, len(Mechanisms))
@@ -44,7 +46,4 @@
 }
 
 // uses reports whether a mechanism is in use.
-func (c *Cell) uses(m Mechanism) bool {
-	_, off := c.settings.Without[m]
-	return !off
-}
+func (c *Cell) uses(m Mechanism) bool { return !c.settings.Without.Has(m) }
--- a/internal/cell/without.go
+++ b/internal/cell/without.go
@@ -19,6 +19,12 @@
 	return strings.Join(names, ",")
 }
 
+// Has reports whether a mechanism is switched off.
+func (w Without) Has(m Mechanism) bool {
+	_, off := w[m]
+	return off
+}
+
 // Set takes names with commas between them; an empty text is the empty set.
 func (w *Without) Set(text string) error {
 	set := Without{}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -58,7 +58,7 @@
 }
 
 func newWorker(r roster.Worker) *worker {
-	return &worker{Worker: r, target: runner.Target{ID: r.ID, Address: r.Address}, attempts: map[*attempt]struct{}{}}
+	return &worker{Worker: r, target: runner.Target{ID: r.ID, Address: r.Address, Zone: r.Zone}, attempts: map[*attempt]struct{}{}}
 }
 
 // free returns what is left of the worker's capacity.
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -21,8 +21,11 @@
 	"gentianstand/internal/cellowner"
 	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/intake"
+	"gentianstand/internal/relay"
 	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
 	"gentianstand/internal/store"
+	"gentianstand/internal/traffic"
 )
 
 const (
@@ -53,7 +56,7 @@
 		fx.StopTimeout(max(s.TerminationGrace, time.Second)),
 		fx.Supply(s, outside, log),
 		fx.Provide(newSelf, newWatched, newJobs, newDirectory, newOwnerMetrics, newLeader, newIntake,
-			cellpeer.NewClients, metrics.NewSet, newCurrent, newState),
+			newRelayPool, newRelayServer, cellpeer.NewClients, metrics.NewSet, newCurrent, newState),
 		fx.Invoke(run),
 	)
 }
@@ -79,13 +82,29 @@
 
 func newOwnerMetrics(set *metrics.Set) *cellowner.Metrics { return cellowner.NewMetrics(set) }
 
-func newLeader(s Settings, o Outside, d *cellpeer.Directory, c *cellpeer.Clients, w *store.Watched, jobs *celljobs.Jobs, current *catalog.Current, m *cellowner.Metrics, log *logrus.Entry) *cellleader.Leader {
+func newRelayPool(o Outside, d *cellpeer.Directory, log *logrus.Entry) *relay.Pool {
+	return relay.NewPool(d, o.Workers, log)
+}
+
+func newRelayServer(o Outside, log *logrus.Entry) *relay.Server {
+	return relay.NewServer(o.Workers, log)
+}
+
+// runnerFor returns how an owner reaches workers.
+func runnerFor(s Settings, o Outside, p *relay.Pool) runner.Client {
+	if s.Without.Has(cell.Relays) {
+		return o.Workers
+	}
+	return p
+}
+
+func newLeader(s Settings, o Outside, d *cellpeer.Directory, c *cellpeer.Clients, pool *relay.Pool, w *store.Watched, jobs *celljobs.Jobs, current *catalog.Current, m *cellowner.Metrics, log *logrus.Entry) *cellleader.Leader {
 	advisers := cellpeer.NewAdvicePool(d, c, o.Adviser)
 	newOwner := func(term uint64, earlierStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
 		settings := cell.Settings{Term: term, Lease: min(lease, s.MaxLease), EarlierStopped: earlierStopped, StopGrace: s.StopGrace,
 			SpareWorkers: spareWorkers, Early: s.Early, FarFactor: s.FarFactor, Without: s.Without}
 		return cellowner.New(settings, claim, cellowner.Deps{
-			Store: w, Jobs: jobs, Roster: roster.NewNamed(o.Roster(w, log), namedIn(current)), Runner: o.Workers, Advisers: advisers,
+			Store: w, Jobs: jobs, Roster: roster.NewNamed(o.Roster(w, log), namedIn(current)), Runner: runnerFor(s, o, pool), Advisers: advisers,
 			Upkeep: newUpkeep(s, o, w, log), Leadership: l, Metrics: m, Log: log,
 		})
 	}
@@ -123,6 +142,8 @@
 	Jobs      *celljobs.Jobs
 	Directory *cellpeer.Directory
 	Leader    *cellleader.Leader
+	Pool      *relay.Pool
+	Relay     *relay.Server
 	Intake    *intake.Intake
 	Current   *catalog.Current
 	Metrics   *metrics.Set
@@ -135,11 +156,11 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.MemoryMiB<<20)))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := newServer("callers", p.Settings.CallerListen, closing{p.Outside.Callers(p.Intake, p.Current, p.Log), &p.State.stopping}, p.Log)
+	callers := newServer("callers", traffic.Callers, p.Settings.CallerListen, closing{p.Outside.Callers(p.Intake, p.Current, p.Log), &p.State.stopping}, p.Log)
 	others := []*server{
-		newServer("ready", p.Settings.ReadyListen, readiness{p.Current, &p.State.stopping}, p.Log),
-		newServer("peers", p.Settings.PeerListen, cellpeer.NewServer(p.Leader, p.Jobs, p.Outside.Adviser, p.Log), p.Log),
-		newServer("metrics", p.Settings.MetricsListen, metricsHandler(p.Metrics), p.Log),
+		newServer("ready", traffic.Peers, p.Settings.ReadyListen, readiness{p.Current, &p.State.stopping}, p.Log),
+		newServer("peers", traffic.Peers, p.Settings.PeerListen, peersHandler(p), p.Log),
+		newServer("metrics", traffic.Peers, p.Settings.MetricsListen, metricsHandler(p.Metrics), p.Log),
 	}
 	var loops sync.WaitGroup
 	lc.Append(fx.Hook{
@@ -155,6 +176,8 @@
 			loops.Go(func() { p.Directory.Run(ctx) })
 			loops.Go(func() { p.Directory.WatchStore(ctx, p.Store) })
 			loops.Go(func() { p.Leader.Run(ctx) })
+			loops.Go(func() { p.Pool.Run(ctx) })
+			loops.Go(func() { traffic.Log(ctx, p.Log) })
 			p.Log.WithFields(logrus.Fields{"zone": p.Settings.Zone, "callers": p.Settings.CallerListen, "peers": p.Settings.PeerListen}).Info("instance_started")
 			return nil
 		},
@@ -162,6 +185,7 @@
 			p.stop(stop, callers)
 			cancel()
 			loops.Wait()
+			p.Relay.Close()
 			for _, s := range others {
 				_ = s.http.Close() // nothing in progress there belongs to a caller
 			}
@@ -171,12 +195,21 @@
 	})
 }
 
+// peersHandler serves other instances: calls, and links of an owner to this one as a relay.
+func peersHandler(p parts) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, p.Relay)
+	mux.Handle("/", cellpeer.NewServer(p.Leader, p.Jobs, p.Outside.Adviser, p.Log))
+	return mux
+}
+
 // stop hands the cell over, lets the balancer notice, and finishes the callers'
 // requests that are in progress.
 func (p *parts) stop(ctx context.Context, callers *server) {
 	began := time.Now()
 	p.State.stopping.Store(true)
 	p.Log.Info("instance_stopping")
+	p.Relay.Leave()
 	p.Leader.HandOver(ctx)
 	leaveCtx, cancel := context.WithTimeout(ctx, time.Second)
 	p.Directory.Leave(leaveCtx)
@@ -190,6 +223,7 @@
 func metricsHandler(set *metrics.Set) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
+		metrics.WritePrometheus(w, false)
 		metrics.WriteProcessMetrics(w)
 	})
 }
--- /dev/null
+++ b/internal/relay/avoidance_test.go
@@ -0,0 +1,23 @@
+package relay
+
+import (
+	"testing"
+	"time"
+)
+
+// Symptom: some calls are late by 0.2 s again and again.
+// Sequence: a machine is lost for good, and the list names it for a minute.
+// Cause to be ruled out: every second another call waits for a link to it.
+func TestLostRelayIsTriedLessAndLessOften(t *testing.T) {
+	now := time.Now()
+	var a avoidance
+	for i, want := range []time.Duration{1, 2, 4, 8, 16, 16, 16, 16, 16, 16, 16, 16} {
+		a = a.after(false, now)
+		if got := a.until.Sub(now); got != want*time.Second {
+			t.Errorf("passed over for %v after %d losses, want %v", got, i+1, want*time.Second)
+		}
+	}
+	if got := a.after(true, now).until.Sub(now); got != avoidFirst {
+		t.Errorf("passed over for %v after a link that lasted, want %v", got, avoidFirst)
+	}
+}
--- /dev/null
+++ b/internal/relay/link.go
@@ -0,0 +1,292 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/runner"
+)
+
+// Link is an owner's connection to one relay. Its methods are safe for concurrent use.
+type Link struct {
+	peer cellpeer.Instance
+	log  logrus.FieldLogger
+	wake chan struct{}
+	done chan struct{}
+
+	mu   sync.Mutex
+	conn net.Conn
+	// queue are the calls to write, pending those that wait for a reply.
+	queue   []*call
+	pending map[uint32]*call
+	number  uint32
+	// opened says that the relay has taken the link, leaving that it is about to stop.
+	opened, leaving, ended bool
+	// openedAt is when it was opened; blameless says that its end says nothing against
+	// the relay.
+	openedAt  time.Time
+	blameless bool
+	// heardAt is when the last frame came, usedAt when the last call was made.
+	heardAt, usedAt time.Time
+}
+
+// dial opens a connection to a relay.
+type dial func(ctx context.Context, address string) (net.Conn, error)
+
+// openLink returns a link that opens beside the caller; ended is called when it is over.
+func openLink(peer cellpeer.Instance, d dial, ended func(*Link), log logrus.FieldLogger) *Link {
+	l := &Link{peer: peer, log: log.WithField("relay", peer.Name), wake: make(chan struct{}, 1), done: make(chan struct{}),
+		pending: map[uint32]*call{}, usedAt: time.Now()}
+	go l.run(d, ended)
+	return l
+}
+
+func (l *Link) run(d dial, ended func(*Link)) {
+	defer ended(l)
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	conn, err := d(ctx, l.peer.Address)
+	cancel()
+	if err != nil {
+		l.end("not opened", err)
+		return
+	}
+	if !l.begin(conn) {
+		_ = conn.Close() // the link has ended meanwhile
+		return
+	}
+	go l.write(conn)
+	l.end("reading ended", l.read(conn))
+}
+
+// begin takes in that the relay has taken the link.
+func (l *Link) begin(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return false
+	}
+	l.conn, l.opened, l.heardAt, l.openedAt = conn, true, time.Now(), time.Now()
+	return true
+}
+
+// end ends the link, and with it all calls: those that were not written can be made
+// another way.
+func (l *Link) end(why string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	close(l.done)
+	if l.conn != nil {
+		_ = l.conn.Close() // it is given up either way
+	}
+	l.log.WithFields(logrus.Fields{"why": why, "pending": len(l.pending), "waiting": len(l.queue)}).WithError(err).Info("relay_link_ended")
+	for _, c := range l.queue {
+		c.result <- result{err: errNotSent}
+	}
+	for _, c := range l.pending {
+		c.result <- result{err: errLinkLost}
+	}
+	l.queue, l.pending = nil, nil
+}
+
+// endBlameless ends the link for a reason that says nothing against the relay.
+func (l *Link) endBlameless(why string) {
+	l.mu.Lock()
+	l.blameless = true
+	l.mu.Unlock()
+	l.end(why, nil)
+}
+
+// toBlame reports whether the end of the link says something against the relay.
+func (l *Link) toBlame() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.blameless
+}
+
+// lasted reports whether the link was open for long enough to forget losses before it.
+func (l *Link) lasted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.opened && time.Since(l.openedAt) > avoidMost
+}
+
+// usable reports whether calls may be made.
+func (l *Link) usable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.ended && !l.leaving
+}
+
+// do makes a call and waits for its result until ctx ends.
+func (l *Link) do(ctx context.Context, w runner.Target, r request) result {
+	c, ok := l.enqueue(ctx, w, r)
+	if !ok {
+		return result{err: errNotSent}
+	}
+	select {
+	case got := <-c.result:
+		return got
+	case <-ctx.Done():
+		return l.giveUp(c, ctx.Err())
+	}
+}
+
+func (l *Link) enqueue(ctx context.Context, w runner.Target, r request) (*call, bool) {
+	now := time.Now()
+	c := &call{request: r, worker: w, queuedAt: now, result: make(chan result, 1)}
+	if deadline, ok := ctx.Deadline(); ok {
+		c.deadline = deadline
+	} else {
+		c.deadline = now.Add(openTimeout)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended || l.leaving {
+		return nil, false
+	}
+	l.usedAt = now
+	l.queue = append(l.queue, c)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return c, true
+}
+
+// giveUp ends the wait for a call. What was not written has not been done.
+func (l *Link) giveUp(c *call, why error) result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, c.Number)
+	if !c.written {
+		c.deadline = time.Time{}
+		return result{err: fmt.Errorf("%w: %w", &runner.Refusal{Reason: runner.Unhealthy}, why)}
+	}
+	return result{err: fmt.Errorf("%w: %w", runner.ErrNoAnswer, why)}
+}
+
+// silent reports whether the relay owes replies and has not been heard for long.
+func (l *Link) silent(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.opened && now.Sub(l.heardAt) > silentAfter
+}
+
+// idle reports whether the link is no longer used.
+func (l *Link) idle(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending)+len(l.queue) == 0 && now.Sub(l.usedAt) > idleAfter
+}
+
+// write encodes calls in the order in which they were made, several in one packet where
+// they come together.
+func (l *Link) write(conn net.Conn) {
+	out := bufio.NewWriter(conn)
+	e := newEncoder(out)
+	for {
+		for _, c := range l.take() {
+			if err := e.encode(c, time.Now()); err != nil {
+				l.end("not encoded", err)
+				return
+			}
+		}
+		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			l.end("not written", err)
+			return
+		}
+		if err := out.Flush(); err != nil {
+			l.end("not written", err)
+			return
+		}
+		select {
+		case <-l.wake:
+		case <-l.done:
+			return
+		}
+	}
+}
+
+// take books the calls of the queue as pending, but for those that were given up.
+func (l *Link) take() []*call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return nil
+	}
+	var calls []*call
+	for _, c := range l.queue {
+		if c.deadline.IsZero() {
+			continue
+		}
+		l.number++
+		c.Number, c.written = l.number, true
+		l.pending[c.Number] = c
+		calls = append(calls, c)
+	}
+	l.queue = l.queue[:0]
+	return calls
+}
+
+// read takes replies in until the connection ends.
+func (l *Link) read(conn net.Conn) error {
+	in := cbor.NewDecoder(bufio.NewReader(conn))
+	known := reports{}
+	for {
+		var r reply
+		if err := in.Decode(&r); err != nil {
+			return err
+		}
+		if err := l.heard(&r, known); err != nil {
+			return err
+		}
+	}
+}
+
+var errBadReport = errors.New("a report names a run that the one before did not have")
+
+func (l *Link) heard(r *reply, known reports) error {
+	var got result
+	got.err = r.err()
+	got.answer.Clock = time.Duration(r.ClockMicros) * time.Microsecond
+	if r.Report != nil {
+		full, ok := known.restore(r.Report)
+		if !ok {
+			return errBadReport
+		}
+		got.report = full
+		got.report.Clock = got.answer.Clock
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heardAt = time.Now()
+	if r.Leaving {
+		l.leaving = true
+		l.log.Info("relay_leaving")
+	}
+	c := l.pending[r.Number]
+	if c == nil {
+		return nil
+	}
+	delete(l.pending, r.Number)
+	c.result <- got
+	if r.Outcome == expired && time.Since(c.queuedAt) < overdueSlack {
+		// The reply is here before the request can have been late: a clock was set. A
+		// new link compares the clocks anew.
+		go l.endBlameless("a clock was set")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/link_test.go
@@ -0,0 +1,299 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/runner"
+	"gentianstand/platform/standin"
+)
+
+// fakeWorkers remembers the calls that reach workers.
+type fakeWorkers struct {
+	mu     sync.Mutex
+	starts []runner.Start
+	stops  []runner.Stop
+	looks  int
+	// hang has starts wait until their time is over; fail is what they return.
+	hang bool
+	fail error
+}
+
+func (f *fakeWorkers) Look(_ context.Context, w runner.Target, l runner.Look) (runner.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.looks++
+	return runner.Report{Clock: 1234 * time.Millisecond, Ended: []runner.End{},
+		Running: []runner.RunState{{Task: w.ID + "-task", Run: l.Token, Saved: "s", Percent: f.looks, Gauge: 17}}}, nil
+}
+
+func (f *fakeWorkers) Start(ctx context.Context, _ runner.Target, s runner.Start) (runner.Answer, error) {
+	f.mu.Lock()
+	f.starts = append(f.starts, s)
+	hang, fail := f.hang, f.fail
+	f.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+		return runner.Answer{}, errors.Join(runner.ErrNoAnswer, ctx.Err())
+	}
+	return runner.Answer{Clock: time.Second}, fail
+}
+
+func (f *fakeWorkers) Stop(_ context.Context, _ runner.Target, s runner.Stop) (runner.Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, s)
+	return runner.Answer{Clock: time.Second}, nil
+}
+
+func (f *fakeWorkers) Pace(context.Context, runner.Target, runner.Pace) (runner.Answer, error) {
+	return runner.Answer{}, nil
+}
+
+func (f *fakeWorkers) started() []runner.Start {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]runner.Start(nil), f.starts...)
+}
+
+// site is a relay behind a proxy, and an owner's link to it.
+type site struct {
+	workers *fakeWorkers
+	server  *Server
+	proxy   *standin.Proxy
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{workers: &fakeWorkers{}}
+	s.server = NewServer(s.workers, logger(t))
+	mux := http.NewServeMux()
+	mux.Handle(Path, s.server)
+	http := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		s.server.Close()
+		http.Close()
+	})
+	proxy, err := standin.NewProxy("127.0.0.1:0", http.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	s.proxy = proxy
+	return s
+}
+
+func (s *site) link(t *testing.T) *Link {
+	t.Helper()
+	l := openLink(cellpeer.Instance{Name: "edge-1", Address: s.proxy.Address()}, open, func(*Link) {}, logger(t))
+	t.Cleanup(func() { l.endBlameless("the test is over") })
+	return l
+}
+
+func logger(t *testing.T) logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	return log
+}
+
+var w1 = runner.Target{ID: "w-1", Address: "10.0.0.1:80", Zone: "a"}
+
+// within returns a context that a call without trouble never outlasts.
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func startOf(task string, token uint64) request {
+	return request{Start: startFrom(runner.Start{Task: task, Run: 3, Spec: "the text of the job", Token: token,
+		LeaseUntil: 5 * time.Second, Saved: "s", Ticket: "t-" + task})}
+}
+
+func TestCallsReachTheWorkerAsTheyWereMade(t *testing.T) {
+	s := newSite(t)
+	l := s.link(t)
+	for _, task := range []string{"a", "b"} {
+		if got := l.do(within(t), w1, startOf(task, 7)); got.err != nil || got.answer.Clock != time.Second {
+			t.Fatalf("start of %s: %+v", task, got)
+		}
+	}
+	for i, got := range s.workers.started() {
+		want := startOf([]string{"a", "b"}[i], 7).Start.runner()
+		if got != want {
+			t.Errorf("start %d is %+v, want %+v", i, got, want)
+		}
+	}
+	for percent := 1; percent < 4; percent++ {
+		got := l.do(within(t), w1, request{Look: lookFrom(runner.Look{Token: 7, Wait: time.Second})})
+		want := runner.RunState{Task: "w-1-task", Run: 7, Saved: "s", Percent: percent, Gauge: 17}
+		if got.err != nil || got.report.Clock != 1234*time.Millisecond || len(got.report.Running) != 1 || got.report.Running[0] != want {
+			t.Errorf("look %d: %+v", percent, got)
+		}
+	}
+}
+
+func TestOutcomesOfTheWorkerAreTold(t *testing.T) {
+	s := newSite(t)
+	l := s.link(t)
+	for name, fail := range map[string]error{"refused": &runner.Refusal{Reason: runner.BadTicket}, "gone": runner.ErrGone, "no answer": runner.ErrNoAnswer} {
+		s.workers.mu.Lock()
+		s.workers.fail = fail
+		s.workers.mu.Unlock()
+		got := l.do(within(t), w1, startOf(name, 1))
+		var refusal *runner.Refusal
+		switch {
+		case errors.As(fail, &refusal):
+			var seen *runner.Refusal
+			if !errors.As(got.err, &seen) || seen.Reason != refusal.Reason {
+				t.Errorf("%s: %v", name, got.err)
+			}
+		case !errors.Is(got.err, fail):
+			t.Errorf("%s: %v", name, got.err)
+		}
+	}
+}
+
+// Symptom: an owner that was overtaken goes on starting tasks.
+// Sequence: its successor orders through the same relay; then the old one does, to a
+// worker that the successor has not called yet.
+// Cause: only the worker compared the tokens.
+func TestRelayRefusesOwnersThatWereOvertaken(t *testing.T) {
+	s := newSite(t)
+	old, next := s.link(t), s.link(t)
+	if got := next.do(within(t), w1, startOf("a", 8)); got.err != nil {
+		t.Fatal(got.err)
+	}
+	got := old.do(within(t), runner.Target{ID: "w-2", Address: "10.0.0.2:80"}, startOf("b", 7))
+	var refusal *runner.Refusal
+	if !errors.As(got.err, &refusal) || refusal.Reason != runner.Fenced {
+		t.Errorf("got %v", got.err)
+	}
+	if started := s.workers.started(); len(started) != 1 {
+		t.Errorf("%d starts reached workers", len(started))
+	}
+}
+
+// Symptom: a task is started elsewhere although it runs.
+// Sequence: a relay dies between an order and its reply.
+// Cause to be ruled out: the order counts as one that was not carried out.
+func TestOrdersOfALostLinkMayHaveBeenCarriedOut(t *testing.T) {
+	s := newSite(t)
+	s.workers.hang = true
+	l := s.link(t)
+	done := make(chan result, 1)
+	go func() { done <- l.do(within(t), w1, startOf("a", 1)) }()
+	for end := time.Now().Add(20 * time.Second); len(s.workers.started()) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	s.proxy.Close()
+	if got := <-done; !errors.Is(got.err, runner.ErrNoAnswer) || errors.Is(got.err, errNotSent) {
+		t.Errorf("got %v", got.err)
+	}
+	if got := l.do(within(t), w1, startOf("b", 1)); !errors.Is(got.err, errNotSent) {
+		t.Errorf("a call after the end of the link: %v", got.err)
+	}
+}
+
+func TestLinkThatCannotBeOpenedSendsNothing(t *testing.T) {
+	l := openLink(cellpeer.Instance{Name: "edge-1", Address: "127.0.0.1:1"}, open, func(*Link) {}, logger(t))
+	if got := l.do(within(t), w1, startOf("a", 1)); !errors.Is(got.err, errNotSent) {
+		t.Errorf("got %v", got.err)
+	}
+}
+
+// Symptom: a task starts seconds after its owner gave it up.
+// Sequence: a request waits in the buffers of a relay that stands still.
+// Cause: the relay carried out whatever it read.
+func TestRequestsThatAreTooOldAreNotCarriedOut(t *testing.T) {
+	one := newSession(nil, NewServer(&fakeWorkers{}, logger(t)))
+	now := time.UnixMilli(1_000_000)
+	r := request{Number: 1, SentMillis: now.UnixMilli(), LimitMillis: 60, Start: &start{Token: 1}}
+	if got := one.refusal(&r, now); got != nil {
+		t.Errorf("a new request is refused: %+v", got)
+	}
+	r = request{Number: 2, SentMillis: now.UnixMilli(), LimitMillis: 60, Start: &start{Token: 1}}
+	if got := one.refusal(&r, now.Add(4*time.Second)); got == nil || got.Outcome != expired {
+		t.Errorf("a request of 4 s ago: %+v", got)
+	}
+}
+
+// An instance that is about to stop says so, and what is under way is finished.
+func TestLeavingRelayFinishesItsCalls(t *testing.T) {
+	s := newSite(t)
+	l := s.link(t)
+	if got := l.do(within(t), w1, startOf("a", 1)); got.err != nil {
+		t.Fatal(got.err)
+	}
+	s.server.Leave()
+	for end := time.Now().Add(20 * time.Second); l.usable() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if got := l.do(within(t), w1, startOf("b", 1)); !errors.Is(got.err, errNotSent) {
+		t.Errorf("a call to a relay that leaves: %v", got.err)
+	}
+	late := s.link(t)
+	if got := late.do(within(t), w1, startOf("c", 1)); !errors.Is(got.err, errNotSent) {
+		t.Errorf("a link to a relay that leaves: %v", got.err)
+	}
+}
+
+// Load: a burst of 1,000 starts and as many looks, which filled the link of a machine
+// with 2 Mbit/s: 1.6 KB for each pair over HTTP. Limit: a third of that.
+func TestBytesOfABurst(t *testing.T) {
+	s := newSite(t)
+	var mu sync.Mutex
+	bytes := 0
+	count := func(n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		bytes += n
+	}
+	counting := func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := open(ctx, address)
+		return &countedConn{conn, count}, err
+	}
+	l := openLink(cellpeer.Instance{Name: "edge-1", Address: s.proxy.Address()}, counting, func(*Link) {}, logger(t))
+	defer l.endBlameless("the test is over")
+	const pairs = 1000
+	for range pairs {
+		if got := l.do(within(t), w1, startOf("5c0e7a21d94b36f8.0.1.17", 7)); got.err != nil {
+			t.Fatal(got.err)
+		}
+		if got := l.do(within(t), w1, request{Look: lookFrom(runner.Look{Token: 7, Wait: time.Second})}); got.err != nil {
+			t.Fatal(got.err)
+		}
+	}
+	if got := bytes / pairs; got > 1600/3 {
+		t.Errorf("a start and a look take %d bytes", got)
+	} else {
+		t.Logf("a start and a look take %d bytes", got)
+	}
+}
+
+// countedConn counts the bytes of both ways.
+type countedConn struct {
+	net.Conn
+	count func(int)
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count(n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/relay/pool.go
@@ -0,0 +1,245 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/runner"
+)
+
+// Pool reaches workers through other instances. It implements runner.Client.
+type Pool struct {
+	directory Directory
+	workers   runner.Client
+	dial      dial
+	log       logrus.FieldLogger
+
+	mu sync.Mutex
+	// instances are those of the directory at refreshedAt, this one among them.
+	instances   []cellpeer.Instance
+	refreshedAt time.Time
+	// routes are the ranked instances of each worker.
+	routes  map[string][]cellpeer.Instance
+	links   map[string]*Link
+	avoided map[string]avoidance
+	detours map[string]detour
+}
+
+// detour is which relay a worker is not reached through for a while.
+type detour struct {
+	relay string
+	until time.Time
+}
+
+// NewPool returns a pool over the instances of a directory. workers reaches workers from
+// this instance.
+func NewPool(d Directory, workers runner.Client, log logrus.FieldLogger) *Pool {
+	return &Pool{directory: d, workers: workers, dial: open, log: log, routes: map[string][]cellpeer.Instance{},
+		links: map[string]*Link{}, avoided: map[string]avoidance{}, detours: map[string]detour{}}
+}
+
+// Run ends silent and idle links until ctx ends, then all.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(scanPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			for _, l := range p.allLinks() {
+				l.end("this instance stops", nil)
+			}
+			return
+		case now := <-ticker.C:
+			p.scan(now)
+		}
+	}
+}
+
+// scan ends silent and idle links. Where most are silent, it is this instance that hears
+// nothing: its own link is full or cut, and opening others would add to that.
+func (p *Pool) scan(now time.Time) {
+	all := p.allLinks()
+	silent := slices.DeleteFunc(slices.Clone(all), func(l *Link) bool { return !l.silent(now) })
+	if 2*len(silent) <= len(all) {
+		for _, l := range silent {
+			l.end("silent", nil)
+		}
+	}
+	for _, l := range all {
+		if l.idle(now) {
+			l.endBlameless("unused")
+		}
+	}
+}
+
+func (p *Pool) allLinks() []*Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]*Link, 0, len(p.links))
+	for _, l := range p.links {
+		all = append(all, l)
+	}
+	return all
+}
+
+// Look implements runner.Client.
+func (p *Pool) Look(ctx context.Context, w runner.Target, l runner.Look) (runner.Report, error) {
+	got, done := p.relay(ctx, w, request{Look: lookFrom(l)})
+	if !done {
+		return p.workers.Look(ctx, w, l)
+	}
+	return got.report, got.err
+}
+
+// Start implements runner.Client.
+func (p *Pool) Start(ctx context.Context, w runner.Target, s runner.Start) (runner.Answer, error) {
+	got, done := p.relay(ctx, w, request{Start: startFrom(s)})
+	if !done {
+		return p.workers.Start(ctx, w, s)
+	}
+	return got.answer, got.err
+}
+
+// Stop implements runner.Client.
+func (p *Pool) Stop(ctx context.Context, w runner.Target, s runner.Stop) (runner.Answer, error) {
+	got, done := p.relay(ctx, w, request{Stop: &stop{Task: s.Task, Run: s.Run, Token: s.Token}})
+	if !done {
+		return p.workers.Stop(ctx, w, s)
+	}
+	return got.answer, got.err
+}
+
+// Pace implements runner.Client.
+func (p *Pool) Pace(ctx context.Context, w runner.Target, c runner.Pace) (runner.Answer, error) {
+	got, done := p.relay(ctx, w, request{Pace: &pace{Task: c.Task, Run: c.Run, Token: c.Token, Percent: c.Percent}})
+	if !done {
+		return p.workers.Pace(ctx, w, c)
+	}
+	return got.answer, got.err
+}
+
+// relay makes a call through a relay; done is false if this instance has to make it.
+func (p *Pool) relay(ctx context.Context, w runner.Target, r request) (got result, done bool) {
+	for range paths {
+		l := p.route(w, time.Now())
+		if l == nil {
+			return result{}, false
+		}
+		got = l.do(ctx, w, r)
+		switch {
+		case errors.Is(got.err, errNotSent):
+			continue
+		case errors.Is(got.err, errLinkLost) && r.Look != nil && ctx.Err() == nil:
+			// A look changes nothing that a second one does not: the end of the lease
+			// that it carries is the same.
+			continue
+		case errors.Is(got.err, runner.ErrNoAnswer):
+			p.avoidFor(w, l)
+		}
+		return got, true
+	}
+	return result{}, false
+}
+
+// avoidFor has a worker reached through its next relay for a while.
+func (p *Pool) avoidFor(w runner.Target, l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.detours[w.ID] = detour{l.peer.Name, time.Now().Add(detourFor)}
+}
+
+// route returns the link through which a worker is reached now, or nil if this instance
+// reaches it itself.
+func (p *Pool) route(w runner.Target, now time.Time) *Link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh(now)
+	around, ok := p.detours[w.ID]
+	if ok && !now.Before(around.until) {
+		delete(p.detours, w.ID)
+		around.relay = ""
+	}
+	for _, i := range p.ranked(w) {
+		if i.Name == p.directory.Self().Name {
+			return nil
+		}
+		if i.Name == around.relay || now.Before(p.avoided[i.Name].until) {
+			continue
+		}
+		if l := p.link(i); l != nil {
+			return l
+		}
+	}
+	return nil
+}
+
+func (p *Pool) ranked(w runner.Target) []cellpeer.Instance {
+	ranked, known := p.routes[w.ID]
+	if !known {
+		ranked = Rank(w.ID, w.Zone, p.instances)
+		p.routes[w.ID] = ranked
+	}
+	return ranked
+}
+
+// link returns the link to an instance, which may be opening yet, or nil if it takes no
+// calls; p.mu is held.
+func (p *Pool) link(i cellpeer.Instance) *Link {
+	l := p.links[i.Name]
+	if l == nil {
+		l = openLink(i, p.dial, p.linkEnded, p.log)
+		p.links[i.Name] = l
+	}
+	if !l.usable() {
+		return nil
+	}
+	return l
+}
+
+// linkEnded passes an instance over whose link was lost.
+func (p *Pool) linkEnded(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := l.peer.Name
+	if p.links[name] == l {
+		delete(p.links, name)
+	}
+	if l.toBlame() {
+		p.avoided[name] = p.avoided[name].after(l.lasted(), time.Now())
+	}
+}
+
+// refresh takes the list of instances anew once in a while, and forgets what belongs to
+// those that are gone; p.mu is held.
+func (p *Pool) refresh(now time.Time) {
+	if now.Sub(p.refreshedAt) < refreshPeriod {
+		return
+	}
+	p.refreshedAt = now
+	list := append(p.directory.Others(), p.directory.Self())
+	if slices.EqualFunc(list, p.instances, sameProcess) {
+		return
+	}
+	known := map[string]cellpeer.Instance{}
+	for _, i := range p.instances {
+		known[i.Name] = i
+	}
+	for _, i := range list {
+		if before, ok := known[i.Name]; ok && !sameProcess(i, before) {
+			// The new process has nothing to do with the losses of the one before.
+			delete(p.avoided, i.Name)
+		}
+	}
+	p.instances = list
+	clear(p.routes)
+}
+
+func sameProcess(a, b cellpeer.Instance) bool {
+	return a.Name == b.Name && a.Incarnation == b.Incarnation && a.Address == b.Address
+}
--- /dev/null
+++ b/internal/relay/pool_test.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/runner"
+)
+
+// fakeDirectory lists instances that a test may change.
+type fakeDirectory struct {
+	mu     sync.Mutex
+	others []cellpeer.Instance
+}
+
+func (d *fakeDirectory) Self() cellpeer.Instance {
+	return cellpeer.Instance{Name: "owner", Zone: "z", Incarnation: "1"}
+}
+
+func (d *fakeDirectory) Others() []cellpeer.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]cellpeer.Instance(nil), d.others...)
+}
+
+// fleet is a pool over some relays of one zone.
+type fleet struct {
+	pool   *Pool
+	direct *fakeWorkers
+	relays map[string]*site
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{direct: &fakeWorkers{}, relays: map[string]*site{}}
+	d := &fakeDirectory{}
+	for i := range n {
+		s := newSite(t)
+		name := fmt.Sprintf("edge-%d", i)
+		f.relays[name] = s
+		d.others = append(d.others, cellpeer.Instance{Name: name, Zone: "a", Address: s.proxy.Address(), Incarnation: "1"})
+	}
+	f.pool = NewPool(d, f.direct, logger(t))
+	t.Cleanup(func() {
+		for _, l := range f.pool.allLinks() {
+			l.endBlameless("the test is over")
+		}
+	})
+	return f
+}
+
+// used returns the relay that w1 is reached through.
+func (f *fleet) used(t *testing.T) *site {
+	t.Helper()
+	l := f.pool.route(w1, time.Now())
+	if l == nil {
+		t.Fatal("no relay is used")
+	}
+	return f.relays[l.peer.Name]
+}
+
+func (f *fleet) start(t *testing.T) error {
+	_, err := f.pool.Start(within(t), w1, runner.Start{Task: "a", Run: 1, Token: 1})
+	return err
+}
+
+func (f *fleet) look(t *testing.T) error {
+	_, err := f.pool.Look(within(t), w1, runner.Look{Token: 1, Wait: time.Second})
+	return err
+}
+
+// Symptom: workers count as silent when an instance dies.
+// Sequence: the relay of a worker dies while a look waits there.
+// Cause to be ruled out: the end of the link is taken for the worker's silence, or for
+// a start that was not carried out.
+func TestLooksGoOnWhenARelayDies(t *testing.T) {
+	f := newFleet(t, 3)
+	if err := f.start(t); err != nil {
+		t.Fatal(err)
+	}
+	first := f.used(t)
+	first.proxy.Close()
+	if err := f.look(t); err != nil {
+		t.Errorf("look: %v", err)
+	}
+	if f.used(t) == first {
+		t.Error("the dead relay is still used")
+	}
+	if err := f.start(t); err != nil {
+		t.Errorf("start: %v", err)
+	}
+	if n := len(f.direct.started()); n > 0 {
+		t.Errorf("%d starts of this instance beside two relays", n)
+	}
+}
+
+func TestInstanceReachesWorkersItselfWithoutRelays(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, s := range f.relays {
+		s.proxy.Close()
+	}
+	if err := f.start(t); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(f.direct.started()); n != 1 {
+		t.Errorf("%d starts of this instance, want 1", n)
+	}
+}
+
+// Symptom: a worker counts as silent for seconds although it serves.
+// Sequence: the way between it and its relay is cut, and no other one.
+// Cause: each look went the same way.
+func TestWorkerThatDoesNotAnswerIsTriedThroughItsNextRelay(t *testing.T) {
+	f := newFleet(t, 3)
+	first := f.used(t)
+	first.workers.fail = runner.ErrNoAnswer
+	if err := f.start(t); !errors.Is(err, runner.ErrNoAnswer) {
+		t.Fatalf("got %v", err)
+	}
+	if f.used(t) == first {
+		t.Error("the same relay is used again")
+	}
+	if err := f.start(t); err != nil {
+		t.Errorf("through the next one: %v", err)
+	}
+	if l := f.pool.route(w1, time.Now().Add(detourFor)); f.relays[l.peer.Name] != first {
+		t.Error("the first relay is not used again later")
+	}
+}
+
+// opened waits until links to all relays are open.
+func (f *fleet) opened(t *testing.T) []*Link {
+	t.Helper()
+	f.pool.mu.Lock()
+	f.pool.refresh(time.Now())
+	all := f.pool.instances
+	f.pool.mu.Unlock()
+	var links []*Link
+	for _, i := range all {
+		if i.Name == "owner" {
+			continue
+		}
+		f.pool.mu.Lock()
+		l := f.pool.link(i)
+		f.pool.mu.Unlock()
+		if got := l.do(within(t), w1, startOf("a", 1)); got.err != nil {
+			t.Fatal(got.err)
+		}
+		links = append(links, l)
+	}
+	return links
+}
+
+// Symptom: an owner whose own link is full for a second loses all relays, and has to
+// reach every worker itself over that link.
+// Sequence: nothing is heard of any relay.
+// Cause: each of them was given up as a silent one.
+func TestSilenceOfMostRelaysIsTheOwnersOwn(t *testing.T) {
+	for _, test := range []struct {
+		silent int
+		ended  bool
+	}{{1, true}, {2, false}, {3, false}} {
+		f := newFleet(t, 3)
+		links := f.opened(t)
+		now := time.Now().Add(silentAfter / 2)
+		for _, l := range links[:test.silent] {
+			l.mu.Lock()
+			l.heardAt = now.Add(-silentAfter - 1)
+			l.mu.Unlock()
+		}
+		f.pool.scan(now)
+		if got := !links[0].usable(); got != test.ended {
+			t.Errorf("%d of 3 are silent: ended %v", test.silent, got)
+		}
+	}
+}
+
+func TestUnusedLinksEnd(t *testing.T) {
+	f := newFleet(t, 2)
+	links := f.opened(t)
+	now := time.Now().Add(idleAfter + time.Second)
+	for _, l := range links {
+		l.mu.Lock()
+		l.heardAt = now
+		l.mu.Unlock()
+	}
+	f.pool.scan(now)
+	for _, l := range links {
+		if l.usable() {
+			t.Errorf("the link to %s is kept", l.peer.Name)
+		}
+	}
+	for end := time.Now().Add(20 * time.Second); len(f.pool.allLinks()) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if err := f.start(t); err != nil || len(f.direct.started()) > 0 {
+		t.Errorf("a relay without a link in use is passed over: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/relay/rank.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"gentianstand/internal/cellpeer"
+)
+
+// ranked is an instance and its lot for a worker.
+type ranked struct {
+	cellpeer.Instance
+	lot uint64
+}
+
+// Rank returns the instances through which a worker may be reached, best first: those of
+// its own zone, in an order that differs from worker to worker (rendezvous hashing).
+//
+// Load pattern: instances come and go all day. Only the workers of a lost instance move,
+// each to its own next one, and the order needs no agreement: after a take-over the new
+// owner finds the same relays, with their connections to the workers open. Bytes between
+// zones cost, so the long calls of HTTP stay within one; the short frames cross.
+func Rank(workerID, zone string, all []cellpeer.Instance) []cellpeer.Instance {
+	near := slices.DeleteFunc(slices.Clone(all), func(i cellpeer.Instance) bool { return i.Zone != zone })
+	if len(near) == 0 {
+		near = slices.Clone(all)
+	}
+	list := make([]ranked, len(near))
+	for i, instance := range near {
+		list[i] = ranked{instance, lot(workerID, instance.Name)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.lot, a.lot), cmp.Compare(a.Name, b.Name))
+	})
+	for i, r := range list {
+		near[i] = r.Instance
+	}
+	return near
+}
+
+func lot(workerID, instance string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(instance + "\x00" + workerID)) // a hash never fails
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of a hash: FNV alone leaves the order of two instances the same
+// for most workers whose names differ in the last letters only.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/relay/reply.go
@@ -0,0 +1,66 @@
+package relay
+
+// reply is the outcome of one request, from a relay to the owner. Without a number it
+// is a heartbeat.
+type reply struct {
+	Number  uint32  `cbor:"1,keyasint,omitempty"`
+	Outcome outcome `cbor:"2,keyasint,omitempty"`
+	// Reason is why the worker refused; see runner.RefusalReason.
+	Reason string `cbor:"3,keyasint,omitempty"`
+	// Detail is for logs.
+	Detail string `cbor:"4,keyasint,omitempty"`
+	// ClockMicros is the worker's clock, or 0 if the answer had none.
+	ClockMicros int64   `cbor:"5,keyasint,omitempty"`
+	Report      *report `cbor:"6,keyasint,omitempty"`
+	// Leaving says that the relay is about to stop and takes no more requests.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
+}
+
+// outcome is how a call to a worker ended.
+type outcome uint8
+
+const (
+	// answered: the worker did what was asked.
+	answered outcome = iota
+	// refused: the worker answered and did nothing, or was not called.
+	refused
+	// gone: another incarnation answers at the worker's address.
+	gone
+	// unanswered: the call may have been carried out, or may be yet.
+	unanswered
+	// expired: the request came too late, and nothing was done.
+	expired
+)
+
+// report is runner.Report on the wire.
+type report struct {
+	_ struct{} `cbor:",toarray"`
+	// Worker is the number of the worker on this link.
+	Worker  uint32
+	Running []runState
+	Ended   []end
+}
+
+// runState is runner.RunState on the wire. A worker's reports repeat the same runs
+// again and again, so a run that stands in the report before on this link, with the
+// same checkpoint, is named by its place there: 8 bytes instead of 60.
+type runState struct {
+	_ struct{} `cbor:",toarray"`
+	// Before is 1 + the place in the report before, or 0 if the run is spelled out.
+	Before  int
+	Percent int
+	Gauge   float32
+	Task    string
+	Run     uint64
+	Saved   string
+}
+
+// end is runner.End on the wire.
+type end struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint64
+	Task     string
+	Run      uint64
+	How      string
+	Saved    string
+}
--- /dev/null
+++ b/internal/relay/reports.go
@@ -0,0 +1,56 @@
+package relay
+
+import "gentianstand/internal/runner"
+
+// reports turns the reports of one link's workers into their short form, or back. Both
+// ends keep the runs of the last report of each worker, and see the reports in the same
+// order. It is not safe for concurrent use.
+type reports map[uint32][]runner.RunState
+
+// shorten returns a report in its short form.
+func (r reports) shorten(worker uint32, full runner.Report) *report {
+	before := r[worker]
+	places := make(map[string]int, len(before))
+	for i, run := range before {
+		places[run.Task] = i
+	}
+	short := &report{Worker: worker, Running: make([]runState, len(full.Running)), Ended: make([]end, len(full.Ended))}
+	for i, run := range full.Running {
+		short.Running[i] = runState{Percent: run.Percent, Gauge: float32(run.Gauge)}
+		place, known := places[run.Task]
+		if known && before[place].Run == run.Run && before[place].Saved == run.Saved {
+			short.Running[i].Before = 1 + place
+			continue
+		}
+		short.Running[i].Task, short.Running[i].Run, short.Running[i].Saved = run.Task, run.Run, run.Saved
+	}
+	for i, e := range full.Ended {
+		short.Ended[i] = end{Sequence: e.Sequence, Task: e.Task, Run: e.Run, How: string(e.How), Saved: e.Saved}
+	}
+	r[worker] = full.Running
+	return short
+}
+
+// restore returns a report from its short form; ok is false if it names a run that the
+// report before did not have.
+func (r reports) restore(short *report) (full runner.Report, ok bool) {
+	before := r[short.Worker]
+	full.Running = make([]runner.RunState, len(short.Running))
+	for i, s := range short.Running {
+		run := runner.RunState{Task: s.Task, Run: s.Run, Saved: s.Saved}
+		if s.Before > len(before) || s.Before < 0 {
+			return full, false
+		}
+		if s.Before > 0 {
+			run = before[s.Before-1]
+		}
+		run.Percent, run.Gauge = s.Percent, float64(s.Gauge)
+		full.Running[i] = run
+	}
+	full.Ended = make([]runner.End, len(short.Ended))
+	for i, e := range short.Ended {
+		full.Ended[i] = runner.End{Sequence: e.Sequence, Task: e.Task, Run: e.Run, How: runner.EndKind(e.How), Saved: e.Saved}
+	}
+	r[short.Worker] = full.Running
+	return full, true
+}
--- /dev/null
+++ b/internal/relay/reports_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"gentianstand/internal/runner"
+)
+
+// anyReport draws a report in which few tasks come and go.
+func anyReport(t *rapid.T) runner.Report {
+	r := runner.Report{Running: []runner.RunState{}, Ended: []runner.End{}}
+	for _, task := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), rapid.ID[string]).Draw(t, "tasks") {
+		r.Running = append(r.Running, runner.RunState{Task: task, Run: rapid.Uint64Range(1, 3).Draw(t, "run"),
+			Saved: rapid.SampledFrom([]string{"", "s1", "s2"}).Draw(t, "saved"), Percent: rapid.IntRange(0, 100).Draw(t, "percent"),
+			Gauge: float64(rapid.IntRange(0, 5000).Draw(t, "gauge"))})
+	}
+	if rapid.Bool().Draw(t, "end") {
+		r.Ended = append(r.Ended, runner.End{Sequence: 7, Task: "f", Run: 2, How: runner.Done, Saved: "s"})
+	}
+	return r
+}
+
+// Whatever the reports are, both ends of a link see the same.
+func TestShortReportsAreRestored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		relay, owner := reports{}, reports{}
+		for range rapid.IntRange(1, 12).Draw(t, "reports") {
+			worker := rapid.Uint32Range(1, 2).Draw(t, "worker")
+			full := anyReport(t)
+			var wire bytes.Buffer
+			if err := cbor.NewEncoder(&wire).Encode(relay.shorten(worker, full)); err != nil {
+				t.Fatal(err)
+			}
+			var short report
+			if err := cbor.NewDecoder(&wire).Decode(&short); err != nil {
+				t.Fatal(err)
+			}
+			got, ok := owner.restore(&short)
+			if !ok || !reflect.DeepEqual(got, full) {
+				t.Fatalf("got %+v, %v, want %+v", got, ok, full)
+			}
+		}
+	})
+}
+
+func TestRunThatWasNotInTheReportBeforeIsNoticed(t *testing.T) {
+	for _, before := range []int{-1, 1, 3} {
+		if _, ok := (reports{}).restore(&report{Worker: 1, Running: []runState{{Before: before}}}); ok {
+			t.Errorf("place %d of an empty report was taken", before)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/runner"
+)
+
+// Server carries out the requests of owners with this instance's own connections to
+// workers.
+type Server struct {
+	workers runner.Client
+	log     logrus.FieldLogger
+
+	mu sync.Mutex
+	// highest is the highest fencing token seen.
+	highest  uint64
+	sessions map[*session]struct{}
+	leaving  bool
+}
+
+// NewServer returns a server that reaches workers through a client.
+func NewServer(workers runner.Client, log logrus.FieldLogger) *Server {
+	return &Server{workers: workers, log: log, sessions: map[*session]struct{}{}}
+}
+
+// ServeHTTP takes a link over from HTTP. It implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Upgrade") != protocol {
+		http.Error(w, "this address takes links of other instances", http.StatusUpgradeRequired)
+		return
+	}
+	if s.isLeaving() {
+		http.Error(w, "this instance is stopping", http.StatusServiceUnavailable)
+		return
+	}
+	conn, err := takeOver(w)
+	if err != nil {
+		s.log.WithField("from", r.RemoteAddr).WithError(err).Info("relay_link_refused")
+		return
+	}
+	defer conn.Close()
+	one := newSession(conn, s)
+	if !s.add(one) {
+		return
+	}
+	defer s.remove(one)
+	s.log.WithField("from", r.RemoteAddr).Info("relay_link_taken")
+	err = one.run(r.Context())
+	s.log.WithFields(logrus.Fields{"from": r.RemoteAddr, "requests": one.requests, "overdue": one.overdue}).WithError(err).Info("relay_link_over")
+}
+
+// takeOver answers the upgrade and returns the connection.
+func takeOver(w http.ResponseWriter) (net.Conn, error) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return conn, err
+	}
+	if _, err := buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n"); err != nil {
+		return conn, err
+	}
+	return conn, buffered.Flush()
+}
+
+// Leave tells all owners that this instance is about to stop, so that they use other
+// relays, and takes no more links.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for one := range s.sessions {
+		one.leave()
+	}
+}
+
+// Close ends all links. Leave should be called some time before.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for one := range s.sessions {
+		_ = one.conn.Close() // its owner knows by Leave
+	}
+}
+
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+func (s *Server) add(one *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving {
+		s.sessions[one] = struct{}{}
+	}
+	return !s.leaving
+}
+
+func (s *Server) remove(one *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, one)
+}
+
+// admits reports whether no owner with a higher token has been heard of: workers would
+// refuse the call, too, one after the other.
+func (s *Server) admits(token uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.highest = max(s.highest, token)
+	return token == s.highest
+}
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gentianstand/internal/runner"
+)
+
+var errUnknownWorker = errors.New("a request names a worker that none before it introduced")
+
+// session is a relay's end of one link.
+type session struct {
+	conn   net.Conn
+	server *Server
+	wake   chan struct{}
+
+	// workers, spec and late belong to the reader.
+	workers           map[uint32]runner.Target
+	spec              string
+	late              lateness
+	requests, overdue int
+
+	mu sync.Mutex
+	// replies are those to write.
+	replies []done
+}
+
+// done is a reply and the full report that belongs to it.
+type done struct {
+	reply
+	worker uint32
+	report *runner.Report
+}
+
+func newSession(conn net.Conn, s *Server) *session {
+	return &session{conn: conn, server: s, wake: make(chan struct{}, 1), workers: map[uint32]runner.Target{}}
+}
+
+// run carries requests out until the connection ends.
+func (s *session) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer cancel()
+	in := cbor.NewDecoder(bufio.NewReader(s.conn))
+	for {
+		var r request
+		if err := in.Decode(&r); err != nil {
+			return err
+		}
+		if s.requests == 0 {
+			// The owner reads frames only after its first request.
+			parts.Go(func() { s.write(ctx) })
+		}
+		s.requests++
+		w, err := s.resolve(&r)
+		if err != nil {
+			return err
+		}
+		if refusal := s.refusal(&r, time.Now()); refusal != nil {
+			s.answer(done{reply: *refusal})
+			continue
+		}
+		parts.Go(func() { s.answer(s.carryOut(ctx, w, &r)) })
+	}
+}
+
+// resolve puts in what the owner left out.
+func (s *session) resolve(r *request) (runner.Target, error) {
+	if r.Target != nil {
+		s.workers[r.Worker] = runner.Target{ID: r.Target.ID, Address: r.Target.Address}
+	}
+	if r.Start != nil {
+		if r.Start.SameSpec {
+			r.Start.Spec = s.spec
+		}
+		s.spec = r.Start.Spec
+	}
+	w, known := s.workers[r.Worker]
+	if !known {
+		return w, errUnknownWorker
+	}
+	return w, nil
+}
+
+// refusal returns the reply to a request that is not carried out, or nil.
+func (s *session) refusal(r *request, now time.Time) *reply {
+	limit := time.Duration(r.LimitMillis)*time.Millisecond + overdueSlack
+	if s.late.of(time.UnixMilli(r.SentMillis), now.Round(0)) > limit {
+		s.overdue++
+		return &reply{Number: r.Number, Outcome: expired}
+	}
+	if !s.server.admits(r.token()) {
+		return &reply{Number: r.Number, Outcome: refused, Reason: string(runner.Fenced)}
+	}
+	return nil
+}
+
+// carryOut makes a call to a worker.
+func (s *session) carryOut(ctx context.Context, w runner.Target, r *request) done {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.LimitMillis)*time.Millisecond)
+	defer cancel()
+	d := done{reply: reply{Number: r.Number}, worker: r.Worker}
+	var answer runner.Answer
+	var err error
+	client := s.server.workers
+	switch {
+	case r.Look != nil:
+		var full runner.Report
+		if full, err = client.Look(ctx, w, r.Look.runner()); err == nil {
+			d.report = &full
+			answer.Clock = full.Clock
+		}
+	case r.Start != nil:
+		answer, err = client.Start(ctx, w, r.Start.runner())
+	case r.Stop != nil:
+		answer, err = client.Stop(ctx, w, runner.Stop{Task: r.Stop.Task, Run: r.Stop.Run, Token: r.Stop.Token})
+	case r.Pace != nil:
+		answer, err = client.Pace(ctx, w, runner.Pace{Task: r.Pace.Task, Run: r.Pace.Run, Token: r.Pace.Token, Percent: r.Pace.Percent})
+	}
+	d.ClockMicros = answer.Clock.Microseconds()
+	if err != nil {
+		reason := runner.RefusalReason("")
+		d.Outcome, reason = outcomeOf(err)
+		d.Reason = string(reason)
+		d.Detail = err.Error()
+	}
+	return d
+}
+
+func (s *session) answer(d done) {
+	s.mu.Lock()
+	s.replies = append(s.replies, d)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// leave tells the owner that this instance is about to stop.
+func (s *session) leave() { s.answer(done{reply: reply{Leaving: true}}) }
+
+// write sends replies as they come, and a heartbeat when there are none for long.
+func (s *session) write(ctx context.Context) {
+	defer s.conn.Close()
+	out := bufio.NewWriter(s.conn)
+	encoder := cbor.NewEncoder(out)
+	known := reports{}
+	timer := time.NewTimer(heartbeat)
+	defer timer.Stop()
+	for {
+		var batch []done
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			batch = s.take()
+		case <-timer.C:
+			batch = []done{{}}
+		}
+		if s.send(out, encoder, known, batch) != nil {
+			return // the reader learns of it from the closed connection
+		}
+		timer.Reset(heartbeat)
+	}
+}
+
+func (s *session) take() []done {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := s.replies
+	s.replies = nil
+	return batch
+}
+
+// send writes replies in one packet if they fit.
+func (s *session) send(out *bufio.Writer, encoder *cbor.Encoder, known reports, batch []done) error {
+	for _, d := range batch {
+		if d.report != nil {
+			d.Report = known.shorten(d.worker, *d.report)
+		}
+		if err := encoder.Encode(&d.reply); err != nil {
+			return err
+		}
+	}
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return out.Flush()
+}
--- /dev/null
+++ b/internal/relay/settings.go
@@ -0,0 +1,49 @@
+package relay
+
+import "time"
+
+const (
+	// Path is where an instance's server for other instances takes links.
+	Path = "/relay"
+	// protocol names the frames in the header Upgrade.
+	protocol = "gentianstand-relay"
+	// openTimeout bounds the opening of a link, some 5 ms, more at an instance that is
+	// short of processor. Calls wait for it, and then take another way.
+	openTimeout = 200 * time.Millisecond
+	// heartbeat is how long a relay writes nothing at most.
+	heartbeat = 400 * time.Millisecond
+	// silentAfter is how long a relay may be silent: two heartbeats and some time.
+	silentAfter = time.Second
+	// scanPeriod is how often links are looked through for silent and idle ones.
+	scanPeriod = 100 * time.Millisecond
+	// idleAfter is how long a link without calls is kept. Workers with runs are looked
+	// at every second.
+	idleAfter = 5 * time.Second
+	// avoidFirst is how long an instance is passed over after its link was lost, twice
+	// as long after each further time in a row, up to avoidMost: the process is back
+	// within a second or two, or the machine is gone and each try delays some calls by
+	// openTimeout.
+	avoidFirst = time.Second
+	avoidMost  = 16 * time.Second
+	// maxLosses is after how many losses in a row avoidMost holds in any case.
+	maxLosses = 10
+	// detourFor is how long a worker that did not answer through a relay is reached
+	// through its next one: the way between the two may be what is broken.
+	detourFor = time.Second
+	// refreshPeriod is how often the list of instances is taken anew.
+	refreshPeriod = 500 * time.Millisecond
+	// paths is through how many relays a call is tried at most before this instance
+	// makes it itself.
+	paths = 3
+	// replyMargin is kept of a call's time for the way of the reply, at most
+	// replyShare of that time.
+	replyMargin = 20 * time.Millisecond
+	replyShare  = 0.2
+	// overdueSlack is how much longer than its limit a request may be on its way:
+	// frames take some milliseconds, on a full link some hundred.
+	overdueSlack = 300 * time.Millisecond
+	// baseWindow is how long the shortest way counts; see lateness.
+	baseWindow = 2 * time.Second
+	// writeTimeout bounds the writing of frames to a far end that does not read.
+	writeTimeout = 2 * time.Second
+)
--- a/internal/runner/target.go
+++ b/internal/runner/target.go
@@ -5,4 +5,6 @@
 	// ID changes with every incarnation.
 	ID      string
 	Address string
+	// Zone is its availability zone, or empty if that is not known.
+	Zone string
 }
