Cell: planning passes skip what cannot change, and look nothing up by name

A pass over full workers looked up each worker of each verdict by its name and asked anew whether it is usable, and went through all verdicts for reservations of stages whose tasks are large nowhere. Now verdicts are by worker, usable workers are marked once a pass, reservations are passed over where the smallest worker holds two tasks, and sorting is by value.

No decision changes, but that a verdict about a worker that was forgotten is dropped.

--- a/internal/cell/advice_book.go
+++ b/internal/cell/advice_book.go
@@ -11,15 +11,15 @@
 
 // adviceBook is what a stage knows from the placement adviser.
 type adviceBook struct {
-	verdicts map[string]verdict
+	verdicts map[*worker]verdict
 	asking   bool
 	// retryAt is set after a failed call.
 	retryAt time.Time
 }
 
 // expire makes the stage ask about a worker again before using it.
-func (b *adviceBook) expire(id string) {
-	v := b.verdicts[id]
+func (b *adviceBook) expire(w *worker) {
+	v := b.verdicts[w]
 	v.until = time.Time{}
-	b.verdicts[id] = v
+	b.verdicts[w] = v
 }
--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -70,7 +70,7 @@
 	s := a.task.stage
 	switch refusal.Reason {
 	case runner.BadTicket:
-		s.advice.expire(a.worker.ID)
+		s.advice.expire(a.worker)
 	case runner.Unhealthy, runner.NoRoom:
 		a.worker.health.refused(now)
 	case runner.RunTooOld:
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -76,7 +76,7 @@
 		if !c.hasRoomEmpty(s, w) || !c.uses(TicketsAhead) && c.takes(s, w) == 0 {
 			continue
 		}
-		v, known := s.advice.verdicts[w.ID]
+		v, known := s.advice.verdicts[w]
 		switch {
 		case !known:
 			unknown = append(unknown, w)
@@ -137,9 +137,13 @@
 	}
 	until := now.Add(j.record.Advice.Valid - ticketMargin)
 	for _, id := range asked {
-		s.advice.verdicts[id] = verdict{}
+		if w := c.workers[id]; w != nil {
+			s.advice.verdicts[w] = verdict{}
+		}
 	}
 	for _, t := range tickets {
-		s.advice.verdicts[t.Worker] = verdict{good: true, ticket: t.Text, until: until}
+		if w := c.workers[t.Worker]; w != nil {
+			s.advice.verdicts[w] = verdict{good: true, ticket: t.Text, until: until}
+		}
 	}
 }
--- a/internal/cell/ask_order.go
+++ b/internal/cell/ask_order.go
@@ -1,7 +1,8 @@
 package cell
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -29,17 +30,16 @@
 	for i, w := range list {
 		candidates[i] = askCandidate{w, s.near(w), c.takes(s, w), xxhash.Sum64String(prefix + w.ID)}
 	}
-	sort.Slice(candidates, func(i, k int) bool {
-		a, b := &candidates[i], &candidates[k]
+	slices.SortFunc(candidates, func(a, b askCandidate) int {
 		switch {
-		case a.near != b.near:
-			return a.near
+		case a.near && !b.near:
+			return -1
+		case b.near && !a.near:
+			return 1
 		case s.step.Fills && a.w.servers != b.w.servers:
-			return a.w.servers < b.w.servers
-		case a.takes != b.takes:
-			return a.takes > b.takes
+			return cmp.Compare(a.w.servers, b.w.servers)
 		}
-		return a.lot < b.lot
+		return cmp.Or(cmp.Compare(b.takes, a.takes), cmp.Compare(a.lot, b.lot))
 	})
 	for i := range candidates {
 		list[i] = candidates[i].w
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -28,6 +28,9 @@
 	// waiting are the stages with tasks to place, in no order.
 	waiting map[*stage]struct{}
 	orders  []Order
+	// pass counts the planning passes; usableBuffer is used again by each of them.
+	pass         uint64
+	usableBuffer []*worker
 	// dirty are the jobs whose progress is ahead of the store.
 	dirty map[*jobState]struct{}
 	// recovering says that some worker of the time before this ownership has
--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -20,7 +20,7 @@
 	if now.Sub(s.readyAt) >= time.Duration(nearPatience*loss) {
 		return false
 	}
-	for _, w := range room.byRack[s.step.DataRack] {
+	for _, w := range room.rack(s.step.DataRack) {
 		if c.mayRunNear(s, w) {
 			return true
 		}
@@ -39,6 +39,6 @@
 	if !c.hasRoomEmpty(s, w) {
 		return false
 	}
-	verdict, known := s.advice.verdicts[w.ID]
+	verdict, known := s.advice.verdicts[w]
 	return s.job.record.Advice == nil || !known || verdict.good
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,8 +1,8 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"gentianstand/internal/runner"
@@ -59,37 +59,31 @@
 	var list []candidate
 	need := s.step.Occupied()
 	nearOnly := c.waitsForNear(s, room, now)
-	for _, w := range c.allowed(s, room, now, now) {
+	for _, w := range c.allowed(s, room, now) {
 		if !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
 			continue
 		}
 		ticket := ""
 		if s.job.record.Advice != nil {
-			ticket = s.advice.verdicts[w.ID].ticket
+			ticket = s.advice.verdicts[w].ticket
 		}
 		list = append(list, candidate{w, ticket, c.score(s, w)})
 	}
-	sort.Slice(list, func(i, k int) bool {
-		if list[i].score != list[k].score {
-			return list[i].score < list[k].score
-		}
-		return list[i].w.ID < list[k].w.ID
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.w.ID, b.w.ID))
 	})
 	return list
 }
 
 // allowed returns the usable workers for which the stage needs no ticket or has
 // one that is valid until later than until.
-func (c *Cell) allowed(s *stage, room *room, now, until time.Time) []*worker {
+func (c *Cell) allowed(s *stage, room *room, until time.Time) []*worker {
 	if s.job.record.Advice == nil {
 		return room.usable
 	}
 	var list []*worker
-	for id, v := range s.advice.verdicts {
-		if !v.good || !until.Before(v.until) {
-			continue
-		}
-		if w := c.workers[id]; w != nil && w.usable(now) {
+	for w, v := range s.advice.verdicts {
+		if v.good && w.usableIn == room.pass && until.Before(v.until) {
 			list = append(list, w)
 		}
 	}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -1,7 +1,8 @@
 package cell
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -63,19 +64,18 @@
 		start := s.latestStart(&c.durations)
 		entries = append(entries, entry{s, start, start.Before(now) && c.uses(LateLast)})
 	}
-	sort.Slice(entries, func(i, k int) bool {
-		a, b := &entries[i], &entries[k]
+	slices.SortFunc(entries, func(a, b entry) int {
 		switch {
 		case a.s.job.record.Priority != b.s.job.record.Priority:
-			return a.s.job.record.Priority < b.s.job.record.Priority
-		case a.late != b.late:
-			return !a.late
+			return cmp.Compare(a.s.job.record.Priority, b.s.job.record.Priority)
+		case a.late && !b.late:
+			return 1
+		case b.late && !a.late:
+			return -1
 		case a.late && a.s.toEnd != b.s.toEnd:
-			return a.s.toEnd < b.s.toEnd
-		case !a.start.Equal(b.start):
-			return a.start.Before(b.start)
+			return cmp.Compare(a.s.toEnd, b.s.toEnd)
 		}
-		return a.s.id.Job < b.s.id.Job
+		return cmp.Or(a.start.Compare(b.start), cmp.Compare(a.s.id.Job, b.s.id.Job))
 	})
 	stages := make([]*stage, len(entries))
 	for i := range entries {
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -26,7 +26,7 @@
 	s.preemptedAt = now
 	wanted := len(s.idle) - s.preempting
 	// The tickets have to outlast a stop.
-	for _, w := range c.allowed(s, room, now, now.Add(c.settings.StopGrace)) {
+	for _, w := range c.allowed(s, room, now.Add(c.settings.StopGrace)) {
 		if wanted == 0 {
 			return
 		}
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -1,7 +1,8 @@
 package cell
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"gentianstand/internal/resource"
@@ -44,8 +45,10 @@
 }
 
 // large reports whether the stage's tasks are large on a worker.
-func (s *stage) large(w *worker) bool {
-	need, capacity := s.step.Occupied(), w.Capacity
+func (s *stage) large(w *worker) bool { return s.largeOn(w.Capacity) }
+
+func (s *stage) largeOn(capacity resource.Amount) bool {
+	need := s.step.Occupied()
 	exceeds := func(need, have int64) bool { return float64(need) > largeShare*float64(have) && need > 0 }
 	return exceeds(need.MilliCPU, capacity.MilliCPU) || exceeds(need.MemoryMiB, capacity.MemoryMiB) ||
 		exceeds(need.Accelerators, capacity.Accelerators)
@@ -74,13 +77,13 @@
 	if !c.hasRoomEmpty(s, w) {
 		return false
 	}
-	return s.job.record.Advice == nil || s.advice.verdicts[w.ID].good
+	return s.job.record.Advice == nil || s.advice.verdicts[w].good
 }
 
 // reserve keeps workers for the large tasks of a stage that found no room, those that
 // will have room first. Tasks of the most urgent queues stop others instead.
 func (c *Cell) reserve(s *stage, room *room, now time.Time) {
-	if !c.uses(Reservations) || s.job.record.Priority <= 0 || s.step.Fills || !room.mayReserve() {
+	if !c.uses(Reservations) || s.job.record.Priority <= 0 || s.step.Fills || !s.largeOn(room.least) || !room.mayReserve() {
 		return
 	}
 	wanted := len(s.idle) - room.reserved[s]
@@ -88,18 +91,15 @@
 		return
 	}
 	var free []*worker
-	for _, w := range c.allowed(s, room, now, now) {
+	for _, w := range c.allowed(s, room, now) {
 		if w.reserved == nil && s.large(w) && c.hasRoomEmpty(s, w) {
 			w.reserved = &reservation{stage: s, since: now}
 			c.expect(w, now)
 			free = append(free, w)
 		}
 	}
-	sort.Slice(free, func(i, k int) bool {
-		if !free[i].reserved.ready.Equal(free[k].reserved.ready) {
-			return free[i].reserved.ready.Before(free[k].reserved.ready)
-		}
-		return free[i].ID < free[k].ID
+	slices.SortFunc(free, func(a, b *worker) int {
+		return cmp.Or(a.reserved.ready.Compare(b.reserved.ready), cmp.Compare(a.ID, b.ID))
 	})
 	for i, w := range free {
 		if i >= wanted || !room.mayReserve() {
@@ -130,7 +130,7 @@
 	for a := range w.attempts {
 		runs = append(runs, a)
 	}
-	sort.Slice(runs, func(i, k int) bool { return c.likelyLeft(runs[i], now) < c.likelyLeft(runs[k], now) })
+	slices.SortFunc(runs, func(a, b *attempt) int { return cmp.Compare(c.likelyLeft(a, now), c.likelyLeft(b, now)) })
 	for _, a := range runs {
 		if need.Fits(free) {
 			break
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -15,14 +15,19 @@
 
 // room is the view of the workers during one planning pass.
 type room struct {
+	// pass is the number of the planning pass.
+	pass   uint64
 	usable []*worker
-	// byRack are the usable workers by their racks.
+	// byRack are the usable workers by their racks, once somebody asked for a rack.
 	byRack map[string][]*worker
 	// total and free are thousandths of a core over all usable workers.
 	total, free int64
 	// most is the largest free amount of each kind on any worker, so that stages
 	// that fit nowhere are passed over without a look at each worker.
-	most  resource.Amount
+	most resource.Amount
+	// least is the smallest capacity of each kind of any worker, so that reservations are
+	// passed over for stages whose tasks are large on none.
+	least resource.Amount
 	slots AdviceSlots
 	// unreserved says that no processors are kept for the most urgent queue.
 	unreserved bool
@@ -33,20 +38,38 @@
 }
 
 func (c *Cell) newRoom(now time.Time) *room {
-	r := &room{byRack: map[string][]*worker{}, reserved: map[*stage]int{}, unreserved: !c.uses(UrgentReserve)}
+	c.pass++
+	r := &room{pass: c.pass, usable: c.usableBuffer[:0], reserved: map[*stage]int{}, unreserved: !c.uses(UrgentReserve)}
 	for _, w := range c.workers {
-		if w.usable(now) {
-			r.usable = append(r.usable, w)
-			r.byRack[w.Rack] = append(r.byRack[w.Rack], w)
-			r.total += w.Capacity.MilliCPU
-			free := w.free()
-			r.free += max(0, free.MilliCPU)
-			r.most = r.most.Max(free)
+		if !w.usable(now) {
+			continue
+		}
+		w.usableIn = c.pass
+		r.usable = append(r.usable, w)
+		r.total += w.Capacity.MilliCPU
+		free := w.free()
+		r.free += max(0, free.MilliCPU)
+		r.most = r.most.Max(free)
+		if len(r.usable) == 1 {
+			r.least = w.Capacity
 		}
+		r.least = r.least.Min(w.Capacity)
 	}
+	c.usableBuffer = r.usable
 	return r
 }
 
+// rack returns the usable workers of a rack.
+func (r *room) rack(name string) []*worker {
+	if r.byRack == nil {
+		r.byRack = map[string][]*worker{}
+		for _, w := range r.usable {
+			r.byRack[w.Rack] = append(r.byRack[w.Rack], w)
+		}
+	}
+	return r.byRack[name]
+}
+
 // allows reports whether a queue of this priority may take more processors.
 func (r *room) allows(priority int, milliCPU int64) bool {
 	if priority <= 0 || r.unreserved {
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -39,7 +39,7 @@
 	s := &stage{
 		id:  job.StageID{Job: j.record.ID, Occurrence: occurrence, Step: step},
 		job: j, step: &j.record.Steps[step], perWorker: map[*worker]int{},
-		advice: adviceBook{verdicts: map[string]verdict{}},
+		advice: adviceBook{verdicts: map[*worker]verdict{}},
 	}
 	for i := range s.step.Count {
 		s.tasks = append(s.tasks, &task{stage: s, index: i})
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -53,6 +53,8 @@
 	health     health
 	// reserved keeps the worker's room for a large task, or is nil.
 	reserved *reservation
+	// usableIn is the last planning pass in which the worker was usable.
+	usableIn uint64
 	// fillers and servers count runs that fill and runs with a tail target.
 	fillers, servers int
 }
--- a/internal/resource/amount.go
+++ b/internal/resource/amount.go
@@ -43,6 +43,11 @@
 	return Amount{max(a.MilliCPU, b.MilliCPU), max(a.MemoryMiB, b.MemoryMiB), max(a.Accelerators, b.Accelerators)}
 }
 
+// Min returns the smaller value of each dimension.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{min(a.MilliCPU, b.MilliCPU), min(a.MemoryMiB, b.MemoryMiB), min(a.Accelerators, b.Accelerators)}
+}
+
 // CountIn returns how many times a fits into b, at most limit.
 func (a Amount) CountIn(b Amount, limit int64) int64 {
 	n := limit
