Small machines: bounded questions to the owner, and links that open slowly are waited for

Callers' questions then timed out on connections of their own, 432 new ones in five seconds; and none of the links to relays opened within 0.2 s, so that all relays were passed over for up to 16 s and the owner called all workers itself over the same link, 232 connections in five seconds.

Now an instance has four questions and four pieces of news under way at the owner at most, and asks the store beyond that; a link has 2 s to open, calls take another way after 0.2 s only if there is an open one, and relays are not blamed where most links do not open.

--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -46,6 +46,7 @@
 	sequence uint64
 	patience *patience.Patience
 	waits    *waits
+	planned  planned
 }
 
 // New returns an owner whose writes demand that claim, the row of its
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -46,6 +46,7 @@
 			began := time.Now()
 			orders := o.cell.Plan(began, o.deps.Advisers.Slots())
 			o.deps.Metrics.PlanSeconds.UpdateDuration(began)
+			o.planned.note(time.Since(began))
 			gap = max(gap, time.Duration(float64(time.Since(began))*(1/planShare-1)))
 			for _, order := range orders {
 				o.carryOut(ctx, order)
@@ -72,7 +73,7 @@
 	o.deps.Log.WithFields(logrus.Fields{"jobs": s.ActiveJobs, "waiting_tasks": s.WaitingTasks, "workers": s.Workers,
 		"usable": s.Usable, "parked": s.Parked, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
 		"failed": s.Failed, "lost": s.Lost, "stops": s.Stops, "preemptions": s.Preemptions, "reservations": s.Reservations, "moves": s.Moves, "copies": s.Copies,
-		"advice_calls": s.AdviceCalls}).WithFields(o.waits.take()).Info("cell_state")
+		"advice_calls": s.AdviceCalls}).WithFields(o.planned.take()).WithFields(o.waits.take()).Info("cell_state")
 	o.tellLongWaits(now)
 	o.deps.Metrics.FreeShare.Set(s.FreeShare)
 	o.deps.Metrics.WaitingTasks.Set(float64(s.WaitingTasks))
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -37,6 +37,9 @@
 	outageRetryAfter     = time.Second
 	longOutageRetryAfter = 2 * time.Second
 	longOutage           = 2500 * time.Millisecond
+	// ownerCalls is how many questions to the owner, and how many pieces of news, an
+	// instance has under way at most: as many as it keeps connections.
+	ownerCalls = 4
 	// waitingFresh is how old a count of waiting jobs may be.
 	waitingFresh = 1500 * time.Millisecond
 )
@@ -54,12 +57,15 @@
 	metrics *Metrics
 	log     logrus.FieldLogger
 	waiting waitingCounts
-	book    admission.Book
+	// asking and telling bound what this instance has under way at the owner.
+	asking, telling *bound
+	book            admission.Book
 }
 
 // New returns an intake.
 func New(jobs *celljobs.Jobs, s *store.Watched, l Leader, d *cellpeer.Directory, c *cellpeer.Clients, m *Metrics, log logrus.FieldLogger) *Intake {
 	return &Intake{jobs: jobs, store: s, leader: l, clients: c, finder: cellpeer.NewStoreFinder(d, c), metrics: m, log: log,
+		asking: newBound(ownerCalls), telling: newBound(ownerCalls),
 		waiting: waitingCounts{byQueue: map[string]waitingCount{}}}
 }
 
@@ -161,6 +167,11 @@
 	if address == "" || self {
 		return
 	}
+	if !i.telling.enter() {
+		i.log.WithFields(logrus.Fields{"job": id, "owner": address}).Debug("owner_not_told")
+		return
+	}
+	defer i.telling.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
 	if owner, err := call(ctx, i.clients.To(address)); err != nil || !owner {
@@ -224,6 +235,10 @@
 	if address == "" || self {
 		return "", false
 	}
+	if !i.asking.enter() {
+		return "", false
+	}
+	defer i.asking.leave()
 	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := i.clients.To(address).State(callCtx, &cellpb.StateRequest{Job: id})
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -32,6 +32,8 @@
 	number  uint32
 	// opened says that the relay has taken the link, leaving that it is about to stop.
 	opened, leaving, ended bool
+	// slow says that it had not opened after openSoon.
+	slow bool
 	// openedAt is when it was opened; blameless says that its end says nothing against
 	// the relay.
 	openedAt  time.Time
@@ -57,6 +59,8 @@
 
 func (l *Link) run(d dial, ended func(*Link)) {
 	defer ended(l)
+	soon := time.AfterFunc(openSoon, l.sendAway)
+	defer soon.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	conn, err := d(ctx, l.peer.Address)
 	cancel()
@@ -83,6 +87,34 @@
 	return true
 }
 
+// sendAway has the calls that wait for the link to open take another way.
+func (l *Link) sendAway() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.opened {
+		return
+	}
+	l.slow = true
+	for _, c := range l.queue {
+		c.result <- result{err: errNotSent}
+	}
+	l.queue = nil
+}
+
+// opensSlowly reports whether the link has not opened soon.
+func (l *Link) opensSlowly() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.slow && !l.opened
+}
+
+// neverOpened reports whether the link is not, and was not, open.
+func (l *Link) neverOpened() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.opened
+}
+
 // end ends the link, and with it all calls: those that were not written can be made
 // another way.
 func (l *Link) end(why string, err error) {
@@ -154,7 +186,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		c.deadline = deadline
 	} else {
-		c.deadline = now.Add(openTimeout)
+		c.deadline = now.Add(openSoon)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -190,7 +190,11 @@
 }
 
 // route returns the link through which a worker is reached now, or nil if this instance
-// reaches it itself.
+// reaches it itself: an open one or one that will soon be, or else one that opens slowly.
+//
+// What can go wrong: a new owner opens its links while its own link to the network is full.
+// If none opens in time, and it calls all workers itself instead, over that same link, it
+// stays full: 232 connections to workers in five seconds, and half of the starts.
 func (p *Pool) route(w runner.Target, now time.Time) *Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -200,18 +204,24 @@
 		delete(p.detours, w.ID)
 		around.relay = ""
 	}
+	var opening *Link
 	for _, i := range p.ranked(w) {
 		if i.Name == p.directory.Self().Name {
-			return nil
+			break
 		}
 		if i.Name == around.relay || now.Before(p.avoided[i.Name].until) {
 			continue
 		}
-		if l := p.link(i); l != nil {
+		l := p.link(i)
+		switch {
+		case l == nil:
+		case !l.opensSlowly():
 			return l
+		case opening == nil:
+			opening = l
 		}
 	}
-	return nil
+	return opening
 }
 
 func (p *Pool) ranked(w runner.Target) []cellpeer.Instance {
@@ -245,11 +255,23 @@
 	if p.links[name] == l {
 		delete(p.links, name)
 	}
-	if l.toBlame() {
+	if l.toBlame() && !(l.neverOpened() && p.mostOpening()) {
 		p.avoided[name] = p.avoided[name].after(l.lasted(), time.Now())
 	}
 }
 
+// mostOpening reports whether most links are not open yet: then it is this instance that
+// cannot open any; p.mu is held.
+func (p *Pool) mostOpening() bool {
+	opening := 0
+	for _, l := range p.links {
+		if l.neverOpened() {
+			opening++
+		}
+	}
+	return opening > 0 && 2*opening >= len(p.links)
+}
+
 // refresh takes the list of instances anew once in a while, and forgets what belongs to
 // those that are gone; p.mu is held.
 func (p *Pool) refresh(now time.Time) {
--- a/internal/relay/pool_test.go
+++ b/internal/relay/pool_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -201,3 +203,51 @@
 		t.Errorf("a relay without a link in use is passed over: %v", err)
 	}
 }
+
+// Symptom: a new owner on a small machine reaches half of the workers, for as long as the
+// load lasts.
+// Sequence: its own link is full when it opens its links to relays; none is open soon.
+// Cause: it called all workers itself, over that same link.
+func TestCallsWaitForLinksWhereNoneOpensSoon(t *testing.T) {
+	f := newFleet(t, 3)
+	f.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(2 * openSoon)
+		return open(ctx, address)
+	}
+	if err := f.start(t); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(f.direct.started()); n > 0 {
+		t.Errorf("%d starts of this instance", n)
+	}
+}
+
+// Symptom: each call to some workers is late by as long as a link takes to be given up.
+// Sequence: the machine of their relay is gone, and answers nothing.
+// Cause to be ruled out: calls wait for that link although another relay's is open.
+func TestCallsTakeAnOpenLinkRatherThanASlowOne(t *testing.T) {
+	f := newFleet(t, 2)
+	first := f.pool.route(w1, time.Now())
+	first.endBlameless("the test opens it anew")
+	for end := time.Now().Add(20 * time.Second); len(f.pool.allLinks()) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	f.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if address == first.peer.Address {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return open(ctx, address)
+	}
+	began := time.Now()
+	if err := f.start(t); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(f.direct.started()); n > 0 {
+		t.Errorf("%d starts of this instance", n)
+	}
+	if got := f.pool.route(w1, time.Now()); got == nil || got.peer.Name == first.peer.Name {
+		t.Error("the link that does not open is used")
+	}
+	t.Logf("the first start took %v", time.Since(began))
+}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -7,9 +7,13 @@
 	Path = "/relay"
 	// protocol names the frames in the header Upgrade.
 	protocol = "gentianstand-relay"
-	// openTimeout bounds the opening of a link, some 5 ms, more at an instance that is
-	// short of processor. Calls wait for it, and then take another way.
-	openTimeout = 200 * time.Millisecond
+	// openSoon is how long calls wait for a link to open before they take another way, if
+	// there is an open one: it takes some 5 ms, more at an instance that is short of
+	// processor.
+	openSoon = 200 * time.Millisecond
+	// openTimeout bounds the opening of a link. A new owner on a small machine opens its
+	// links while its own is full of what it reads from the store, for a second or two.
+	openTimeout = 2 * time.Second
 	// heartbeat is how long a relay writes nothing at most.
 	heartbeat = 400 * time.Millisecond
 	// coalesce is how long a frame waits for others to go with it in one packet: each
@@ -35,9 +39,9 @@
 	detourFor = time.Second
 	// refreshPeriod is how often the list of instances is taken anew.
 	refreshPeriod = 500 * time.Millisecond
-	// paths is through how many relays a call is tried at most before this instance
-	// makes it itself.
-	paths = 3
+	// paths is how many times a call is given to a relay at most before this instance
+	// makes it itself. Where no link opens soon it waits at each for openSoon.
+	paths = 8
 	// replyMargin is kept of a call's time for the way of the reply, at most
 	// replyShare of that time.
 	replyMargin = 20 * time.Millisecond
