--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -37,9 +37,6 @@
 	// recovering says that some worker of the time before this ownership has
 	// neither reported nor lapsed, so tasks of older jobs may run unseen there.
 	recovering bool
-	// hearing says that this owner has begun a moment ago, and most workers are about to
-	// answer it for the first time.
-	hearing bool
 	// inheritedAll says that all workers on which an earlier owner can have started
 	// runs are known.
 	inheritedAll bool
--- a/internal/cell/copies.go
+++ b/internal/cell/copies.go
@@ -29,7 +29,7 @@
 	if !c.uses(Copies) || !s.step.AllowDuplicates || s.step.Gang || t.done || s.job.final != "" || len(t.attempts) >= mostCopies {
 		return
 	}
-	if c.hearing || !a.doubtful(now) || !s.addIdle(t.index) {
+	if !a.doubtful(now) || !s.addIdle(t.index) {
 		return
 	}
 	c.stats.Copies++
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -5,14 +5,6 @@
 // mostUnheardLogged bounds the lines about workers that a recovery waited for.
 const mostUnheardLogged = 5
 
-const (
-	// hearingMost is how long a new owner hears workers at most before it starts tasks
-	// anew that may run twice; it hears most of them within 0.7 s.
-	hearingMost = 1500 * time.Millisecond
-	// hearingShare of the known workers have not answered yet while they are heard.
-	hearingShare = 0.1
-)
-
 // recover ends the time in which runs of an earlier owner may go on unseen: it
 // is over when every known worker has reported or its runs are known from the
 // store, or when the longest lease that the earlier owner can have given must have
@@ -22,11 +14,9 @@
 		return
 	}
 	c.fenced = c.settings.EarlierStopped || !c.earlierStoppedAt.IsZero() || now.Sub(c.began) >= overtakenFor
-	unheard := c.unheard()
-	c.hearing = float64(unheard) > hearingShare*float64(len(c.workers)) && now.Sub(c.began) < hearingMost
-	if now.Sub(c.began) >= c.unseenLimit() || unheard == 0 && len(c.workers) > 0 {
+	if now.Sub(c.began) >= c.unseenLimit() || c.allReported() {
 		c.logUnheard()
-		c.recovering, c.hearing = false, false
+		c.recovering = false
 		c.fenced = true
 		c.log.WithField("took_ms", now.Sub(c.began).Milliseconds()).Info("recovered")
 	}
@@ -72,27 +62,22 @@
 // booked.
 func (w *worker) unheard() bool { return !w.parked && !w.reported && !w.accounted }
 
-// unheard returns how many workers may have runs of an earlier owner that are not booked.
-func (c *Cell) unheard() int {
-	n := 0
+func (c *Cell) allReported() bool {
+	if len(c.workers) == 0 {
+		return false
+	}
 	for _, w := range c.workers {
 		if w.unheard() {
-			n++
+			return false
 		}
 	}
-	return n
+	return true
 }
 
 // heldBack reports whether a stage's tasks may run unseen under an earlier owner
 // where that would do harm. Jobs accepted under this owner cannot, nor can a
-// stage whose predecessors were seen to end under this owner. Stages that may run twice
-// wait only while most workers are about to be heard.
-//
-// Load pattern: a new owner of 540 workers knows of no run yet. It started 501 tasks
-// anew in two seconds that ran already, beside 2,090 that waited.
+// stage whose predecessors were seen to end under this owner, and some stages
+// may run twice.
 func (c *Cell) heldBack(s *stage) bool {
-	if !c.recovering || !s.job.inherited || s.fresh {
-		return false
-	}
-	return c.hearing || !s.step.AllowDuplicates
+	return c.recovering && s.job.inherited && !s.fresh && !s.step.AllowDuplicates
 }
