A new owner reads as many partitions at a time as its link carries

Cause: 128 partitions of records, 64 at a time, over 2 Mbit/s: the answers stand in line for a second, so calls are given up and made again (0.84 MB read for 0.3 MB of rows), and pings stand in the same line: the owner is overtaken while it reads, and its successor, too.

--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -19,12 +19,20 @@
 
 // Jobs writes and reads the jobs of one cell.
 type Jobs struct {
-	store *store.Watched
-	cell  string
+	store   *store.Watched
+	cell    string
+	readers int
 }
 
 // New returns the jobs of a cell.
-func New(s *store.Watched, cell string) *Jobs { return &Jobs{store: s, cell: cell} }
+func New(s *store.Watched, cell string) *Jobs {
+	return &Jobs{store: s, cell: cell, readers: mostReaders}
+}
+
+// Reading returns the same jobs, read some partitions at a time; see ReadersFor.
+func (b *Jobs) Reading(readers int) *Jobs {
+	return &Jobs{store: b.store, cell: b.cell, readers: readers}
+}
 
 // ProgressPartition returns the partition of progress and of the cell's claim.
 func (b *Jobs) ProgressPartition() string { return b.cell }
--- a/internal/celljobs/read.go
+++ b/internal/celljobs/read.go
@@ -3,14 +3,37 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"gentianstand/internal/store"
 )
 
-// readers is how many partitions are read at the same time: all instances
-// together may make two thousand reads a second or more, and rounds of reads add up
-// in a slow store.
-const readers = 64
+const (
+	// mostReaders is how many partitions are read at the same time at most: all instances
+	// together may make two thousand reads a second or more, and rounds of reads add up
+	// in a slow store. leastReaders is what the smallest link is given.
+	mostReaders  = 64
+	leastReaders = 4
+	// partitionBytes is about what the read of a partition takes of the link.
+	partitionBytes = 6 << 10
+	// readAhead is how long the answers that are under way may take of the link together.
+	readAhead = 200 * time.Millisecond
+)
+
+// ReadersFor returns how many partitions to read at the same time over a link of some
+// Mbit/s; 0 is one that nobody has limited.
+//
+// What can go wrong: a new owner reads 128 partitions over a link of 2 Mbit/s, 64 at a
+// time. Their answers stand in line for a second, so most calls are given up and made
+// again, 0.84 MB for 0.3 MB of rows; pings stand in the same line, and the owner is
+// overtaken while it reads.
+func ReadersFor(linkMbps float64) int {
+	if linkMbps <= 0 {
+		return mostReaders
+	}
+	bytes := linkMbps * 1e6 / 8 * readAhead.Seconds()
+	return min(max(int(bytes/partitionBytes), leastReaders), mostReaders)
+}
 
 // Records reads all records and cancellations of the cell, and the version from
 // which a feed of the table of jobs misses nothing.
@@ -22,7 +45,7 @@
 	}
 	close(next)
 	var wg sync.WaitGroup
-	for range readers {
+	for range b.readers {
 		wg.Go(func() {
 			for n := range next {
 				r := &results[n]
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -73,7 +73,9 @@
 
 func newWatched(o Outside) *store.Watched { return store.NewWatched(o.Store) }
 
-func newJobs(w *store.Watched) *celljobs.Jobs { return celljobs.New(w, theCell) }
+func newJobs(s Settings, w *store.Watched) *celljobs.Jobs {
+	return celljobs.New(w, theCell).Reading(celljobs.ReadersFor(s.LinkMbps))
+}
 
 func newDirectory(self cellpeer.Instance, w *store.Watched, log *logrus.Entry) *cellpeer.Directory {
 	return cellpeer.NewDirectory(self, w, log)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -40,6 +40,8 @@
 	TerminationGrace time.Duration
 	// Without names the mechanisms of the planner that are switched off.
 	Without cell.Without
+	// LinkMbps is what the machine's link carries; 0 is no limit.
+	LinkMbps float64
 	// AcrossPartitions says that the store takes transactions over several partitions.
 	AcrossPartitions bool
 	// Cores is the share of a core the process may use, times their number.
