--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -30,6 +30,9 @@
 	return fault.New(fault.Overloaded, "queue %s: the work before this job takes longer than its end is of use", r.Queue).WithRetryAfter(retryAfter)
 }
 
+// Learn takes in the owner's newest backlogs.
+func (i *Intake) Learn(backlogs []admission.Backlog) { i.book.Learn(backlogs, time.Now()) }
+
 func backlogsFrom(list []*cellpb.Backlog) []admission.Backlog {
 	backlogs := make([]admission.Backlog, len(list))
 	for i, b := range list {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -144,7 +144,7 @@
 // tellSubmitted tells the owner of a stored job without delaying the caller.
 func (i *Intake) tellSubmitted(r *job.Record) {
 	if i.leader.Submitted(r) {
-		i.book.Learn(i.leader.Backlogs(), time.Now())
+		i.Learn(i.leader.Backlogs())
 		return
 	}
 	value, err := job.EncodeRecord(r)
@@ -155,7 +155,7 @@
 	go i.tell(r.ID, func(ctx context.Context, owner cellpb.Cells) (bool, error) {
 		reply, err := owner.Submitted(ctx, &cellpb.SubmittedRequest{Record: value})
 		if reply.GetOwner() {
-			i.book.Learn(backlogsFrom(reply.Backlogs), time.Now())
+			i.Learn(backlogsFrom(reply.Backlogs))
 		}
 		return reply.GetOwner(), err
 	})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -183,3 +183,25 @@
 		t.Error("the accepted job is not in the store")
 	}
 }
+
+// Symptom: a caller was told that its job never runs, and it ran.
+// Sequence: an instance stores a job, and its answer gets lost; workers are full when the
+// caller asks again.
+// Cause to be ruled out: the repeat is refused like a new job.
+func TestRepeatOfAStoredJobIsNotRefused(t *testing.T) {
+	e := entries(t, "edge-0")[0]
+	if err := e.submit(t, "00000000000000dd"); err != nil {
+		t.Fatal(err)
+	}
+	e.intake.Learn([]admission.Backlog{{Service: "desk", Priority: 0, Wait: time.Hour}})
+	if err := e.submit(t, "00000000000000dd"); err != nil {
+		t.Errorf("the repeat: %v", err)
+	}
+	err := e.submit(t, "00000000000000ee")
+	if !fault.Is(err, fault.Overloaded) || fault.From(err).Answer().RetryAfter <= 0 {
+		t.Errorf("a new job beside a backlog: %v, want a refusal with when to come back", err)
+	}
+	if e.knows(t, "00000000000000ee") {
+		t.Error("the refused job is stored")
+	}
+}
