--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -1,20 +1,14 @@
 package relay
 
 import (
-	"bufio"
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
-	"gentianstand/internal/advice"
 	"gentianstand/internal/cellpeer"
-	"gentianstand/internal/runner"
 )
 
 // Link is an owner's connection to one relay. Its methods are safe for concurrent use.
@@ -167,53 +161,6 @@
 	return !l.ended && !l.leaving
 }
 
-// do makes a call and waits for its result until ctx ends.
-func (l *Link) do(ctx context.Context, c *call) result {
-	if !l.enqueue(ctx, c) {
-		return result{err: errNotSent}
-	}
-	select {
-	case got := <-c.result:
-		return got
-	case <-ctx.Done():
-		return l.giveUp(c, ctx.Err())
-	}
-}
-
-func (l *Link) enqueue(ctx context.Context, c *call) bool {
-	now := time.Now()
-	c.queuedAt, c.written, c.result = now, false, make(chan result, 1)
-	if deadline, ok := ctx.Deadline(); ok {
-		c.deadline = deadline
-	} else {
-		c.deadline = now.Add(openSoon)
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ended || l.leaving {
-		return false
-	}
-	l.usedAt = now
-	l.queue = append(l.queue, c)
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
-	return true
-}
-
-// giveUp ends the wait for a call. What was not written has not been done.
-func (l *Link) giveUp(c *call, why error) result {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.pending, c.Number)
-	if !c.written {
-		c.deadline = time.Time{}
-		return result{err: fmt.Errorf("%w: %w", &runner.Refusal{Reason: runner.Unhealthy}, why)}
-	}
-	return result{err: fmt.Errorf("%w: %w", runner.ErrNoAnswer, why)}
-}
-
 // confirm takes in that the relay knew of no later term than a call's after the call was
 // made; l.mu is held.
 func (l *Link) confirm(c *call) {
@@ -245,111 +192,3 @@
 	defer l.mu.Unlock()
 	return len(l.pending)+len(l.queue) == 0 && now.Sub(l.usedAt) > idleAfter
 }
-
-// write encodes calls in the order in which they were made, several in one packet where
-// they come together.
-func (l *Link) write(conn net.Conn) {
-	out := bufio.NewWriter(conn)
-	e := newEncoder(out)
-	for {
-		for _, c := range l.take() {
-			if err := e.encode(c, time.Now()); err != nil {
-				l.end("not encoded", err)
-				return
-			}
-		}
-		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			l.end("not written", err)
-			return
-		}
-		if err := out.Flush(); err != nil {
-			l.end("not written", err)
-			return
-		}
-		select {
-		case <-l.wake:
-			time.Sleep(coalesce)
-		case <-l.done:
-			return
-		}
-	}
-}
-
-// take books the calls of the queue as pending, but for those that were given up.
-func (l *Link) take() []*call {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.ended {
-		return nil
-	}
-	var calls []*call
-	for _, c := range l.queue {
-		if c.deadline.IsZero() {
-			continue
-		}
-		l.number++
-		c.Number, c.written = l.number, true
-		l.pending[c.Number] = c
-		calls = append(calls, c)
-	}
-	l.queue = l.queue[:0]
-	return calls
-}
-
-// read takes replies in until the connection ends.
-func (l *Link) read(conn net.Conn) error {
-	in := cbor.NewDecoder(bufio.NewReader(conn))
-	known := reports{}
-	for {
-		var r reply
-		if err := in.Decode(&r); err != nil {
-			return err
-		}
-		if err := l.heard(&r, known); err != nil {
-			return err
-		}
-	}
-}
-
-var errBadReport = errors.New("a report names a run that the one before did not have")
-
-func (l *Link) heard(r *reply, known reports) error {
-	var got result
-	got.err = r.err()
-	got.answer.Clock = time.Duration(r.ClockMicros) * time.Microsecond
-	if r.Report != nil {
-		full, ok := known.restore(r.Report)
-		if !ok {
-			return errBadReport
-		}
-		got.report = full
-		got.report.Clock = got.answer.Clock
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heardAt = time.Now()
-	if r.Leaving {
-		l.leaving = true
-		l.log.Info("relay_leaving")
-	}
-	c := l.pending[r.Number]
-	if c == nil {
-		return nil
-	}
-	delete(l.pending, r.Number)
-	if !r.fenced() {
-		l.confirm(c)
-	}
-	for _, t := range r.Tickets {
-		if int(t.Place) < len(c.asked) {
-			got.tickets = append(got.tickets, advice.Ticket{Worker: c.asked[t.Place], Text: t.Text})
-		}
-	}
-	c.result <- got
-	if r.Outcome == expired && time.Since(c.queuedAt) < overdueSlack {
-		// The reply is here before the request can have been late: a clock was set. A
-		// new link compares the clocks anew.
-		go l.endBlameless("a clock was set")
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/relay/link_calls.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gentianstand/internal/runner"
+)
+
+// do makes a call and waits for its result until ctx ends.
+func (l *Link) do(ctx context.Context, c *call) result {
+	if !l.enqueue(ctx, c) {
+		return result{err: errNotSent}
+	}
+	select {
+	case got := <-c.result:
+		return got
+	case <-ctx.Done():
+		return l.giveUp(c, ctx.Err())
+	}
+}
+
+func (l *Link) enqueue(ctx context.Context, c *call) bool {
+	now := time.Now()
+	c.queuedAt, c.written, c.result = now, false, make(chan result, 1)
+	if deadline, ok := ctx.Deadline(); ok {
+		c.deadline = deadline
+	} else {
+		c.deadline = now.Add(openSoon)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended || l.leaving {
+		return false
+	}
+	l.usedAt = now
+	l.queue = append(l.queue, c)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// giveUp ends the wait for a call. What was not written has not been done.
+func (l *Link) giveUp(c *call, why error) result {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, c.Number)
+	if !c.written {
+		c.deadline = time.Time{}
+		return result{err: fmt.Errorf("%w: %w", &runner.Refusal{Reason: runner.Unhealthy}, why)}
+	}
+	return result{err: fmt.Errorf("%w: %w", runner.ErrNoAnswer, why)}
+}
--- a/internal/traffic/counter.go
+++ b/internal/traffic/counter.go
@@ -12,9 +12,6 @@
 // of TCP and IP. It is safe for concurrent use.
 type Counter struct{ in, out, connections *metrics.Counter }
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // For returns the process's counter for a purpose.
 func For(p Purpose) *Counter {
 	return &Counter{
@@ -24,9 +21,13 @@
 	}
 }
 
-// In, Out and Connections return what was counted since the start of the process.
-func (c *Counter) In() uint64          { return c.in.Get() }
-func (c *Counter) Out() uint64         { return c.out.Get() }
+// In returns the bytes that came since the start of the process.
+func (c *Counter) In() uint64 { return c.in.Get() }
+
+// Out returns the bytes that were sent since the start of the process.
+func (c *Counter) Out() uint64 { return c.out.Get() }
+
+// Connections returns how many connections were opened since the start of the process.
 func (c *Counter) Connections() uint64 { return c.connections.Get() }
 
 // Dial returns dial with its connections counted.
--- /dev/null
+++ b/internal/traffic/dial_func.go
@@ -0,0 +1,9 @@
+package traffic
+
+import (
+	"context"
+	"net"
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
