--- a/internal/intake/bound_test.go
+++ b/internal/intake/bound_test.go
@@ -7,8 +7,10 @@
 // Cause: nothing limited how many questions were under way.
 func TestQuestionsUnderWayAreBounded(t *testing.T) {
 	b := newBound(2)
-	if !b.enter() || !b.enter() {
-		t.Fatal("there is no place for two")
+	for n := range 2 {
+		if !b.enter() {
+			t.Fatalf("there is no place for call %d of two", n+1)
+		}
 	}
 	if b.enter() {
 		t.Error("there is a place for a third")
