Relay, admission: re-reading

A start's spec is put in at one place; a connection whose upgrade could not be answered is closed; a constant and three comments say what the code does (a job is refused that would take 1.5 times its objective). No decision changes.

--- a/internal/admission/book.go
+++ b/internal/admission/book.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// usefulFactor times its objective is how long a job may take to be taken in. Twice
+	// lateFactor times its objective is how long a job may take to be taken in. Twice
 	// that late, its end is of little use to most callers; and work beyond it waits until
 	// the load is over, as work that is in time goes first.
-	usefulFactor = 1.5
+	lateFactor = 1.5
 	// newsFor is how long a backlog is believed. An instance that has heard nothing for
 	// longer takes a job in, and learns the backlog from the answer.
 	newsFor = 2 * time.Second
@@ -58,14 +58,14 @@
 // Load pattern: for many seconds several times more work comes than workers can do.
 // Accepted without a limit it would wait for minutes, although work that is in time goes
 // first and workers are busy: most callers would get an end that is of no use, and none
-// of them would know. Refused are those that would wait longer than the end is of use,
-// so the less urgent queues first, and of each queue the shortest jobs, which have least
-// time. What lasts, or is for later, has no such time.
+// of them would know. Refused are those that would take longer than lateFactor allows, so
+// the less urgent queues first, and of each queue the shortest jobs, which have least time.
+// What lasts, or is for later, has no such time.
 func (b *Book) Refuse(r *job.Record, now time.Time) (retryAfter time.Duration, refuse bool) {
 	if r.Schedule != nil || r.Lasts() {
 		return 0, false
 	}
-	excess := b.Wait(r.Service, r.Priority, now) - time.Duration(usefulFactor*float64(r.Objective()))
+	excess := b.Wait(r.Service, r.Priority, now) - time.Duration(lateFactor*float64(r.Objective()))
 	if excess <= 0 {
 		return 0, false
 	}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -179,7 +179,7 @@
 	return l.confirmedTerm == term && !l.confirmedAt.Before(since)
 }
 
-// silent reports whether the relay owes replies and has not been heard for long.
+// silent reports whether an open link has had no frame, not even a heartbeat, for long.
 func (l *Link) silent(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -45,6 +45,9 @@
 	conn, err := takeOver(w)
 	if err != nil {
 		s.log.WithField("from", r.RemoteAddr).WithError(err).Info("relay_link_refused")
+		if conn != nil {
+			_ = conn.Close() // its far end has not been told of a link
+		}
 		return
 	}
 	defer conn.Close()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -87,13 +87,13 @@
 	if r.Target != nil {
 		s.workers[r.Worker] = runner.Target{ID: r.Target.ID, Address: r.Target.Address}
 	}
-	if r.Start != nil && r.Start.Slot >= slots {
-		return runner.Target{}, errUnknownSlot
-	}
-	if r.Start != nil && r.Start.Known {
-		r.Start.Spec = s.specs[r.Start.Slot]
-	}
 	if r.Start != nil {
+		if r.Start.Slot >= slots {
+			return runner.Target{}, errUnknownSlot
+		}
+		if r.Start.Known {
+			r.Start.Spec = s.specs[r.Start.Slot]
+		}
 		s.specs[r.Start.Slot] = r.Start.Spec
 	}
 	if r.Ask != nil {
