--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -178,6 +178,7 @@
 
 // loseAll drops every run of a worker: it is certain that none goes on.
 func (c *Cell) loseAll(w *worker, why string, now time.Time) {
+	c.logLost(w, why)
 	for a := range w.attempts {
 		c.stats.Lost++
 		c.drop(a, why, now)
