A task that ends the workers that start it is given up

Cause: a run that went with its worker was held against nobody. The books dropped it, the task was idle again, and was placed like any other: with the other tasks of its job on the fullest worker, and where it may run twice a copy went out 0.25 s later. Ruled out: workers that fail by themselves (the next one fell silent within 25 ms of run_copied each time, and new lives of workers that had been down went on well), lost connections (new ids at the addresses).

Now runs that were not yet seen at work for 0.5 s when their worker falls silent are accused; if the worker turns out to have ended (another life answers, or registers at the address) the crash is counted with the task, in its progress row, so it outlives the owner. A task under suspicion is started on the worker where it puts least at risk, and no other job's task is started beside it until it was seen at work; so two workers settle it, three in any case, and its job is failed. A worker that was cut off and answers again takes the accusation back. While it is open what became of two workers or more, the task pauses.

Neighbours, cut workers and workers that end by themselves: no job given up.

--- /dev/null
+++ b/internal/cell/accused_run.go
@@ -0,0 +1,15 @@
+package cell
+
+// accusedRun is a run that may have ended its worker.
+type accusedRun struct {
+	task *task
+	run  uint64
+	// confirmed says that the run is known to have begun.
+	confirmed bool
+}
+
+// begun reports whether the run counts as one that has begun.
+func (r accusedRun) begun() bool { return r.confirmed || r.task.suspicion.outweighsAnswers() }
+
+// repeated reports whether other workers were lost under the task, too.
+func (r accusedRun) repeated() bool { return r.task.suspicion.losses() > 1 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,7 +55,11 @@
 	// those of them that the store does not have either.
 	missing map[string]struct{}
 	absent  map[string]struct{}
-	stats   Stats
+	// lost are, by id, the workers that fell silent, until it is known what became of
+	// them. trials are the runs of tasks under suspicion.
+	lost   map[string]*lostWorker
+	trials map[*attempt]struct{}
+	stats  Stats
 	// backlogs are those worked out at backlogsAt.
 	backlogs   []admission.Backlog
 	backlogsAt time.Time
@@ -68,6 +72,7 @@
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
 		known: newKnownWorkers(), questions: questions{}, gone: map[string]struct{}{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
+		lost: map[string]*lostWorker{}, trials: map[*attempt]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}},
 	}
 }
@@ -83,7 +88,7 @@
 	j := newJobState(r)
 	j.inherited, j.condensed = true, r.Ended
 	if p != nil {
-		j.restore(p)
+		j.restore(p, c.began)
 	}
 	c.insert(j)
 }
--- a/internal/cell/copies.go
+++ b/internal/cell/copies.go
@@ -29,6 +29,10 @@
 	if !c.uses(Copies) || !s.step.AllowDuplicates || s.step.Gang || t.done || s.job.final != "" || len(t.attempts) >= mostCopies {
 		return
 	}
+	if t.suspicion.losses() > 1 {
+		// The copy would be lost like the others.
+		return
+	}
 	if !a.doubtful(now) || !s.addIdle(t.index) {
 		return
 	}
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
 )
 
 // mayRunTwice is a step of short tasks that may run twice.
@@ -14,12 +15,43 @@
 	return s
 }
 
+// once, gang and watchers are steps of short tasks of other kinds.
+func once(count int) job.Step { return lookup(count) }
+
+func gang(count int) job.Step {
+	s := lookup(count)
+	s.Gang = true
+	return s
+}
+
+func watchers(count int) job.Step {
+	s := lookup(count)
+	s.LongRunning = true
+	return s
+}
+
+// playBeside lets time pass beside a stream of other jobs, and returns these.
+func (w *crashWorld) playBeside(d time.Duration, each func()) []string {
+	var others []string
+	began := w.now
+	w.run(d, func() {
+		if each != nil {
+			each()
+		}
+		if w.rnd.Intn(30) == 0 && w.now.Sub(began) < d-10*time.Second {
+			others = append(others, w.submit(0, mayRunTwice(6)))
+		}
+	})
+	return others
+}
+
 // One job took a worker down every second for two minutes, 179 in all, and everything
 // that ran on them with it. One of its tasks ended each worker that started it within 10
 // ms; the worker came back after three seconds under a new id. The log showed
 // "worker_silent ... EOF" 60 ms after "job_added", "run_copied" of all the job's tasks
 // 0.25 s later, and "worker_silent" of the next worker within 25 ms; then "worker_replaced
-// runs=15" twice, and the same again, up to run 117 of one task.
+// runs=15" twice, and the same again, up to run 117 of one task. A run that went with its
+// worker was held against nobody, so the task was placed again as if nothing had been.
 func TestATaskThatEndsItsWorkersIsGivenUp(t *testing.T) {
 	w := newCrashWorld(t, 24)
 	culprit := w.submit(0, mayRunTwice(12), 0)
@@ -35,3 +67,180 @@
 		w.checkState(id, job.Completed)
 	}
 }
+
+// ownerLostAfter has the owner lost some time after each crash.
+func (w *crashWorld) ownerLostAfter(d time.Duration) func() {
+	var at time.Time
+	w.onCrash = func() { at = w.now.Add(d) }
+	return func() {
+		if !at.IsZero() && w.now.After(at) {
+			at = time.Time{}
+			w.takeOver()
+		}
+	}
+}
+
+// The same task in steps of other kinds, and beside what else goes wrong: the owner is
+// lost right after each worker, or half a second later; the store is away; the worker
+// comes back after its lease, or after it has been forgotten; the start is not answered
+// before the worker ends. What is known of the crashes must outlive all of these.
+func TestCrashesAreCountedBesideOtherFaults(t *testing.T) {
+	steps := map[string]func(int) job.Step{"may run twice": mayRunTwice, "once": once, "gang": gang, "lasting": watchers}
+	faults := map[string]func(w *crashWorld) func(){
+		"none": func(*crashWorld) func() { return nil },
+		"owner lost at once, twice": func(w *crashWorld) func() {
+			w.onCrash = func() {
+				if w.terms <= 2 {
+					w.takeOver()
+				}
+			}
+			return nil
+		},
+		"owner lost soon":  func(w *crashWorld) func() { return w.ownerLostAfter(50 * time.Millisecond) },
+		"owner lost later": func(w *crashWorld) func() { return w.ownerLostAfter(500 * time.Millisecond) },
+		"store away": func(w *crashWorld) func() {
+			return func() {
+				away := w.now.Sub(siteStart)
+				w.storeAway = away > 100*time.Millisecond && away < 15*time.Second
+			}
+		},
+		"back after the lease": func(w *crashWorld) func() {
+			w.backAfter = 5 * time.Second
+			return nil
+		},
+		"back after it is forgotten": func(w *crashWorld) func() {
+			w.backAfter = 12 * time.Second
+			return nil
+		},
+		"starts unanswered": func(w *crashWorld) func() {
+			w.answersLost = true
+			return nil
+		},
+	}
+	for kind, step := range steps {
+		for fault, setUp := range faults {
+			t.Run(kind+", "+fault, func(t *testing.T) {
+				t.Parallel()
+				w := newCrashWorld(t, 12)
+				each := setUp(w)
+				w.run(100*time.Millisecond, nil)
+				first := w.submit(0, step(12), 0)
+				second := w.submit(0, step(8), 3)
+				others := w.playBeside(15*time.Second, each)
+				w.runUntilEnded(time.Minute, each)
+				w.checkCulprits()
+				if fault != "starts unanswered" {
+					w.checkState(first, job.Failed)
+					w.checkState(second, job.Failed)
+				}
+				for _, id := range others {
+					w.checkState(id, job.Completed)
+				}
+			})
+		}
+	}
+}
+
+// A task lost three workers in a row and was not at fault: they were cut off, ran on until
+// their leases were over, and came back. It must be neither given up nor forgotten.
+func TestAWorkerThatIsCutOffIsNoCrash(t *testing.T) {
+	w := newCrashWorld(t, 6)
+	id := w.submit(0, letters(1))
+	cuts := 0
+	w.run(2*time.Minute, func() {
+		for worker, state := range w.states {
+			if len(w.workers[worker].runs) > 0 && cuts < 3 && !state.cut {
+				state.cut = true
+				cuts++
+			}
+			if state.cut && w.now.Sub(state.lease) > 3*time.Second {
+				state.cut = false
+			}
+		}
+	})
+	if cuts != 3 {
+		t.Fatalf("%d workers were cut off, want 3", cuts)
+	}
+	w.checkState(id, job.Completed)
+}
+
+// Workers end by themselves: a sixth of them at once, three times, ten seconds apart. The
+// jobs that were starting there are victims, each time again others, and all are done.
+func TestJobsOnWorkersThatEndByThemselvesAreNotGivenUp(t *testing.T) {
+	w := newCrashWorld(t, 24)
+	strikes := 0
+	others := w.playBeside(50*time.Second, func() {
+		if w.now.Sub(siteStart) < time.Duration(strikes+1)*10*time.Second || strikes == 3 {
+			return
+		}
+		strikes++
+		struck := 0
+		for _, id := range w.workerIDs() {
+			if state := w.states[id]; !w.away(id) && len(w.workers[id].runs) > 0 && struck < 4 {
+				struck++
+				state.crashAt = w.now
+			}
+		}
+	})
+	for _, id := range others {
+		w.checkState(id, job.Completed)
+	}
+	if w.cell.stats.GivenUp > 0 {
+		t.Errorf("%d jobs were given up", w.cell.stats.GivenUp)
+	}
+}
+
+// A neighbour of a task that ended two workers in a row was on both of them: copies of all
+// tasks of the busiest queue went to the same worker. Only the culprit's job is given up;
+// the neighbour was lost with a worker where somebody else was on trial.
+func TestANeighbourOfTheCulpritIsNotGivenUp(t *testing.T) {
+	for seed := range 8 {
+		w := newCrashWorld(t, 8)
+		w.rnd.Seed(int64(seed))
+		var culprits, others []string
+		w.run(30*time.Second, func() {
+			if w.now.Sub(siteStart) > 20*time.Second || w.rnd.Intn(20) > 0 {
+				return
+			}
+			if len(culprits) < 6 && w.rnd.Intn(10) == 0 {
+				culprits = append(culprits, w.submit(0, mayRunTwice(4), 1))
+				return
+			}
+			others = append(others, w.submit(0, []job.Step{mayRunTwice(4), once(3), gang(2)}[w.rnd.Intn(3)]))
+		})
+		w.checkCulprits()
+		for _, id := range culprits {
+			w.checkState(id, job.Failed)
+		}
+		for _, id := range others {
+			w.checkState(id, job.Completed)
+		}
+	}
+}
+
+// A task under which worker after worker was lost pauses before further starts from the
+// second one on.
+func TestSuspicionPauses(t *testing.T) {
+	var s suspicion
+	for n, want := range []time.Duration{0, 5 * time.Second, 10 * time.Second, 10 * time.Second} {
+		s.lost(uint64(n+1), siteStart)
+		if s.pauses(siteStart.Add(want)) || want > 0 && !s.pauses(siteStart.Add(want-time.Millisecond)) {
+			t.Errorf("after %d lost workers the pause is not %v", n+1, want)
+		}
+	}
+}
+
+// A start that found nobody is held against no task: a worker refused it before it ended.
+func TestARefusedStartIsNoCrash(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	r := s.record(1, step(1))
+	s.cell.Add(r, true)
+	s.report("a")
+	s.report("b")
+	order := s.plan()[r.ID+".0.0.0"]
+	s.cell.StartAnswered(order, runner.Answer{}, &runner.Refusal{Reason: runner.Unhealthy}, s.now)
+	s.cell.LookFailed(order.Worker.ID, runner.ErrGone, s.now)
+	if got := s.cell.jobs[r.ID].stages[0].tasks[0].suspicion.losses(); got != 0 {
+		t.Errorf("%d lost workers are held against the task, want none", got)
+	}
+}
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -54,6 +54,7 @@
 		if k.Closed {
 			c.inheritRuns(w, k.Runs, now)
 		}
+		c.inheritLost(w, k.Accused)
 	}
 }
 
@@ -84,7 +85,11 @@
 	}
 	for id, w := range c.workers {
 		if chunk := byNumber[chunkOf(id)]; chunk != nil && !w.parked {
-			chunk.Workers = append(chunk.Workers, w.known())
+			k := w.known()
+			if lost := c.lost[id]; lost != nil {
+				k.Accused = lost.known()
+			}
+			chunk.Workers = append(chunk.Workers, k)
 		}
 	}
 	chunks := make([]WorkerChunk, 0, len(byNumber))
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -40,6 +40,9 @@
 		if a.phase == running && !a.task.stage.step.LongRunning {
 			wait = min(wait, c.expectedLeft(a, now)+lookSlack)
 		}
+		if a.onTrial() {
+			wait = min(wait, provenAfter)
+		}
 	}
 	return max(wait, shortLook).Truncate(time.Millisecond)
 }
@@ -72,6 +75,8 @@
 		c.log.WithFields(workerFields(w)).WithField("silent_ms", now.Sub(w.failingAt).Milliseconds()).Info("worker_answers_again")
 		w.failingAt = time.Time{}
 	}
+	c.acquit(w.ID)
+	w.failedLooks = 0
 	w.lastReport = now
 	ended := map[runKey]bool{}
 	// complete says that the books on this worker will be right after the report.
@@ -155,9 +160,14 @@
 		return
 	}
 	if errors.Is(err, runner.ErrGone) {
+		if c.lost[w.ID] == nil {
+			c.accuse(w, now)
+		}
+		c.crashed(w.ID, now)
 		c.remove(w, now)
 		return
 	}
+	w.failedLooks++
 	if w.failingAt.IsZero() {
 		w.failingAt = now
 		c.log.WithFields(workerFields(w)).WithError(err).Warn("worker_silent")
--- /dev/null
+++ b/internal/cell/lost_worker.go
@@ -0,0 +1,28 @@
+package cell
+
+// lostWorker is a worker that fell silent, and the runs that may have ended it.
+type lostWorker struct {
+	address string
+	runs    []accusedRun
+}
+
+// known returns the runs as they are stored.
+func (l *lostWorker) known() []KnownRun {
+	var runs []KnownRun
+	for _, r := range l.runs {
+		if r.confirmed {
+			runs = append(runs, KnownRun{Task: r.task.id().String(), Run: r.run})
+		}
+	}
+	return runs
+}
+
+// settled reports whether nothing depends any more on what became of the worker.
+func (l *lostWorker) settled() bool {
+	for _, r := range l.runs {
+		if !r.task.done && r.task.stage.job.final == "" {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/cell/model_worker_test.go
+++ b/internal/cell/model_worker_test.go
@@ -15,13 +15,14 @@
 	roster roster.Worker
 	alive  bool
 	// cut says that what it answers gets lost.
-	cut bool
-	// cut says that what it answers gets lost.
+	cut      bool
 	token    uint64
 	leaseEnd time.Duration
 	runs     map[string]*modelRun
 	highest  map[string]uint64
 	ends     []runner.End
+	// listed is how many of the ends an answer has named.
+	listed   int
 	sequence uint64
 	// lapsedThrough is the last end before the lease was over. The platform does
 	// not count such ends as acknowledged: the task may have been started again.
@@ -73,6 +74,7 @@
 			w.world.acknowledged(w.ends[0])
 		}
 		w.ends = w.ends[1:]
+		w.listed = max(0, w.listed-1)
 	}
 	report := runner.Report{Clock: w.clock(), Ended: append([]runner.End(nil), w.ends...)}
 	for task, r := range w.runs {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -60,7 +60,7 @@
 	need := s.step.Occupied()
 	nearOnly := c.waitsForNear(s, room, now)
 	for _, w := range c.allowed(s, room, now) {
-		if !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
+		if !w.open(s.job) || !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
 			continue
 		}
 		ticket := ""
@@ -142,6 +142,9 @@
 			return
 		}
 		t := s.tasks[index]
+		if t.suspicion.pauses(now) {
+			continue
+		}
 		at := c.pick(s, t, fitting, now)
 		if at < 0 && len(t.attempts) > 0 {
 			// The others may take the worker on which this one runs.
@@ -162,6 +165,9 @@
 // that avoided only the last one went from one to the other until its attempts were
 // used up.
 func (c *Cell) pick(s *stage, t *task, fitting []candidate, now time.Time) int {
+	if t.suspicion.any() {
+		return c.pickForTrial(s, t, fitting, now)
+	}
 	need := s.step.Occupied()
 	second := -1
 	for i := range fitting {
@@ -189,6 +195,7 @@
 	if !room.allows(s.job.record.Priority, need.MilliCPU*int64(len(s.tasks))) {
 		return
 	}
+	fitting = s.leastAtRisk(fitting)
 	seats := c.seats(s, fitting)
 	if s.step.RackLocal {
 		seats = c.rackSeats(s, fitting)
@@ -251,6 +258,7 @@
 	t.attempts = append(t.attempts, a)
 	t.stage.takeIdle(t.index)
 	on.w.add(a)
+	c.beginTrial(a)
 	if r := on.w.reserved; r != nil && r.stage == t.stage {
 		on.w.reserved = nil
 	} else if r != nil {
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"gentianstand/internal/job"
@@ -29,14 +30,14 @@
 		}
 		if len(t.failedRuns) > 0 || t.saved != "" || t.lastRun > 0 {
 			p.Tasks = append(p.Tasks, job.TaskProgress{Index: t.index, FailedRuns: t.failedRuns,
-				LastRun: t.lastRun, Saved: t.saved})
+				LastRun: t.lastRun, Saved: t.saved, CrashedRuns: slices.Clone(t.suspicion.crashed), LostRuns: slices.Clone(t.suspicion.open)})
 		}
 	}
 	return p, len(p.Done) > 0 || len(p.Tasks) > 0
 }
 
 // restore puts stored progress into a new job.
-func (j *jobState) restore(p *job.Progress) {
+func (j *jobState) restore(p *job.Progress, now time.Time) {
 	j.final = p.Final
 	j.visible = p.Final
 	if p.EndedAtMillis > 0 {
@@ -45,13 +46,13 @@
 	for i := range p.Stages {
 		kept := &p.Stages[i]
 		if s := j.stage(kept.Occurrence, kept.Step); s != nil {
-			s.restore(kept)
+			s.restore(kept, now)
 			j.started = true
 		}
 	}
 }
 
-func (s *stage) restore(p *job.StageProgress) {
+func (s *stage) restore(p *job.StageProgress, now time.Time) {
 	for _, t := range s.tasks {
 		if p.IsDone(t.index) {
 			t.done = true
@@ -67,5 +68,6 @@
 		t.failedRuns = kept.FailedRuns
 		t.lastRun = kept.LastRun
 		t.saved = kept.Saved
+		t.suspicion = suspicion{crashed: kept.CrashedRuns, open: kept.LostRuns, lostAt: now}
 	}
 }
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -45,6 +45,7 @@
 			continue
 		}
 		w.usableIn = c.pass
+		w.trial = nil
 		r.usable = append(r.usable, w)
 		r.total += w.Capacity.MilliCPU
 		free := w.free()
@@ -56,6 +57,7 @@
 		r.least = r.least.Min(w.Capacity)
 	}
 	c.usableBuffer = r.usable
+	c.markTrials()
 	return r
 }
 
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -4,10 +4,12 @@
 
 // Stats counts what a cell has decided since it began, for metrics.
 type Stats struct {
-	Starts       uint64
-	Done         uint64
-	Failed       uint64
-	Lost         uint64
+	Starts uint64
+	Done   uint64
+	Failed uint64
+	Lost   uint64
+	// GivenUp counts the jobs that were ended because a task ends its workers.
+	GivenUp      uint64
 	Stops        uint64
 	Preemptions  uint64
 	Reservations uint64
--- /dev/null
+++ b/internal/cell/suspicion.go
@@ -0,0 +1,88 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// mostCrashes is under how many workers that ended a task is given up in any case.
+	mostCrashes = 3
+	// crashesAlone is the same where the last worker ended with no other job's task on
+	// trial there.
+	crashesAlone = 2
+	// pauseLosses is from how many lost workers on, of which some may yet turn out to
+	// have ended, a task pauses before a further start: for lossPause, by when most
+	// workers that ended are back, and then for longPause.
+	pauseLosses = 2
+	lossPause   = 5 * time.Second
+	longPause   = 10 * time.Second
+)
+
+// suspicion is what speaks for a task ending the workers that start it.
+//
+// What can go wrong: a task ends each worker that starts it, and with it all that runs
+// there. Started again without a limit it takes one worker down after the other. It shows
+// as "run_lost" of the same task with little "work_ms" each time. So workers that are lost
+// under a starting task are counted, in the store too, and the task is given up.
+type suspicion struct {
+	// crashed are the runs whose worker has ended under them.
+	crashed []uint64
+	// open are the runs whose worker fell silent: whether it ended under them is not
+	// known.
+	open []uint64
+	// lostAt is when a worker was last lost.
+	lostAt time.Time
+}
+
+func (s *suspicion) losses() int { return len(s.crashed) + len(s.open) }
+
+func (s *suspicion) any() bool { return s.losses() > 0 }
+
+func (s *suspicion) clear() { s.crashed, s.open = nil, nil }
+
+// lost notes that a run's worker fell silent, and reports whether that is new.
+func (s *suspicion) lost(run uint64, now time.Time) bool {
+	if slices.Contains(s.open, run) || slices.Contains(s.crashed, run) {
+		return false
+	}
+	s.open = append(s.open, run)
+	s.lostAt = now
+	return true
+}
+
+// workerLives takes a loss back: the worker did not end under the run.
+func (s *suspicion) workerLives(run uint64) {
+	s.open = slices.DeleteFunc(s.open, func(r uint64) bool { return r == run })
+}
+
+// workerEnded takes in that the worker ended under the run.
+func (s *suspicion) workerEnded(run uint64) {
+	s.workerLives(run)
+	if !slices.Contains(s.crashed, run) {
+		s.crashed = append(s.crashed, run)
+	}
+}
+
+// pauses reports whether the task must not be started yet.
+func (s *suspicion) pauses(now time.Time) bool {
+	if len(s.open) == 0 || s.losses() < pauseLosses {
+		return false
+	}
+	pause := lossPause
+	if s.losses() > pauseLosses {
+		pause = longPause
+	}
+	return now.Sub(s.lostAt) < pause
+}
+
+// outweighsAnswers reports whether so many workers were lost under the task that it does
+// not matter any more whether they had confirmed its starts.
+func (s *suspicion) outweighsAnswers() bool { return s.losses() >= mostCrashes }
+
+// isCertain reports whether the task ends its workers. alone says that no other job's
+// task was on trial on the last one.
+func (s *suspicion) isCertain(alone bool) bool {
+	n := len(s.crashed)
+	return n >= mostCrashes || alone && n >= crashesAlone
+}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -48,6 +48,7 @@
 		return
 	}
 	c.watchClosing(w, now)
+	c.watchSilence(w, now)
 	if c.watchLease(w, now) {
 		return
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -39,6 +39,8 @@
 	idleSince  time.Time
 	lastReport time.Time
 	failingAt  time.Time
+	// failedLooks counts the looks without an answer since the last report.
+	failedLooks int
 	// clock is the worker's clock at clockAt on ours.
 	clock   time.Duration
 	clockAt time.Time
@@ -53,6 +55,8 @@
 	health     health
 	// reserved keeps the worker's room for a large task, or is nil.
 	reserved *reservation
+	// trial is the job of which a task under suspicion is starting here, or nil.
+	trial *jobState
 	// usableIn is the last planning pass in which the worker was usable.
 	usableIn uint64
 	// fillers and servers count runs that fill and runs with a tail target.
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -72,7 +72,7 @@
 	s := o.cell.Stats(now)
 	o.deps.Log.WithFields(logrus.Fields{"jobs": s.ActiveJobs, "waiting_tasks": s.WaitingTasks, "workers": s.Workers,
 		"usable": s.Usable, "parked": s.Parked, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
-		"failed": s.Failed, "lost": s.Lost, "stops": s.Stops, "preemptions": s.Preemptions, "reservations": s.Reservations, "moves": s.Moves, "copies": s.Copies,
+		"failed": s.Failed, "lost": s.Lost, "given_up": s.GivenUp, "stops": s.Stops, "preemptions": s.Preemptions, "reservations": s.Reservations, "moves": s.Moves, "copies": s.Copies,
 		"advice_calls": s.AdviceCalls}).WithFields(o.planned.take()).WithFields(o.waits.take()).Info("cell_state")
 	o.tellLongWaits(now)
 	o.deps.Metrics.FreeShare.Set(s.FreeShare)
