Test: starts fit rooms of workers that shrink and grow while they run

Replay of 12 workers whose rooms change ten times a second beside urgent tasks that stop others, reservations, gangs and slow stops: no start goes over the room at that moment, and all is done when the rooms are whole again.

--- /dev/null
+++ b/internal/cell/shrink_test.go
@@ -0,0 +1,88 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/resource"
+	"gentianstand/internal/roster"
+)
+
+// shrinking is a load on workers whose rooms shrink and grow while they run.
+type shrinking struct {
+	*load
+	// full are the rooms as they were at first.
+	full map[string]resource.Amount
+}
+
+func newShrinking(t *testing.T) *shrinking {
+	s := &shrinking{load: newLoad(t, 12), full: map[string]resource.Amount{}}
+	for id, w := range s.workers {
+		s.full[id] = w.roster.Capacity
+	}
+	return s
+}
+
+// change gives one worker another room, between none of some kind and all.
+func (s *shrinking) change() {
+	ids := s.workerIDs()
+	w := s.workers[ids[s.rnd.Intn(len(ids))]]
+	full := s.full[w.roster.ID]
+	w.roster.Capacity = resource.Amount{MilliCPU: full.MilliCPU * int64(s.rnd.Intn(5)) / 4, MemoryMiB: full.MemoryMiB * int64(s.rnd.Intn(5)) / 4}
+	s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{w.roster}}, s.now)
+}
+
+// check fails the test if a run that began now is more than its worker has room for. What
+// is being stopped counts.
+func (s *shrinking) check() {
+	s.t.Helper()
+	for id, w := range s.workers {
+		var used resource.Amount
+		began := false
+		for task, r := range w.runs {
+			parsed, err := job.ParseTaskID(task)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			used = used.Add(s.cell.jobs[parsed.Job].record.Steps[parsed.Step].Occupied())
+			began = began || r.began.Equal(s.now)
+		}
+		if began && !used.Fits(w.roster.Capacity) {
+			s.t.Fatalf("%v: a start brings worker %s to %v of %v", s.now.Sub(siteStart), id, used, w.roster.Capacity)
+		}
+	}
+}
+
+// Rooms of workers shrink and grow again every tenth of a second beside twice the work
+// that fits, with urgent tasks that have others stopped, large ones that wait for a
+// reservation, gangs, and stops that take up to 0.9 s. No start may bring a worker over
+// the room that it has at that moment, and when the rooms are whole again all is done.
+func TestStartsFitRoomsThatShrink(t *testing.T) {
+	s := newShrinking(t)
+	s.slowStops = 900 * time.Millisecond
+	large := letters(1)
+	large.Need.MilliCPU = 12000
+	for end := s.now.Add(12 * time.Second); s.now.Before(end); s.check() {
+		if s.rnd.Intn(10) == 0 {
+			s.change()
+		}
+		if s.rnd.Intn(15) == 0 {
+			s.submit("lookup", 0, lookup(6))
+			s.submit("letters", 2, letters(2))
+			s.submit("large", 1, large)
+			s.submit("gang", 1, gang(3))
+		}
+		s.step()
+	}
+	for id, w := range s.workers {
+		w.roster.Capacity = s.full[id]
+		s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{w.roster}}, s.now)
+	}
+	for end := s.now.Add(4 * time.Minute); s.now.Before(end) && len(s.cell.active) > 0; s.check() {
+		s.step()
+	}
+	if left := len(s.cell.active); left > 0 {
+		t.Errorf("%d jobs are not done", left)
+	}
+}
