Crashes: an accusation ends when another run of the task is seen at work

Found by reading, shown by the test: a copy was at work, then the silent first worker ended behind its cut, and that was counted against the task although it had proved itself.

--- a/internal/cell/accused_run.go
+++ b/internal/cell/accused_run.go
@@ -1,5 +1,7 @@
 package cell
 
+import "slices"
+
 // accusedRun is a run that may have ended its worker.
 type accusedRun struct {
 	task *task
@@ -8,6 +10,10 @@
 	confirmed bool
 }
 
+// stands reports whether the accusation holds still: no other run of the task has been
+// seen at work since.
+func (r accusedRun) stands() bool { return slices.Contains(r.task.suspicion.open, r.run) }
+
 // begun reports whether the run counts as one that has begun.
 func (r accusedRun) begun() bool { return r.confirmed || r.task.suspicion.outweighsAnswers() }
 
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -99,7 +99,7 @@
 func (l *lostWorker) mostLikely() []accusedRun {
 	var begun, repeated []accusedRun
 	for _, r := range l.runs {
-		if !r.begun() {
+		if !r.stands() || !r.begun() {
 			continue
 		}
 		begun = append(begun, r)
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -244,3 +244,28 @@
 		t.Errorf("%d lost workers are held against the task, want none", got)
 	}
 }
+
+// A task that may run twice was accused when its worker fell silent; its copy was seen at
+// work elsewhere. That the first worker has ended then, behind a cut, is held against
+// nobody.
+func TestACopyAtWorkEndsTheAccusation(t *testing.T) {
+	w := newCrashWorld(t, 6)
+	s := mayRunTwice(1)
+	s.Estimate = 3 * time.Second
+	id := w.submit(0, s)
+	w.run(30*time.Millisecond, nil)
+	task := w.cell.jobs[id].stages[0].tasks[0]
+	first := task.attempts[0].worker.ID
+	w.states[first].cut = true
+	w.run(time.Second, nil)
+	if task.suspicion.any() {
+		t.Errorf("the task is under suspicion although its copy was seen at work: %+v", task.suspicion)
+	}
+	w.states[first].cut = false
+	w.states[first].crashAt = w.now
+	w.run(5*time.Second, nil)
+	if task.suspicion.any() {
+		t.Errorf("the end of the silent worker is held against the task: %+v", task.suspicion)
+	}
+	w.checkState(id, job.Completed)
+}
