--- /dev/null
+++ b/internal/planner/restarts_test.go
@@ -0,0 +1,73 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gentianstand/internal/fleet"
+	"gentianstand/internal/run"
+	"gentianstand/internal/worker"
+)
+
+// restartUnder has each worker that runs a workload's task start anew, and returns how
+// many did.
+func (s *site) restartUnder(workload string) int {
+	restarts := 0
+	for id, tasks := range s.tasks {
+		for _, status := range tasks {
+			if status.Workload == workload && status.State == worker.Running {
+				restarts++
+				s.boots[id] = fmt.Sprintf("%s+", s.boots[id])
+				s.tasks[id] = map[worker.TaskRef]worker.TaskStatus{}
+				s.report(id, fleet.Ready)
+				break
+			}
+		}
+	}
+	return restarts
+}
+
+// A task of a batch ended the process of each worker that started it, and was started
+// again at once on the next one, a hundred times in ten seconds. "task_vanished ... the
+// worker restarted" of one task, attempt after attempt, showed it: attempts that went with
+// their worker counted against nothing.
+func TestATaskThatRestartsItsWorkersIsGivenUp(t *testing.T) {
+	s := newSite(t, 4, fourCores, teams+work("batches", "bad", "a", 1, 1, "    retries: 5\n"))
+	restarts := 0
+	for range 600 {
+		s.step()
+		restarts += s.restartUnder("bad")
+	}
+	if restarts > 3 {
+		t.Errorf("%d workers restarted under the task", restarts)
+	}
+	s.expectState("bad", run.Failed)
+}
+
+// A service is never given up, so one that ends its workers is started with longer and
+// longer waits between, up to a minute: at most seven times in the first minute.
+func TestAServiceThatRestartsItsWorkersWaits(t *testing.T) {
+	s := newSite(t, 4, fourCores, teams+"services:\n  - name: bad\n    team: a\n    resources: {cpu: 1, memory: 1GiB}\n")
+	restarts := 0
+	for range 600 {
+		s.step()
+		restarts += s.restartUnder("bad")
+	}
+	if restarts > 7 {
+		t.Errorf("%d workers restarted under the service in a minute", restarts)
+	}
+}
+
+// A worker restarts under tasks that have worked there for a while, three times in a row
+// on different workers: they are victims, and the batch is done in the end.
+func TestTasksThatWorkedAreVictimsOfARestart(t *testing.T) {
+	s := newSite(t, 4, fourCores, teams+work("batches", "good", "a", 2, 1, "    retries: 0\n"))
+	for range 4 {
+		s.steps(150)
+		s.restartUnder("good")
+	}
+	s.steps(20)
+	s.end("good", worker.Succeeded, nil)
+	s.steps(5)
+	s.expectState("good", run.Succeeded)
+}
