Planner: tasks that restart the workers that start them wait, and are given up

Restarts in a row while the task is starting (ten seconds) are now counted with it and kept in its row. From the second one on it waits as after failures; a batch's or job's task is given up at the third, a service goes on with waits up to a minute (7 in the first minute).

--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -135,7 +135,7 @@
 			c.vanished(e, key.index, "the worker was lost", now)
 		case v.report.State != fleet.Ready:
 		case t.Boot != v.report.Boot:
-			c.vanished(e, key.index, "the worker restarted", now)
+			c.restarted(e, key.index, now)
 		case c.unwritten[key] != t.Attempt:
 			c.sendStart(key)
 			if t.Stopping {
--- a/internal/planner/transitions.go
+++ b/internal/planner/transitions.go
@@ -15,6 +15,11 @@
 	retryMost  = time.Minute
 )
 
+// retryWait returns how long a task waits before it starts again after so many failures.
+func retryWait(failures int) time.Duration {
+	return min(retryFirst<<min(failures-1, 10), retryMost)
+}
+
 // ended takes in the end of a booked attempt.
 func (c *Core) ended(e *entry, index int, status worker.TaskStatus, now time.Time) {
 	t := &e.run.Tasks[index]
@@ -56,7 +61,7 @@
 		c.finishTask(e, index, run.TaskFailed)
 		return
 	}
-	t.NotBefore = now.Add(min(retryFirst<<min(t.Failures-1, 10), retryMost))
+	t.NotBefore = now.Add(retryWait(t.Failures))
 	c.again(e, index, now)
 }
 
--- a/internal/run/task.go
+++ b/internal/run/task.go
@@ -19,6 +19,9 @@
 	// Definition is the hash of the workload that the last attempt runs.
 	Definition string `json:"definition,omitempty"`
 	Failures   int    `json:"failures,omitempty"`
+	// Restarts counts the workers in a row that restarted while the task was starting
+	// there.
+	Restarts int `json:"restarts,omitempty"`
 	// NotBefore is when the next attempt may start.
 	NotBefore time.Time `json:"not_before,omitzero"`
 	StartedAt time.Time `json:"started_at,omitzero"`
