Stored rows that no caller could have submitted are left alone

Nobody saw it yet: such a row would have ended every owner that loads it, and no job would have run. Decoding now checks a record with steps like a submitted one, and progress for negative task numbers; owner and instances report it as unreadable and go on. Rows of ended jobs have no steps and are not checked.

--- a/internal/job/codec.go
+++ b/internal/job/codec.go
@@ -25,19 +25,41 @@
 // EncodeRecord returns the bytes of a record.
 func EncodeRecord(r *Record) ([]byte, error) { return encode(r) }
 
-// DecodeRecord reads what EncodeRecord wrote.
+// DecodeRecord reads what EncodeRecord wrote. It refuses a record that no caller could
+// have submitted: a panic over it would end each owner that loads it, one after the other.
 func DecodeRecord(data []byte) (*Record, error) {
 	r := &Record{}
-	return r, decode(data, r)
+	if err := decode(data, r); err != nil {
+		return r, err
+	}
+	if len(r.Steps) == 0 {
+		// Of a job that has ended or was withdrawn its steps are not kept.
+		return r, nil
+	}
+	if err := r.Check(); err != nil {
+		return r, fmt.Errorf("decode %T: %w", r, err)
+	}
+	return r, nil
 }
 
 // EncodeProgress returns the bytes of a progress.
 func EncodeProgress(p *Progress) ([]byte, error) { return encode(p) }
 
-// DecodeProgress reads what EncodeProgress wrote.
+// DecodeProgress reads what EncodeProgress wrote. It refuses a task with a negative number,
+// for the reason that DecodeRecord gives.
 func DecodeProgress(data []byte) (*Progress, error) {
 	p := &Progress{}
-	return p, decode(data, p)
+	if err := decode(data, p); err != nil {
+		return p, err
+	}
+	for i := range p.Stages {
+		for _, t := range p.Stages[i].Tasks {
+			if t.Index < 0 {
+				return p, fmt.Errorf("decode %T: task %d", p, t.Index)
+			}
+		}
+	}
+	return p, nil
 }
 
 func encode(v any) ([]byte, error) {
