--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -190,6 +190,38 @@
 	}
 }
 
+// A sixth of the workers end by themselves, and 0.4 s later another sixth, again and again.
+// The jobs whose
+// tasks were starting there are started again and hit again, on a site of 350 workers two of
+// them: "job_given_up crashes=2" 20 s into a day without any culprit. That so many workers
+// fall silent at the same time says that no task ended them.
+func TestManyWorkersThatEndAtOnceConvictNobody(t *testing.T) {
+	for seed := range 6 {
+		w := newCrashWorld(t, 24)
+		w.rnd.Seed(int64(seed))
+		strikes := 0
+		var others []string
+		w.run(30*time.Second, func() {
+			if w.now.Sub(siteStart) < 20*time.Second && w.rnd.Intn(4) == 0 {
+				others = append(others, w.submit(0, mayRunTwice(6)))
+			}
+			next := time.Duration(strikes/2+1)*2*time.Second + time.Duration(strikes%2)*400*time.Millisecond
+			if w.now.Sub(siteStart) < next || strikes == 16 {
+				return
+			}
+			strikes++
+			for _, id := range w.workerIDs() {
+				if !w.away(id) && w.rnd.Intn(6) == 0 {
+					w.states[id].crashAt = w.now
+				}
+			}
+		})
+		for _, id := range others {
+			w.checkState(id, job.Completed)
+		}
+	}
+}
+
 // A neighbour of a task that ended two workers in a row was on both of them: copies of all
 // tasks of the busiest queue went to the same worker. Only the culprit's job is given up;
 // the neighbour was lost with a worker where somebody else was on trial.
