--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -306,3 +306,34 @@
 	}
 	w.checkState(id, job.Completed)
 }
+
+// Every job of a queue has a task that ends its workers, one job a second, beside sound
+// ones. The workers that go down for it must not look like company that clears the
+// culprits: each task ends two workers, and few of them more.
+func TestAStreamOfCulpritsIsContained(t *testing.T) {
+	w := newCrashWorld(t, 48)
+	var culprits, others []string
+	w.run(40*time.Second, func() {
+		if w.now.Sub(siteStart) > 20*time.Second {
+			return
+		}
+		if w.rnd.Intn(100) == 0 {
+			culprits = append(culprits, w.submit(1, once(4), 2))
+		}
+		if w.rnd.Intn(10) == 0 {
+			others = append(others, w.submit(0, mayRunTwice(6)))
+		}
+	})
+	w.checkCulprits()
+	ended := 0
+	for _, id := range culprits {
+		w.checkState(id, job.Failed)
+		ended += w.mostCrashesUnder(id)
+	}
+	for _, id := range others {
+		w.checkState(id, job.Completed)
+	}
+	if most := 2.5 * float64(len(culprits)); float64(ended) > most {
+		t.Errorf("%d workers ended under %d tasks, want %.0f at most", ended, len(culprits), most)
+	}
+}
