Culprits are told from victims by how soon their workers end

Callers would have seen: with one job a second whose task ends its workers, each took 3.4 workers down instead of two, as the ends at about the same time cleared one another.

A worker that a task ends falls silent as soon as the task begins; one that is struck from outside does so at any moment. An end in company now counts if it came within 0.1 s of the start, and three such settle it; without company two of any kind, four in any case.

--- a/internal/cell/accused_run.go
+++ b/internal/cell/accused_run.go
@@ -8,6 +8,8 @@
 	run  uint64
 	// confirmed says that the run is known to have begun.
 	confirmed bool
+	// atOnce says that the worker fell silent as soon as the run had begun.
+	atOnce bool
 }
 
 // stands reports whether the accusation holds still: no other run of the task has been
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -38,7 +38,7 @@
 		if a.proven || a.inherited {
 			continue
 		}
-		lost.runs = append(lost.runs, accusedRun{a.task, a.run, !a.confirmedAt.IsZero()})
+		lost.runs = append(lost.runs, lost.accuse(a))
 		if a.task.suspicion.lost(a.run, now) {
 			c.dirty[a.task.stage.job] = struct{}{}
 			c.tryOthers(a)
@@ -87,14 +87,16 @@
 		}
 		c.known.changed(id)
 	}
-	alone := sameJob(guilty) && !c.silences.withCompany(lost.since)
+	alone, company := sameJob(guilty), c.silences.withCompany(lost.since)
 	for _, r := range guilty {
-		r.task.suspicion.workerEnded(r.run)
+		r.task.suspicion.workerEnded(r.run, r.atOnce)
 		c.log.WithFields(logrus.Fields{"task": r.task.id().String(), "run": r.run, "worker": id,
-			"crashes": len(r.task.suspicion.crashed), "alone": alone}).Info("worker_ended_under_run")
+			"crashes": len(r.task.suspicion.crashed), "alone": alone, "company": company}).Info("worker_ended_under_run")
 	}
 	for _, r := range guilty {
-		c.giveUpIfCertain(r.task, alone, now)
+		if r.task.suspicion.isCertain(alone, company) {
+			c.giveUp(r.task, now)
+		}
 	}
 }
 
@@ -127,10 +129,10 @@
 	return true
 }
 
-// giveUpIfCertain ends the job of a task that ends its workers.
-func (c *Cell) giveUpIfCertain(t *task, alone bool, now time.Time) {
+// giveUp ends the job of a task that ends its workers.
+func (c *Cell) giveUp(t *task, now time.Time) {
 	j := t.stage.job
-	if t.done || j.final != "" || !t.suspicion.isCertain(alone) {
+	if t.done || j.final != "" {
 		return
 	}
 	c.stats.GivenUp++
@@ -153,7 +155,7 @@
 	lost := &lostWorker{address: w.Address}
 	for _, r := range runs {
 		if t := c.taskNamed(r.Task); t != nil {
-			lost.runs = append(lost.runs, accusedRun{t, r.Run, true})
+			lost.runs = append(lost.runs, accusedRun{task: t, run: r.Run, confirmed: true})
 		}
 	}
 	if len(lost.runs) > 0 {
--- a/internal/cell/lost_worker.go
+++ b/internal/cell/lost_worker.go
@@ -10,6 +10,12 @@
 	runs  []accusedRun
 }
 
+// accuse returns the accusation of a run.
+func (l *lostWorker) accuse(a *attempt) accusedRun {
+	confirmed := !a.confirmedAt.IsZero()
+	return accusedRun{task: a.task, run: a.run, confirmed: confirmed, atOnce: confirmed && l.since.Sub(a.confirmedAt) <= atOnceWithin}
+}
+
 // known returns the runs as they are stored.
 func (l *lostWorker) known() []KnownRun {
 	var runs []KnownRun
--- a/internal/cell/silences.go
+++ b/internal/cell/silences.go
@@ -17,8 +17,8 @@
 //
 // What can go wrong: a rack loses power, or the network between, and the tasks that were
 // starting there look as if each had ended its worker; twice so, and sound jobs are given
-// up. It shows as "job_given_up" beside many "worker_silent". So an end that has company
-// convicts nobody alone.
+// up. It shows as "job_given_up" beside many "worker_silent". So an end in company is taken
+// as one that the task did not cause, unless it came as soon as the task began.
 type silences []time.Time
 
 // add notes a silence, and forgets old ones.
--- a/internal/cell/suspicion.go
+++ b/internal/cell/suspicion.go
@@ -8,9 +8,14 @@
 const (
 	// mostCrashes is under how many workers that ended a task is given up in any case.
 	mostCrashes = 4
-	// crashesAlone is the same where the last worker ended alone, and no other job's task
-	// was on trial there.
-	crashesAlone = 2
+	// crashesAlone is the same where no other job's task was on trial on the last one and it
+	// ended without company, crashesAtOnce where it had company, but so many ended as soon
+	// as the task began.
+	crashesAlone  = 2
+	crashesAtOnce = 3
+	// atOnceWithin is how soon after a start its worker falls silent if the task ends it:
+	// one call, and a look that breaks off.
+	atOnceWithin = 100 * time.Millisecond
 	// doubtlessLosses is from how many lost workers on it does not matter whether they had
 	// confirmed the starts.
 	doubtlessLosses = 3
@@ -31,6 +36,8 @@
 type suspicion struct {
 	// crashed are the runs whose worker has ended under them.
 	crashed []uint64
+	// atOnce is how many of those workers fell silent as soon as the run had begun.
+	atOnce int
 	// open are the runs whose worker fell silent: whether it ended under them is not
 	// known.
 	open []uint64
@@ -42,7 +49,7 @@
 
 func (s *suspicion) any() bool { return s.losses() > 0 }
 
-func (s *suspicion) clear() { s.crashed, s.open = nil, nil }
+func (s *suspicion) clear() { *s = suspicion{lostAt: s.lostAt} }
 
 // lost notes that a run's worker fell silent, and reports whether that is new.
 func (s *suspicion) lost(run uint64, now time.Time) bool {
@@ -59,11 +66,15 @@
 	s.open = slices.DeleteFunc(s.open, func(r uint64) bool { return r == run })
 }
 
-// workerEnded takes in that the worker ended under the run.
-func (s *suspicion) workerEnded(run uint64) {
+// workerEnded takes in that the worker ended under the run; atOnce, as soon as it had begun.
+func (s *suspicion) workerEnded(run uint64, atOnce bool) {
 	s.workerLives(run)
-	if !slices.Contains(s.crashed, run) {
-		s.crashed = append(s.crashed, run)
+	if slices.Contains(s.crashed, run) {
+		return
+	}
+	s.crashed = append(s.crashed, run)
+	if atOnce {
+		s.atOnce++
 	}
 }
 
@@ -83,9 +94,15 @@
 // an answer counts like one that was confirmed.
 func (s *suspicion) isDoubtless() bool { return s.losses() >= doubtlessLosses }
 
-// isCertain reports whether the task ends its workers. alone says that the last one ended
-// alone, and that no other job's task was on trial there.
-func (s *suspicion) isCertain(alone bool) bool {
+// isCertain reports whether the task ends its workers. alone says that no other job's task
+// was on trial on the last one, company that others fell silent with it.
+func (s *suspicion) isCertain(alone, company bool) bool {
 	n := len(s.crashed)
-	return n >= mostCrashes || alone && n >= crashesAlone
+	switch {
+	case n >= mostCrashes:
+		return true
+	case !alone || n < crashesAlone:
+		return false
+	}
+	return !company || s.atOnce >= crashesAtOnce
 }
--- a/internal/job/task_progress.go
+++ b/internal/job/task_progress.go
@@ -14,4 +14,7 @@
 	// fell silent while they were starting.
 	CrashedRuns []uint64 `cbor:"6,keyasint,omitempty"`
 	LostRuns    []uint64 `cbor:"7,keyasint,omitempty"`
+	// CrashedAtOnce is how many of the workers of CrashedRuns fell silent as soon as the
+	// run had begun.
+	CrashedAtOnce int `cbor:"8,keyasint,omitempty"`
 }
