--- a/internal/cell/advice_slots.go
+++ b/internal/cell/advice_slots.go
@@ -8,7 +8,7 @@
 
 // slowCall is the duration from which a call for advice counts as slow. The
 // adviser takes one call at a time for each instance, so a quick call behind a
-// slow one waits for all of it. Queues have shown 35 ms and 600 ms.
+// slow one waits for all of it.
 const slowCall = 150 * time.Millisecond
 
 // AdviceSlots is how many calls for advice may begin now.
--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -60,8 +60,8 @@
 // refused takes in that a worker declined a start. The run does not exist, unless the
 // start was sent before.
 //
-// What can go wrong: the link of the owner is full, and a start is on its way for 0.5
-// s. The worker declines the repeat, because it is full or not well for a moment, and
+// What can go wrong: the link of the owner is full, and a start is on its way for
+// long. The worker declines the repeat, because it is full or not well for a moment, and
 // then gets the first one. If the refusal counted for both, the task would run here
 // and, started again, elsewhere. It shows as "start_refused" and "second_run_found" of
 // one run. So a repeated start is revoked.
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -16,8 +16,8 @@
 	// leastAsked is the smallest first question: with about a third of the
 	// workers allowed, fewer often bring no ticket at all.
 	leastAsked = 8
-	// guessedGood is the assumed share of workers that may run a stage, on the
-	// low side of what queues have shown (0.35 to 0.7).
+	// guessedGood is the assumed share of workers that may run a stage. A guess that is
+	// too low costs a few more workers in a question, one that is too high a second question.
 	guessedGood = 0.3
 	// wantedRoom is for how many times its idle tasks a stage wants room with
 	// tickets: others take some of the room while the question is under way.
@@ -29,9 +29,9 @@
 // askAdvice asks about workers for the stage's idle tasks.
 //
 // Load pattern: when nearly all workers are full, room opens on one of them
-// every few milliseconds, and a question takes 0.6 s. A stage that asks only
-// when it sees room finds it taken, and a fifth of all processors stood idle
-// while hundreds of tasks waited. The stages that are first in order therefore
+// every few milliseconds, and a question may take far longer. A stage that asks
+// only when it sees room finds it taken, and processors stand idle while tasks
+// wait. The stages that are first in order therefore
 // keep tickets for all workers that may run them, also full ones, and renew
 // them before they expire; as many do as the adviser can serve.
 func (c *Cell) askAdvice(s *stage, room *room, now time.Time) {
--- a/internal/cell/closing.go
+++ b/internal/cell/closing.go
@@ -13,7 +13,7 @@
 //
 // What can go wrong: a new owner cannot tell which tasks run on a worker that does
 // not answer, and holds back everything that an earlier owner may have started
-// there, up to 5.3 s. It shows as a long "recovered" beside a "worker_silent". The
+// there until its lease must be over. It shows as a long "recovered" beside a "worker_silent". The
 // store therefore says of such a worker that nothing was started there since, and
 // what may still be there: only those tasks have to wait.
 func (c *Cell) watchClosing(w *worker, now time.Time) {
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -35,9 +35,8 @@
 
 // takeDirty moves jobs into a commit, those that have ended or the others.
 //
-// Load pattern: every end makes its job dirty. In a slow store, where a commit takes
-// half a second, all 200 jobs of a large site are dirty all the time, and jobs that
-// had ended were shown seconds late when they queued behind the others.
+// Load pattern: every end makes its job dirty. In a slow store all jobs are dirty all the
+// time, and those that have ended would be shown late behind the others.
 func (c *Cell) takeDirty(commit *Commit, limit int, ended bool) {
 	for j := range c.dirty {
 		if len(commit.Items)+len(commit.Chunks) >= limit {
--- a/internal/cell/condense.go
+++ b/internal/cell/condense.go
@@ -17,9 +17,8 @@
 // most limit, to be stored in a condensed form. Their text, steps and tasks are dropped
 // from memory.
 //
-// Load pattern: ended jobs are kept for four minutes, because callers ask for them and
-// repeats of their submission must find them. A new owner reads them all: 0.6 MB after half a
-// minute of 15 jobs a second, 2.5 s of a link with 2 Mbit/s, and four minutes of it at most.
+// Load pattern: ended jobs are kept for minutes, because callers ask for them and repeats of
+// their submission must find them. A new owner reads them all, over a link that may be narrow.
 func (c *Cell) Condense(after time.Duration, now time.Time, limit int) []Ended {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cell/copies.go
+++ b/internal/cell/copies.go
@@ -22,7 +22,7 @@
 //
 // Load pattern: some workers stand still, work several times as slow, or fall
 // silent. A task that may not run twice has to wait for the stop of its run, or for
-// the end of the lease: up to 0.9 and 3.6 s.
+// the end of the lease.
 func (c *Cell) copyIfDoubtful(a *attempt, now time.Time) {
 	t := a.task
 	s := t.stage
@@ -44,8 +44,8 @@
 // copyPays reports whether a copy of a run would end well before it. A copy costs
 // room alone, so it pays sooner than a move.
 //
-// Load pattern: a sixth of the workers are six times slower. A task of 0.8 s then
-// takes 4.8 s, and moving it gains nothing: the stop takes up to 0.9 s.
+// Load pattern: some workers are several times slower. Moving a short task off one gains
+// nothing, as the stop takes as long as the task.
 func (c *Cell) copyPays(a *attempt) bool {
 	if a.changedAt.Sub(a.confirmedAt) < copyLeast || a.percent <= 0 {
 		return false
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -62,8 +62,8 @@
 // earlier owner can have started anything: it would have stored them before, and since
 // this owner holds the claim it can store nothing more.
 //
-// What can go wrong: a new owner waits 5.3 s for workers that it finds in the roster and
-// that do not answer, because they crashed, or their machines have their upkeep. It
+// What can go wrong: a new owner waits a whole lease for workers that it finds in the roster
+// and that do not answer, because they crashed, or their machines have their upkeep. It
 // shows as "worker_not_heard" of workers without runs before "recovered".
 func (c *Cell) InheritedAll() {
 	c.mu.Lock()
--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -8,10 +8,9 @@
 
 // waitsForNear reports whether a stage waits for room near its data.
 //
-// Load pattern: three in ten steps have their data on one rack of eight workers, and
-// take three times as long elsewhere. When room there was taken only if it was free at
-// once, a fifth of these tasks ran far away, beside a site that was a third idle; most
-// racks have room again within a fraction of a task. Worth of that day 0.89 -> 0.96.
+// Load pattern: many steps have their data on one rack, and take several times as long
+// elsewhere. If room there were taken only when it is free at once, many of these tasks would
+// run far away; most racks have room again within a fraction of a task.
 func (c *Cell) waitsForNear(s *stage, room *room, now time.Time) bool {
 	if s.step.DataRack == "" || c.settings.FarFactor <= 1 || !c.uses(NearData) {
 		return false
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -19,16 +19,16 @@
 	// parked workers. Each of them goes through all workers.
 	wakersPerPass = 8
 	// comingFor is how long a woken worker counts as room that is about to come: a
-	// commit and a look, some 20 ms, or half a second where the store is slow.
+	// commit and a look, also where the store is slow.
 	comingFor = 500 * time.Millisecond
 )
 
 // park takes idle workers out of use until they are needed. A parked worker gets
 // no run and no look, and the store does not name it.
 //
-// Load pattern: 3,000 workers of which 300 have runs. Looks at idle workers took
-// most of the owner's processor, and a new owner, who has to hear every worker that
-// the store names, needed 1.5 to 3.8 s for them while leases ran out.
+// Load pattern: thousands of workers of which a tenth have runs. Looks at idle workers
+// take most of the owner's processor, and leases run out while a new owner hears every
+// worker that the store names.
 func (c *Cell) park(now time.Time) {
 	if c.settings.SpareWorkers == 0 || !c.uses(Parking) || c.recovering || now.Sub(c.parkedAt) < parkPeriod {
 		return
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -54,10 +54,9 @@
 // would spend all room on jobs that are late already, and every job becomes
 // late.
 //
-// Of either kind, stages that have begun go before others. Load pattern: 1.3 times what
-// workers can do for 40 s. Urgent tasks stop less urgent ones again and again, and new
-// jobs took the room of those that were half done: with this order, and with saved work
-// counted in latestStart, 59 instead of 36 of 84 jobs were in time.
+// Of either kind, stages that have begun go before others. Load pattern: more than workers
+// can do. Urgent tasks stop less urgent ones again and again, and new jobs would take the
+// room of those that are half done.
 func (c *Cell) inOrder(now time.Time) []*stage {
 	type entry struct {
 		s     *stage
--- a/internal/cell/questions.go
+++ b/internal/cell/questions.go
@@ -20,10 +20,9 @@
 // mayAskAhead reports whether a slow question about full workers may begin beside those
 // under way. free are the lanes that are free.
 //
-// Load pattern: twice the traffic that fits. A dozen stages of a more urgent queue that
-// found no room renewed their tickets for full workers each second, which took all lanes
-// of the adviser; stages of other queues were never asked about, and 2,000 of their tasks
-// waited beside workers that were four fifths free, also after the traffic had ended.
+// Load pattern: more traffic than fits. Stages of a more urgent queue that find no room renew
+// their tickets for full workers, which takes all lanes of the adviser; stages of other
+// queues are never asked about, and wait beside free workers, also after the traffic.
 func (q questions) mayAskAhead(free AdviceSlots) bool {
 	ahead, lanes := 0, free.Any
 	for _, asked := range q {
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -13,9 +13,7 @@
 	// two of them never fit together, and some smaller task is nearly always in the way.
 	largeShare = 0.5
 	// reserveShare bounds the workers that are reserved at the same time, as a share of
-	// the usable ones; one is always allowed. A reserved worker stands partly idle: with
-	// a share of 0.3 a site of 350 workers that are four fifths full lost 0.034 of its
-	// worth, and 211 instead of 106 of 2,103 large jobs were late.
+	// the usable ones; one is always allowed. A reserved worker stands partly idle.
 	reserveShare = 0.02
 	// reserveMost is how long a reservation lasts at most: the tasks in the way may take
 	// much longer than expected.
@@ -30,11 +28,8 @@
 //
 // Load pattern: tasks that need a whole worker compete with a stream of tasks that need
 // an eighth of one. Whenever one of the small ones ends, the next takes its place, and
-// no worker is ever empty; large tasks of a more urgent queue waited for up to 30 s.
-// Small tasks still pass in front where they will have ended in time, or fit beside.
-// On ten days with trouble, 106 instead of 119 of 2,103 such jobs were late and 2
-// instead of 8 never served; worth +0.001 there and +0.003 on twenty days of a site of
-// 48 workers.
+// no worker is ever empty for the large ones, however urgent they are. Small tasks still
+// pass in front where they will have ended in time, or fit beside.
 type reservation struct {
 	stage *stage
 	since time.Time
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -21,9 +21,8 @@
 	// in whole percents of a long task moves rarely.
 	stallShare = 0.25
 	// freshLeast and freshShare of the estimate are the same for a run that began
-	// without a checkpoint and has made no progress at all: a task of a second shows
-	// the first percent after 10 ms, and on a worker that is six times slower after
-	// 60 ms.
+	// without a checkpoint and has made no progress at all: the first percent shows soon,
+	// also on a worker that is several times slower.
 	freshLeast = 800 * time.Millisecond
 	freshShare = 0.1
 	// slowFactor is how much longer than a fresh start elsewhere a run has to
@@ -172,9 +171,8 @@
 
 // suspicious reports whether a run goes so slowly that its worker is likely at fault.
 //
-// Load pattern: a sixth of the workers are six times slower. A task of 0.8 s is not
-// worth a move there, so nothing was held against the worker, and it went on getting
-// urgent tasks for as long as it was slow.
+// Load pattern: some workers are several times slower. Short tasks are not moved off them;
+// if nothing were held against such a worker either, it would go on getting urgent tasks.
 func (c *Cell) suspicious(a *attempt) bool {
 	elapsed := a.changedAt.Sub(a.confirmedAt)
 	if !a.fromStart || elapsed < copyLeast || a.percent <= 0 {
@@ -219,8 +217,7 @@
 // what its siblings on other workers show, or, without any, the longer of the
 // estimate and one and a half times what the queue's tasks usually take.
 //
-// Load pattern: on queues whose estimates are off by 90%, one start in thirteen
-// was stopped as slow although its worker was sound.
+// Load pattern: estimates are far off, and runs on sound workers would be stopped as slow.
 func (c *Cell) usualDuration(a *attempt) time.Duration {
 	fastest := time.Duration(0)
 	for _, sibling := range a.task.stage.tasks {
--- a/internal/celljobs/doc.go
+++ b/internal/celljobs/doc.go
@@ -18,11 +18,9 @@
 )
 
 // jobPartitions is over how many partitions records are spread. A partition
-// applies its transactions one after the other, 3 ms each; a store that is 60
-// times slower does 5 a second, and refuses what would wait for more than a
-// second. With 32, submissions of 70 a second met queues of a second then; 128
-// keep a partition below a tenth of what it can do, and are read in four rounds
-// at a take-over.
+// applies its transactions one after the other, and refuses what would wait for more
+// than a second, which is little in a slow store. So many keep a partition far below
+// what it can do, and can still be read in a few rounds at a take-over.
 const jobPartitions = 128
 
 // The tables, and the keys in the table of jobs.
--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -13,8 +13,7 @@
 	"gentianstand/internal/store"
 )
 
-// probeTimeout bounds a probe: a store that is 60 times slower answers a read within
-// 0.3 s.
+// probeTimeout bounds a probe, also of a slow store.
 const probeTimeout = 500 * time.Millisecond
 
 // Jobs writes and reads the jobs of one cell.
--- a/internal/celljobs/read.go
+++ b/internal/celljobs/read.go
@@ -23,10 +23,10 @@
 // ReadersFor returns how many partitions to read at the same time over a link of some
 // Mbit/s; 0 is one that nobody has limited.
 //
-// What can go wrong: a new owner reads 128 partitions over a link of 2 Mbit/s, 64 at a
-// time. Their answers stand in line for a second, so calls are given up and made again;
-// pings stand in the same line, and the owner is overtaken while it reads. Two small sites
-// lost 157 to 261 tasks on days on which the owner was replaced, and none with this limit.
+// What can go wrong: a new owner reads all partitions at once over a narrow link. Their
+// answers stand in line, so calls are given up and made again; pings stand in the same line,
+// and the owner is overtaken while it reads, and so is the next. It shows as
+// "ownership_taken" again and again without "cell_loaded".
 func ReadersFor(linkMbps float64) int {
 	if linkMbps <= 0 {
 		return mostReaders
--- a/internal/celljobs/settle.go
+++ b/internal/celljobs/settle.go
@@ -19,8 +19,7 @@
 	// more by waiting on, and could have asked again.
 	lostForGood = 1200 * time.Millisecond
 	// attemptFactor is how many times the usual wait an attempt may take in all: a
-	// store that has just become 100 times slower answers after 0.7 s, and the wait
-	// begins at 0.45 s.
+	// store that has just become slow answers later than the usual wait.
 	attemptFactor = 2
 	// attemptsOpen bounds the attempts of one write that wait for an answer.
 	attemptsOpen = 3
@@ -29,9 +28,8 @@
 // attempts are the attempts at one transaction. It may be applied more than once:
 // the second time it finds the rows of the first.
 //
-// Load pattern: a store becomes 100 times slower for five seconds. The first writes
-// of each instance were given up after 0.45 s and made again, and took 1.3 s where
-// the answer to the first attempt came after 0.7 s.
+// Load pattern: a store becomes slow at once. If the first writes were given up and made
+// again, they would take longer than the answer to the first attempt does.
 type attempts struct {
 	store *store.Watched
 	tx    store.Tx
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -104,7 +104,7 @@
 func (l *Leader) ownerSilent(ctx context.Context, known claim, err error, now time.Time) {
 	l.clients.Distrust(known.Address)
 	if cellpeer.Refused(err) {
-		// In a store that is 60 times slower a read takes 0.2 s; take reads the claim
+		// In a slow store a read takes long; take reads the claim
 		// before anything is decided by it.
 		l.refreshBeside(ctx)
 	} else {
--- a/internal/cellleader/links.go
+++ b/internal/cellleader/links.go
@@ -6,8 +6,8 @@
 // and this instance through others while it owns the cell. They carry frames several
 // times a second, which tell as much as a ping.
 //
-// Load pattern: with 82 instances the owner answered 190 pings a second, 40 KB a second
-// each way and as much processor time as 150 starts.
+// Load pattern: with dozens of instances the pings that an owner answers take as much of it
+// as hundreds of starts.
 type Links interface {
 	// Learned tells that there is an owner of a term: the orders of earlier ones are
 	// refused from now on.
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -4,8 +4,8 @@
 
 const (
 	// pingPeriod is how often the owner is pinged by each of the eagerPlaces instances
-	// that would succeed it first, crowdPeriod how often by each of the others: with 44
-	// instances the owner gets 104 pings a second, and would get 344.
+	// that would succeed it first, crowdPeriod how often by each of the others, as there may
+	// be hundreds.
 	pingPeriod  = 125 * time.Millisecond
 	crowdPeriod = 500 * time.Millisecond
 	eagerPlaces = 3
@@ -14,8 +14,7 @@
 	// an instance is the relay of several.
 	linkHeardFor = crowdPeriod
 	// followTimeout bounds a ping of the owner, pingTimeout one of any other instance;
-	// calls between instances take about 3 ms, at one that is short of processor up to
-	// 0.1 s.
+	// calls between instances take milliseconds, more at one that is short of processor.
 	followTimeout = 200 * time.Millisecond
 	pingTimeout   = 350 * time.Millisecond
 	// silentLimit is how long the owner may be silent. Two pings in a row, the second
@@ -37,8 +36,8 @@
 	// to learn that the owner lives and how slow it is. One such ping is under way at a
 	// time: more would load a busy owner further.
 	lateTimeout = 2 * time.Second
-	// vacantLimit is how long the holder of a new claim may not know of it: the answer
-	// of a store that is 100 times slower takes 0.7 s.
+	// vacantLimit is how long the holder of a new claim may not know of it, as the answer
+	// of a slow store takes time.
 	vacantLimit = 900 * time.Millisecond
 	// storeTrusted is how long the store must have served an instance that most others
 	// do not answer for it to believe that they are away, and not itself.
@@ -53,11 +52,11 @@
 	// instances ping it every pingPeriod, so one that reaches it has heard it within.
 	refusedHeard = 250 * time.Millisecond
 	// storelessLimit is how long the store may not serve the owner while it serves
-	// the asking instance. In a store that is 60 times slower some call is answered
-	// every 0.3 s, and a take-over there, which reads everything, takes 2.6 s.
+	// the asking instance. In a slow store some call is answered more often than that, and a
+	// take-over, which reads everything, takes long.
 	storelessLimit = 600 * time.Millisecond
 	// storeBackWithin is within how long of one another instances notice that the
-	// store is back: 0.1 s were seen.
+	// store is back.
 	storeBackWithin = 300 * time.Millisecond
 	// stagger spaces the attempts of the instances, in an order that changes with
 	// every term, so that one of them usually takes over alone.
@@ -67,9 +66,8 @@
 	firstCandidates = 8
 	crowdStagger    = 5 * time.Millisecond
 	// weakDelay is added for instances that are weaker than the strongest one. Load
-	// pattern: nine of ten instances lose power for 2.5 s; one with a quarter of the
-	// processor and a twentieth of the link took over and needed 5.3 s to hear 350
-	// workers, where a strong one needs 0.2 s and was back 0.7 s later.
+	// pattern: most instances lose power for a moment; a weak one takes over, and needs
+	// longer to hear all workers than a strong one needs to come back.
 	weakDelay = 2 * time.Second
 	// claimSample is how many others are asked for the claim where the store cannot
 	// be read. One in three of them knowing it is enough to hear of it at once.
--- a/internal/cellleader/silence.go
+++ b/internal/cellleader/silence.go
@@ -19,8 +19,8 @@
 // limits returns how long the owner may be silent, and how lately another instance
 // must have heard it for this one to be the one that is cut off.
 //
-// What can go wrong: an owner that crashed is missed for 0.9 s, in which no task
-// starts. Its machine refuses connections at once, while one that is slow, paused or
+// What can go wrong: an owner that crashed is missed late, and no task starts until
+// then. Its machine refuses connections at once, while one that is slow, paused or
 // cut off is silent; so refusals count sooner. They prove nothing, because a cut may
 // refuse, too: the successor treats the earlier owner as one that may still act.
 func (s silence) limits() (silent, heard time.Duration) {
@@ -36,9 +36,8 @@
 // What can go wrong: a burst is more than a small machine's link or processor carries,
 // and its owner answers late. Overtaken after the usual time, its successor reads the
 // whole cell and hears all workers beside the same burst, is late in turn, and so on;
-// runs lapse meanwhile, and the cell does not come back although the load does: 39
-// take-overs on a calm day, 0.07 of its worth. It shows as "ownership_taken" every
-// second, each with "ownership_lost" of an owner that lives. An owner that answers late
+// runs lapse meanwhile, and the cell does not come back although the load does. It shows as
+// "ownership_taken" every second, each with "ownership_lost" of an owner that lives. An owner that answers late
 // is therefore given as many times what it takes, and each take-over after a short
 // ownership makes the next one twice as hard.
 func (s silence) patience() time.Duration {
--- a/internal/cellleader/yield.go
+++ b/internal/cellleader/yield.go
@@ -16,8 +16,7 @@
 // What can go wrong: all strong instances are away for a moment, and one with a
 // quarter of their processor takes over. It needs seconds where they need tenths,
 // and stays the owner when they are back. It shows as "cell_loaded" and "recovered"
-// of more than a second, and as an owner that falls silent under load. On a day on
-// which nine of ten machines lose power for 2.5 s, lookups were late for 6 s more.
+// of more than a second, and as an owner that falls silent under load.
 func (l *Leader) yield(ctx context.Context, t *term) {
 	if time.Since(t.began) < yieldAfter || !slices.ContainsFunc(l.directory.Others(), l.stronger) {
 		return
--- a/internal/cellowner/commit_loop.go
+++ b/internal/cellowner/commit_loop.go
@@ -14,12 +14,11 @@
 
 const (
 	// commitGap is the least time between two commits. It lets ends of one
-	// moment be stored together: 300 ends a second need at most 40 writes.
+	// moment be stored together.
 	commitGap = 25 * time.Millisecond
 	// commitRetry is the pause after the store refused a commit.
 	commitRetry = 200 * time.Millisecond
-	// commitTimeout bounds one commit with all its attempts; a store that is 100 times
-	// slower needs some 0.7 s.
+	// commitTimeout bounds one commit with all its attempts, also in a slow store.
 	commitTimeout = 1500 * time.Millisecond
 	// commitPuts is the most jobs and chunks of known workers in one transaction,
 	// beside the checks of the claim and the sequence and the put of the sequence.
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -13,8 +13,7 @@
 	"gentianstand/internal/store"
 )
 
-// loadTimeout bounds the reading of a cell, which takes 0.1 s, and 1.2 s in a store that
-// is 100 times slower. Parts of the store may be away for some seconds; another instance
+// loadTimeout bounds the reading of a cell, also in a store that is slow. Parts of the store may be away for some seconds; another instance
 // then fares no better, unless this one is cut off.
 const loadTimeout = 10 * time.Second
 
@@ -84,8 +83,8 @@
 	return nil
 }
 
-// load reads everything that must last, all at the same time: in a store 60 times
-// slower each round of reads takes 0.3 s. The feeds resume from before the reads, so
+// load reads everything that must last, all at the same time: in a slow store each
+// round of reads takes long. The feeds resume from before the reads, so
 // nothing that is written meanwhile is missed; progress is written by this owner
 // alone.
 func (o *Owner) load(ctx context.Context) error {
--- a/internal/cellowner/patience.go
+++ b/internal/cellowner/patience.go
@@ -6,15 +6,13 @@
 	"gentianstand/internal/patience"
 )
 
-// orderPatience bounds the wait for the answer to an order. Orders take 2 to 5 ms,
+// orderPatience bounds the wait for the answer to an order. Orders take milliseconds,
 // more when this instance is short of processor.
 //
 // Load pattern: for some seconds a few percent of the orders are carried out
-// late and not answered. A step of ten tasks then has one such order in every
-// third case, and all of the step waits for it. A wait that follows what answers
-// usually take revokes the order, and starts the task elsewhere, in time. A day
-// of such load earned 0.76 of its worth with fixed waits of 0.8 s for orders and
-// 1.8 s for looks, and 0.87 with these.
+// late and not answered. A step of many tasks then often has one such order, and all
+// of the step waits for it. A wait that follows what answers usually take revokes the
+// order, and starts the task elsewhere, in time.
 //
 // A start that was given up counts as one that took as long. What can go wrong: the link
 // of a small machine is full, and all answers take longer than the wait. If only answers
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -16,7 +16,7 @@
 	// depends on time alone: leases, stalls, pacing.
 	planPeriod = 100 * time.Millisecond
 	// planGap is the least time between two passes, so that news of one moment is
-	// decided on together. At 300 news a second a pass takes in about one.
+	// decided on together.
 	planGap = 3 * time.Millisecond
 	// planShare bounds the share of the time that is spent planning: a pass over
 	// hundreds of waiting stages takes milliseconds, and orders and reports need
--- a/internal/cellpeer/advice_pool.go
+++ b/internal/cellpeer/advice_pool.go
@@ -23,8 +23,8 @@
 )
 
 // AdvicePool spreads calls to the placement adviser over all instances. Load
-// pattern: one slow call takes 0.6 s and the adviser serves each instance one
-// call at a time, so one instance could make less than two calls a second.
+// pattern: a slow call takes most of a second and the adviser serves each instance one
+// call at a time, so one instance could make few of them.
 type AdvicePool struct {
 	directory *Directory
 	clients   *Clients
--- a/internal/cellpeer/directory.go
+++ b/internal/cellpeer/directory.go
@@ -17,8 +17,8 @@
 const (
 	tableInstances = "instances"
 	// directoryPeriod is how often the list of instances is read. Instances are
-	// replaced a few times an hour; a new one is needed by nobody at once. With 1.5 s
-	// 44 instances made 29 calls a second instead of 9.
+	// replaced a few times an hour; a new one is needed by nobody at once, and every
+	// instance makes these calls.
 	directoryPeriod = 5 * time.Second
 	// youngPeriod is directoryPeriod for the first youngFor of an instance: those that
 	// start together register one after the other.
@@ -43,8 +43,7 @@
 // Directory knows the instances that have registered themselves in the store.
 //
 // What can go wrong: an instance that is replaced for good leaves its row behind.
-// With 220 replacements a day most rows would be of the dead after a week; calls for
-// advice would go to them first, and searches for an instance with the store would
+// After a week of replacements most rows would be of the dead; calls for advice would go to them first, and searches for an instance with the store would
 // find nobody. Rows are therefore renewed, and those that are not are passed over.
 type Directory struct {
 	self  Instance
--- a/internal/cellpeer/store_finder.go
+++ b/internal/cellpeer/store_finder.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	// findSample is how many instances one search asks. If the store serves a
-	// third of the instances, one search in 25 misses them all, and the next
-	// follows within findFresh; asking all 41 of a large site for each of 70
-	// submissions a second would be 2,800 pings a second in an outage.
+	// findSample is how many instances one search asks. If the store serves some of the
+	// instances, few searches miss them all, and the next follows within findFresh; asking
+	// all of a large site for each submission would load them in an outage.
 	findSample = 8
 	// findWait bounds a search. Calls between instances take 3 ms, on a busy
 	// instance some ten; one that is dead never answers.
@@ -28,9 +27,8 @@
 // serve. It is safe for concurrent use.
 //
 // Load pattern: in an outage every submission needs this answer. A search of its
-// own for each kept callers waiting for 400 ms, the timeout of a call to a dead
-// instance, and of three tries that a caller has in its three seconds one was
-// lost to that. Searches are shared, and a refusal does not wait for one if the
+// own for each would keep callers waiting for the timeout of a call to a dead
+// instance, and cost them one of their few tries. Searches are shared, and a refusal does not wait for one if the
 // search before found nobody.
 type StoreFinder struct {
 	directory *Directory
--- a/internal/node/catalog_follower.go
+++ b/internal/node/catalog_follower.go
@@ -13,10 +13,9 @@
 
 const (
 	// catalogWait is how long a question for news may wait. A connection that went
-	// silent is noticed after this and half a second more, and asked anew 0.2 s later:
-	// 2.7 s, within the three seconds in which instances whose connections were reset
-	// have to catch up. With one second 44 instances made 45 calls a second instead of
-	// 23, a third of all that the store got.
+	// silent is noticed after this and half a second more, which leaves time within the
+	// three seconds in which instances whose connections were reset have to catch up.
+	// Shorter waits are more calls to the store, by every instance.
 	catalogWait = 2 * time.Second
 	// catalogRetry is the pause after a failure, and catalogProbe the wait of the
 	// questions until the next answer: callers are refused while the store is
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -31,12 +31,12 @@
 	// theCell is the partition of the one cell.
 	theCell = "cell-0"
 	// lease is how far a worker's lease reaches. It has to bridge a take-over
-	// (about 1.5 s) after the last extension, which is up to a second old; each
-	// second more delays the restart of what ran on a lost worker.
+	// after the last extension, which is up to a second old; each second
+	// more delays the restart of what ran on a lost worker.
 	lease = 3500 * time.Millisecond
 	// spareWorkers is how many idle workers are kept ready at least. Sites of some
-	// dozens of workers park none; with thousands, the widest steps that were seen,
-	// 120 tasks on as many workers of which a third is allowed, need 360.
+	// dozens of workers park none; with thousands, the widest steps need three workers for
+	// each task where a third of them is allowed.
 	spareWorkers = 128
 	// memoryShare of the limit is what the garbage collector aims to stay below;
 	// the rest is for stacks and for bytes that wait in sockets.
--- a/internal/packed/text.go
+++ b/internal/packed/text.go
@@ -1,9 +1,9 @@
 // Package packed keeps texts of callers in a shorter form on their way through the
 // instances and the store.
 //
-// Load pattern: jobs with a text of 1.2 KB each, of which an owner on a small machine
-// with a link of 2 Mbit/s hears twice, from the instance that accepted it and from the
-// store, and passes it to each relay that starts a task. Texts of programs, and names
+// Load pattern: jobs with long texts, of which an owner on a small machine with a narrow
+// link hears twice, from the instance that accepted it and from the store, and passes
+// it to each relay that starts a task. Texts of programs, and names
 // and numbers, have half or less of their length when packed; once for each job.
 package packed
 
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -1,8 +1,8 @@
 // Package relay carries an owner's orders to workers through other instances.
 //
 // One instance owns a cell and decides alone. If it also spoke to every worker, its
-// link, its processor and its memory would bound the cell: an HTTP call costs it some
-// 800 bytes each way and four wake-ups, and each worker holds a call open. So each
+// link, its processor and its memory would bound the cell: an HTTP call costs it headers
+// each way and several wake-ups, and each worker holds a call open. So each
 // worker is reached through one instance of its own zone, chosen by Rank. The owner
 // keeps one connection to each, a Link, on which requests and replies are short frames;
 // the relay's Server carries them out with its own connections to the workers.
--- a/internal/relay/pool_routes.go
+++ b/internal/relay/pool_routes.go
@@ -20,7 +20,7 @@
 //
 // What can go wrong: a new owner opens its links while its own link to the network is full.
 // If none opens in time, and it calls all workers itself instead, over that same link, it
-// stays full: 232 connections to workers in five seconds, and half of the starts.
+// stays full. It shows as many new connections to workers in "traffic".
 func (p *Pool) route(w runner.Target, now time.Time) *Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/rank.go
+++ b/internal/relay/rank.go
@@ -18,7 +18,7 @@
 const (
 	// relayShare of a zone's instances, and at least leastRelays, are relays at a time.
 	// Each job's spec crosses the owner's link once for each relay that starts a task of
-	// it, and a relay needs little: with 36 workers on a machine of 0.192 core 3% of a core.
+	// it, and a relay needs little of its machine.
 	relayShare  = 0.5
 	leastRelays = 3
 )
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -44,7 +44,7 @@
 
 // runState is runner.RunState on the wire. A worker's reports repeat the same runs
 // again and again, so a run that stands in the report before on this link, with the
-// same checkpoint, is named by its place there: 8 bytes instead of 60.
+// same checkpoint, is named by its place there, in a tenth of the bytes.
 type runState struct {
 	_ struct{} `cbor:",toarray"`
 	// Before is 1 + the place in the report before, or 0 if the run is spelled out.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -95,7 +95,7 @@
 	Token uint64
 	Stage string
 	// Workers are the places of the workers' ids among all that were sent on this link,
-	// and NewIDs the ids that are sent for the first time: 3 bytes for each instead of 18.
+	// and NewIDs the ids that are sent for the first time.
 	Workers []uint32
 	NewIDs  []string
 }
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -8,7 +8,7 @@
 	// protocol names the frames in the header Upgrade.
 	protocol = "gentianstand-relay"
 	// openSoon is how long calls wait for a link to open before they take another way, if
-	// there is an open one: it takes some 5 ms, more at an instance that is short of
+	// there is an open one: it takes milliseconds, more at an instance that is short of
 	// processor.
 	openSoon = 200 * time.Millisecond
 	// openTimeout bounds the opening of a link. A new owner on a small machine opens its
--- a/internal/relay/spec_slots.go
+++ b/internal/relay/spec_slots.go
@@ -7,8 +7,8 @@
 // the same time.
 const slots = 128
 
-// specSlots remembers which specs were sent on a link. Load pattern: jobs of twenty tasks
-// with a spec of 1.2 KB; sent with every start, they were four fifths of an owner's bytes.
+// specSlots remembers which specs were sent on a link. Load pattern: jobs of many tasks with
+// long specs; sent with every start, they would be most of an owner's bytes.
 // It is not safe for concurrent use.
 type specSlots struct {
 	bySpec map[packed.Text]uint32
--- a/internal/store/patience.go
+++ b/internal/store/patience.go
@@ -7,12 +7,12 @@
 )
 
 // callPatience bounds the wait for the answer to a call. The least is about what a
-// store that has just become 60 times slower needs; the most leaves time for one more
+// store that has just become slow needs; the most leaves time for one more
 // attempt within a caller's three seconds. The usual duration has to rise within a
 // few calls.
 //
-// Load pattern: a store that is 60 times slower answers after 0.4 to 1 s. Calls
-// that are given up earlier and made again only lengthen its queues; calls on a
+// Load pattern: a store becomes slow. Calls that are given up too early and made
+// again only lengthen its queues; calls on a
 // connection that went silent should be made again soon.
 var callPatience = patience.Settings{
 	Least: 450 * time.Millisecond, Most: 2200 * time.Millisecond, Factor: 6, AnswerWeight: 0.1, SilenceWeight: 0.3,
--- a/internal/store/persistent.go
+++ b/internal/store/persistent.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// pageTimeout bounds one attempt to read a page; a store that is 100 times slower
-	// needs 0.8 s.
+	// pageTimeout bounds one attempt to read a page, also in a slow store.
 	pageTimeout = 1500 * time.Millisecond
 	// pageRetry is the pause after an attempt that the store refused.
 	pageRetry = 100 * time.Millisecond
--- a/internal/store/return_watch.go
+++ b/internal/store/return_watch.go
@@ -8,8 +8,8 @@
 const (
 	// probePeriod is how often a lost store is asked whether it is back.
 	probePeriod = 250 * time.Millisecond
-	// probeTimeout bounds one such question: a store that has come back 100 times
-	// slower answers after 0.4 s, and the next question goes out meanwhile.
+	// probeTimeout bounds one such question: a store may have come back slow, and the next
+	// question goes out meanwhile.
 	probeTimeout = 800 * time.Millisecond
 )
 
@@ -17,8 +17,7 @@
 // soon.
 //
 // What can go wrong: the store is silent, and whoever asks it next waits for a timeout
-// first. Instances noticed its return 0.75 s late, and refused a fifth of the callers of
-// an outage of three seconds needlessly. It shows as a "store_back" long after the first
+// first. Instances notice its return late, and refuse callers needlessly until then. It shows as a "store_back" long after the first
 // commit. Where calls fail at once there are others that ask often enough.
 func (w *Watched) WatchReturn(ctx context.Context, table, partition, key string) {
 	ticker := time.NewTicker(probePeriod)
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -52,7 +52,7 @@
 
 // LostFor returns for how long the store has not served this instance, or 0. One
 // call without an answer counts only from the last answer to another one: its
-// connection may have gone silent alone, and in a store that is 60 times slower
+// connection may have gone silent alone, and in a slow store
 // some calls take more than half a second while others are answered.
 func (w *Watched) LostFor(now time.Time) time.Duration {
 	w.mu.Lock()
@@ -121,10 +121,10 @@
 // begin books a call and returns what to call with its result. A call that was given up
 // makes the next ones wait longer, also if no other call was answered meanwhile.
 //
-// What can go wrong: a store turns 100 times slower. All calls that are under way are
+// What can go wrong: a store turns slow. All calls that are under way are
 // given up before the first answer comes; if they taught nothing because nobody was
 // answered, the next ones would be given up as early, and commits be made again and
-// again into its queues. It cost 0.06 of the worth of such a day.
+// again into its queues.
 func (w *Watched) begin() func(context.Context, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/upkeep/tracker.go
+++ b/internal/upkeep/tracker.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// emptyGuess is about how long it takes to empty a worker: a stop takes up to 0.9
-	// s, and lasting tasks are moved one after the other.
+	// emptyGuess is about how long it takes to empty a worker: stops take a while, and
+	// lasting tasks are moved one after the other.
 	emptyGuess = 2500 * time.Millisecond
 	// emptyPatience is how long a worker is given to become empty. What cannot be
 	// stopped without losing its work is ended then: it would hold the wave up.
@@ -51,9 +51,9 @@
 // Plan says what to do now. listed are all machines by name, load tells what runs on a
 // worker.
 //
-// Load pattern: a third of all machines within 15 s, ten at once. If all ten were
-// emptied at once, a fifth of the room would be gone when the wave begins, and the last
-// seconds of its time would go unused.
+// Load pattern: a third of all machines within seconds, many at once. If as many as allowed
+// were emptied at once, much room would be gone when the wave begins, and the last seconds
+// of its time would go unused.
 func (t *Tracker) Plan(now time.Time, listed map[string]Machine, load func(worker string) Load) Plan {
 	t.observe(listed)
 	t.choose(now, listed, load)
