--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -43,7 +43,7 @@
 	t.attempts = append(t.attempts, a)
 	t.stage.takeIdle(t.index)
 	w.add(a)
-	c.beginTrial(a)
+	c.isolate(a)
 	t.stage.job.started = true
 	c.wake(t.stage)
 	return a
@@ -89,7 +89,7 @@
 	if a.confirmedAt.IsZero() {
 		a.confirmedAt = now
 	}
-	c.prove(a, now)
+	c.noteSurvival(a, now)
 	a.task.stage.job.started = true
 	if r.Percent != a.percent || a.changedAt.IsZero() {
 		a.percent = r.Percent
--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -29,8 +29,8 @@
 	inherited bool
 	// confirmedAt is when the worker answered the start.
 	confirmedAt time.Time
-	// proven says that it was seen at work for so long that it does not end its worker.
-	proven bool
+	// survived says that it was seen at work for so long that it does not crash its worker.
+	survived bool
 	// percent and changedAt are the last reported progress and when it moved.
 	percent   int
 	changedAt time.Time
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -56,10 +56,11 @@
 	missing map[string]struct{}
 	absent  map[string]struct{}
 	// lost are, by id, the workers that fell silent, until it is known what became of
-	// them, and silences when they did. trials are the runs of tasks under suspicion.
+	// them, and silences when they did. isolated are the runs beside which nothing of
+	// another job is started.
 	lost     map[string]*lostWorker
 	silences silences
-	trials   map[*attempt]struct{}
+	isolated map[*attempt]struct{}
 	stats    Stats
 	// backlogs are those worked out at backlogsAt.
 	backlogs   []admission.Backlog
@@ -73,7 +74,7 @@
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
 		known: newKnownWorkers(), questions: questions{}, gone: map[string]struct{}{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
-		lost: map[string]*lostWorker{}, trials: map[*attempt]struct{}{},
+		lost: map[string]*lostWorker{}, isolated: map[*attempt]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}},
 	}
 }
--- a/internal/cell/copies.go
+++ b/internal/cell/copies.go
@@ -29,7 +29,7 @@
 	if !c.uses(Copies) || !s.step.AllowDuplicates || s.step.Gang || t.done || s.job.final != "" || len(t.attempts) >= mostCopies {
 		return
 	}
-	if t.suspicion.losses() > 1 {
+	if t.crashes.losses() > 1 {
 		// The copy would be lost like the others.
 		return
 	}
--- /dev/null
+++ b/internal/cell/crash_history.go
@@ -0,0 +1,109 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// mostCrashes is after how many crashed workers a task is given up in any case.
+	mostCrashes = 4
+	// crashesAlone is the same where the last crash has no other suspect and is not
+	// correlated with others. Where it is, crashesAtOnce of them must have come as soon as
+	// the task began.
+	crashesAlone  = 2
+	crashesAtOnce = 3
+	// atOnceWithin is how soon after a start its worker falls silent if the task crashes
+	// it: one call, and a look that breaks off.
+	atOnceWithin = 100 * time.Millisecond
+	// manyLosses is from how many lost workers on it does not matter whether they had
+	// confirmed the starts.
+	manyLosses = 3
+	// pauseLosses is from how many lost workers on, of which some may yet turn out to
+	// have crashed, a task pauses before a further start: for lossPause, by when most
+	// workers that crashed are back, and then for longPause.
+	pauseLosses = 2
+	lossPause   = 5 * time.Second
+	longPause   = 10 * time.Second
+)
+
+// crashHistory is what is known of the workers that were lost while a task was starting
+// there.
+//
+// What can go wrong: a task crashes each worker that starts it, and with it all that runs
+// there. Started again without a limit it takes one worker down after the other. It shows
+// as "run_lost" of the same task with little "work_ms" each time. So the crashes are
+// counted with the task, in the store too, and such a poison task is given up.
+type crashHistory struct {
+	// crashed are the runs whose worker has crashed under them.
+	crashed []uint64
+	// atOnce is how many of those workers fell silent as soon as the run had begun.
+	atOnce int
+	// silent are the runs whose worker fell silent; whether it crashed is not known.
+	silent []uint64
+	// lostAt is when a worker was last lost.
+	lostAt time.Time
+}
+
+func (h *crashHistory) losses() int { return len(h.crashed) + len(h.silent) }
+
+func (h *crashHistory) any() bool { return h.losses() > 0 }
+
+func (h *crashHistory) clear() { *h = crashHistory{lostAt: h.lostAt} }
+
+// workerSilent notes that a run's worker fell silent, and reports whether that is new.
+func (h *crashHistory) workerSilent(run uint64, now time.Time) bool {
+	if slices.Contains(h.silent, run) || slices.Contains(h.crashed, run) {
+		return false
+	}
+	h.silent = append(h.silent, run)
+	h.lostAt = now
+	return true
+}
+
+// workerLives takes a loss back: the worker did not crash under the run.
+func (h *crashHistory) workerLives(run uint64) {
+	h.silent = slices.DeleteFunc(h.silent, func(r uint64) bool { return r == run })
+}
+
+// workerCrashed takes in that the worker crashed under the run; atOnce, as soon as it had
+// begun.
+func (h *crashHistory) workerCrashed(run uint64, atOnce bool) {
+	h.workerLives(run)
+	if slices.Contains(h.crashed, run) {
+		return
+	}
+	h.crashed = append(h.crashed, run)
+	if atOnce {
+		h.atOnce++
+	}
+}
+
+// pauses reports whether the task must not be started yet.
+func (h *crashHistory) pauses(now time.Time) bool {
+	if len(h.silent) == 0 || h.losses() < pauseLosses {
+		return false
+	}
+	pause := lossPause
+	if h.losses() > pauseLosses {
+		pause = longPause
+	}
+	return now.Sub(h.lostAt) < pause
+}
+
+// lostMany reports whether so many workers were lost that a start without an answer counts
+// like one that was confirmed.
+func (h *crashHistory) lostMany() bool { return h.losses() >= manyLosses }
+
+// isPoison reports whether the task crashes its workers. onlySuspect says that the last
+// crash had no suspect of another job, correlated that other workers fell silent with it.
+func (h *crashHistory) isPoison(onlySuspect, correlated bool) bool {
+	n := len(h.crashed)
+	switch {
+	case n >= mostCrashes:
+		return true
+	case !onlySuspect || n < crashesAlone:
+		return false
+	}
+	return !correlated || h.atOnce >= crashesAtOnce
+}
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -46,23 +46,23 @@
 }
 
 // One job took a worker down every second for two minutes, 179 in all, and everything
-// that ran on them with it. One of its tasks ended each worker that started it within 10
+// that ran on them with it. One of its tasks crashed each worker that started it within 10
 // ms; the worker came back after three seconds under a new id. The log showed
 // "worker_silent ... EOF" 60 ms after "job_added", "run_copied" of all the job's tasks
 // 0.25 s later, and "worker_silent" of the next worker within 25 ms; then "worker_replaced
 // runs=15" twice, and the same again, up to run 117 of one task. A run that went with its
 // worker was held against nobody, so the task was placed again as if nothing had been.
-func TestATaskThatEndsItsWorkersIsGivenUp(t *testing.T) {
+func TestAPoisonTaskIsGivenUp(t *testing.T) {
 	w := newCrashWorld(t, 24)
-	culprit := w.submit(0, mayRunTwice(12), 0)
+	poison := w.submit(0, mayRunTwice(12), 0)
 	var others []string
 	w.run(40*time.Second, func() {
 		if w.rnd.Intn(30) == 0 && w.now.Sub(siteStart) < 30*time.Second {
 			others = append(others, w.submit(0, mayRunTwice(6)))
 		}
 	})
-	w.checkCulprits()
-	w.checkState(culprit, job.Failed)
+	w.checkPoison()
+	w.checkState(poison, job.Failed)
 	for _, id := range others {
 		w.checkState(id, job.Completed)
 	}
@@ -83,7 +83,7 @@
 // The same task in steps of other kinds, and beside what else goes wrong: the owner is
 // lost right after each worker, or half a second later; the store is away; the worker
 // comes back after its lease, or after it has been forgotten; the start is not answered
-// before the worker ends. What is known of the crashes must outlive all of these.
+// before the worker crashes. What is known of the crashes must outlive all of these.
 func TestCrashesAreCountedBesideOtherFaults(t *testing.T) {
 	steps := map[string]func(int) job.Step{"may run twice": mayRunTwice, "once": once, "gang": gang, "lasting": watchers}
 	faults := map[string]func(w *crashWorld) func(){
@@ -128,7 +128,7 @@
 				second := w.submit(0, step(8), 3)
 				others := w.playBeside(15*time.Second, each)
 				w.runUntilEnded(time.Minute, each)
-				w.checkCulprits()
+				w.checkPoison()
 				if fault != "starts unanswered" {
 					w.checkState(first, job.Failed)
 					w.checkState(second, job.Failed)
@@ -164,9 +164,9 @@
 	w.checkState(id, job.Completed)
 }
 
-// Workers end by themselves: a sixth of them at once, three times, ten seconds apart. The
-// jobs that were starting there are victims, each time again others, and all are done.
-func TestJobsOnWorkersThatEndByThemselvesAreNotGivenUp(t *testing.T) {
+// Workers crash by themselves: a sixth of them at once, three times, ten seconds apart. The
+// jobs that were starting there are not at fault, each time again others, and all are done.
+func TestJobsOnWorkersThatCrashByThemselvesAreNotGivenUp(t *testing.T) {
 	w := newCrashWorld(t, 24)
 	strikes := 0
 	others := w.playBeside(50*time.Second, func() {
@@ -190,12 +190,12 @@
 	}
 }
 
-// A sixth of the workers end by themselves, and 0.4 s later another sixth, again and again.
+// A sixth of the workers crash by themselves, and 0.4 s later another sixth, again and again.
 // The jobs whose tasks were starting there are started again and hit again, on a site of 350
-// workers two of them: "job_given_up crashes=2" 20 s into a day without any culprit. That so
-// many workers fall silent at the same time says that no task ended them, so two or three
-// of them convict nobody. Four under one task do.
-func TestManyWorkersThatEndAtOnceConvictNobody(t *testing.T) {
+// workers two of them: "job_given_up crashes=2" 20 s into a day without any poison task. That
+// so many workers fall silent at the same time says that no task crashed them, so two or
+// three of them give no job up. Four under one task do.
+func TestCorrelatedCrashesGiveNoJobUp(t *testing.T) {
 	for seed := range 6 {
 		w := newCrashWorld(t, 24)
 		w.rnd.Seed(int64(seed))
@@ -227,26 +227,26 @@
 	}
 }
 
-// A neighbour of a task that ended two workers in a row was on both of them: copies of all
-// tasks of the busiest queue went to the same worker. Only the culprit's job is given up;
-// the neighbour was lost with a worker where somebody else was on trial.
-func TestANeighbourOfTheCulpritIsNotGivenUp(t *testing.T) {
+// A neighbour of a task that crashed two workers in a row was on both of them: copies of all
+// tasks of the busiest queue went to the same worker. Only the poison task's job is given up;
+// the neighbour was lost with a worker where a task with a crash history was isolated.
+func TestANeighbourOfAPoisonTaskIsNotGivenUp(t *testing.T) {
 	for seed := range 8 {
 		w := newCrashWorld(t, 8)
 		w.rnd.Seed(int64(seed))
-		var culprits, others []string
+		var poison, others []string
 		w.run(30*time.Second, func() {
 			if w.now.Sub(siteStart) > 20*time.Second || w.rnd.Intn(20) > 0 {
 				return
 			}
-			if len(culprits) < 6 && w.rnd.Intn(10) == 0 {
-				culprits = append(culprits, w.submit(0, mayRunTwice(4), 1))
+			if len(poison) < 6 && w.rnd.Intn(10) == 0 {
+				poison = append(poison, w.submit(0, mayRunTwice(4), 1))
 				return
 			}
 			others = append(others, w.submit(0, []job.Step{mayRunTwice(4), once(3), gang(2)}[w.rnd.Intn(3)]))
 		})
-		w.checkCulprits()
-		for _, id := range culprits {
+		w.checkPoison()
+		for _, id := range poison {
 			w.checkState(id, job.Failed)
 		}
 		for _, id := range others {
@@ -257,17 +257,17 @@
 
 // A task under which worker after worker was lost pauses before further starts from the
 // second one on.
-func TestSuspicionPauses(t *testing.T) {
-	var s suspicion
+func TestCrashHistoryPauses(t *testing.T) {
+	var h crashHistory
 	for n, want := range []time.Duration{0, 5 * time.Second, 10 * time.Second, 10 * time.Second} {
-		s.lost(uint64(n+1), siteStart)
-		if s.pauses(siteStart.Add(want)) || want > 0 && !s.pauses(siteStart.Add(want-time.Millisecond)) {
+		h.workerSilent(uint64(n+1), siteStart)
+		if h.pauses(siteStart.Add(want)) || want > 0 && !h.pauses(siteStart.Add(want-time.Millisecond)) {
 			t.Errorf("after %d lost workers the pause is not %v", n+1, want)
 		}
 	}
 }
 
-// A start that found nobody is held against no task: a worker refused it before it ended.
+// A start that was refused before its worker crashed counts for no task.
 func TestARefusedStartIsNoCrash(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
@@ -277,15 +277,14 @@
 	order := s.plan()[r.ID+".0.0.0"]
 	s.cell.StartAnswered(order, runner.Answer{}, &runner.Refusal{Reason: runner.Unhealthy}, s.now)
 	s.cell.LookFailed(order.Worker.ID, runner.ErrGone, s.now)
-	if got := s.cell.jobs[r.ID].stages[0].tasks[0].suspicion.losses(); got != 0 {
-		t.Errorf("%d lost workers are held against the task, want none", got)
+	if got := s.cell.jobs[r.ID].stages[0].tasks[0].crashes.losses(); got != 0 {
+		t.Errorf("%d lost workers count for the task, want none", got)
 	}
 }
 
-// A task that may run twice was accused when its worker fell silent; its copy was seen at
-// work elsewhere. That the first worker has ended then, behind a cut, is held against
-// nobody.
-func TestACopyAtWorkEndsTheAccusation(t *testing.T) {
+// A task that may run twice became a suspect when its worker fell silent; its copy survived
+// elsewhere. That the first worker crashed then, behind a cut, does not count.
+func TestACopyThatSurvivesClearsItsTask(t *testing.T) {
 	w := newCrashWorld(t, 6)
 	s := mayRunTwice(1)
 	s.Estimate = 3 * time.Second
@@ -295,45 +294,45 @@
 	first := task.attempts[0].worker.ID
 	w.states[first].cut = true
 	w.run(time.Second, nil)
-	if task.suspicion.any() {
-		t.Errorf("the task is under suspicion although its copy was seen at work: %+v", task.suspicion)
+	if task.crashes.any() {
+		t.Errorf("the task has a crash history although its copy has survived: %+v", task.crashes)
 	}
 	w.states[first].cut = false
 	w.states[first].crashAt = w.now
 	w.run(5*time.Second, nil)
-	if task.suspicion.any() {
-		t.Errorf("the end of the silent worker is held against the task: %+v", task.suspicion)
+	if task.crashes.any() {
+		t.Errorf("the crash of the silent worker counts for the task: %+v", task.crashes)
 	}
 	w.checkState(id, job.Completed)
 }
 
-// Every job of a queue has a task that ends its workers, one job a second, beside sound
-// ones. The workers that go down for it must not look like company that clears the
-// culprits: each task ends two workers, and few of them more.
-func TestAStreamOfCulpritsIsContained(t *testing.T) {
+// Every job of a queue has a poison task, one job a second, beside sound ones. The workers
+// that they crash must not look like correlated failures of another cause: each task
+// crashes two workers, and few of them more.
+func TestManyPoisonTasksAreContained(t *testing.T) {
 	w := newCrashWorld(t, 48)
-	var culprits, others []string
+	var poison, others []string
 	w.run(40*time.Second, func() {
 		if w.now.Sub(siteStart) > 20*time.Second {
 			return
 		}
 		if w.rnd.Intn(100) == 0 {
-			culprits = append(culprits, w.submit(1, once(4), 2))
+			poison = append(poison, w.submit(1, once(4), 2))
 		}
 		if w.rnd.Intn(10) == 0 {
 			others = append(others, w.submit(0, mayRunTwice(6)))
 		}
 	})
-	w.checkCulprits()
+	w.checkPoison()
 	ended := 0
-	for _, id := range culprits {
+	for _, id := range poison {
 		w.checkState(id, job.Failed)
 		ended += w.mostCrashesUnder(id)
 	}
 	for _, id := range others {
 		w.checkState(id, job.Completed)
 	}
-	if most := 2.5 * float64(len(culprits)); float64(ended) > most {
-		t.Errorf("%d workers ended under %d tasks, want %.0f at most", ended, len(culprits), most)
+	if most := 2.5 * float64(len(poison)); float64(ended) > most {
+		t.Errorf("%d workers crashed under %d tasks, want %.0f at most", ended, len(poison), most)
 	}
 }
--- a/internal/cell/crash_world_test.go
+++ b/internal/cell/crash_world_test.go
@@ -14,23 +14,23 @@
 )
 
 const (
-	// crashAfter is how long a task that ends its worker runs.
+	// crashAfter is how long a poison task runs.
 	crashAfter = 10 * time.Millisecond
 	// startsAfterCrashes is the count of further starts after crashesKnown crashes that
-	// a task that ends its workers must not reach.
+	// a poison task must not reach.
 	startsAfterCrashes, crashesKnown = 3, 3
 )
 
-// crashWorld is a load in which some tasks end the worker that starts them. The worker
+// crashWorld is a load in which some tasks crash the worker that starts them. The worker
 // is silent then, and comes back under a new id at the same address.
 type crashWorld struct {
 	*load
-	// ends are the tasks that end their workers, culprits their jobs.
-	ends     map[string]bool
-	culprits map[string]bool
+	// ends are the poison tasks, poison their jobs.
+	ends   map[string]bool
+	poison map[string]bool
 	// backAfter is how long a worker is away.
 	backAfter time.Duration
-	// answersLost says that the start of a task that ends its worker is not answered.
+	// answersLost says that the start of a poison task is not answered.
 	answersLost bool
 	// storeAway says that nothing can be stored.
 	storeAway bool
@@ -40,7 +40,7 @@
 	progress  map[string][]byte
 	chunks    map[int][]KnownWorker
 	terms     uint64
-	// crashes counts the workers that ended under a task, later its starts after
+	// crashes counts the workers that crashed under a task, later its starts after
 	// crashesKnown of them.
 	crashes, later map[string]int
 	onCrash        func()
@@ -57,7 +57,7 @@
 }
 
 func newCrashWorld(t *testing.T, workers int) *crashWorld {
-	w := &crashWorld{load: newLoad(t, workers), ends: map[string]bool{}, culprits: map[string]bool{}, backAfter: 3 * time.Second, states: map[string]*crashWorker{},
+	w := &crashWorld{load: newLoad(t, workers), ends: map[string]bool{}, poison: map[string]bool{}, backAfter: 3 * time.Second, states: map[string]*crashWorker{},
 		records: map[string]*job.Record{}, progress: map[string][]byte{}, chunks: map[int][]KnownWorker{},
 		crashes: map[string]int{}, later: map[string]int{}, terms: 1}
 	for id := range w.workers {
@@ -65,7 +65,7 @@
 	}
 	usual := w.workOf
 	w.workOf = func(id job.TaskID, worker *loadWorker) time.Duration {
-		if w.records[id.Job].Steps[id.Step].Gang && w.culprits[id.Job] {
+		if w.records[id.Job].Steps[id.Step].Gang && w.poison[id.Job] {
 			// Its members work only together.
 			return time.Hour
 		}
@@ -74,12 +74,12 @@
 	return w
 }
 
-// submit hands a job in; tasks named by culprits end their workers.
-func (w *crashWorld) submit(priority int, s job.Step, culprits ...int) string {
+// submit hands a job in; the tasks named by poison crash their workers.
+func (w *crashWorld) submit(priority int, s job.Step, poison ...int) string {
 	id := w.load.submit("q", priority, s)
 	w.records[id] = w.cell.jobs[id].record
-	w.culprits[id] = len(culprits) > 0
-	for _, index := range culprits {
+	w.poison[id] = len(poison) > 0
+	for _, index := range poison {
 		w.ends[fmt.Sprintf("%s.0.0.%d", id, index)] = true
 	}
 	return id
@@ -306,17 +306,17 @@
 	return p
 }
 
-// checkCulprits checks that no task was started on and on.
-func (w *crashWorld) checkCulprits() {
+// checkPoison checks that no task was started on and on.
+func (w *crashWorld) checkPoison() {
 	w.t.Helper()
 	for _, task := range slices.Sorted(maps.Keys(w.ends)) {
 		if w.later[task] >= startsAfterCrashes {
-			w.t.Errorf("%s was started %d times after %d workers had ended under it, %d workers in all", task, w.later[task], crashesKnown, w.crashes[task])
+			w.t.Errorf("%s was started %d times after %d workers had crashed under it, %d workers in all", task, w.later[task], crashesKnown, w.crashes[task])
 		}
 	}
 }
 
-// mostCrashesUnder returns how many workers have ended under one task of a job at most.
+// mostCrashesUnder returns how many workers have crashed under one task of a job at most.
 func (w *crashWorld) mostCrashesUnder(id string) int {
 	most := 0
 	for task, n := range w.crashes {
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -34,7 +34,7 @@
 	}
 	switch e.How {
 	case runner.Done:
-		c.absolve(t)
+		c.clearCrashes(t)
 		if a != nil {
 			t.stage.markSuccessors()
 			c.noteDuration(a, now)
@@ -44,7 +44,7 @@
 		}
 		c.taskDone(t, w, now)
 	case runner.FailedRun:
-		c.absolve(t)
+		c.clearCrashes(t)
 		c.taskFailed(t, w, e.Run, now)
 	}
 	c.dirty[t.stage.job] = struct{}{}
@@ -165,7 +165,7 @@
 		}
 	}
 	a.worker.remove(a)
-	delete(c.trials, a)
+	delete(c.isolated, a)
 	if a.worker.closed {
 		// The store lists the run.
 		c.known.changed(a.worker.ID)
--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -51,7 +51,7 @@
 func (c *Cell) Ended(id string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.acquit(id)
+	c.clearSuspects(id)
 	if w := c.workers[id]; w != nil {
 		c.remove(w, now)
 	}
--- a/internal/cell/known_worker.go
+++ b/internal/cell/known_worker.go
@@ -8,7 +8,7 @@
 	// Runs are all that may still be there.
 	Closed bool       `cbor:"3,keyasint,omitempty"`
 	Runs   []KnownRun `cbor:"4,keyasint,omitempty"`
-	// Accused are the runs that may have ended the worker; it fell silent while they
+	// Suspects are the runs that may have crashed the worker; it fell silent while they
 	// were starting.
-	Accused []KnownRun `cbor:"5,keyasint,omitempty"`
+	Suspects []KnownRun `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -54,7 +54,7 @@
 		if k.Closed {
 			c.inheritRuns(w, k.Runs, now)
 		}
-		c.inheritLost(w, k.Accused)
+		c.inheritSuspects(w, k.Suspects)
 	}
 }
 
@@ -87,7 +87,7 @@
 		if chunk := byNumber[chunkOf(id)]; chunk != nil && !w.parked {
 			k := w.known()
 			if lost := c.lost[id]; lost != nil {
-				k.Accused = lost.known()
+				k.Suspects = lost.known()
 			}
 			chunk.Workers = append(chunk.Workers, k)
 		}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -40,8 +40,8 @@
 		if a.phase == running && !a.task.stage.step.LongRunning {
 			wait = min(wait, c.expectedLeft(a, now)+lookSlack)
 		}
-		if a.onTrial() {
-			wait = min(wait, provenAfter)
+		if a.isolated() {
+			wait = min(wait, survivedAfter)
 		}
 	}
 	return max(wait, shortLook).Truncate(time.Millisecond)
@@ -75,7 +75,7 @@
 		c.log.WithFields(workerFields(w)).WithField("silent_ms", now.Sub(w.failingAt).Milliseconds()).Info("worker_answers_again")
 		w.failingAt = time.Time{}
 	}
-	c.acquit(w.ID)
+	c.clearSuspects(w.ID)
 	w.failedLooks = 0
 	w.lastReport = now
 	ended := map[runKey]bool{}
@@ -161,9 +161,9 @@
 	}
 	if errors.Is(err, runner.ErrGone) {
 		if c.lost[w.ID] == nil {
-			c.accuse(w, now)
+			c.noteSuspects(w, now)
 		}
-		c.crashed(w.ID, now)
+		c.workerCrashed(w.ID, now)
 		c.remove(w, now)
 		return
 	}
--- a/internal/cell/lost_runs.go
+++ b/internal/cell/lost_runs.go
@@ -12,7 +12,7 @@
 const mostLostLogged = 5
 
 // logLost logs the youngest runs that go with a worker, and how long each had been at
-// work when the worker fell silent. A run that ends its worker is always one of them.
+// work when the worker fell silent. A run that crashes its worker is always one of them.
 func (c *Cell) logLost(w *worker, why string) {
 	runs := make([]*attempt, 0, len(w.attempts))
 	for a := range w.attempts {
--- a/internal/cell/lost_worker.go
+++ b/internal/cell/lost_worker.go
@@ -2,24 +2,25 @@
 
 import "time"
 
-// lostWorker is a worker that fell silent, and the runs that may have ended it.
+// lostWorker is a worker that fell silent, and the runs that may have crashed it.
 type lostWorker struct {
 	address string
 	// since is when it fell silent.
-	since time.Time
-	runs  []accusedRun
+	since    time.Time
+	suspects []suspectRun
 }
 
-// accuse returns the accusation of a run.
-func (l *lostWorker) accuse(a *attempt) accusedRun {
+// suspect notes a run that was starting.
+func (l *lostWorker) suspect(a *attempt) {
 	confirmed := !a.confirmedAt.IsZero()
-	return accusedRun{task: a.task, run: a.run, confirmed: confirmed, atOnce: confirmed && l.since.Sub(a.confirmedAt) <= atOnceWithin}
+	l.suspects = append(l.suspects, suspectRun{task: a.task, run: a.run, confirmed: confirmed,
+		atOnce: confirmed && l.since.Sub(a.confirmedAt) <= atOnceWithin})
 }
 
-// known returns the runs as they are stored.
+// known returns the suspects as they are stored.
 func (l *lostWorker) known() []KnownRun {
 	var runs []KnownRun
-	for _, r := range l.runs {
+	for _, r := range l.suspects {
 		if r.confirmed {
 			runs = append(runs, KnownRun{Task: r.task.id().String(), Run: r.run})
 		}
@@ -27,12 +28,41 @@
 	return runs
 }
 
+// blamed returns the suspects of which one crashed the worker: those of tasks under which
+// other workers were lost, too, or else all.
+func (l *lostWorker) blamed() []suspectRun {
+	var begun, repeated []suspectRun
+	for _, r := range l.suspects {
+		if r.cleared() || !r.begun() {
+			continue
+		}
+		begun = append(begun, r)
+		if r.repeated() {
+			repeated = append(repeated, r)
+		}
+	}
+	if len(repeated) > 0 {
+		return repeated
+	}
+	return begun
+}
+
 // settled reports whether nothing depends any more on what became of the worker.
 func (l *lostWorker) settled() bool {
-	for _, r := range l.runs {
+	for _, r := range l.suspects {
 		if !r.task.done && r.task.stage.job.final == "" {
 			return false
 		}
 	}
 	return true
 }
+
+// sameJob reports whether all runs are of one job.
+func sameJob(runs []suspectRun) bool {
+	for _, r := range runs {
+		if r.task.stage.job != runs[0].task.stage.job {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/cell/model_ends_test.go
+++ b/internal/cell/model_ends_test.go
@@ -64,14 +64,14 @@
 }
 
 // allComplete reports whether all jobs are done. One may be given up instead if two
-// workers have ended under one of its tasks.
+// workers have crashed under one of its tasks.
 func (m *model) allComplete(o *modelOwner) bool {
 	for _, r := range m.records {
 		switch state, _ := o.cell.State(r.ID); state {
 		case job.Completed:
 		case job.Failed:
-			if !m.endedUnder(r) {
-				m.rt.Fatalf("job %s was given up although no two workers ended under one of its tasks", r.ID)
+			if !m.crashedUnder(r) {
+				m.rt.Fatalf("job %s was given up although no two workers crashed under one of its tasks", r.ID)
 			}
 		default:
 			return false
@@ -80,8 +80,8 @@
 	return true
 }
 
-// endedUnder reports whether two workers have ended under one task of a job.
-func (m *model) endedUnder(r *job.Record) bool {
+// crashedUnder reports whether two workers have crashed under one task of a job.
+func (m *model) crashedUnder(r *job.Record) bool {
 	for task, crashes := range m.crashes {
 		if strings.HasPrefix(task, r.ID) && crashes >= crashesAlone {
 			return true
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -50,7 +50,7 @@
 	late   []func()
 	open   map[string]string
 	done   map[string]bool
-	// crashes counts the workers that ended under a task.
+	// crashes counts the workers that crashed under a task.
 	crashes map[string]int
 }
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -60,7 +60,7 @@
 	need := s.step.Occupied()
 	nearOnly := c.waitsForNear(s, room, now)
 	for _, w := range c.allowed(s, room, now) {
-		if !w.open(s.job) || !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
+		if !w.openTo(s.job) || !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
 			continue
 		}
 		ticket := ""
@@ -142,7 +142,7 @@
 			return
 		}
 		t := s.tasks[index]
-		if t.suspicion.pauses(now) {
+		if t.crashes.pauses(now) {
 			continue
 		}
 		at := c.pick(s, t, fitting, now)
@@ -165,14 +165,13 @@
 // that avoided only the last one went from one to the other until its attempts were
 // used up.
 func (c *Cell) pick(s *stage, t *task, fitting []candidate, now time.Time) int {
-	if t.suspicion.any() {
-		return c.pickForTrial(s, t, fitting, now)
+	if t.crashes.any() {
+		return c.pickIsolated(s, t, fitting, now)
 	}
-	need := s.step.Occupied()
 	second := -1
 	for i := range fitting {
 		w := fitting[i].w
-		if !need.Fits(w.free()) || !c.eligible(s, w) || !t.mayTake(w) || !c.leftFor(s, w, now) {
+		if !c.takesNow(s, t, w, now) {
 			continue
 		}
 		if !slices.Contains(t.failedOn, w.ID) {
@@ -185,6 +184,11 @@
 	return second
 }
 
+// takesNow reports whether a worker has room for a task, and it may take that.
+func (c *Cell) takesNow(s *stage, t *task, w *worker, now time.Time) bool {
+	return s.step.Occupied().Fits(w.free()) && c.eligible(s, w) && t.mayTake(w) && c.leftFor(s, w, now)
+}
+
 // placeGang starts all tasks of a gang or none: members that wait for others
 // hold room for nothing.
 func (c *Cell) placeGang(s *stage, room *room, fitting []candidate, now time.Time) {
@@ -258,7 +262,7 @@
 	t.attempts = append(t.attempts, a)
 	t.stage.takeIdle(t.index)
 	on.w.add(a)
-	c.beginTrial(a)
+	c.isolate(a)
 	if r := on.w.reserved; r != nil && r.stage == t.stage {
 		on.w.reserved = nil
 	} else if r != nil {
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -30,7 +30,7 @@
 		if wanted == 0 {
 			return
 		}
-		if !w.open(s.job) || !c.eligible(s, w) {
+		if !w.openTo(s.job) || !c.eligible(s, w) {
 			continue
 		}
 		if victim := c.victim(s, w, now); victim != nil {
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -30,7 +30,7 @@
 		}
 		if len(t.failedRuns) > 0 || t.saved != "" || t.lastRun > 0 {
 			p.Tasks = append(p.Tasks, job.TaskProgress{Index: t.index, FailedRuns: t.failedRuns,
-				LastRun: t.lastRun, Saved: t.saved, CrashedRuns: slices.Clone(t.suspicion.crashed), CrashedAtOnce: t.suspicion.atOnce, LostRuns: slices.Clone(t.suspicion.open)})
+				LastRun: t.lastRun, Saved: t.saved, CrashedRuns: slices.Clone(t.crashes.crashed), CrashedAtOnce: t.crashes.atOnce, LostRuns: slices.Clone(t.crashes.silent)})
 		}
 	}
 	return p, len(p.Done) > 0 || len(p.Tasks) > 0
@@ -68,6 +68,6 @@
 		t.failedRuns = kept.FailedRuns
 		t.lastRun = kept.LastRun
 		t.saved = kept.Saved
-		t.suspicion = suspicion{crashed: kept.CrashedRuns, atOnce: kept.CrashedAtOnce, open: kept.LostRuns, lostAt: now}
+		t.crashes = crashHistory{crashed: kept.CrashedRuns, atOnce: kept.CrashedAtOnce, silent: kept.LostRuns, lostAt: now}
 	}
 }
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		w.usableIn = c.pass
-		w.trial = nil
+		w.isolatedFor = nil
 		r.usable = append(r.usable, w)
 		r.total += w.Capacity.MilliCPU
 		free := w.free()
@@ -57,7 +57,7 @@
 		r.least = r.least.Min(w.Capacity)
 	}
 	c.usableBuffer = r.usable
-	c.markTrials()
+	c.markIsolated()
 	return r
 }
 
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -48,7 +48,7 @@
 	}
 	w := c.workers[r.ID]
 	if w == nil {
-		c.crashedAt(r.Address, r.ID, now)
+		c.replacedAt(r.Address, r.ID, now)
 		w = newWorker(r)
 		w.accounted = c.inheritedAll
 		c.workers[r.ID] = w
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -8,7 +8,7 @@
 	Done   uint64
 	Failed uint64
 	Lost   uint64
-	// GivenUp counts the jobs that were ended because a task ends its workers.
+	// GivenUp counts the jobs that were ended because of a poison task.
 	GivenUp      uint64
 	Stops        uint64
 	Preemptions  uint64
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -22,8 +22,8 @@
 	saved      string
 	// percent is how far the run with that checkpoint had come, as far as is known.
 	percent int
-	// suspicion is what speaks for it ending its workers.
-	suspicion suspicion
+	// crashes tells of the workers that were lost while it was starting.
+	crashes crashHistory
 	// failedOn are the workers of failed runs, avoided for the next ones.
 	failedOn []string
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -55,8 +55,8 @@
 	health     health
 	// reserved keeps the worker's room for a large task, or is nil.
 	reserved *reservation
-	// trial is the job of which a task under suspicion is starting here, or nil.
-	trial *jobState
+	// isolatedFor is the job of which a task with a crash history is starting here, or nil.
+	isolatedFor *jobState
 	// usableIn is the last planning pass in which the worker was usable.
 	usableIn uint64
 	// fillers and servers count runs that fill and runs with a tail target.
--- a/internal/job/task_progress.go
+++ b/internal/job/task_progress.go
@@ -10,7 +10,7 @@
 	LastRun uint64 `cbor:"4,keyasint,omitempty"`
 	// Saved is the last checkpoint, or empty.
 	Saved string `cbor:"5,keyasint,omitempty"`
-	// CrashedRuns are the runs under which a worker ended, LostRuns those whose worker
+	// CrashedRuns are the runs under which a worker crashed, LostRuns those whose worker
 	// fell silent while they were starting.
 	CrashedRuns []uint64 `cbor:"6,keyasint,omitempty"`
 	LostRuns    []uint64 `cbor:"7,keyasint,omitempty"`
--- a/internal/planner/restarts.go
+++ b/internal/planner/restarts.go
@@ -18,7 +18,7 @@
 
 // restarted handles an attempt that went with its worker's process.
 //
-// What can go wrong: a task ends the process of each worker that starts it, and with it
+// What can go wrong: a task crashes each worker that starts it, and with it
 // all that runs there. It shows as "task_vanished ... the worker restarted" of one task,
 // attempt after attempt. Such restarts are therefore counted with the task; it waits
 // before it starts again, and unless it is a service it is given up.
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -27,7 +27,7 @@
 	return restarts
 }
 
-// A task of a batch ended the process of each worker that started it, and was started
+// A task of a batch crashed each worker that started it, and was started
 // again at once on the next one, a hundred times in ten seconds. "task_vanished ... the
 // worker restarted" of one task, attempt after attempt, showed it: attempts that went with
 // their worker counted against nothing.
@@ -44,7 +44,7 @@
 	s.expectState("bad", run.Failed)
 }
 
-// A service is never given up, so one that ends its workers is started with longer and
+// A service is never given up, so one that restarts its workers is started with longer and
 // longer waits between, up to a minute: at most seven times in the first minute.
 func TestAServiceThatRestartsItsWorkersWaits(t *testing.T) {
 	s := newSite(t, 4, fourCores, teams+"services:\n  - name: bad\n    team: a\n    resources: {cpu: 1, memory: 1GiB}\n")
@@ -59,7 +59,7 @@
 }
 
 // A worker restarts under tasks that have worked there for a while, three times in a row
-// on different workers: they are victims, and the batch is done in the end.
+// on different workers: they are not at fault, and the batch is done in the end.
 func TestTasksThatWorkedAreVictimsOfARestart(t *testing.T) {
 	s := newSite(t, 4, fourCores, teams+work("batches", "good", "a", 2, 1, "    retries: 0\n"))
 	for range 4 {
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -37,7 +37,7 @@
 	case "completed":
 		return !s.fails
 	case "failed":
-		return s.fails || j.EndedUnder(s.id)
+		return s.fails || j.CrashedUnder(s.id)
 	}
 	return false
 }
@@ -107,8 +107,8 @@
 	c.jobs = append(c.jobs, submission{id, queue, result, fails})
 }
 
-// submitCulprit submits a job of one task that ends each worker that starts it.
-func (c *callers) submitCulprit(rnd *rand.Rand) {
+// submitPoison submits a job of one task that crashes each worker that starts it.
+func (c *callers) submitPoison(rnd *rand.Rand) {
 	id := fmt.Sprintf("%08x%08x", rnd.Uint32(), rnd.Uint32())
 	c.submit(id, "plain", fmt.Sprintf(`{"spec":"crash","steps":[{"count":1,"cpu":%d,"mem_mb":10,"estimate_ms":200}]}`, taskCPU), true, rnd)
 }
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -108,19 +108,19 @@
 		pause(rnd, 500, 3000)
 		peer.Delay(0)
 	}},
-	culprit,
+	poison,
 }
 
-// culprit submits a job whose task ends each worker that starts it.
-var culprit = fault{"a task ends its workers", func(w *world, rnd *rand.Rand) { w.callers.submitCulprit(rnd) }}
+// poison submits a job whose task crashes each worker that starts it.
+var poison = fault{"a task crashes its workers", func(w *world, rnd *rand.Rand) { w.callers.submitPoison(rnd) }}
 
 // beforePeerFaults is how many faults there were before those between instances. A seed
 // draws from the list as long as it was when the seed failed.
 const beforePeerFaults = 14
 
-// culpritShare is how many times as likely as another fault a culprit is in the seeds for
-// culprits: several of them are in each.
-const culpritShare = 6
+// poisonShare is how many times as likely as another fault a poison task is in the seeds
+// for them: several of them are in each.
+const poisonShare = 6
 
 // play injects some of the faults until ctx ends, several at a time, and returns their
 // names in order.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// TestSoakCulprits plays the seeds with tasks that end their workers beside all else.
-func TestSoakCulprits(t *testing.T) {
-	soakSeeds(t, slices.Concat(faults, slices.Repeat([]fault{culprit}, culpritShare)))
+// TestSoakPoison plays the seeds with poison tasks beside all else.
+func TestSoakPoison(t *testing.T) {
+	soakSeeds(t, slices.Concat(faults, slices.Repeat([]fault{poison}, poisonShare)))
 }
 
 // regressions are the seeds that ever failed, with the number of faults that they drew
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -20,7 +20,7 @@
 	workerCPU   = 8000
 	taskCPU     = 1000
 	callersHost = "desk.example"
-	// workerAway is how long a worker that a task ended is away.
+	// workerAway is how long a worker that a task crashed is away.
 	workerAway = time.Second
 )
 
