Failing test: a worker whose entry lapses alone gets tasks for a room that may have shrunk

Found by reading: a worker that is cut from the store cannot say that its room has shrunk, and is used for four seconds after its entry has lapsed, as in an outage of the store for everybody.

--- a/internal/cell/shrink_test.go
+++ b/internal/cell/shrink_test.go
@@ -86,3 +86,42 @@
 		t.Errorf("%d jobs are not done", left)
 	}
 }
+
+// A worker lost the store and not its owner. Its room shrank; it could not say so, and after
+// three heartbeats its entry lapsed, while those of the others were renewed. For four
+// seconds more it got tasks for the room that it had had, as if the store had been away
+// for all.
+func TestAWorkerWhoseEntryLapsesAloneGetsNothingNew(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	for range 6 {
+		s.pass(700 * time.Millisecond)
+		s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{usualWorker("a")}}, s.now)
+		s.report("a")
+		s.report("b")
+	}
+	s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{usualWorker("a")}, Removed: []string{"b"}}, s.now)
+	s.cell.Add(s.record(1, step(20)), true)
+	for task, order := range s.plan() {
+		if order.Worker.ID == "b" {
+			t.Errorf("%s was started on the worker whose entry has lapsed", task)
+		}
+	}
+}
+
+// All entries lapse while the store is away. Their workers answer their owner, are back in
+// the list within two seconds, and are used meanwhile.
+func TestWorkersWhoseEntriesLapseInAnOutageStayInUse(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{usualWorker("a"), usualWorker("b")}}, s.now)
+	s.pass(6 * time.Second)
+	s.report("a")
+	s.report("b")
+	s.cell.UpdateRoster(roster.Change{Removed: []string{"a", "b"}}, s.now)
+	s.pass(time.Second)
+	s.report("a")
+	s.report("b")
+	s.cell.Add(s.record(1, step(20)), true)
+	if got := len(s.plan()); got != 20 {
+		t.Errorf("%d of 20 tasks were started", got)
+	}
+}
