A worker whose entry lapses alone gets nothing new

Callers would have seen a worker over its room: it was cut from the store, shrank, and got tasks for its old room for four seconds after its entry had lapsed. Cause: the grace that entries have which lapse in an outage of the store was given to all.

An entry now counts as lapsed in an outage if there was no news of any worker for two seconds before; all of them renew every second or two. Others get nothing new at once; what runs there goes on as before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -46,6 +46,7 @@
 	// fenced says that the earlier owner can start nothing any more.
 	fenced    bool
 	durations durations
+	news      rosterNews
 	// questions are those to the adviser that are under way.
 	questions questions
 	known     knownWorkers
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -10,6 +10,7 @@
 func (c *Cell) SetRoster(all []roster.Worker, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.news.came(now)
 	listed := map[string]bool{}
 	for _, r := range all {
 		listed[r.ID] = true
@@ -31,6 +32,7 @@
 func (c *Cell) UpdateRoster(change roster.Change, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.news.came(now)
 	for _, r := range change.Workers {
 		c.register(r, now)
 	}
@@ -72,6 +74,7 @@
 func (c *Cell) unregister(w *worker, now time.Time) {
 	if w.unlistedAt.IsZero() {
 		w.unlistedAt = now
+		w.lapsedInOutage = c.news.inOutage(now)
 		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_unlisted")
 	}
 }
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -52,8 +52,9 @@
 	shortLook = 300 * time.Millisecond
 	// lookSlack is added to the time at which the next end is expected.
 	lookSlack = 150 * time.Millisecond
-	// unlistedGrace keeps a worker usable that vanished from the roster but still
-	// answers: entries lapse during outages of the store and return within 2 s.
+	// unlistedGrace keeps a worker in the books that vanished from the roster but still
+	// answers, and usable if its entry lapsed in an outage of the store: those return
+	// within 2 s.
 	unlistedGrace = 4 * time.Second
 	// ticketMargin is taken off a ticket's validity for the way to the worker.
 	ticketMargin = 250 * time.Millisecond
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -49,10 +49,12 @@
 	// seen is the highest end taken in; acked the highest that is stored.
 	seen  uint64
 	acked uint64
-	// unlistedAt is when it vanished from the roster, or zero.
-	unlistedAt time.Time
-	drainSeen  time.Time
-	health     health
+	// unlistedAt is when it vanished from the roster, or zero; lapsedInOutage says that the
+	// store had been away then.
+	unlistedAt     time.Time
+	lapsedInOutage bool
+	drainSeen      time.Time
+	health         health
 	// reserved keeps the worker's room for a large task, or is nil.
 	reserved *reservation
 	// isolatedFor is the job of which a task with a crash history is starting here, or nil.
@@ -106,7 +108,7 @@
 	if !w.reported || !w.saved || w.closed || w.Draining || w.evacuating || now.Sub(w.lastReport) > reportFresh {
 		return false
 	}
-	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace {
+	if !w.unlistedAt.IsZero() && (!w.lapsedInOutage || now.Sub(w.unlistedAt) > unlistedGrace) {
 		return false
 	}
 	return !w.health.avoided(now)
