--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -111,6 +111,10 @@
 			w.backAfter = 12 * time.Second
 			return nil
 		},
+		"back elsewhere": func(w *crashWorld) func() {
+			w.elsewhere = true
+			return nil
+		},
 		"starts unanswered": func(w *crashWorld) func() {
 			w.answersLost = true
 			return nil
--- a/internal/cell/crash_worker_test.go
+++ b/internal/cell/crash_worker_test.go
@@ -79,6 +79,9 @@
 	w.lives++
 	r := old.roster
 	r.ID = fmt.Sprintf("%s-%d", r.Address, w.lives)
+	if w.elsewhere {
+		r.Address = fmt.Sprintf("elsewhere-%d:1", w.lives)
+	}
 	w.workers[r.ID] = &loadWorker{roster: r, runs: map[string]*loadRun{}}
 	w.states[r.ID] = &crashWorker{lease: w.now}
 	w.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{r}, Removed: []string{id}}, w.now)
@@ -89,7 +92,7 @@
 	_, look, ok := w.cell.NextLook(id, w.now)
 	switch {
 	case !ok:
-	case state.replaced:
+	case state.replaced && !w.elsewhere:
 		w.cell.LookFailed(id, runner.ErrGone, w.now)
 	case state.cut || !state.backAt.IsZero():
 		w.cell.LookFailed(id, runner.ErrNoAnswer, w.now)
--- a/internal/cell/crash_world_test.go
+++ b/internal/cell/crash_world_test.go
@@ -30,6 +30,9 @@
 	poison map[string]bool
 	// backAfter is how long a worker is away.
 	backAfter time.Duration
+	// elsewhere says that a worker comes back at another address; the one that it had
+	// stays silent.
+	elsewhere bool
 	// answersLost says that the start of a poison task is not answered.
 	answersLost bool
 	// storeAway says that nothing can be stored.
