After five lost workers a task is not started again

Five lost workers under one starting task are now enough, whatever became of them, so no task is started more than five times over lost workers that its owner knows of.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -99,6 +99,18 @@
 	c.end(j, job.Failed, now)
 }
 
+// giveUpHopeless gives a stage's job up if one of its idle tasks must not be started again,
+// and reports whether it did.
+func (c *Cell) giveUpHopeless(s *stage, now time.Time) bool {
+	for _, index := range s.idle {
+		if s.tasks[index].crashes.isHopeless() {
+			c.giveUp(s.tasks[index], now)
+			return true
+		}
+	}
+	return false
+}
+
 // replacedAt takes in that a worker has registered at an address: the ones before it there
 // have crashed if they were lost.
 func (c *Cell) replacedAt(address, id string, now time.Time) {
--- a/internal/cell/crash_history.go
+++ b/internal/cell/crash_history.go
@@ -16,6 +16,9 @@
 	// atOnceWithin is how soon after a start its worker falls silent if the task crashes
 	// it: one call, and a look that breaks off.
 	atOnceWithin = 100 * time.Millisecond
+	// mostLosses is after how many lost workers a task is given up although it is not known
+	// of all that they crashed: they may be back elsewhere, or never.
+	mostLosses = 5
 	// manyLosses is from how many lost workers on it does not matter whether they had
 	// confirmed the starts.
 	manyLosses = 3
@@ -91,6 +94,10 @@
 	return now.Sub(h.lostAt) < pause
 }
 
+// isHopeless reports whether so many workers were lost that the task must not be started
+// again, whatever became of them.
+func (h *crashHistory) isHopeless() bool { return h.losses() >= mostLosses }
+
 // lostMany reports whether so many workers were lost that a start without an answer counts
 // like one that was confirmed.
 func (h *crashHistory) lostMany() bool { return h.losses() >= manyLosses }
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -40,7 +40,7 @@
 		if s.readyAt.IsZero() {
 			s.readyAt = now
 		}
-		if c.heldBack(s) || s.pauses(now) {
+		if c.heldBack(s) || s.job.final != "" || c.giveUpHopeless(s, now) || s.pauses(now) {
 			continue
 		}
 		c.placeStage(s, room, now)
