--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -40,6 +40,7 @@
 		lost.suspect(a)
 		c.known.changed(w.ID)
 		if a.task.crashes.workerSilent(a.run, now) {
+			a.task.stage.lostWorkers = true
 			c.dirty[a.task.stage.job] = struct{}{}
 			c.isolateOthers(a)
 		}
@@ -102,6 +103,9 @@
 // giveUpHopeless gives a stage's job up if one of its idle tasks must not be started again,
 // and reports whether it did.
 func (c *Cell) giveUpHopeless(s *stage, now time.Time) bool {
+	if !s.lostWorkers {
+		return false
+	}
 	for _, index := range s.idle {
 		if s.tasks[index].crashes.isHopeless() {
 			c.giveUp(s.tasks[index], now)
--- a/internal/cell/isolation.go
+++ b/internal/cell/isolation.go
@@ -103,7 +103,7 @@
 
 // leastAtRisk sorts the candidates for a gang of which a task has a crash history.
 func (s *stage) leastAtRisk(fitting []candidate) []candidate {
-	if !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.crashes.any() }) {
+	if !s.lostWorkers || !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.crashes.any() }) {
 		return fitting
 	}
 	sorted := slices.Clone(fitting)
@@ -114,6 +114,9 @@
 // pauses reports whether a stage has nothing to start now because workers were lost under
 // its tasks time and again. A gang starts whole.
 func (s *stage) pauses(now time.Time) bool {
+	if !s.lostWorkers {
+		return false
+	}
 	pausing := 0
 	for _, index := range s.idle {
 		if s.tasks[index].crashes.pauses(now) {
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -69,5 +69,6 @@
 		t.lastRun = kept.LastRun
 		t.saved = kept.Saved
 		t.crashes = crashHistory{crashed: kept.CrashedRuns, atOnce: kept.CrashedAtOnce, silent: kept.LostRuns, lostAt: now}
+		s.lostWorkers = s.lostWorkers || t.crashes.any()
 	}
 }
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -29,6 +29,9 @@
 	advice    adviceBook
 	// fresh says that no earlier owner can have started the stage.
 	fresh bool
+	// lostWorkers says that a worker was lost while one of its tasks was starting. Few
+	// stages are, so the others' tasks need not be looked through in each planning pass.
+	lostWorkers bool
 	// preempting is how many runs are being stopped to make room for the stage.
 	preempting int
 	// preemptedAt is when victims were last looked for.
