An owner that reaches no worker suspects nobody

Its link is full, most workers are silent for a moment time and again, and all runs that were starting became suspects, were stored as such and kept apart from others.

While more than half of the workers are silent, nobody is suspected; a worker that is known to have crashed still has suspects, as its runs are in the books then. The choice of a worker for an isolated run stops at the first empty one.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -61,8 +61,11 @@
 	// another job is started.
 	lost     map[string]*lostWorker
 	silences silences
-	isolated map[*attempt]struct{}
-	stats    Stats
+	// ownSilence says that this owner reaches few workers, so that their silence tells
+	// nothing of them.
+	ownSilence bool
+	isolated   map[*attempt]struct{}
+	stats      Stats
 	// backlogs are those worked out at backlogsAt.
 	backlogs   []admission.Backlog
 	backlogsAt time.Time
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -13,8 +13,34 @@
 // takes the knowledge with it.
 const failedLooks = 2
 
+// ownSilenceShare is from which share of silent workers on the silence is the owner's own.
+const ownSilenceShare = 0.5
+
+// isolatedFromWorkers reports whether so many workers are silent that it is this owner that
+// reaches none.
+//
+// What can go wrong: the link of a small machine is full, and no worker is heard for a
+// moment. All runs that were starting would be suspects, and each kept apart from others
+// afterwards, on top of the load. It shows as "worker_silent" of most workers.
+func (c *Cell) isolatedFromWorkers() bool {
+	silent, awake := 0, 0
+	for _, w := range c.workers {
+		if w.parked {
+			continue
+		}
+		awake++
+		if !w.failingAt.IsZero() {
+			silent++
+		}
+	}
+	return float64(silent) > ownSilenceShare*float64(awake)
+}
+
 // watchSilence notes the suspects on a worker that has fallen silent.
 func (c *Cell) watchSilence(w *worker, now time.Time) {
+	if c.ownSilence {
+		return
+	}
 	if (w.silent(now) || w.failedLooks >= failedLooks) && c.lost[w.ID] == nil {
 		c.noteSuspects(w, now)
 	}
--- a/internal/cell/crash_blame_test.go
+++ b/internal/cell/crash_blame_test.go
@@ -160,3 +160,31 @@
 	}
 	w.checkState(id, job.Completed)
 }
+
+// The owner's own link is full, and no worker answers it for half a second, again and again.
+// The workers are well: no task of theirs gets a crash history, and nothing is kept apart.
+func TestAnOwnerThatReachesNoWorkerSuspectsNobody(t *testing.T) {
+	w := newCrashWorld(t, 12)
+	var others []string
+	suspects := 0
+	w.run(20*time.Second, func() {
+		if w.rnd.Intn(10) == 0 && w.now.Sub(siteStart) < 12*time.Second {
+			others = append(others, w.submit(0, mayRunTwice(6)))
+		}
+		unreached := w.now.Sub(siteStart)%(2*time.Second) < 500*time.Millisecond && w.now.Sub(siteStart) < 12*time.Second
+		for _, state := range w.states {
+			state.cut = unreached
+		}
+		for _, j := range w.cell.active {
+			for _, task := range j.stages[0].tasks {
+				suspects += task.crashes.losses()
+			}
+		}
+	})
+	if suspects > 0 {
+		t.Error("runs became suspects while the owner reached no worker")
+	}
+	for _, id := range others {
+		w.checkState(id, job.Completed)
+	}
+}
--- a/internal/cell/isolation.go
+++ b/internal/cell/isolation.go
@@ -89,12 +89,17 @@
 // risk, or -1.
 func (c *Cell) pickIsolated(s *stage, t *task, fitting []candidate, now time.Time) int {
 	best, least := -1, 0
-	for i := range fitting {
+	// The emptiest come last.
+	for i := len(fitting) - 1; i >= 0; i-- {
 		w := fitting[i].w
 		if !c.takesNow(s, t, w, now) {
 			continue
 		}
-		if n := w.atRisk(s.job); best < 0 || n < least {
+		n := w.atRisk(s.job)
+		if n == 0 {
+			return i
+		}
+		if best < 0 || n < least {
 			best, least = i, n
 		}
 	}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -14,6 +14,7 @@
 	c.recover(now)
 	if now.Sub(c.watchedAt) >= watchPeriod {
 		c.watchedAt = now
+		c.ownSilence = c.isolatedFromWorkers()
 		for _, w := range c.workers {
 			c.watch(w, now)
 		}
