Failing test: a closed relay still has orders under way

Server.Close closes the connections and returns; what they had begun goes on. In the product the instance says instance_stopped, and ends its other servers, while orders are under way.

--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -24,8 +24,10 @@
 	starts []runner.Start
 	stops  []runner.Stop
 	looks  int
-	// hang has starts wait until their time is over; fail is what they return.
+	// hang has starts wait until their time is over, and over counts those that were
+	// done then; fail is what they return.
 	hang bool
+	over int
 	fail error
 }
 
@@ -44,6 +46,10 @@
 	f.mu.Unlock()
 	if hang {
 		<-ctx.Done()
+		time.Sleep(20 * time.Millisecond) // a worker's connection takes a while to close
+		f.mu.Lock()
+		f.over++
+		f.mu.Unlock()
 		return runner.Answer{}, errors.Join(runner.ErrNoAnswer, ctx.Err())
 	}
 	return runner.Answer{Clock: time.Second}, fail
@@ -262,6 +268,31 @@
 	}
 }
 
+// An instance reported that it had stopped while orders of its links were still under way:
+// closing the relay closed the connections and did not wait for what they had begun.
+// The race detector showed it, a write of relay_link_over after the end of a test:
+// "Previous write by goroutine 7017: testing.tRunner.func1()".
+func TestClosedRelayHasNothingUnderWay(t *testing.T) {
+	s := newSite(t)
+	s.workers.hang = true
+	l := s.link(t)
+	done := make(chan result, 1)
+	go func() { done <- l.do(within(t), callTo(w1, startOf("a", 1))) }()
+	for end := time.Now().Add(20 * time.Second); len(s.workers.started()) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	s.server.Close()
+	s.workers.mu.Lock()
+	over := s.workers.over
+	s.workers.mu.Unlock()
+	if over != 1 {
+		t.Errorf("%d of 1 starts are over", over)
+	}
+	if got := <-done; !errors.Is(got.err, runner.ErrNoAnswer) {
+		t.Errorf("got %v", got.err)
+	}
+}
+
 func TestAdviceIsAskedThroughARelay(t *testing.T) {
 	s := newSite(t)
 	l := s.link(t)
