A closed relay has nothing under way

Cause: Server.Close closed the connections and returned. The handlers, which net/http no longer waits for once a connection is taken over, went on. Close now waits for the handlers; their context ends with the connection, so calls to workers end with it. A link that has ended takes in no more replies.

--- a/internal/relay/link_frames.go
+++ b/internal/relay/link_frames.go
@@ -92,6 +92,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ended {
+		return nil // the calls have their results
+	}
 	l.heardAt = time.Now()
 	if r.Leaving {
 		l.leaving = true
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -25,6 +25,9 @@
 	heardAt  time.Time
 	sessions map[*session]struct{}
 	leaving  bool
+	// handlers are the calls of ServeHTTP; those that begin after leaving is set have
+	// nothing to end.
+	handlers sync.WaitGroup
 }
 
 // NewServer returns a server that reaches workers and the adviser through clients.
@@ -38,10 +41,11 @@
 		http.Error(w, "this address takes links of other instances", http.StatusUpgradeRequired)
 		return
 	}
-	if s.isLeaving() {
+	if !s.enter() {
 		http.Error(w, "this instance is stopping", http.StatusServiceUnavailable)
 		return
 	}
+	defer s.handlers.Done()
 	conn, err := takeOver(w)
 	if err != nil {
 		s.log.WithField("from", r.RemoteAddr).WithError(err).Info("relay_link_refused")
@@ -87,8 +91,18 @@
 	}
 }
 
-// Close ends all links. Leave should be called some time before.
+// Close ends all links, and returns when nothing of them is under way. Leave should be
+// called some time before.
+//
+// What can go wrong: an order of a closed link is still on its way to a worker when the
+// instance says that it has stopped. It shows as log lines of links after that one.
+// Waiting for the handlers, whose context has ended, prevents it.
 func (s *Server) Close() {
+	s.closeSessions()
+	s.handlers.Wait()
+}
+
+func (s *Server) closeSessions() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
@@ -97,10 +111,14 @@
 	}
 }
 
-func (s *Server) isLeaving() bool {
+// enter counts a handler, unless this instance is stopping.
+func (s *Server) enter() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leaving
+	if !s.leaving {
+		s.handlers.Add(1)
+	}
+	return !s.leaving
 }
 
 func (s *Server) add(one *session) bool {
