A read of news that comes is not given up

A page of up to 500 rows takes a link of 2 Mbit/s a second or more. One second in which the link was full was enough: the page that had to be read was then too long, was given up, read again from its beginning, and grew by the heartbeats of 141 workers meanwhile. The reads that were given up took 115 of 250 KB/s, in bursts, so that every order waited some 0.45 s behind them, commits found no connection, and ends were reported again and again. The owner also counted the store as lost, which calls for a take-over.

--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -19,6 +19,9 @@
 	rosterPeriod = 400 * time.Millisecond
 	// readTimeout bounds one read; a slow store needs some 250 ms.
 	readTimeout = time.Second
+	// newsTimeout bounds one read of what has changed. The store's client gives it up
+	// earlier if nothing comes; a full page takes a small link seconds.
+	newsTimeout = 4 * time.Second
 	// reloadTimeout bounds a read of all jobs, some four rounds of reads.
 	reloadTimeout = 4 * readTimeout
 )
@@ -26,7 +29,7 @@
 // followJobs takes in jobs and cancellations from the store.
 func (o *Owner) followJobs(ctx context.Context) {
 	for ; ctx.Err() == nil; o.awaitJobs(ctx) {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, newsTimeout)
 		page, err := o.deps.Store.Changes(callCtx, celljobs.TableJobs, o.jobsVersion, 0)
 		cancel()
 		switch {
@@ -150,7 +153,7 @@
 
 // readRosterPage reads one page and reports whether there may be more.
 func (o *Owner) readRosterPage(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, newsTimeout)
 	defer cancel()
 	change, err := o.deps.Roster.Since(callCtx, o.rosterVersion, 0)
 	if errors.Is(err, store.ErrHistoryGone) {
