--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -40,7 +40,9 @@
 	// jobsVersion and rosterVersion are where the feeds resume.
 	jobsVersion   uint64
 	rosterVersion uint64
-	commitMu      sync.Mutex
+	// rosterAt is when the roster, or the news of it, was read last.
+	rosterAt time.Time
+	commitMu sync.Mutex
 	// sequence is the version of the sequence row.
 	sequence uint64
 	patience *patience.Patience
@@ -57,7 +59,7 @@
 		waits: waits,
 		deps:  deps, claim: claim, term: s.Term, cell: cell.New(s, time.Now(), deps.Log),
 		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1), kickJobs: make(chan struct{}, 1),
-		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{},
+		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{}, rosterAt: time.Now(),
 	}
 }
 
@@ -100,7 +102,7 @@
 		return err
 	}
 	o.jobsVersion = kept.jobsVersion
-	o.rosterVersion = kept.roster.Version
+	o.rosterVersion, o.rosterAt = kept.roster.Version, time.Now()
 	o.takeIn(kept.jobs, kept.progress)
 	for _, row := range kept.progress {
 		if row.Key == celljobs.SequenceKey {
