Large pages are read over small links

What could be seen: an instance that starts beside a configuration of some hundred kilobytes never has it in force; a new owner reads the same page of progress again and again and loads nothing.

--- a/internal/node/catalog_follower.go
+++ b/internal/node/catalog_follower.go
@@ -22,7 +22,9 @@
 	// lost, so its return has to be noticed soon.
 	catalogRetry = 200 * time.Millisecond
 	catalogProbe = time.Millisecond
-	catalogRead  = time.Second
+	// catalogRead bounds one read of the catalog; the store's client ends one in which
+	// nothing comes.
+	catalogRead = 5 * time.Second
 )
 
 // catalogFollower keeps the catalog in force up to date.
--- a/internal/store/persistent.go
+++ b/internal/store/persistent.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// pageTimeout bounds one attempt to read a page, also in a slow store.
-	pageTimeout = 1500 * time.Millisecond
+	// pageTimeout bounds one attempt to read a page: a small link carries a large one in
+	// four seconds. The store's client ends one in which nothing comes.
+	pageTimeout = 5 * time.Second
 	// pageRetry is the pause after an attempt that the store refused.
 	pageRetry = 100 * time.Millisecond
 )
