--- a/internal/cellowner/follow_test.go
+++ b/internal/cellowner/follow_test.go
@@ -9,6 +9,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"gentianstand/internal/cell"
+	"gentianstand/internal/celljobs"
 	"gentianstand/internal/resource"
 	"gentianstand/internal/roster"
 	"gentianstand/internal/store"
@@ -89,3 +90,30 @@
 		}
 	})
 }
+
+// wide is a store with much in each partition.
+type wide struct{ store.Store }
+
+func (wide) Read(ctx context.Context, _, _, _ string) (store.Page, error) {
+	select {
+	case <-time.After(3 * time.Second):
+		return store.Page{Version: 9}, nil
+	case <-ctx.Done():
+		return store.Page{}, store.ErrUnknown
+	}
+}
+
+// An owner on a small link that had missed more of the news of jobs than the store keeps
+// read all jobs again and again, "jobs_not_reloaded" each four seconds, and heard of no
+// new job from the store any more: the limit was for the whole of a read that the link
+// carries in six.
+func TestAllJobsAreReadOverASmallLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, _ := logtest.NewNullLogger()
+		o := New(cell.Settings{Term: 1}, store.Check{}, Deps{Jobs: celljobs.New(store.NewWatched(wide{}), "cell"), Log: log})
+		o.reloadJobs(t.Context())
+		if o.jobsVersion != 9 {
+			t.Errorf("jobs are known up to version %d", o.jobsVersion)
+		}
+	})
+}
