An owner on a small link reads all jobs again

What was seen: jobs_not_reloaded each four seconds, and jobs whose accepting instance could not tell the owner are not heard of. Cause: all of the read had four seconds; a full link of 2 Mbit/s takes longer.

--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -26,8 +26,8 @@
 	// roster is read instead. Each beat of a worker is a row of the news, and of the roster
 	// the latest one: after two beats the roster is shorter.
 	wholeAfter = 3 * time.Second
-	// reloadTimeout bounds a read of all jobs, some four rounds of reads.
-	reloadTimeout = 4 * readTimeout
+	// reloadTimeout bounds a read of all jobs: as much as a new owner reads.
+	reloadTimeout = loadTimeout
 )
 
 // followJobs takes in jobs and cancellations from the store.
