--- a/internal/cellowner/condense_test.go
+++ b/internal/cellowner/condense_test.go
@@ -1,9 +1,14 @@
 package cellowner
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/job"
@@ -35,3 +40,35 @@
 		t.Errorf("%d jobs are too many for one write", condenseMany)
 	}
 }
+
+// After the loss of an owner on a small link nothing was started for six seconds, and all
+// leases ran out meanwhile. Its successor had the roster after 0.2 s, the progress after
+// 0.4 s, and the records after 2.7 s: 257 KB of 322 jobs, of which 229 had ended. Ended jobs
+// kept their texts and steps for up to 15 s.
+func TestNewOwnersDoNotReadTheTextsOfEndedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, _ := logtest.NewNullLogger()
+		rows := &lateStore{rows: map[string]store.Row{}}
+		const lease = 3 * time.Second
+		o := New(cell.Settings{Term: 1, Lease: lease}, store.Check{}, Deps{Store: rows, Jobs: celljobs.New(store.NewWatched(rows), "cell-0"),
+			Leadership: confirmed{}, Metrics: NewMetrics(metrics.NewSet()), Log: log, AcrossPartitions: true})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go o.condenseLoop(ctx)
+		r := &job.Record{ID: "00000000000000aa", Queue: "q", Service: "desk", MaxAttempts: 1, Spec: "text", Steps: []job.Step{{Count: 3}}, AcceptedAt: time.Now()}
+		o.cell.Add(r, true)
+		o.cell.Cancel(r.ID, time.Now())
+		if got := o.commitOnce(ctx); got != committed {
+			t.Fatalf("commit: %v", got)
+		}
+		time.Sleep(lease)
+		if row, there := rows.rows[celljobs.JobKey(r.ID)]; there {
+			t.Errorf("the record was condensed within a lease: %q", row.Value)
+		}
+		time.Sleep(3 * time.Second)
+		kept, err := job.DecodeRecord(rows.rows[celljobs.JobKey(r.ID)].Value)
+		if err != nil || !kept.Ended {
+			t.Errorf("three seconds after the lease the record is %+v, %v", kept, err)
+		}
+	})
+}
