Ended jobs are condensed a second after a lease

What callers saw: after the loss of an owner on a small link nothing is started for six seconds, and everything that ran has lapsed. Cause: its successor read the records of all jobs, most of which had ended and kept their texts and steps for 10 to 15 s.

--- a/internal/cellowner/condense_loop.go
+++ b/internal/cellowner/condense_loop.go
@@ -13,10 +13,11 @@
 const (
 	// condensePeriod is how often ended jobs are condensed; together, as each write has
 	// its price.
-	condensePeriod = 5 * time.Second
-	// condenseAfter is how long ago a job must have ended: longer than a lease reaches, so
-	// that nothing of it runs unseen, and than most callers ask for it.
-	condenseAfter = 10 * time.Second
+	condensePeriod = 2 * time.Second
+	// condenseMargin is how much longer ago than a lease a job must have ended, so that
+	// nothing of it runs unseen. What stands longer is read by the next owner, whose link
+	// may be small, and nothing is started meanwhile.
+	condenseMargin = time.Second
 	// condenseMany is how many jobs one transaction condenses: two rows each, beside the
 	// check of the claim.
 	condenseMany = (store.MaxEntries - 1) / 2
@@ -36,7 +37,7 @@
 // condense stores some ended jobs and reports whether there may be more. What was not
 // stored for certain is stored again later; it makes no difference which form is read.
 func (o *Owner) condense(ctx context.Context) bool {
-	list := o.cell.Condense(condenseAfter, time.Now(), condenseMany)
+	list := o.cell.Condense(o.lease+condenseMargin, time.Now(), condenseMany)
 	if len(list) == 0 {
 		return false
 	}
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -24,6 +24,8 @@
 	claim store.Check
 	// term is the fencing token of this ownership.
 	term uint64
+	// lease is how long an order to a worker reaches.
+	lease time.Duration
 
 	// loops are those under way.
 	loops   sync.WaitGroup
@@ -57,7 +59,7 @@
 	s.Waited = waits.note
 	return &Owner{
 		waits: waits,
-		deps:  deps, claim: claim, term: s.Term, cell: cell.New(s, time.Now(), deps.Log),
+		deps:  deps, claim: claim, term: s.Term, lease: s.Lease, cell: cell.New(s, time.Now(), deps.Log),
 		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1), kickJobs: make(chan struct{}, 1),
 		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{}, rosterAt: time.Now(),
 	}
