--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -22,10 +22,6 @@
 	// newsTimeout bounds one read of what has changed. The store's client gives it up
 	// earlier if nothing comes; a full page takes a small link seconds.
 	newsTimeout = 4 * time.Second
-	// wholeAfter is how long the news of workers may not have been read before the whole
-	// roster is read instead. Each beat of a worker is a row of the news, and of the roster
-	// the latest one: after two beats the roster is shorter.
-	wholeAfter = 3 * time.Second
 	// reloadTimeout bounds a read of all jobs: as much as a new owner reads.
 	reloadTimeout = loadTimeout
 )
@@ -159,39 +155,23 @@
 func (o *Owner) readRosterPage(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, newsTimeout)
 	defer cancel()
-	if time.Since(o.rosterAt) > wholeAfter {
-		o.readWholeRoster(callCtx)
-		return false
-	}
 	change, err := o.deps.Roster.Since(callCtx, o.rosterVersion, 0)
 	if errors.Is(err, store.ErrHistoryGone) {
-		o.readWholeRoster(callCtx)
+		if change, err = o.deps.Roster.All(callCtx); err == nil {
+			o.cell.SetRoster(change.Workers, time.Now())
+			o.rosterVersion = change.Version
+			o.wake()
+		}
 		return false
 	}
 	if err != nil {
 		o.deps.Log.WithError(err).Debug("roster_not_read")
 		return false
 	}
-	o.rosterVersion, o.rosterAt = change.Version, time.Now()
+	o.rosterVersion = change.Version
 	if len(change.Workers)+len(change.Removed) > 0 {
 		o.cell.UpdateRoster(change, time.Now())
 		o.wake()
 	}
 	return change.More && ctx.Err() == nil
 }
-
-// readWholeRoster reads all workers.
-//
-// What can go wrong: the owner is behind with the news, which grows with every beat of every
-// worker for as long as the store keeps it, faster than a small link carries it. It shows
-// as "roster_not_read" without end. The roster does not grow.
-func (o *Owner) readWholeRoster(ctx context.Context) {
-	change, err := o.deps.Roster.All(ctx)
-	if err != nil {
-		o.deps.Log.WithError(err).Info("roster_not_read")
-		return
-	}
-	o.cell.SetRoster(change.Workers, time.Now())
-	o.rosterVersion, o.rosterAt = change.Version, time.Now()
-	o.wake()
-}
--- a/internal/cellowner/follow_test.go
+++ b/internal/cellowner/follow_test.go
@@ -52,45 +52,6 @@
 	}
 }
 
-// behind is a roster whose news is too much to be read.
-type behind struct {
-	roster.Source
-	whole  roster.Change
-	wholes int
-}
-
-func (b *behind) Since(_ context.Context, version uint64, _ time.Duration) (roster.Change, error) {
-	if version < b.whole.Version {
-		return roster.Change{}, store.ErrUnknown
-	}
-	return roster.Change{Version: version}, nil
-}
-
-func (b *behind) All(context.Context) (roster.Change, error) {
-	b.wholes++
-	return b.whole, nil
-}
-
-// An owner that had fallen behind read the news of its workers again and again and never
-// to its end: each worker adds to it with each of its beats, for as long as the store
-// keeps them. The list of the workers does not grow, so it is read when the news has not
-// been read for some beats.
-func TestWholeRosterIsReadWhenTheNewsIsNot(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log, _ := logtest.NewNullLogger()
-		b := &behind{whole: roster.Change{Workers: []roster.Worker{{ID: "a", Service: "desk", Draining: true}}, Version: 9}}
-		o := New(cell.Settings{Term: 1}, store.Check{}, Deps{Roster: b, Log: log})
-		for end := time.Now().Add(10 * time.Second); o.rosterVersion < 9 && time.Now().Before(end); {
-			o.readRoster(t.Context())
-			time.Sleep(rosterPeriod)
-		}
-		o.readRoster(t.Context())
-		if o.rosterVersion != 9 || b.wholes != 1 {
-			t.Errorf("the roster is known up to version %d after %d whole reads", o.rosterVersion, b.wholes)
-		}
-	})
-}
-
 // wide is a store with much in each partition.
 type wide struct{ store.Store }
 
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -42,9 +42,7 @@
 	// jobsVersion and rosterVersion are where the feeds resume.
 	jobsVersion   uint64
 	rosterVersion uint64
-	// rosterAt is when the roster, or the news of it, was read last.
-	rosterAt time.Time
-	commitMu sync.Mutex
+	commitMu      sync.Mutex
 	// sequence is the version of the sequence row.
 	sequence uint64
 	patience *patience.Patience
@@ -61,7 +59,7 @@
 		waits: waits,
 		deps:  deps, claim: claim, term: s.Term, lease: s.Lease, cell: cell.New(s, time.Now(), deps.Log),
 		kick: make(chan struct{}, 1), kickLog: make(chan struct{}, 1), kickJobs: make(chan struct{}, 1),
-		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{}, rosterAt: time.Now(),
+		patience: patience.New(orderPatience), stored: make(chan struct{}), looking: map[string]struct{}{},
 	}
 }
 
@@ -104,7 +102,7 @@
 		return err
 	}
 	o.jobsVersion = kept.jobsVersion
-	o.rosterVersion, o.rosterAt = kept.roster.Version, time.Now()
+	o.rosterVersion = kept.roster.Version
 	o.takeIn(kept.jobs, kept.progress)
 	for _, row := range kept.progress {
 		if row.Key == celljobs.SequenceKey {
