--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -41,6 +41,7 @@
 			// What was stored after another owner read the store is that owner's.
 		default:
 			o.jobsVersion = page.Version
+			o.jobsNews.read(time.Now())
 			o.news(page.Rows)
 		}
 		o.findMissing(ctx)
@@ -109,6 +110,7 @@
 		return
 	}
 	o.jobsVersion = version
+	o.jobsNews.read(time.Now())
 	o.news(rows)
 }
 
@@ -160,6 +162,7 @@
 		if change, err = o.deps.Roster.All(callCtx); err == nil {
 			o.cell.SetRoster(change.Workers, time.Now())
 			o.rosterVersion = change.Version
+			o.workersNews.read(time.Now())
 			o.wake()
 		}
 		return false
@@ -169,6 +172,7 @@
 		return false
 	}
 	o.rosterVersion = change.Version
+	o.workersNews.read(time.Now())
 	if len(change.Workers)+len(change.Removed) > 0 {
 		o.cell.UpdateRoster(change, time.Now())
 		o.wake()
--- a/internal/cellowner/follow_test.go
+++ b/internal/cellowner/follow_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"gentianstand/internal/cell"
@@ -52,6 +53,31 @@
 	}
 }
 
+// mute is a roster whose news cannot be read.
+type mute struct{ roster.Source }
+
+func (mute) Since(context.Context, uint64, time.Duration) (roster.Change, error) {
+	return roster.Change{}, store.ErrUnknown
+}
+
+// An owner that reads no news of its workers says so: nothing in its log had told that it
+// knew them as they were half a minute before.
+func TestOwnerTellsHowOldItsNewsIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, lines := logtest.NewNullLogger()
+		o := New(cell.Settings{Term: 1}, store.Check{}, Deps{Log: log, Metrics: NewMetrics(metrics.NewSet())})
+		o.deps.Roster = &paged{pages: []roster.Change{{Version: 1}}}
+		o.readRoster(t.Context())
+		o.deps.Roster = mute{}
+		time.Sleep(5 * time.Second)
+		o.readRoster(t.Context())
+		o.summarize(time.Now())
+		if got := lines.LastEntry().Data["workers_news_ms"]; got != int64(5000) || o.deps.Metrics.WorkersNewsAge.Get() != 5 {
+			t.Errorf("the news of workers is %v ms old, by the metric %v s", got, o.deps.Metrics.WorkersNewsAge.Get())
+		}
+	})
+}
+
 // wide is a store with much in each partition.
 type wide struct{ store.Store }
 
--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -26,6 +26,9 @@
 	WaitingTasks *metrics.Gauge
 	// ImpossibleTasks are those of WaitingTasks that no known worker may or can run.
 	ImpossibleTasks *metrics.Gauge
+	// JobsNewsAge and WorkersNewsAge are how long ago, in seconds, news of them was read.
+	JobsNewsAge    *metrics.Gauge
+	WorkersNewsAge *metrics.Gauge
 }
 
 // NewMetrics registers the metrics in a set.
@@ -50,5 +53,7 @@
 		FreeShare:         set.NewGauge("gentianstand_cell_free_share", nil),
 		WaitingTasks:      set.NewGauge("gentianstand_cell_waiting_tasks", nil),
 		ImpossibleTasks:   set.NewGauge("gentianstand_cell_impossible_tasks", nil),
+		JobsNewsAge:       set.NewGauge(`gentianstand_cell_news_age_seconds{of="jobs"}`, nil),
+		WorkersNewsAge:    set.NewGauge(`gentianstand_cell_news_age_seconds{of="workers"}`, nil),
 	}
 }
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -42,7 +42,9 @@
 	// jobsVersion and rosterVersion are where the feeds resume.
 	jobsVersion   uint64
 	rosterVersion uint64
-	commitMu      sync.Mutex
+	// jobsNews and workersNews are how old what is known by them is.
+	jobsNews, workersNews newsAge
+	commitMu              sync.Mutex
 	// sequence is the version of the sequence row.
 	sequence uint64
 	patience *patience.Patience
@@ -103,6 +105,8 @@
 	}
 	o.jobsVersion = kept.jobsVersion
 	o.rosterVersion = kept.roster.Version
+	o.jobsNews.read(time.Now())
+	o.workersNews.read(time.Now())
 	o.takeIn(kept.jobs, kept.progress)
 	for _, row := range kept.progress {
 		if row.Key == celljobs.SequenceKey {
