--- a/internal/cellowner/commit_test.go
+++ b/internal/cellowner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 // lateStore applies transactions, or keeps them back and leaves them unanswered.
 type lateStore struct {
 	store.Store
+	mu      sync.Mutex
 	rows    map[string]store.Row
 	version uint64
 	keep    bool
@@ -28,7 +30,17 @@
 	return s.apply(tx)
 }
 
+// row returns a row that an owner may be writing at the same time.
+func (s *lateStore) row(key string) (row store.Row, there bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, there = s.rows[key]
+	return row, there
+}
+
 func (s *lateStore) apply(tx store.Tx) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var now []store.Row
 	changed := false
 	for _, c := range tx.Checks {
--- a/internal/cellowner/condense_test.go
+++ b/internal/cellowner/condense_test.go
@@ -62,13 +62,12 @@
 			t.Fatalf("commit: %v", got)
 		}
 		time.Sleep(lease)
-		synctest.Wait()
-		if row, there := rows.rows[celljobs.JobKey(r.ID)]; there {
+		if row, there := rows.row(celljobs.JobKey(r.ID)); there {
 			t.Errorf("the record was condensed within a lease: %q", row.Value)
 		}
 		time.Sleep(3 * time.Second)
-		synctest.Wait()
-		kept, err := job.DecodeRecord(rows.rows[celljobs.JobKey(r.ID)].Value)
+		row, _ := rows.row(celljobs.JobKey(r.ID))
+		kept, err := job.DecodeRecord(row.Value)
 		if err != nil || !kept.Ended {
 			t.Errorf("three seconds after the lease the record is %+v, %v", kept, err)
 		}
