--- /dev/null
+++ b/internal/entry/operators_test.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/gin-gonic/gin"
+
+	"gentianstand/internal/planner"
+	"gentianstand/internal/run"
+)
+
+// rememberingRuns keeps the context of the last call.
+type rememberingRuns struct {
+	Runs
+	last context.Context
+}
+
+func (r *rememberingRuns) Summaries(ctx context.Context) ([]planner.Summary, error) {
+	r.last = ctx
+	return nil, nil
+}
+
+func (r *rememberingRuns) Run(ctx context.Context, _ string) (run.Run, error) {
+	r.last = ctx
+	return run.Run{}, nil
+}
+
+type requestName struct{}
+
+// A connection to the planner that was still being opened after its operator had been
+// answered read the context of the next operator's request: what handlers passed on is used
+// again for another request. The race detector showed it, a "previous read" in
+// net.(*sysDialer).dialSingle beside a write in (*Engine).ServeHTTP.
+func TestCallsKeepTheirOwnRequest(t *testing.T) {
+	runs := &rememberingRuns{}
+	s := &Server{runs: runs}
+	for name, handler := range map[string]func(*gin.Context) (any, error){"list": s.listRuns, "one": s.getRun} {
+		c, _ := gin.CreateTestContext(httptest.NewRecorder())
+		first := httptest.NewRequest("GET", "/runs", nil)
+		c.Request = first.WithContext(context.WithValue(first.Context(), requestName{}, "first"))
+		if _, err := handler(c); err != nil {
+			t.Fatal(err)
+		}
+		c.Request = first.WithContext(context.WithValue(first.Context(), requestName{}, "second"))
+		if got := runs.last.Value(requestName{}); got != "first" {
+			t.Errorf("%s: the call belongs to request %v", name, got)
+		}
+	}
+}
