Calls of operators' requests keep their own request

Cause: handlers passed gin's context on; a connection that is still being opened when the handler ends reads it later, when gin uses it for another request. Ruled out: the test (any operator's request that needs a new connection can meet it); the entry of callers on the platform, which passes the request's own context. Calls now get the context of their request, without its end: as before, a change goes on when its operator goes away.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -51,6 +52,16 @@
 	}
 }
 
+// callContext returns the context for the calls that a request makes. A change that an
+// operator has asked for goes on when the operator goes away.
+//
+// What can go wrong: a connection that is being opened for a call outlives the handler,
+// and reads the context later. gin uses its own for the next request by then. It shows
+// as a data race, or as a call that ends with another request.
+func callContext(c *gin.Context) context.Context {
+	return context.WithoutCancel(c.Request.Context())
+}
+
 func operator(c *gin.Context) string {
 	name := c.GetHeader(HeaderOperator)
 	if name == "" || len(name) > maxIDLength {
@@ -65,7 +76,7 @@
 		if err != nil {
 			return nil, fault.New(fault.BadRequest, "number is %q; allowed: a whole number", number)
 		}
-		return s.store.Load(c, n)
+		return s.store.Load(callContext(c), n)
 	}
 	rec, _ := s.config.Get()
 	return rec, nil
@@ -94,7 +105,7 @@
 func (s *Server) base(c *gin.Context) (uint64, error) {
 	value := c.Query("base")
 	if value == "" {
-		head, err := s.store.Head(c)
+		head, err := s.store.Head(callContext(c))
 		return head.Number, err
 	}
 	n, err := strconv.ParseUint(value, 10, 64)
@@ -113,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rec, err := s.store.Apply(c, source, operator(c), base)
+	rec, err := s.store.Apply(callContext(c), source, operator(c), base)
 	if err != nil {
 		s.noteRefused(c, audit.Apply, "configuration", base, err)
 		return nil, err
@@ -130,7 +141,7 @@
 func (s *Server) noteRefused(c *gin.Context, action audit.Action, subject string, from uint64, err error) {
 	f := fault.From(err)
 	entry := audit.Entry{At: time.Now().UTC(), By: operator(c), Action: action, Subject: subject, From: from, Outcome: string(f.Kind)}
-	if err := s.trail.Add(c, entry); err != nil {
+	if err := s.trail.Add(callContext(c), entry); err != nil {
 		s.log.WithError(err).Warn("audit_entry_lost")
 	}
 }
@@ -144,16 +155,18 @@
 	return PlanResult{Base: rec.Number, Diff: config.Diff(rec.Text, source), Changes: s.changes(text), Warnings: s.warnings(text)}, nil
 }
 
-func (s *Server) listRuns(c *gin.Context) (any, error) { return s.runs.Summaries(c) }
+func (s *Server) listRuns(c *gin.Context) (any, error) { return s.runs.Summaries(callContext(c)) }
 
-func (s *Server) getRun(c *gin.Context) (any, error) { return s.runs.Run(c, c.Param("id")) }
+func (s *Server) getRun(c *gin.Context) (any, error) {
+	return s.runs.Run(callContext(c), c.Param("id"))
+}
 
 func (s *Server) submitRun(c *gin.Context) (any, error) {
 	key := c.GetHeader(HeaderKey)
 	if len(key) > maxKeyLength {
 		return nil, fault.New(fault.BadRequest, "header %s has %d characters; allowed: at most %d", HeaderKey, len(key), maxKeyLength)
 	}
-	id, err := s.runs.Submit(c, c.Param("name"), key, operator(c))
+	id, err := s.runs.Submit(callContext(c), c.Param("name"), key, operator(c))
 	if err != nil {
 		return nil, err
 	}
@@ -170,7 +183,7 @@
 }
 
 func (s *Server) cancel(c *gin.Context, ids []string, workload, subject string) (any, error) {
-	n, err := s.runs.Cancel(c, ids, workload, operator(c))
+	n, err := s.runs.Cancel(callContext(c), ids, workload, operator(c))
 	if err != nil {
 		return nil, err
 	}
@@ -184,7 +197,7 @@
 // note leaves an entry of a change that was kept elsewhere already.
 func (s *Server) note(c *gin.Context, action audit.Action, subject string) {
 	entry := audit.Entry{At: time.Now().UTC(), By: operator(c), Action: action, Subject: subject, Outcome: audit.Accepted}
-	if err := s.trail.Add(c, entry); err != nil {
+	if err := s.trail.Add(callContext(c), entry); err != nil {
 		s.log.WithError(err).Warn("audit_entry_lost")
 	}
 }
@@ -206,7 +219,7 @@
 		}
 		since = t
 	}
-	entries, err := s.trail.List(c, since, limit)
+	entries, err := s.trail.List(callContext(c), since, limit)
 	if err != nil {
 		return nil, fault.New(fault.PlatformUnavailable, "the audit trail cannot be read: %w", err)
 	}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -45,7 +45,7 @@
 	for _, d := range view.Drains {
 		st.Drains = append(st.Drains, d)
 	}
-	runs, err := s.runs.Summaries(c)
+	runs, err := s.runs.Summaries(callContext(c))
 	if err != nil {
 		st.RunsError = err.Error()
 	}
