--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -118,11 +118,18 @@
 	return l
 }
 
-// awaitStart waits until a start has reached a worker.
-func (s *site) awaitStart() {
+// hangingStart makes a start that its worker does not answer, and returns when it has
+// reached the worker. Its result comes over the channel.
+func (s *site) hangingStart(t *testing.T, l *Link) <-chan result {
+	t.Helper()
+	s.workers.hang = true
+	done := make(chan result, 1)
+	ctx := within(t)
+	go func() { done <- l.do(ctx, callTo(w1, startOf("a", 1))) }()
 	for end := time.Now().Add(20 * time.Second); len(s.workers.started()) == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
+	return done
 }
 
 func logger(t *testing.T) logrus.FieldLogger {
@@ -216,11 +223,8 @@
 // Cause to be ruled out: the order counts as one that was not carried out.
 func TestOrdersOfALostLinkMayHaveBeenCarriedOut(t *testing.T) {
 	s := newSite(t)
-	s.workers.hang = true
 	l := s.link(t)
-	done := make(chan result, 1)
-	go func() { done <- l.do(within(t), callTo(w1, startOf("a", 1))) }()
-	s.awaitStart()
+	done := s.hangingStart(t, l)
 	s.proxy.Close()
 	if got := <-done; !errors.Is(got.err, runner.ErrNoAnswer) || errors.Is(got.err, errNotSent) {
 		t.Errorf("got %v", got.err)
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -29,16 +29,13 @@
 }
 
 // An instance reported that it had stopped while orders of its links were still under way:
-// closing the relay closed the connections and did not wait for what they had begun. Closing now waits.
-// The race detector showed it, a write of relay_link_over after the end of a test:
+// closing the relay closed the connections and did not wait for what they had begun. Closing
+// now waits. The race detector showed it, a write of relay_link_over after the end of a test:
 // "Previous write by goroutine 7017: testing.tRunner.func1()".
 func TestClosedRelayHasNothingUnderWay(t *testing.T) {
 	s := newSite(t)
-	s.workers.hang = true
 	l := s.link(t)
-	done := make(chan result, 1)
-	go func() { done <- l.do(within(t), callTo(w1, startOf("a", 1))) }()
-	s.awaitStart()
+	done := s.hangingStart(t, l)
 	s.server.Close()
 	s.workers.mu.Lock()
 	over := s.workers.over
