--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianstand/internal/runner"
 )
 
@@ -75,6 +77,7 @@
 		c.log.WithFields(workerFields(w)).WithField("silent_ms", now.Sub(w.failingAt).Milliseconds()).Info("worker_answers_again")
 		w.failingAt = time.Time{}
 	}
+	c.logIncarnation(w, report)
 	c.clearSuspects(w.ID)
 	w.failedLooks = 0
 	w.lastReport = now
@@ -103,6 +106,16 @@
 	}
 }
 
+// logIncarnation logs that a worker has started again under its id, and what its report
+// says of ends beside what was taken in of the incarnation before.
+func (c *Cell) logIncarnation(w *worker, report runner.Report) {
+	if w.reportedBorn != 0 && report.Born != w.reportedBorn {
+		c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"now_born": report.Born, "runs": len(w.attempts),
+			"shown": len(report.Running), "listed": len(report.Ended), "seen": w.seen, "acknowledged": w.acked}).Info("worker_restarted")
+	}
+	w.reportedBorn = report.Born
+}
+
 // runKey names a run in a report.
 type runKey struct {
 	task string
@@ -130,14 +143,14 @@
 	}
 	for a := range w.attempts {
 		if !present[a] {
-			c.notShown(a, sentAt, now)
+			c.notShown(a, len(report.Ended), sentAt, now)
 		}
 	}
 	return complete
 }
 
-// notShown deals with a booked run that a report does not show.
-func (c *Cell) notShown(a *attempt, sentAt, now time.Time) {
+// notShown deals with a booked run that a report, which lists some ends, does not show.
+func (c *Cell) notShown(a *attempt, listed int, sentAt, now time.Time) {
 	switch {
 	case !a.stopAnsweredAt.IsZero() && a.stopAnsweredAt.Before(sentAt):
 		// The stop was answered before the look was sent: the run has ended or
@@ -146,7 +159,8 @@
 	case a.phase == running && !a.confirmedAt.IsZero() && a.confirmedAt.Before(sentAt):
 		// The worker confirmed the run earlier, does not show it now and does not
 		// list its end either. Revoking it makes sure before it starts elsewhere.
-		c.log.WithFields(attemptFields(a)).Warn("run_vanished")
+		c.log.WithFields(attemptFields(a)).WithFields(logrus.Fields{"born": a.worker.reportedBorn, "listed": listed,
+			"seen": a.worker.seen, "acknowledged": a.worker.acked}).Warn("run_vanished")
 		c.stop(a, "vanished", now)
 	}
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -46,6 +46,8 @@
 	clockAt time.Time
 	// leaseEnd is the latest lease end that was ever sent, on its clock.
 	leaseEnd time.Duration
+	// reportedBorn is the incarnation of the last report.
+	reportedBorn runner.Born
 	// seen is the highest end taken in; acked the highest that is stored.
 	seen  uint64
 	acked uint64
--- a/internal/relay/link_frames.go
+++ b/internal/relay/link_frames.go
@@ -83,7 +83,7 @@
 	got.err = r.err()
 	got.answer.Clock = time.Duration(r.ClockMicros) * time.Microsecond
 	if r.Report != nil {
-		full, ok := known.restore(r.Report)
+		full, ok := known.restore(r)
 		if !ok {
 			return errBadReport
 		}
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -15,6 +15,9 @@
 	Tickets     []ticket `cbor:"8,keyasint,omitempty"`
 	// Leaving says that the relay is about to stop and takes no more requests.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// BornMillis is runner.Report.Born, or 0 if the worker's report before on this link
+	// had the same.
+	BornMillis int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // outcome is how a call to a worker ended.
--- a/internal/relay/reports.go
+++ b/internal/relay/reports.go
@@ -5,11 +5,17 @@
 // reports turns the reports of one link's workers into their short form, or back. Both
 // ends keep the runs of the last report of each worker, and see the reports in the same
 // order. It is not safe for concurrent use.
-type reports map[uint32][]runner.RunState
+type reports map[uint32]lastReport
 
-// shorten returns a report in its short form.
-func (r reports) shorten(worker uint32, full runner.Report) *report {
-	before := r[worker]
+// lastReport is what is kept of a worker's last report.
+type lastReport struct {
+	running []runner.RunState
+	born    runner.Born
+}
+
+// shorten puts a report into a reply in its short form.
+func (r reports) shorten(out *reply, worker uint32, full runner.Report) {
+	before := r[worker].running
 	places := make(map[string]int, len(before))
 	for i, run := range before {
 		places[run.Task] = i
@@ -27,14 +33,22 @@
 	for i, e := range full.Ended {
 		short.Ended[i] = end{Sequence: e.Sequence, Task: e.Task, Run: e.Run, How: string(e.How), Saved: e.Saved}
 	}
-	r[worker] = full.Running
-	return short
+	if full.Born != r[worker].born {
+		out.BornMillis = int64(full.Born)
+	}
+	r[worker] = lastReport{full.Running, full.Born}
+	out.Report = short
 }
 
-// restore returns a report from its short form; ok is false if it names a run that the
-// report before did not have.
-func (r reports) restore(short *report) (full runner.Report, ok bool) {
-	before := r[short.Worker]
+// restore returns the report of a reply; ok is false if it names a run that the report
+// before did not have.
+func (r reports) restore(in *reply) (full runner.Report, ok bool) {
+	short := in.Report
+	before := r[short.Worker].running
+	full.Born = r[short.Worker].born
+	if in.BornMillis != 0 {
+		full.Born = runner.Born(in.BornMillis)
+	}
 	full.Running = make([]runner.RunState, len(short.Running))
 	for i, s := range short.Running {
 		run := runner.RunState{Task: s.Task, Run: s.Run, Saved: s.Saved}
@@ -51,6 +65,6 @@
 	for i, e := range short.Ended {
 		full.Ended[i] = runner.End{Sequence: e.Sequence, Task: e.Task, Run: e.Run, How: runner.EndKind(e.How), Saved: e.Saved}
 	}
-	r[short.Worker] = full.Running
+	r[short.Worker] = lastReport{full.Running, full.Born}
 	return full, true
 }
--- a/internal/relay/reports_test.go
+++ b/internal/relay/reports_test.go
@@ -13,7 +13,7 @@
 
 // anyReport draws a report in which few tasks come and go.
 func anyReport(t *rapid.T) runner.Report {
-	r := runner.Report{Running: []runner.RunState{}, Ended: []runner.End{}}
+	r := runner.Report{Born: rapid.SampledFrom([]runner.Born{1767225600000, 1767225609000}).Draw(t, "born"), Running: []runner.RunState{}, Ended: []runner.End{}}
 	for _, task := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), rapid.ID[string]).Draw(t, "tasks") {
 		r.Running = append(r.Running, runner.RunState{Task: task, Run: rapid.Uint64Range(1, 3).Draw(t, "run"),
 			Saved: rapid.SampledFrom([]string{"", "s1", "s2"}).Draw(t, "saved"), Percent: rapid.IntRange(0, 100).Draw(t, "percent"),
@@ -33,10 +33,12 @@
 			worker := rapid.Uint32Range(1, 2).Draw(t, "worker")
 			full := anyReport(t)
 			var wire bytes.Buffer
-			if err := cbor.NewEncoder(&wire).Encode(relay.shorten(worker, full)); err != nil {
+			var sent reply
+			relay.shorten(&sent, worker, full)
+			if err := cbor.NewEncoder(&wire).Encode(&sent); err != nil {
 				t.Fatal(err)
 			}
-			var short report
+			var short reply
 			if err := cbor.NewDecoder(&wire).Decode(&short); err != nil {
 				t.Fatal(err)
 			}
@@ -50,7 +52,7 @@
 
 func TestRunThatWasNotInTheReportBeforeIsNoticed(t *testing.T) {
 	for _, before := range []int{-1, 1, 3} {
-		if _, ok := (reports{}).restore(&report{Worker: 1, Running: []runState{{Before: before}}}); ok {
+		if _, ok := (reports{}).restore(&reply{Report: &report{Worker: 1, Running: []runState{{Before: before}}}}); ok {
 			t.Errorf("place %d of an empty report was taken", before)
 		}
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -239,7 +239,7 @@
 func (s *session) send(out *bufio.Writer, encoder *cbor.Encoder, known reports, batch []done) error {
 	for _, d := range batch {
 		if d.report != nil {
-			d.Report = known.shorten(d.worker, *d.report)
+			known.shorten(&d.reply, d.worker, *d.report)
 		}
 		if err := encoder.Encode(&d.reply); err != nil {
 			return err
--- a/internal/roster/worker.go
+++ b/internal/roster/worker.go
@@ -5,11 +5,14 @@
 	"time"
 
 	"gentianstand/internal/resource"
+	"gentianstand/internal/runner"
 )
 
 // Worker is one incarnation of a worker as it describes itself.
 type Worker struct {
-	ID      string
+	ID string
+	// Born tells the worker's incarnations under one id apart.
+	Born    runner.Born
 	Address string
 	Zone    string
 	Service string
