--- a/internal/cell/crash_worker_test.go
+++ b/internal/cell/crash_worker_test.go
@@ -106,7 +106,7 @@
 
 // grant extends a worker's lease to a time on its clock.
 func (w *crashWorld) grant(state *crashWorker, until time.Duration) {
-	if end := siteStart.Add(until - time.Hour); end.After(state.lease) {
+	if end := siteStart.Add(until - clockAtStart); end.After(state.lease) {
 		state.lease = end
 	}
 }
--- a/internal/cell/load_world_test.go
+++ b/internal/cell/load_world_test.go
@@ -29,6 +29,10 @@
 	completed map[string]time.Time
 	// firstStart is when a job's first task was started.
 	firstStart map[string]time.Time
+	// acknowledged are the tasks whose success a worker was told to forget; again are those
+	// of them that were started afterwards.
+	acknowledged map[string]bool
+	again        []string
 	// workOf tells how long a task of a job really takes on a worker.
 	workOf func(id job.TaskID, w *loadWorker) time.Duration
 	jobs   int
@@ -45,6 +49,10 @@
 	gone bool
 	// failing says that it fails all that it starts.
 	failing bool
+	// startedAt is when its clock showed clockAtStart.
+	startedAt time.Time
+	// downUntil is when it starts again after a crash; it answers nothing before.
+	downUntil time.Time
 }
 
 type loadRun struct {
@@ -68,7 +76,7 @@
 
 func newLoad(t *testing.T, workers int) *load {
 	l := &load{t: t, now: siteStart, rnd: rand.New(rand.NewSource(1)), workers: map[string]*loadWorker{},
-		submitted: map[string]time.Time{}, completed: map[string]time.Time{}, firstStart: map[string]time.Time{}}
+		submitted: map[string]time.Time{}, completed: map[string]time.Time{}, firstStart: map[string]time.Time{}, acknowledged: map[string]bool{}}
 	l.workOf = func(id job.TaskID, _ *loadWorker) time.Duration {
 		return l.cell.jobs[id.Job].record.Steps[id.Step].Estimate
 	}
@@ -85,7 +93,7 @@
 func (l *load) addWorker(id, rack string) roster.Worker {
 	r := usualWorker(id)
 	r.Rack = rack
-	l.workers[id] = &loadWorker{roster: r, runs: map[string]*loadRun{}}
+	l.workers[id] = &loadWorker{roster: r, runs: map[string]*loadRun{}, startedAt: siteStart}
 	return r
 }
 
@@ -167,8 +175,12 @@
 		l.cell.LookFailed(w.roster.ID, runner.ErrGone, l.now)
 		return
 	}
-	w.ends = slices.DeleteFunc(w.ends, func(e runner.End) bool { return e.Sequence <= look.Acknowledged })
-	report := runner.Report{Clock: l.now.Sub(siteStart) + time.Hour, Ended: w.ends}
+	if l.now.Before(w.downUntil) {
+		l.cell.LookFailed(w.roster.ID, runner.ErrNoAnswer, l.now)
+		return
+	}
+	l.forget(w, look.Acknowledged)
+	report := runner.Report{Born: w.roster.Born, Clock: w.clock(l.now), Ended: w.ends}
 	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
 		r := w.runs[task]
 		percent := int(100 * l.now.Sub(r.began) / max(1, r.endsAt.Sub(r.began)))
@@ -177,10 +189,30 @@
 	l.cell.Reported(w.roster.ID, report, l.now, l.now)
 }
 
+// forget has a worker forget its ends up to one.
+func (l *load) forget(w *loadWorker, through uint64) {
+	w.ends = slices.DeleteFunc(w.ends, func(e runner.End) bool {
+		if e.Sequence > through {
+			return false
+		}
+		if e.How == runner.Done {
+			l.acknowledged[e.Task] = true
+		}
+		return true
+	})
+}
+
 func (l *load) carryOut(order Order) {
 	switch order := order.(type) {
 	case StartOrder:
 		w := l.workers[order.Worker.ID]
+		if l.now.Before(w.downUntil) {
+			l.cell.StartAnswered(order, runner.Answer{}, runner.ErrNoAnswer, l.now)
+			return
+		}
+		if l.acknowledged[order.Start.Task] {
+			l.again = append(l.again, order.Start.Task)
+		}
 		if w.gone {
 			l.cell.StartAnswered(order, runner.Answer{}, runner.ErrGone, l.now)
 			return
@@ -192,6 +224,10 @@
 		l.cell.StartAnswered(order, runner.Answer{}, nil, l.now)
 	case StopOrder:
 		w := l.workers[order.Worker.ID]
+		if l.now.Before(w.downUntil) {
+			l.cell.StopAnswered(order, runner.Answer{}, runner.ErrNoAnswer, l.now)
+			return
+		}
 		if r := w.runs[order.Stop.Task]; r != nil && r.stop.IsZero() {
 			r.stop = l.now.Add(l.stopTakes())
 		}
--- /dev/null
+++ b/internal/cell/restart_world_test.go
@@ -0,0 +1,29 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// clockAtStart is what a worker's clock shows when it starts.
+const clockAtStart = time.Hour
+
+// clock is the worker's own steady clock.
+func (w *loadWorker) clock(now time.Time) time.Duration { return now.Sub(w.startedAt) + clockAtStart }
+
+// restart crashes a worker and starts it again under its id, after a time in which it
+// answers nothing. Its entry in the roster follows with its first heartbeat.
+func (l *load) restart(id string, down time.Duration) {
+	w := l.workers[id]
+	w.runs, w.ends, w.sequence = map[string]*loadRun{}, nil, 0
+	w.startedAt = l.now.Add(down)
+	w.downUntil = w.startedAt
+	w.roster.Born = runner.Born(w.startedAt.UnixMilli())
+}
+
+// register has a worker write its entry in the roster.
+func (l *load) register(id string) {
+	l.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{l.workers[id].roster}}, l.now)
+}
--- a/internal/cell/site_test.go
+++ b/internal/cell/site_test.go
@@ -53,7 +53,7 @@
 
 // usualWorker has 16 cores and 32 GiB.
 func usualWorker(id string) roster.Worker {
-	return roster.Worker{ID: id, Address: id + ":1", Service: "desk", Capacity: resource.Amount{MilliCPU: 16000, MemoryMiB: 32768}, Labels: []string{"a", "r1"}, Rack: "r1"}
+	return roster.Worker{ID: id, Born: runner.Born(siteStart.UnixMilli()), Address: id + ":1", Service: "desk", Capacity: resource.Amount{MilliCPU: 16000, MemoryMiB: 32768}, Labels: []string{"a", "r1"}, Rack: "r1"}
 }
 
 // record returns a job with steps on the usual queue.
