--- a/internal/cell/advice_book.go
+++ b/internal/cell/advice_book.go
@@ -4,6 +4,8 @@
 
 // verdict is what the adviser said of one worker for a stage.
 type verdict struct {
+	// life is the incarnation of the worker that it was given for.
+	life   *life
 	good   bool
 	ticket string
 	until  time.Time
@@ -17,6 +19,15 @@
 	retryAt time.Time
 }
 
+// about returns what the adviser said of a worker's present incarnation.
+func (b *adviceBook) about(w *worker) (v verdict, known bool) {
+	v, known = b.verdicts[w]
+	if !known || v.life != w.life {
+		return verdict{}, false
+	}
+	return v, true
+}
+
 // expire makes the stage ask about a worker again before using it.
 func (b *adviceBook) expire(w *worker) {
 	v := b.verdicts[w]
--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -18,7 +18,9 @@
 	if a == nil {
 		return
 	}
-	a.worker.sawClock(answer.Clock, now)
+	if o.Worker.Born == a.worker.incarnation {
+		a.worker.sawClock(answer.Clock, now)
+	}
 	var refusal *runner.Refusal
 	switch {
 	case err == nil:
@@ -91,7 +93,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.attempt(o.Task, o.Worker.ID, o.Stop.Run)
-	if a == nil {
+	if a == nil || o.Worker.Born != a.worker.incarnation {
 		return
 	}
 	a.worker.sawClock(answer.Clock, now)
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -76,7 +76,7 @@
 		if !c.hasRoomEmpty(s, w) || !c.uses(TicketsAhead) && c.takes(s, w) == 0 {
 			continue
 		}
-		v, known := s.advice.verdicts[w]
+		v, known := s.advice.about(w)
 		switch {
 		case !known:
 			unknown = append(unknown, w)
@@ -142,12 +142,12 @@
 	until := now.Add(j.record.Advice.Valid - ticketMargin)
 	for _, id := range asked {
 		if w := c.workers[id]; w != nil {
-			s.advice.verdicts[w] = verdict{}
+			s.advice.verdicts[w] = verdict{life: w.life}
 		}
 	}
 	for _, t := range tickets {
 		if w := c.workers[t.Worker]; w != nil {
-			s.advice.verdicts[w] = verdict{good: true, ticket: t.Text, until: until}
+			s.advice.verdicts[w] = verdict{life: w.life, good: true, ticket: t.Text, until: until}
 		}
 	}
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"gentianstand/internal/admission"
 	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
 )
 
 // Cell is the state of one cell under its own lock. All methods are safe for
@@ -50,8 +51,8 @@
 	// questions are those to the adviser that are under way.
 	questions questions
 	known     knownWorkers
-	// gone are workers whose life has ended and that the roster may still list.
-	gone map[string]struct{}
+	// gone are the incarnations that have ended and that the roster may still list, by id.
+	gone map[string]runner.Born
 	// missing are jobs that workers report and the cell does not know; absent are
 	// those of them that the store does not have either.
 	missing map[string]struct{}
@@ -77,7 +78,7 @@
 		settings: s, log: log, began: now, recovering: true,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
-		known: newKnownWorkers(), questions: questions{}, gone: map[string]struct{}{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
+		known: newKnownWorkers(), questions: questions{}, gone: map[string]runner.Born{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
 		lost: map[string]*lostWorker{}, isolated: map[*attempt]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}},
 	}
--- a/internal/cell/closing.go
+++ b/internal/cell/closing.go
@@ -36,7 +36,7 @@
 
 // known returns what to store of a worker.
 func (w *worker) known() KnownWorker {
-	k := KnownWorker{ID: w.ID, Address: w.Address, Closed: w.closed}
+	k := KnownWorker{ID: w.ID, Born: w.incarnation, Address: w.Address, Closed: w.closed}
 	if !w.closed {
 		return k
 	}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -8,7 +8,7 @@
 	// Chunks are the parts of the known workers that have changed.
 	Chunks []WorkerChunk
 	// acks are the ends that are covered when the transaction is stored.
-	acks map[*worker]uint64
+	acks map[*life]uint64
 }
 
 // NextCommit returns what to store, at most limit jobs and chunks, or nil if
@@ -20,7 +20,7 @@
 		c.acknowledgeAll()
 		return nil
 	}
-	commit := &Commit{Chunks: c.takeChunks(), acks: map[*worker]uint64{}}
+	commit := &Commit{Chunks: c.takeChunks(), acks: map[*life]uint64{}}
 	c.takeDirty(commit, limit, true)
 	c.takeDirty(commit, limit, false)
 	if len(c.dirty) > 0 || !c.fenced {
@@ -28,7 +28,7 @@
 	}
 	// Only now does the commit, with those before it, cover all ends seen so far.
 	for _, w := range c.workers {
-		commit.acks[w] = w.seen
+		commit.acks[w.life] = w.seen
 	}
 	return commit
 }
@@ -72,8 +72,8 @@
 		}
 	}
 	c.chunksStored(commit.Chunks)
-	for w, seen := range commit.acks {
-		w.acked = max(w.acked, seen)
+	for of, seen := range commit.acks {
+		of.acked = max(of.acked, seen)
 	}
 }
 
--- a/internal/cell/crash_worker_test.go
+++ b/internal/cell/crash_worker_test.go
@@ -82,7 +82,7 @@
 	if w.elsewhere {
 		r.Address = fmt.Sprintf("elsewhere-%d:1", w.lives)
 	}
-	w.workers[r.ID] = &loadWorker{roster: r, runs: map[string]*loadRun{}}
+	w.workers[r.ID] = &loadWorker{roster: r, runs: map[string]*loadRun{}, startedAt: w.now}
 	w.states[r.ID] = &crashWorker{lease: w.now}
 	w.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{r}, Removed: []string{id}}, w.now)
 }
@@ -98,16 +98,16 @@
 		w.cell.LookFailed(id, runner.ErrNoAnswer, w.now)
 	default:
 		if look.LeaseUntil != nil {
-			w.grant(state, *look.LeaseUntil)
+			w.grant(id, *look.LeaseUntil)
 		}
 		w.report(w.workers[id])
 	}
 }
 
 // grant extends a worker's lease to a time on its clock.
-func (w *crashWorld) grant(state *crashWorker, until time.Duration) {
-	if end := siteStart.Add(until - clockAtStart); end.After(state.lease) {
-		state.lease = end
+func (w *crashWorld) grant(id string, until time.Duration) {
+	if end := w.workers[id].startedAt.Add(until - clockAtStart); end.After(w.states[id].lease) {
+		w.states[id].lease = end
 	}
 }
 
@@ -123,7 +123,7 @@
 		w.cell.StartAnswered(order, runner.Answer{}, &runner.Refusal{Reason: runner.Unhealthy}, w.now)
 		return
 	}
-	w.grant(w.states[id], order.Start.LeaseUntil)
+	w.grant(id, order.Start.LeaseUntil)
 	if w.crashes[task] >= crashesKnown {
 		w.later[task]++
 	}
--- a/internal/cell/known_worker.go
+++ b/internal/cell/known_worker.go
@@ -1,5 +1,7 @@
 package cell
 
+import "gentianstand/internal/runner"
+
 // KnownWorker is a worker on which runs may be.
 type KnownWorker struct {
 	ID      string `cbor:"1,keyasint"`
@@ -11,4 +13,6 @@
 	// Suspects are the runs that may have crashed the worker; it fell silent while they
 	// were starting.
 	Suspects []KnownRun `cbor:"5,keyasint,omitempty"`
+	// Born is the incarnation that all this is said of, or 0 if it was not known.
+	Born runner.Born `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gentianstand/internal/roster"
-	"gentianstand/internal/runner"
 )
 
 // workerChunks is over how many stored values the known workers are spread, so
@@ -41,8 +40,7 @@
 	for _, k := range workers {
 		w := c.workers[k.ID]
 		if w == nil {
-			w = newWorker(roster.Worker{ID: k.ID, Address: k.Address})
-			w.target = runner.Target{ID: k.ID, Address: k.Address}
+			w = newWorker(roster.Worker{ID: k.ID, Born: k.Born, Address: k.Address})
 			c.workers[k.ID] = w
 			c.unregister(w, now)
 		}
@@ -51,10 +49,17 @@
 		}
 		w.named = true
 		w.saved = !k.Closed
+		if k.Born > w.incarnation {
+			// The roster is behind.
+			w.incarnation, w.target.Born = k.Born, k.Born
+		}
 		if k.Closed {
 			c.inheritRuns(w, k.Runs, now)
 		}
 		c.inheritSuspects(w, k.Suspects)
+		if k.Born != 0 && k.Born != w.incarnation {
+			c.workerCrashed(w.ID, now)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/cell/life.go
@@ -0,0 +1,35 @@
+package cell
+
+import (
+	"time"
+
+	"gentianstand/internal/runner"
+)
+
+// life is what is known of a worker's present incarnation. Nothing of it holds for the next
+// one, which counts its ends and its time anew.
+type life struct {
+	// incarnation names it, or is 0 before the worker has told.
+	incarnation runner.Born
+	// since is when the cell learned of it in place of another one, or zero.
+	since time.Time
+	// reported says that it answered a look under this ownership since it was
+	// last taken as lapsed; its books are complete only then.
+	reported   bool
+	lastReport time.Time
+	failingAt  time.Time
+	// failedLooks counts the looks without an answer since the last report.
+	failedLooks int
+	// clock is the worker's clock at clockAt on ours.
+	clock   time.Duration
+	clockAt time.Time
+	// granted is the latest lease end that was sent, on its clock; leaseEnd is the latest
+	// that anybody can have sent.
+	granted, leaseEnd time.Duration
+	// seen is the highest end taken in; acked the highest that is stored.
+	seen  uint64
+	acked uint64
+	// drainSeen is when it said that it drains.
+	drainSeen time.Time
+	health    health
+}
--- a/internal/cell/load_world_test.go
+++ b/internal/cell/load_world_test.go
@@ -179,7 +179,9 @@
 		l.cell.LookFailed(w.roster.ID, runner.ErrNoAnswer, l.now)
 		return
 	}
-	l.forget(w, look.Acknowledged)
+	if look.Born == w.roster.Born {
+		l.forget(w, look.Acknowledged)
+	}
 	report := runner.Report{Born: w.roster.Born, Clock: w.clock(l.now), Ended: w.ends}
 	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
 		r := w.runs[task]
--- a/internal/cell/log_fields.go
+++ b/internal/cell/log_fields.go
@@ -3,7 +3,7 @@
 import "github.com/sirupsen/logrus"
 
 func workerFields(w *worker) logrus.Fields {
-	return logrus.Fields{"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "born": w.reportedBorn}
+	return logrus.Fields{"worker": w.ID, "address": w.Address, "zone": w.Zone, "rack": w.Rack, "born": w.incarnation}
 }
 
 func attemptFields(a *attempt) logrus.Fields {
--- a/internal/cell/long_wait.go
+++ b/internal/cell/long_wait.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		l.Able++
-		verdict, known := s.advice.verdicts[w]
+		verdict, known := s.advice.about(w)
 		switch {
 		case s.job.record.Advice == nil:
 		case !known:
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -18,7 +18,7 @@
 	if w == nil || w.parked {
 		return target, look, false
 	}
-	look = runner.Look{Token: c.settings.Term, Acknowledged: w.acked}
+	look = runner.Look{Token: c.settings.Term, Acknowledged: w.acked, Born: w.incarnation}
 	if w.clockAt.IsZero() || !w.failingAt.IsZero() {
 		// A look without an answer may have been carried out. If each one carried
 		// a later lease end, the lease of a lost worker would never be over.
@@ -65,19 +65,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if w == nil || w.parked {
+	if w == nil || w.parked || !c.heardFrom(w, report.Born, sentAt, now) {
 		return
 	}
 	if w.clockAt.IsZero() {
-		// An earlier owner may have granted a lease just before.
-		w.leaseEnd = max(w.leaseEnd, report.Clock+c.settings.Lease+guessError)
+		w.leaseEnd = max(w.leaseEnd, report.Clock+c.unseenLease(w, now)+guessError)
 	}
 	w.sawClock(report.Clock, now)
 	if !w.failingAt.IsZero() {
 		c.log.WithFields(workerFields(w)).WithField("silent_ms", now.Sub(w.failingAt).Milliseconds()).Info("worker_answers_again")
 		w.failingAt = time.Time{}
 	}
-	c.logIncarnation(w, report)
 	c.clearSuspects(w.ID)
 	w.failedLooks = 0
 	w.lastReport = now
@@ -106,16 +104,6 @@
 	}
 }
 
-// logIncarnation logs that a worker has started again under its id, and what its report
-// says of ends beside what was taken in of the incarnation before.
-func (c *Cell) logIncarnation(w *worker, report runner.Report) {
-	if w.reportedBorn != 0 && report.Born != w.reportedBorn {
-		c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"now_born": report.Born, "runs": len(w.attempts),
-			"shown": len(report.Running), "listed": len(report.Ended), "seen": w.seen, "acknowledged": w.acked}).Info("worker_restarted")
-	}
-	w.reportedBorn = report.Born
-}
-
 // runKey names a run in a report.
 type runKey struct {
 	task string
@@ -159,7 +147,7 @@
 	case a.phase == running && !a.confirmedAt.IsZero() && a.confirmedAt.Before(sentAt):
 		// The worker confirmed the run earlier, does not show it now and does not
 		// list its end either. Revoking it makes sure before it starts elsewhere.
-		c.log.WithFields(attemptFields(a)).WithFields(logrus.Fields{"born": a.worker.reportedBorn, "listed": listed,
+		c.log.WithFields(attemptFields(a)).WithFields(logrus.Fields{"born": a.worker.incarnation, "listed": listed,
 			"seen": a.worker.seen, "acknowledged": a.worker.acked}).Warn("run_vanished")
 		c.stop(a, "vanished", now)
 	}
@@ -196,7 +184,7 @@
 func (c *Cell) remove(w *worker, now time.Time) {
 	c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_replaced")
 	c.loseAll(w, "worker_replaced", now)
-	c.gone[w.ID] = struct{}{}
+	c.gone[w.ID] = w.incarnation
 	c.takeOut(w)
 }
 
--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -38,6 +38,6 @@
 	if !c.hasRoomEmpty(s, w) {
 		return false
 	}
-	verdict, known := s.advice.verdicts[w]
+	verdict, known := s.advice.about(w)
 	return s.job.record.Advice == nil || !known || verdict.good
 }
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		offered := c.takes(s, w)
-		if v, known := s.advice.verdicts[w]; !known {
+		if v, known := s.advice.about(w); !known {
 			offered *= s.guessedShare()
 		} else if !v.good {
 			continue
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -83,7 +83,7 @@
 	}
 	var list []*worker
 	for w, v := range s.advice.verdicts {
-		if v.good && w.usableIn == room.pass && until.Before(v.until) {
+		if v.good && v.life == w.life && w.usableIn == room.pass && until.Before(v.until) {
 			list = append(list, w)
 		}
 	}
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -72,7 +72,8 @@
 	if !c.hasRoomEmpty(s, w) {
 		return false
 	}
-	return s.job.record.Advice == nil || s.advice.verdicts[w].good
+	v, _ := s.advice.about(w)
+	return s.job.record.Advice == nil || v.good
 }
 
 // reserve keeps workers for the large tasks of a stage that found no room, those that
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -45,8 +45,11 @@
 }
 
 func (c *Cell) register(r roster.Worker, now time.Time) {
-	if _, ended := c.gone[r.ID]; ended {
-		return
+	if ended, gone := c.gone[r.ID]; gone {
+		if r.Born == ended || r.Born == 0 {
+			return
+		}
+		delete(c.gone, r.ID)
 	}
 	w := c.workers[r.ID]
 	if w == nil {
@@ -61,14 +64,35 @@
 		}
 		c.log.WithFields(workerFields(w)).Info("worker_added")
 	}
-	if r.Draining && !w.Draining {
-		w.drainSeen = now
-		c.log.WithFields(workerFields(w)).WithField("remaining_ms", r.Remaining.Milliseconds()).Info("worker_draining")
+	switch {
+	case r.Born == w.incarnation, w.incarnation == 0, r.Born == 0 && w.Worker.Born == 0:
+		c.describe(w, r, now)
+	case r.Born > w.incarnation:
+		c.restarted(w, r.Born, now)
+		c.describe(w, r, now)
+	default:
+		// News that is old, of another writer, or of a worker whose time of day was set
+		// back: the worker itself will tell.
+		w.unmatched = r
+	}
+}
+
+// describe takes in an entry of a worker's present incarnation.
+func (c *Cell) describe(w *worker, r roster.Worker, now time.Time) {
+	if r.Born == w.Worker.Born {
+		// A heartbeat that was written before the draining one may be read after it.
+		r.Draining = r.Draining || w.Draining
 	}
-	// A heartbeat that was written before the draining one may be read after it.
-	r.Draining = r.Draining || w.Draining
 	w.Worker = r
+	if r.Born == 0 {
+		r.Born = w.incarnation
+	}
+	w.incarnation, w.target = r.Born, targetOf(r)
 	w.unlistedAt = time.Time{}
+	if r.Draining && w.drainSeen.IsZero() {
+		w.drainSeen = now
+		c.log.WithFields(workerFields(w)).WithField("remaining_ms", r.Remaining.Milliseconds()).Info("worker_draining")
+	}
 }
 
 func (c *Cell) unregister(w *worker, now time.Time) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -8,16 +8,17 @@
 	"gentianstand/internal/runner"
 )
 
-// worker is one incarnation of a worker and the cell's books about it.
+// worker is a worker and the cell's books about it.
 type worker struct {
+	// Worker is its entry in the roster, which may still be one of an incarnation before.
 	roster.Worker
-	target runner.Target
-	used   resource.Amount
+	*life
+	// unmatched is an entry of an incarnation that is not known yet, or has ended.
+	unmatched roster.Worker
+	target    runner.Target
+	used      resource.Amount
 	// attempts are the runs that are or may be on the worker.
 	attempts map[*attempt]struct{}
-	// reported says that it answered a look under this ownership since it was
-	// last taken as lapsed; its books are complete only then.
-	reported bool
 	// saved says that the store names the worker among those on which runs may be
 	// started.
 	saved bool
@@ -34,29 +35,13 @@
 	evacuating bool
 	// parked says that the worker is out of use until it is needed; wokenAt is when
 	// it was needed last, and idleSince since when it has no runs.
-	parked     bool
-	wokenAt    time.Time
-	idleSince  time.Time
-	lastReport time.Time
-	failingAt  time.Time
-	// failedLooks counts the looks without an answer since the last report.
-	failedLooks int
-	// clock is the worker's clock at clockAt on ours.
-	clock   time.Duration
-	clockAt time.Time
-	// leaseEnd is the latest lease end that was ever sent, on its clock.
-	leaseEnd time.Duration
-	// reportedBorn is the incarnation of the last report.
-	reportedBorn runner.Born
-	// seen is the highest end taken in; acked the highest that is stored.
-	seen  uint64
-	acked uint64
+	parked    bool
+	wokenAt   time.Time
+	idleSince time.Time
 	// unlistedAt is when it vanished from the roster, or zero; lapsedInOutage says that the
 	// store had been away then.
 	unlistedAt     time.Time
 	lapsedInOutage bool
-	drainSeen      time.Time
-	health         health
 	// reserved keeps the worker's room for a large task, or is nil.
 	reserved *reservation
 	// isolatedFor is the job of which a task with a crash history is starting here, or nil.
@@ -68,7 +53,11 @@
 }
 
 func newWorker(r roster.Worker) *worker {
-	return &worker{Worker: r, target: runner.Target{ID: r.ID, Address: r.Address, Zone: r.Zone}, attempts: map[*attempt]struct{}{}}
+	return &worker{Worker: r, life: &life{incarnation: r.Born}, target: targetOf(r), attempts: map[*attempt]struct{}{}}
+}
+
+func targetOf(r roster.Worker) runner.Target {
+	return runner.Target{ID: r.ID, Born: r.Born, Address: r.Address, Zone: r.Zone}
 }
 
 // free returns what is left of the worker's capacity.
@@ -107,7 +96,7 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	if !w.reported || !w.saved || w.closed || w.Draining || w.evacuating || now.Sub(w.lastReport) > reportFresh {
+	if !w.reported || !w.described() || !w.saved || w.closed || w.Draining || w.evacuating || now.Sub(w.lastReport) > reportFresh {
 		return false
 	}
 	if !w.unlistedAt.IsZero() && (!w.lapsedInOutage || now.Sub(w.unlistedAt) > unlistedGrace) {
@@ -116,6 +105,10 @@
 	return !w.health.avoided(now)
 }
 
+// described reports whether the worker's entry in the roster is one of its present
+// incarnation: the next one may have other room and another kind.
+func (w *worker) described() bool { return w.Worker.Born == 0 || w.Worker.Born == w.incarnation }
+
 // clockGuess returns our best guess of the worker's clock.
 func (w *worker) clockGuess(now time.Time) time.Duration {
 	return w.clock + now.Sub(w.clockAt)
@@ -141,6 +134,7 @@
 
 // extendLease returns a new lease end and books it before it is sent.
 func (w *worker) extendLease(lease time.Duration, now time.Time) time.Duration {
-	w.leaseEnd = max(w.leaseEnd, w.clockGuess(now)+lease).Truncate(time.Millisecond)
-	return w.leaseEnd
+	w.granted = max(w.granted, w.clockGuess(now)+lease).Truncate(time.Millisecond)
+	w.leaseEnd = max(w.leaseEnd, w.granted)
+	return w.granted
 }
