--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -6,17 +6,24 @@
 	"gentianstand/internal/runner"
 )
 
-func lookFrom(l runner.Look) *look {
+func lookFrom(l runner.Look) request {
+	r := request{}
+	if l.Acknowledged > 0 {
+		r.BornMillis = int64(l.Born)
+	}
 	w := &look{Token: l.Token, Acknowledged: l.Acknowledged, WaitMillis: l.Wait.Milliseconds()}
 	if l.LeaseUntil != nil {
 		ms := l.LeaseUntil.Milliseconds()
 		w.LeaseMillis = &ms
 	}
-	return w
+	r.Look = w
+	return r
 }
 
-func (l *look) runner() runner.Look {
-	r := runner.Look{Token: l.Token, Acknowledged: l.Acknowledged, Wait: time.Duration(l.WaitMillis) * time.Millisecond}
+// look returns the look of a request that is one.
+func (q *request) look() runner.Look {
+	l := q.Look
+	r := runner.Look{Token: l.Token, Acknowledged: l.Acknowledged, Born: runner.Born(q.BornMillis), Wait: time.Duration(l.WaitMillis) * time.Millisecond}
 	if l.LeaseMillis != nil {
 		until := time.Duration(*l.LeaseMillis) * time.Millisecond
 		r.LeaseUntil = &until
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -24,6 +24,8 @@
 	starts []runner.Start
 	stops  []runner.Stop
 	looks  int
+	// looked is the last look.
+	looked runner.Look
 	// hang has starts wait until their time is over, and over counts those that were
 	// done then; fail is what they return.
 	hang bool
@@ -35,7 +37,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.looks++
-	return runner.Report{Clock: 1234 * time.Millisecond, Ended: []runner.End{},
+	f.looked = l
+	return runner.Report{Born: 1767225600000, Clock: 1234 * time.Millisecond, Ended: []runner.End{},
 		Running: []runner.RunState{{Task: w.ID + "-task", Run: l.Token, Saved: "s", Percent: f.looks, Gauge: 17}}}, nil
 }
 
@@ -169,7 +172,11 @@
 		}
 	}
 	for percent := 1; percent < 4; percent++ {
-		got := l.do(within(t), callTo(w1, request{Look: lookFrom(runner.Look{Token: 7, Wait: time.Second})}))
+		look := runner.Look{Token: 7, Acknowledged: 57, Born: 1767225600000, Wait: time.Second}
+		got := l.do(within(t), callTo(w1, lookFrom(look)))
+		if s.workers.looked != look || got.report.Born != look.Born {
+			t.Errorf("look %d arrived as %+v, report of incarnation %d", percent, s.workers.looked, got.report.Born)
+		}
 		want := runner.RunState{Task: "w-1-task", Run: 7, Saved: "s", Percent: percent, Gauge: 17}
 		if got.err != nil || got.report.Clock != 1234*time.Millisecond || len(got.report.Running) != 1 || got.report.Running[0] != want {
 			t.Errorf("look %d: %+v", percent, got)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -20,6 +20,8 @@
 	Stop        *stop  `cbor:"8,keyasint,omitempty"`
 	Pace        *pace  `cbor:"9,keyasint,omitempty"`
 	Ask         *ask   `cbor:"10,keyasint,omitempty"`
+	// BornMillis is Born of a look that acknowledges ends.
+	BornMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // token returns the fencing token of the call.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -167,7 +167,7 @@
 	switch {
 	case r.Look != nil:
 		var full runner.Report
-		if full, err = client.Look(ctx, w, r.Look.runner()); err == nil {
+		if full, err = client.Look(ctx, w, r.look()); err == nil {
 			d.report = &full
 			answer.Clock = full.Clock
 		}
