--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -47,12 +47,18 @@
 	return load
 }
 
-// Ended takes in that a worker's life has ended by the owner's order.
-func (c *Cell) Ended(id string, now time.Time) {
+// Ended takes in that a worker's life has ended by an order that was first sent at
+// orderedAt. An incarnation that became known later is the next one: the answer may come
+// when the upkeep is over.
+func (c *Cell) Ended(id string, orderedAt, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	w := c.workers[id]
+	if w != nil && w.knownSince.After(orderedAt) {
+		return
+	}
 	c.clearSuspects(id)
-	if w := c.workers[id]; w != nil {
+	if w != nil {
 		c.remove(w, now)
 	}
 }
--- a/internal/cell/evacuate_test.go
+++ b/internal/cell/evacuate_test.go
@@ -147,7 +147,7 @@
 func TestEndedWorkerDoesNotComeBackByAnOldHeartbeat(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
-	s.cell.Ended("a", s.now)
+	s.cell.Ended("a", s.now, s.now)
 	old := roster.Change{Workers: []roster.Worker{usualWorker("a")}}
 	s.cell.UpdateRoster(old, s.now)
 	s.cell.SetRoster(old.Workers, s.now)
@@ -174,7 +174,7 @@
 	}
 	for id, w := range s.cell.workers {
 		if w.parked {
-			s.cell.Ended(id, s.now)
+			s.cell.Ended(id, s.now, s.now)
 			break
 		}
 	}
--- a/internal/cell/life.go
+++ b/internal/cell/life.go
@@ -11,8 +11,10 @@
 type life struct {
 	// incarnation names it, or is 0 before the worker has told.
 	incarnation runner.Born
-	// since is when the cell learned of it in place of another one, or zero.
-	since time.Time
+	// knownSince is when the cell learned of it. follows says that it came in place of
+	// another one that was known.
+	knownSince time.Time
+	follows    bool
 	// reported says that it answered a look under this ownership since it was
 	// last taken as lapsed; its books are complete only then.
 	reported   bool
--- a/internal/cell/restart.go
+++ b/internal/cell/restart.go
@@ -19,7 +19,7 @@
 	case born == 0 || born == w.incarnation:
 	case w.incarnation == 0:
 		w.incarnation, w.target.Born = born, born
-	case sentAt.Before(w.since):
+	case w.follows && sentAt.Before(w.knownSince):
 		// A late answer of one that has ended.
 		return false
 	default:
@@ -39,7 +39,7 @@
 	}
 	c.workerCrashed(w.ID, now)
 	c.logLost(w, "worker_restarted")
-	w.life = &life{incarnation: born, since: now}
+	w.life = &life{incarnation: born, knownSince: now, follows: true}
 	w.target.Born = born
 	w.Draining = false
 	for a := range w.attempts {
@@ -56,7 +56,7 @@
 // incarnation before has a lease end on another clock, which a worker shortens to the
 // longest one.
 func (c *Cell) unseenLease(w *worker, now time.Time) time.Duration {
-	if w.since.IsZero() && !w.young(now) {
+	if !w.follows && !w.young(now) {
 		return c.settings.Lease
 	}
 	return c.longestLease()
@@ -72,8 +72,8 @@
 // unheardLapsed reports whether the lease of a worker that has not told its clock must have
 // ended.
 func (c *Cell) unheardLapsed(w *worker, now time.Time) bool {
-	if w.since.IsZero() {
+	if !w.follows {
 		return now.Sub(c.began) >= c.unseenLimit()
 	}
-	return now.Sub(w.since) >= time.Duration(float64(c.longestLease())*(1+clockDrift))+lapseMargin
+	return now.Sub(w.knownSince) >= time.Duration(float64(c.longestLease())*(1+clockDrift))+lapseMargin
 }
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -54,7 +54,7 @@
 	w := c.workers[r.ID]
 	if w == nil {
 		c.replacedAt(r.Address, r.ID, now)
-		w = newWorker(r)
+		w = newWorker(r, now)
 		w.accounted = c.inheritedAll
 		c.workers[r.ID] = w
 		if awake := len(c.workers) - 1 - c.parked; c.settings.SpareWorkers > 0 && c.uses(Parking) && awake >= c.settings.SpareWorkers {
--- a/internal/cell/site_test.go
+++ b/internal/cell/site_test.go
@@ -22,8 +22,10 @@
 	cell  *Cell
 	now   time.Time
 	clock map[string]time.Duration
-	ends  map[string][]runner.End
-	runs  map[string][]runner.RunState
+	// born are the incarnations of workers that do not have their first one.
+	born map[string]runner.Born
+	ends map[string][]runner.End
+	runs map[string][]runner.RunState
 	// slots is what Plan is told.
 	slots AdviceSlots
 	// orders are those of the last plan.
@@ -37,7 +39,7 @@
 }
 
 func newSiteWith(t *testing.T, settings Settings, workers ...roster.Worker) *site {
-	s := &site{t: t, now: siteStart, clock: map[string]time.Duration{}, ends: map[string][]runner.End{},
+	s := &site{t: t, now: siteStart, clock: map[string]time.Duration{}, born: map[string]runner.Born{}, ends: map[string][]runner.End{},
 		runs: map[string][]runner.RunState{}, slots: AdviceSlots{Quick: 2, Any: 4}}
 	s.cell = New(settings, s.now, quietLog())
 	s.cell.SetRoster(workers, s.now)
@@ -86,7 +88,7 @@
 	s.ends[id] = left
 	s.pass(time.Millisecond)
 	clock := s.now.Sub(siteStart) + time.Hour
-	s.cell.Reported(id, runner.Report{Clock: clock, Running: s.runs[id], Ended: left}, sentAt, s.now)
+	s.cell.Reported(id, runner.Report{Born: s.born[id], Clock: clock, Running: s.runs[id], Ended: left}, sentAt, s.now)
 }
 
 // plan plans and returns the start orders by task name.
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -52,8 +52,8 @@
 	fillers, servers int
 }
 
-func newWorker(r roster.Worker) *worker {
-	return &worker{Worker: r, life: &life{incarnation: r.Born}, target: targetOf(r), attempts: map[*attempt]struct{}{}}
+func newWorker(r roster.Worker, now time.Time) *worker {
+	return &worker{Worker: r, life: &life{incarnation: r.Born, knownSince: now}, target: targetOf(r), attempts: map[*attempt]struct{}{}}
 }
 
 func targetOf(r roster.Worker) runner.Target {
--- a/internal/cellowner/upkeeper.go
+++ b/internal/cellowner/upkeeper.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		for _, machine := range plan.Begin {
-			t.Sending(machine)
+			t.Sending(machine, time.Now())
 			orders = append(orders, upkeep.Order{Machine: machine, Wave: number, Holder: u.Holder, Token: u.owner.term})
 		}
 	}
@@ -159,8 +159,9 @@
 	log := u.owner.deps.Log.WithFields(logrus.Fields{"wave": a.order.Wave, "machine": a.order.Machine})
 	switch {
 	case a.err == nil:
-		worker := t.Begun(a.order.Machine)
-		u.owner.cell.Ended(worker, time.Now())
+		now := time.Now()
+		worker, orderedAt := t.Begun(a.order.Machine, now)
+		u.owner.cell.Ended(worker, orderedAt, now)
 		log.WithField("worker", worker).Info("upkeep_begun")
 		return true
 	case errors.Is(a.err, upkeep.ErrNotConcerned):
--- a/internal/upkeep/stage.go
+++ b/internal/upkeep/stage.go
@@ -21,8 +21,13 @@
 // progress is what is known of one machine of a wave.
 type progress struct {
 	stage stage
-	// worker is the machine's life before the upkeep.
+	// worker is the id of the machine's worker before the upkeep.
 	worker string
+	// orderedAt is when the upkeep was ordered first, begunAt when it was known to have
+	// begun.
+	orderedAt, begunAt time.Time
+	// seenDown says that the machine was listed as down for the upkeep.
+	seenDown bool
 	// since is when it began to be emptied.
 	since time.Time
 	// sending says that an order is under way; after one without an answer the next
@@ -31,6 +36,13 @@
 	retryAt time.Time
 }
 
+// over reports whether the upkeep of a machine that is up again is over. The next worker
+// may have the id of the one before, and the time when the machine was down may have gone by
+// between two lists.
+func (p *progress) over(m Machine, lasts time.Duration, now time.Time) bool {
+	return m.Worker != p.worker || p.seenDown || now.Sub(p.begunAt) >= lasts
+}
+
 // down reports whether the machine is or may be down for its upkeep. An order
 // without an answer may be carried out seconds later.
 func (p *progress) down() bool { return p.stage == ordered || p.stage == begun }
--- a/internal/upkeep/tracker.go
+++ b/internal/upkeep/tracker.go
@@ -55,7 +55,7 @@
 // were emptied at once, much room would be gone when the wave begins, and the last seconds
 // of its time would go unused.
 func (t *Tracker) Plan(now time.Time, listed map[string]Machine, load func(worker string) Load) Plan {
-	t.observe(listed)
+	t.observe(now, listed)
 	t.choose(now, listed, load)
 	var plan Plan
 	free := t.wave.AtOnce - t.count((*progress).down)
@@ -80,13 +80,15 @@
 }
 
 // observe takes in what the fleet lists. A machine that is gone needs no upkeep.
-func (t *Tracker) observe(listed map[string]Machine) {
+func (t *Tracker) observe(now time.Time, listed map[string]Machine) {
 	for name, p := range t.machines {
 		m, there := listed[name]
 		switch {
 		case !there:
 			p.stage = done
-		case p.stage == begun && m.Up && m.Worker != p.worker:
+		case p.down() && m.InUpkeep:
+			p.seenDown = true
+		case p.stage == begun && m.Up && p.over(m, t.lasts, now):
 			p.stage = done
 		case p.stage == emptying && m.Up && m.Worker != p.worker:
 			// The worker crashed, and its next life has to be emptied, too.
@@ -94,7 +96,7 @@
 		case p.stage == waiting && m.InUpkeep:
 			// Ordered by an earlier owner.
 			p.stage = ordered
-			p.worker = m.Worker
+			p.worker, p.seenDown = m.Worker, true
 		}
 	}
 }
@@ -151,17 +153,20 @@
 }
 
 // Sending takes in that the upkeep of a machine is being ordered.
-func (t *Tracker) Sending(machine string) {
+func (t *Tracker) Sending(machine string, now time.Time) {
 	p := t.machines[machine]
 	p.stage, p.sending = ordered, true
+	if p.orderedAt.IsZero() {
+		p.orderedAt = now
+	}
 }
 
 // Begun takes in that the upkeep of a machine was begun, and returns the worker whose
-// life ended with it.
-func (t *Tracker) Begun(machine string) (worker string) {
+// life ended with it, and when that was ordered first.
+func (t *Tracker) Begun(machine string, now time.Time) (worker string, orderedAt time.Time) {
 	p := t.machines[machine]
-	p.stage, p.sending = begun, false
-	return p.worker
+	p.stage, p.sending, p.begunAt = begun, false, now
+	return p.worker, p.orderedAt
 }
 
 // Unanswered takes in that an order may have been carried out, or may be yet. It is
--- a/internal/upkeep/tracker_test.go
+++ b/internal/upkeep/tracker_test.go
@@ -79,7 +79,7 @@
 	tracker.Plan(start, f.listed, f.load)
 	now := start.Add(time.Second)
 	first := tracker.Plan(now, f.listed, f.load)
-	tracker.Sending(first.Begin[0])
+	tracker.Sending(first.Begin[0], now)
 	tracker.Unanswered(first.Begin[0], now)
 	now = now.Add(retryPause)
 	again := tracker.Plan(now, f.listed, f.load)
@@ -119,14 +119,14 @@
 		f := newFleet(rapid.IntRange(1, 12).Draw(rt, "machines"))
 		atOnce := rapid.IntRange(1, 5).Draw(rt, "at once")
 		tracker := f.tracker(atOnce, time.Duration(rapid.IntRange(1, 30).Draw(rt, "within"))*time.Second)
-		w := &waveWorld{rt: rt, fleet: f, atOnce: atOnce, upAt: map[string]time.Time{}, had: map[string]bool{}, late: map[string]time.Time{}}
+		w := &waveWorld{rt: rt, fleet: f, atOnce: atOnce, sameIDs: rapid.Bool().Draw(rt, "same ids"), upAt: map[string]time.Time{}, had: map[string]bool{}, late: map[string]time.Time{}}
 		now := start
 		for range 2000 {
 			now = now.Add(300 * time.Millisecond)
 			w.pass(now)
 			plan := tracker.Plan(now, f.listed, f.load)
 			for _, name := range plan.Begin {
-				tracker.Sending(name)
+				tracker.Sending(name, now)
 				w.order(tracker, name, now)
 			}
 			if plan.Completed {
@@ -149,6 +149,8 @@
 	atOnce int
 	upAt   map[string]time.Time
 	had    map[string]bool
+	// sameIDs says that workers start again under their ids.
+	sameIDs bool
 	// late are orders that are yet to be carried out.
 	late map[string]time.Time
 }
@@ -169,7 +171,11 @@
 	for name, at := range w.upAt {
 		if !now.Before(at) {
 			delete(w.upAt, name)
-			w.fleet.set(name, "next-"+name, true)
+			next := "next-" + name
+			if w.sameIDs {
+				next = "w-" + name
+			}
+			w.fleet.set(name, next, true)
 		}
 	}
 	for name, at := range w.late {
@@ -192,6 +198,29 @@
 		tracker.Unanswered(name, now)
 	default:
 		w.begin(name, now)
-		tracker.Begun(name)
+		tracker.Begun(name, now)
+	}
+}
+
+// Guards against a wave that never ends: a machine whose worker starts again under its id
+// after the upkeep looks like one that is still down.
+func TestUpkeepIsOverWhenTheWorkerIsBackUnderItsID(t *testing.T) {
+	f := newFleet(2)
+	tracker := f.tracker(1, 10*time.Second)
+	now := start
+	for range 40 {
+		now = now.Add(300 * time.Millisecond)
+		plan := tracker.Plan(now, f.listed, f.load)
+		if plan.Completed {
+			return
+		}
+		for _, name := range plan.Begin {
+			tracker.Sending(name, now)
+			f.set(name, "w-"+name, false)
+			tracker.Begun(name, now)
+			tracker.Plan(now.Add(time.Millisecond), f.listed, f.load)
+			f.set(name, "w-"+name, true)
+		}
 	}
+	t.Error("the wave is not completed")
 }
