--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -44,25 +44,37 @@
 			c.workers[k.ID] = w
 			c.unregister(w, now)
 		}
+		if k.Born != 0 && k.Born < w.incarnation {
+			c.inheritCrash(w, k, now)
+			continue
+		}
 		if w.parked {
 			c.setParked(w, false)
 		}
 		w.named = true
-		w.saved = !k.Closed
 		if k.Born > w.incarnation {
 			// The roster is behind.
-			w.incarnation, w.target.Born = k.Born, k.Born
+			c.setIncarnation(w, k.Born)
+		}
+		w.saved = !k.Closed && (k.Born == 0 || k.Born == w.incarnation)
+		if !w.saved {
+			c.known.changed(w.ID)
 		}
 		if k.Closed {
 			c.inheritRuns(w, k.Runs, now)
 		}
 		c.inheritSuspects(w, k.Suspects)
-		if k.Born != 0 && k.Born != w.incarnation {
-			c.workerCrashed(w.ID, now)
-		}
 	}
 }
 
+// inheritCrash takes in what was stored of a worker that has restarted since: what ran there
+// has ended, and on the new incarnation nothing was started.
+func (c *Cell) inheritCrash(w *worker, k KnownWorker, now time.Time) {
+	c.inheritSuspects(w, k.Suspects)
+	c.workerCrashed(w.ID, now)
+	c.known.changed(w.ID)
+}
+
 // InheritedAll tells that Inherit was called with every chunk. On other workers no
 // earlier owner can have started anything: it would have stored them before, and since
 // this owner holds the claim it can store nothing more.
@@ -110,7 +122,7 @@
 func (c *Cell) chunksStored(chunks []WorkerChunk) {
 	for _, chunk := range chunks {
 		for _, k := range chunk.Workers {
-			if w := c.workers[k.ID]; w != nil {
+			if w := c.workers[k.ID]; w != nil && w.incarnation == k.Born {
 				w.saved = !k.Closed
 			}
 		}
--- a/internal/cell/life.go
+++ b/internal/cell/life.go
@@ -25,9 +25,8 @@
 	// clock is the worker's clock at clockAt on ours.
 	clock   time.Duration
 	clockAt time.Time
-	// granted is the latest lease end that was sent, on its clock; leaseEnd is the latest
-	// that anybody can have sent.
-	granted, leaseEnd time.Duration
+	// leaseEnd is the latest lease end that was ever sent, on its clock.
+	leaseEnd time.Duration
 	// seen is the highest end taken in; acked the highest that is stored.
 	seen  uint64
 	acked uint64
--- a/internal/cell/load_world_test.go
+++ b/internal/cell/load_world_test.go
@@ -167,7 +167,7 @@
 }
 
 func (l *load) report(w *loadWorker) {
-	_, look, ok := l.cell.NextLook(w.roster.ID, l.now)
+	target, look, ok := l.cell.NextLook(w.roster.ID, l.now)
 	if !ok {
 		return
 	}
@@ -179,7 +179,7 @@
 		l.cell.LookFailed(w.roster.ID, runner.ErrNoAnswer, l.now)
 		return
 	}
-	if look.Born == w.roster.Born {
+	if target.Born == w.roster.Born {
 		l.forget(w, look.Acknowledged)
 	}
 	report := runner.Report{Born: w.roster.Born, Clock: w.clock(l.now), Ended: w.ends}
@@ -212,6 +212,10 @@
 			l.cell.StartAnswered(order, runner.Answer{}, runner.ErrNoAnswer, l.now)
 			return
 		}
+		if order.Worker.Born != w.roster.Born {
+			l.cell.StartAnswered(order, runner.Answer{}, runner.ErrGone, l.now)
+			return
+		}
 		if l.acknowledged[order.Start.Task] {
 			l.again = append(l.again, order.Start.Task)
 		}
@@ -230,6 +234,10 @@
 			l.cell.StopAnswered(order, runner.Answer{}, runner.ErrNoAnswer, l.now)
 			return
 		}
+		if order.Worker.Born != w.roster.Born {
+			l.cell.StopAnswered(order, runner.Answer{}, runner.ErrGone, l.now)
+			return
+		}
 		if r := w.runs[order.Stop.Task]; r != nil && r.stop.IsZero() {
 			r.stop = l.now.Add(l.stopTakes())
 		}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -18,7 +18,7 @@
 	if w == nil || w.parked {
 		return target, look, false
 	}
-	look = runner.Look{Token: c.settings.Term, Acknowledged: w.acked, Born: w.incarnation}
+	look = runner.Look{Token: c.settings.Term, Acknowledged: w.acked}
 	if w.clockAt.IsZero() || !w.failingAt.IsZero() {
 		// A look without an answer may have been carried out. If each one carried
 		// a later lease end, the lease of a lost worker would never be over.
@@ -69,7 +69,8 @@
 		return
 	}
 	if w.clockAt.IsZero() {
-		w.leaseEnd = max(w.leaseEnd, report.Clock+c.unseenLease(w, now)+guessError)
+		// An earlier owner may have granted a lease just before.
+		w.leaseEnd = max(w.leaseEnd, report.Clock+c.settings.Lease+guessError)
 	}
 	w.sawClock(report.Clock, now)
 	if !w.failingAt.IsZero() {
--- a/internal/cell/model_ends_test.go
+++ b/internal/cell/model_ends_test.go
@@ -34,6 +34,7 @@
 // finishAll heals everything and waits until all jobs are shown as complete.
 func (m *model) finishAll() {
 	m.takeOver(true)
+	m.healed = true
 	o := m.current()
 	for _, w := range m.workers {
 		w.cut = false
--- a/internal/cell/model_orders_test.go
+++ b/internal/cell/model_orders_test.go
@@ -22,10 +22,10 @@
 		}
 		switch order := order.(type) {
 		case StartOrder:
-			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.start(order.Start) },
+			m.deliver(fate, order.Worker, func(w *modelWorker) error { return w.start(order.Start) },
 				func(err error) { o.cell.StartAnswered(order, runner.Answer{}, m.repeated(err), m.now) })
 		case StopOrder:
-			m.deliver(fate, order.Worker.ID, func(w *modelWorker) error { return w.stop(order.Stop) },
+			m.deliver(fate, order.Worker, func(w *modelWorker) error { return w.stop(order.Stop) },
 				func(err error) { o.cell.StopAnswered(order, runner.Answer{}, err, m.now) })
 		}
 	}
@@ -40,9 +40,13 @@
 	return err
 }
 
-func (m *model) deliver(fate int, id string, act func(*modelWorker) error, answer func(error)) {
+func (m *model) deliver(fate int, to runner.Target, act func(*modelWorker) error, answer func(error)) {
 	for _, w := range m.workers {
-		if w.roster.ID != id {
+		if w.roster.ID != to.ID {
+			continue
+		}
+		if w.roster.Born != to.Born {
+			answer(runner.ErrGone)
 			continue
 		}
 		if w.cut && fate < 4 {
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
 )
 
@@ -42,8 +43,12 @@
 	now     time.Time
 	workers []*modelWorker
 	lives   int
-	records []*job.Record
-	stored  map[string]*job.Progress
+	// healed says that nothing fails any more.
+	healed bool
+	// restarts counts the workers that started again under their ids.
+	restarts int
+	records  []*job.Record
+	stored   map[string]*job.Progress
 	// chunks are the stored known workers.
 	chunks map[int]WorkerChunk
 	owners []*modelOwner
@@ -67,8 +72,43 @@
 	m.lives++
 	r := usualWorker(fmt.Sprintf("w%d", m.lives))
 	r.Capacity.MilliCPU = 3000
-	w := &modelWorker{world: m, roster: r, alive: true, runs: map[string]*modelRun{}, highest: map[string]uint64{}}
-	m.workers = append(m.workers, w)
+	m.workers = append(m.workers, m.newWorker(r))
+}
+
+func (m *model) newWorker(r roster.Worker) *modelWorker {
+	return &modelWorker{world: m, roster: r, alive: true, startedAt: m.now, runs: map[string]*modelRun{}, highest: map[string]uint64{}}
+}
+
+// crash ends a worker's life.
+func (m *model) crash(w *modelWorker) {
+	w.alive = false
+	for _, e := range w.ends[w.listed:] {
+		// To everybody else the run ended with the worker.
+		m.crashes[e.Task]++
+	}
+	for task := range w.runs {
+		m.crashes[task]++
+		m.runEnded(w, task)
+	}
+	w.runs = map[string]*modelRun{}
+}
+
+// restart crashes one of the workers and starts it again under its id, with what its time
+// of day shows then. Its entry in the roster may come late.
+func (m *model) restart(n int) {
+	m.crash(m.workers[n])
+	r := m.workers[n].roster
+	m.restarts++
+	born := siteStart.Add(time.Duration(m.restarts) * time.Second)
+	if rapid.IntRange(0, 3).Draw(m.rt, "clock set back") == 0 {
+		born = siteStart.Add(-time.Duration(m.restarts) * time.Second)
+	}
+	r.Born = runner.Born(born.UnixMilli())
+	m.workers[n] = m.newWorker(r)
+	m.rt.Logf("%v %s starts again, born %d", m.now.Sub(siteStart), r.ID, r.Born)
+	if rapid.Bool().Draw(m.rt, "registers") {
+		m.current().cell.register(r, m.now)
+	}
 }
 
 func (m *model) runStarted(w *modelWorker, task string) {
@@ -166,26 +206,21 @@
 }
 
 func (m *model) rare() {
-	switch rapid.IntRange(0, 4).Draw(m.rt, "rare") {
+	switch rapid.IntRange(0, 6).Draw(m.rt, "rare") {
 	case 0:
 		m.takeOver(rapid.Bool().Draw(m.rt, "earlier stopped"))
 	case 1:
 		w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "crash")]
 		if w.alive {
-			w.alive = false
-			for _, e := range w.ends[w.listed:] {
-				// To everybody else the run ended with the worker.
-				m.crashes[e.Task]++
-			}
-			for task := range w.runs {
-				m.crashes[task]++
-				m.runEnded(w, task)
-			}
-			w.runs = map[string]*modelRun{}
+			m.crash(w)
 			m.addWorker()
 			m.current().cell.register(m.workers[len(m.workers)-1].roster, m.now)
 			m.commit(m.current(), true)
 		}
+	case 5, 6:
+		if n := rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "restart"); m.workers[n].alive {
+			m.restart(n)
+		}
 	case 3:
 		w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "cut")]
 		w.cut = !w.cut
@@ -219,16 +254,19 @@
 
 func (m *model) look(o *modelOwner, w *modelWorker, lost bool) {
 	sentAt := m.now
-	_, look, ok := o.cell.NextLook(w.roster.ID, sentAt)
+	target, look, ok := o.cell.NextLook(w.roster.ID, sentAt)
 	if !ok {
 		return
 	}
-	report, err := w.look(look)
+	report, err := w.look(target.Born, look)
 	m.rt.Logf("%v term %d: look at %s lost %v: %v %v", m.now.Sub(siteStart), o.cell.settings.Term, w.roster.ID, lost, report, err)
 	if (lost || w.cut) && w.alive {
 		err = runner.ErrNoAnswer
 	}
 	m.now = m.now.Add(2 * time.Millisecond)
+	if err == nil && !m.healed && rapid.IntRange(0, 15).Draw(m.rt, "restarts behind its report") == 0 {
+		m.restart(slices.Index(m.workers, w))
+	}
 	if err != nil {
 		o.cell.LookFailed(w.roster.ID, err, m.now)
 		return
--- a/internal/cell/model_worker_test.go
+++ b/internal/cell/model_worker_test.go
@@ -14,6 +14,8 @@
 	world  *model
 	roster roster.Worker
 	alive  bool
+	// startedAt is when its clock showed 0.
+	startedAt time.Time
 	// cut says that what it answers gets lost.
 	cut      bool
 	token    uint64
@@ -36,7 +38,7 @@
 
 // clock is the worker's own clock, 2% slow.
 func (w *modelWorker) clock() time.Duration {
-	return time.Duration(float64(w.world.now.Sub(siteStart)) * (1 - clockDrift)).Truncate(time.Millisecond)
+	return time.Duration(float64(w.world.now.Sub(w.startedAt)) * (1 - clockDrift)).Truncate(time.Millisecond)
 }
 
 // lapse ends everything when the lease is over.
@@ -57,11 +59,15 @@
 	w.world.runEnded(w, task)
 }
 
-func (w *modelWorker) look(look runner.Look) (runner.Report, error) {
+// look answers a look that was meant for one incarnation.
+func (w *modelWorker) look(born runner.Born, look runner.Look) (runner.Report, error) {
 	w.lapse()
 	if !w.alive {
 		return runner.Report{}, runner.ErrGone
 	}
+	if born != w.roster.Born {
+		look.LeaseUntil, look.Acknowledged = nil, 0
+	}
 	if look.Token < w.token {
 		return runner.Report{}, &runner.Refusal{Reason: runner.Fenced}
 	}
@@ -76,7 +82,7 @@
 		w.ends = w.ends[1:]
 		w.listed = max(0, w.listed-1)
 	}
-	report := runner.Report{Clock: w.clock(), Ended: append([]runner.End(nil), w.ends...)}
+	report := runner.Report{Born: w.roster.Born, Clock: w.clock(), Ended: append([]runner.End(nil), w.ends...)}
 	for task, r := range w.runs {
 		report.Running = append(report.Running, runner.RunState{Task: task, Run: r.run, Percent: 10})
 	}
--- a/internal/cell/restart.go
+++ b/internal/cell/restart.go
@@ -8,17 +8,13 @@
 	"gentianstand/internal/runner"
 )
 
-// youngFor is how long after its start a worker may get orders that were meant for the
-// incarnation before it.
-const youngFor = 10 * time.Second
-
 // heardFrom notes which incarnation of a worker answered a look, and reports whether it is
 // the present one.
 func (c *Cell) heardFrom(w *worker, born runner.Born, sentAt, now time.Time) bool {
 	switch {
 	case born == 0 || born == w.incarnation:
 	case w.incarnation == 0:
-		w.incarnation, w.target.Born = born, born
+		c.setIncarnation(w, born)
 	case w.follows && sentAt.Before(w.knownSince):
 		// A late answer of one that has ended.
 		return false
@@ -28,9 +24,14 @@
 	return true
 }
 
-// restarted begins the books on a new incarnation of a worker. What ran on the one before
-// has ended, but for orders that were on their way: a start may be carried out by the new
-// one. So runs stay booked until a report shows them or a stop has revoked them.
+// setIncarnation notes which incarnation of a worker the books are about.
+func (c *Cell) setIncarnation(w *worker, born runner.Born) {
+	w.incarnation, w.target.Born = born, born
+	c.known.changed(w.ID)
+}
+
+// restarted begins the books on a new incarnation of a worker. The one before has crashed
+// with all that ran there, and no order that was meant for it reaches the new one.
 func (c *Cell) restarted(w *worker, born runner.Born, now time.Time) {
 	c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"now_born": born, "runs": len(w.attempts),
 		"seen": w.seen, "acknowledged": w.acked}).Info("worker_restarted")
@@ -38,42 +39,14 @@
 		c.noteSuspects(w, now)
 	}
 	c.workerCrashed(w.ID, now)
-	c.logLost(w, "worker_restarted")
-	w.life = &life{incarnation: born, knownSince: now, follows: true}
-	w.target.Born = born
+	c.loseAll(w, "worker_restarted", now)
+	w.life = &life{knownSince: now, follows: true}
 	w.Draining = false
-	for a := range w.attempts {
-		// A stop that the one before has answered revokes nothing on this one.
-		a.stopSentAt, a.stopAnsweredAt, a.seenStopping = time.Time{}, time.Time{}, false
-	}
+	// An overtaken owner may have heard of it, too: the one that can store that it is
+	// known may use it.
+	w.saved = false
+	c.setIncarnation(w, born)
 	if w.unmatched.Born == born {
 		c.describe(w, w.unmatched, now)
 	}
 }
-
-// unseenLease returns how far a worker's lease may reach that is heard for the first time:
-// an earlier owner may have extended it just before. An order that was meant for the
-// incarnation before has a lease end on another clock, which a worker shortens to the
-// longest one.
-func (c *Cell) unseenLease(w *worker, now time.Time) time.Duration {
-	if !w.follows && !w.young(now) {
-		return c.settings.Lease
-	}
-	return c.longestLease()
-}
-
-// young reports whether a worker has just started, by the times of day of both.
-func (w *worker) young(now time.Time) bool {
-	return w.incarnation != 0 && now.UnixMilli()-int64(w.incarnation) < youngFor.Milliseconds()
-}
-
-func (c *Cell) longestLease() time.Duration { return max(c.settings.Lease, c.settings.LongestLease) }
-
-// unheardLapsed reports whether the lease of a worker that has not told its clock must have
-// ended.
-func (c *Cell) unheardLapsed(w *worker, now time.Time) bool {
-	if !w.follows {
-		return now.Sub(c.began) >= c.unseenLimit()
-	}
-	return now.Sub(w.knownSince) >= time.Duration(float64(c.longestLease())*(1+clockDrift))+lapseMargin
-}
--- /dev/null
+++ b/internal/cell/restart_site_test.go
@@ -0,0 +1,155 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// restart has a worker start again under its id, and forget everything.
+func (s *site) restart(id string) roster.Worker {
+	s.pass(time.Second)
+	s.runs[id], s.ends[id] = nil, nil
+	next := usualWorker(id)
+	next.Born = runner.Born(s.now.UnixMilli())
+	s.born[id] = next.Born
+	return next
+}
+
+// list has a worker write its entry in the roster.
+func (s *site) list(w roster.Worker) {
+	s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{w}}, s.now)
+}
+
+// startsOf plans for a new job of some tasks and returns how many were started.
+func (s *site) startsOf(n, tasks int) int {
+	s.cell.Add(s.record(n, step(tasks)), true)
+	return len(s.plan())
+}
+
+// Guards against two owners that both use a worker which has forgotten their tokens: only
+// the one that can store that it is known may.
+func TestRestartedWorkerIsUsedOnlyWhenItIsStored(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	s.cell.Add(s.record(1, step(1)), true)
+	for _, o := range s.plan() {
+		s.confirm(o)
+		s.finish(o, runner.Done)
+	}
+	s.report("a")
+	s.cell.known.changed("a")
+	before := s.cell.NextCommit(40)
+	s.list(s.restart("a"))
+	s.report("a")
+	s.cell.Committed(before)
+	if n := s.startsOf(2, 1); n > 0 {
+		t.Errorf("%d starts before the store names the incarnation", n)
+	}
+	s.commit()
+	if n := s.startsOf(3, 1); n != 2 {
+		t.Errorf("%d starts when the store names it, want 2", n)
+	}
+}
+
+// Guards against runs on a worker that has less room, or another kind, since it restarted.
+func TestRestartedWorkerIsUsedOnlyAsItsOwnEntrySays(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	next := s.restart("a")
+	next.Capacity.MilliCPU = 3000
+	s.report("a")
+	s.commit()
+	if n := s.startsOf(1, 8); n > 0 {
+		t.Errorf("%d starts before its entry has come", n)
+	}
+	s.list(next)
+	if n := len(s.plan()); n != 3 {
+		t.Errorf("%d starts, want 3", n)
+	}
+}
+
+// Guards against a worker that is never used again because the life before was draining.
+func TestRestartedWorkerDoesNotDrain(t *testing.T) {
+	leaving := usualWorker("a")
+	leaving.Draining = true
+	s := newSite(t, 1, leaving)
+	s.report("a")
+	s.list(s.restart("a"))
+	s.list(leaving)
+	s.report("a")
+	s.plan() // opens the worker
+	s.commit()
+	if n := s.startsOf(1, 2); n != 2 {
+		t.Errorf("%d starts, want 2", n)
+	}
+}
+
+// Guards against a worker that is never used again because its time of day was set back.
+func TestRestartedWorkerWithAnEarlierTimeOfDayIsUsed(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	next := s.restart("a")
+	next.Born = runner.Born(siteStart.Add(-time.Hour).UnixMilli())
+	s.born["a"] = next.Born
+	s.list(next)
+	s.report("a")
+	s.commit()
+	if n := s.startsOf(1, 2); n != 2 {
+		t.Errorf("%d starts, want 2", n)
+	}
+}
+
+// Guards against a new owner that waits for runs of a life that has ended: they are stored
+// of a worker that was silent, and it has restarted since.
+func TestNewOwnerDropsStoredRunsOfALifeBefore(t *testing.T) {
+	for name, listed := range map[string]bool{"roster tells": true, "worker tells": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2)
+			record := s.record(1, step(1))
+			s.cell.Load(record, nil)
+			before := usualWorker("a")
+			next := s.restart("a")
+			if listed {
+				s.cell.SetRoster([]roster.Worker{next}, s.now)
+			} else {
+				s.cell.SetRoster([]roster.Worker{before}, s.now)
+			}
+			task := job.TaskID{Job: record.ID}.String()
+			s.cell.Inherit([]KnownWorker{{ID: "a", Born: before.Born, Address: before.Address, Closed: true,
+				Runs: []KnownRun{{Task: task, Run: 1}}}}, s.now)
+			s.cell.InheritedAll()
+			s.report("a")
+			s.list(next)
+			s.plan()
+			s.commit()
+			if starts := s.plan(); len(starts) != 1 {
+				t.Errorf("%d starts at once, want 1", len(starts))
+			}
+		})
+	}
+}
+
+// Guards against tickets of a life that has ended: the worker would refuse them.
+func TestTicketsEndWithTheIncarnation(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	record := s.record(1, step(2))
+	record.Advice = &job.AdviceCost{Valid: time.Minute}
+	s.cell.Add(record, true)
+	s.plan()
+	s.advise("a")
+	s.list(s.restart("a"))
+	s.report("a")
+	s.commit()
+	if starts := s.plan(); len(starts) > 0 {
+		t.Errorf("%d starts with tickets of the life before", len(starts))
+	}
+	s.advise("a")
+	if starts := s.plan(); len(starts) != 2 {
+		t.Errorf("%d starts with new tickets, want 2", len(starts))
+	}
+}
--- a/internal/cell/restart_upkeep_test.go
+++ b/internal/cell/restart_upkeep_test.go
@@ -18,6 +18,7 @@
 	next := usualWorker("a")
 	next.Born = runner.Born(s.now.UnixMilli())
 	s.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{next}}, s.now)
+	s.commit()
 	s.born["a"] = next.Born
 	s.report("a")
 	s.cell.Add(s.record(1, step(2)), true)
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -84,10 +84,10 @@
 		r.Draining = r.Draining || w.Draining
 	}
 	w.Worker = r
-	if r.Born == 0 {
-		r.Born = w.incarnation
+	if w.incarnation == 0 && r.Born != 0 {
+		c.setIncarnation(w, r.Born)
 	}
-	w.incarnation, w.target = r.Born, targetOf(r)
+	w.target.Address, w.target.Zone = r.Address, r.Zone
 	w.unlistedAt = time.Time{}
 	if r.Draining && w.drainSeen.IsZero() {
 		w.drainSeen = now
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -9,8 +9,6 @@
 	Term uint64
 	// Lease is how far a worker's lease is extended with each look.
 	Lease time.Duration
-	// LongestLease is the longest lease that workers grant; 0 is Lease.
-	LongestLease time.Duration
 	// EarlierStopped says that the earlier owner is known to extend no lease any
 	// more, because its process ended or it gave the cell up.
 	EarlierStopped bool
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -91,7 +91,7 @@
 	}
 	over := w.lapsed(now)
 	if w.clockAt.IsZero() {
-		over = c.unheardLapsed(w, now)
+		over = now.Sub(c.began) >= c.unseenLimit()
 	}
 	if !over || now.Sub(w.lastReport) < reportFresh {
 		return false
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -134,7 +134,6 @@
 
 // extendLease returns a new lease end and books it before it is sent.
 func (w *worker) extendLease(lease time.Duration, now time.Time) time.Duration {
-	w.granted = max(w.granted, w.clockGuess(now)+lease).Truncate(time.Millisecond)
-	w.leaseEnd = max(w.leaseEnd, w.granted)
-	return w.granted
+	w.leaseEnd = max(w.leaseEnd, w.clockGuess(now)+lease).Truncate(time.Millisecond)
+	return w.leaseEnd
 }
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -6,24 +6,17 @@
 	"gentianstand/internal/runner"
 )
 
-func lookFrom(l runner.Look) request {
-	r := request{}
-	if l.Acknowledged > 0 {
-		r.BornMillis = int64(l.Born)
-	}
+func lookFrom(l runner.Look) *look {
 	w := &look{Token: l.Token, Acknowledged: l.Acknowledged, WaitMillis: l.Wait.Milliseconds()}
 	if l.LeaseUntil != nil {
 		ms := l.LeaseUntil.Milliseconds()
 		w.LeaseMillis = &ms
 	}
-	r.Look = w
-	return r
+	return w
 }
 
-// look returns the look of a request that is one.
-func (q *request) look() runner.Look {
-	l := q.Look
-	r := runner.Look{Token: l.Token, Acknowledged: l.Acknowledged, Born: runner.Born(q.BornMillis), Wait: time.Duration(l.WaitMillis) * time.Millisecond}
+func (l *look) runner() runner.Look {
+	r := runner.Look{Token: l.Token, Acknowledged: l.Acknowledged, Wait: time.Duration(l.WaitMillis) * time.Millisecond}
 	if l.LeaseMillis != nil {
 		until := time.Duration(*l.LeaseMillis) * time.Millisecond
 		r.LeaseUntil = &until
--- a/internal/relay/encoder.go
+++ b/internal/relay/encoder.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"gentianstand/internal/runner"
 )
 
 // encoder writes the requests of one link. It leaves out what the relay knows from
@@ -12,14 +14,14 @@
 // concurrent use.
 type encoder struct {
 	out     *cbor.Encoder
-	workers map[string]uint32
+	workers map[runner.Target]uint32
 	// ids are the places of the workers' ids in questions.
 	ids   map[string]uint32
 	specs *specSlots
 }
 
 func newEncoder(w io.Writer) *encoder {
-	return &encoder{out: cbor.NewEncoder(w), workers: map[string]uint32{}, ids: map[string]uint32{}, specs: newSpecSlots()}
+	return &encoder{out: cbor.NewEncoder(w), workers: map[runner.Target]uint32{}, ids: map[string]uint32{}, specs: newSpecSlots()}
 }
 
 // encode writes a call that has its number.
@@ -40,12 +42,13 @@
 
 // nameWorker puts the number of a call's worker in, and who that is for the first time.
 func (e *encoder) nameWorker(r *request, c *call) {
-	key := c.worker.ID + " " + c.worker.Address
-	number, known := e.workers[key]
+	to := c.worker
+	to.Zone = "" // the relay does not need it
+	number, known := e.workers[to]
 	if !known {
 		number = uint32(len(e.workers) + 1)
-		e.workers[key] = number
-		r.Target = &target{ID: c.worker.ID, Address: c.worker.Address}
+		e.workers[to] = number
+		r.Target, r.BornMillis = &target{ID: to.ID, Address: to.Address}, int64(to.Born)
 	}
 	r.Worker = number
 }
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -38,7 +38,7 @@
 	defer f.mu.Unlock()
 	f.looks++
 	f.looked = l
-	return runner.Report{Born: 1767225600000, Clock: 1234 * time.Millisecond, Ended: []runner.End{},
+	return runner.Report{Born: w.Born, Clock: 1234 * time.Millisecond, Ended: []runner.End{},
 		Running: []runner.RunState{{Task: w.ID + "-task", Run: l.Token, Saved: "s", Percent: f.looks, Gauge: 17}}}, nil
 }
 
@@ -172,10 +172,11 @@
 		}
 	}
 	for percent := 1; percent < 4; percent++ {
-		look := runner.Look{Token: 7, Acknowledged: 57, Born: 1767225600000, Wait: time.Second}
-		got := l.do(within(t), callTo(w1, lookFrom(look)))
-		if s.workers.looked != look || got.report.Born != look.Born {
-			t.Errorf("look %d arrived as %+v, report of incarnation %d", percent, s.workers.looked, got.report.Born)
+		look := runner.Look{Token: 7, Acknowledged: 57, Wait: time.Second}
+		target := runner.Target{ID: w1.ID, Born: runner.Born(1767225600000 + percent), Address: w1.Address}
+		got := l.do(within(t), callTo(target, request{Look: lookFrom(look)}))
+		if s.workers.looked != look || got.report.Born != target.Born {
+			t.Errorf("look %d arrived as %+v, at incarnation %d", percent, s.workers.looked, got.report.Born)
 		}
 		want := runner.RunState{Task: "w-1-task", Run: 7, Saved: "s", Percent: percent, Gauge: 17}
 		if got.err != nil || got.report.Clock != 1234*time.Millisecond || len(got.report.Running) != 1 || got.report.Running[0] != want {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -91,7 +91,7 @@
 
 // Look implements runner.Client.
 func (p *Pool) Look(ctx context.Context, w runner.Target, l runner.Look) (runner.Report, error) {
-	got, done := p.relay(ctx, w, &call{request: lookFrom(l)})
+	got, done := p.relay(ctx, w, &call{request: request{Look: lookFrom(l)}})
 	if !done {
 		return p.workers.Look(ctx, w, l)
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -20,7 +20,7 @@
 	Stop        *stop  `cbor:"8,keyasint,omitempty"`
 	Pace        *pace  `cbor:"9,keyasint,omitempty"`
 	Ask         *ask   `cbor:"10,keyasint,omitempty"`
-	// BornMillis is Born of a look that acknowledges ends.
+	// BornMillis is the incarnation of Target.
 	BornMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -85,7 +85,7 @@
 // resolve puts in what the owner left out.
 func (s *session) resolve(r *request) (runner.Target, error) {
 	if r.Target != nil {
-		s.workers[r.Worker] = runner.Target{ID: r.Target.ID, Address: r.Target.Address}
+		s.workers[r.Worker] = runner.Target{ID: r.Target.ID, Born: runner.Born(r.BornMillis), Address: r.Target.Address}
 	}
 	if r.Start != nil {
 		if r.Start.Slot >= slots {
@@ -167,7 +167,7 @@
 	switch {
 	case r.Look != nil:
 		var full runner.Report
-		if full, err = client.Look(ctx, w, r.look()); err == nil {
+		if full, err = client.Look(ctx, w, r.Look.runner()); err == nil {
 			d.report = &full
 			answer.Clock = full.Clock
 		}
--- a/internal/runner/client.go
+++ b/internal/runner/client.go
@@ -9,9 +9,11 @@
 // carries a fencing token; the worker does nothing for a lower token than it
 // has seen. Methods return a *Refusal if the worker declined, ErrGone if
 // another incarnation answers at the address, and ErrNoAnswer if the order may
-// have been carried out or may still be.
+// have been carried out or may still be. No order reaches another incarnation.
 type Client interface {
-	// Look extends the lease and returns what runs and what has ended.
+	// Look extends the lease and returns what runs and what has ended. If the worker
+	// has started again under its id, the next incarnation reports; its lease is not
+	// extended, and nothing is acknowledged to it.
 	Look(ctx context.Context, w Target, look Look) (Report, error)
 	// Start starts a run of a task.
 	Start(ctx context.Context, w Target, start Start) (Answer, error)
--- a/internal/runner/look.go
+++ b/internal/runner/look.go
@@ -9,11 +9,8 @@
 	// leaves the lease as it is. A lease never becomes shorter.
 	LeaseUntil *time.Duration
 	// Acknowledged is the highest end that is stored; the worker forgets ends
-	// up to it. Born is the incarnation that listed it: another one would forget ends
-	// that nobody has heard, so the client leaves the acknowledgement out unless it is
-	// certain to reach this one.
+	// up to it.
 	Acknowledged uint64
-	Born         Born
 	// Wait is how long the worker may hold the answer until a task ends.
 	Wait time.Duration
 }
--- a/internal/runner/target.go
+++ b/internal/runner/target.go
@@ -3,7 +3,8 @@
 // Target is one incarnation of a worker and where it listens.
 type Target struct {
 	ID string
-	// Born tells the incarnations under one id apart, or is 0 if it is not known.
+	// Born tells the incarnations under one id apart. If it is 0, because it is not
+	// known, calls reach any of them.
 	Born    Born
 	Address string
 	// Zone is its availability zone, or empty if that is not known.
