--- a/internal/cellowner/look_loop.go
+++ b/internal/cellowner/look_loop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"gentianstand/internal/runner"
 )
 
 const (
@@ -43,7 +41,7 @@
 		delete(o.looking, id)
 		o.lookingMu.Unlock()
 	}()
-	last := uint64(0)
+	var last newestEnd
 	pause := lookRetryFirst
 	for ctx.Err() == nil {
 		if !o.deps.Leadership.Confirmed() {
@@ -68,13 +66,13 @@
 		stored := o.nextStored()
 		o.cell.Reported(id, report, sentAt, time.Now())
 		o.wake()
-		newest := newestEnd(report)
+		newest := newestEndOf(report)
 		switch {
-		case newest > last:
+		case newest.follows(last):
 			last = newest
 			o.wakeCommit()
 			o.awaitStored(ctx, stored)
-		case newest > 0:
+		case newest.sequence > 0:
 			wait(ctx, lookGap)
 		case look.Wait == 0:
 			wait(ctx, lookPace)
@@ -96,14 +94,6 @@
 	wait(ctx, pause)
 }
 
-func newestEnd(r runner.Report) uint64 {
-	newest := uint64(0)
-	for _, e := range r.Ended {
-		newest = max(newest, e.Sequence)
-	}
-	return newest
-}
-
 // nextStored returns a channel that is closed after the next commit.
 func (o *Owner) nextStored() <-chan struct{} {
 	o.storedMu.Lock()
