--- a/internal/cell/crash_worker_test.go
+++ b/internal/cell/crash_worker_test.go
@@ -75,9 +75,20 @@
 // replace has a new life of a worker register at the address.
 func (w *crashWorld) replace(id string) {
 	old := w.workers[id]
-	w.states[id].replaced = true
 	w.lives++
 	r := old.roster
+	r.Born = runner.Born(w.now.UnixMilli())
+	if w.sameIDs {
+		w.workers[id] = &loadWorker{roster: r, runs: map[string]*loadRun{}, startedAt: w.now}
+		w.states[id] = &crashWorker{lease: w.now}
+		if w.rnd.Intn(2) == 0 {
+			w.register(id)
+		} else {
+			w.unlisted = append(w.unlisted, id)
+		}
+		return
+	}
+	w.states[id].replaced = true
 	r.ID = fmt.Sprintf("%s-%d", r.Address, w.lives)
 	if w.elsewhere {
 		r.Address = fmt.Sprintf("elsewhere-%d:1", w.lives)
@@ -87,9 +98,17 @@
 	w.cell.UpdateRoster(roster.Change{Workers: []roster.Worker{r}, Removed: []string{id}}, w.now)
 }
 
+// listLate has a worker write its entry that has not yet done so.
+func (w *crashWorld) listLate() {
+	if len(w.unlisted) > 0 && w.rnd.Intn(50) == 0 {
+		w.register(w.unlisted[0])
+		w.unlisted = w.unlisted[1:]
+	}
+}
+
 func (w *crashWorld) look(id string) {
 	state := w.states[id]
-	_, look, ok := w.cell.NextLook(id, w.now)
+	target, look, ok := w.cell.NextLook(id, w.now)
 	switch {
 	case !ok:
 	case state.replaced && !w.elsewhere:
@@ -97,7 +116,7 @@
 	case state.cut || !state.backAt.IsZero():
 		w.cell.LookFailed(id, runner.ErrNoAnswer, w.now)
 	default:
-		if look.LeaseUntil != nil {
+		if look.LeaseUntil != nil && target.Born == w.workers[id].roster.Born {
 			w.grant(id, *look.LeaseUntil)
 		}
 		w.report(w.workers[id])
@@ -123,6 +142,10 @@
 		w.cell.StartAnswered(order, runner.Answer{}, &runner.Refusal{Reason: runner.Unhealthy}, w.now)
 		return
 	}
+	if order.Worker.Born != w.workers[id].roster.Born {
+		w.cell.StartAnswered(order, runner.Answer{}, runner.ErrGone, w.now)
+		return
+	}
 	w.grant(id, order.Start.LeaseUntil)
 	if w.crashes[task] >= crashesKnown {
 		w.later[task]++
--- a/internal/cell/crash_world_test.go
+++ b/internal/cell/crash_world_test.go
@@ -33,16 +33,20 @@
 	// elsewhere says that a worker comes back at another address; the one that it had
 	// stays silent.
 	elsewhere bool
+	// sameIDs says that a worker comes back under the id that it had.
+	sameIDs bool
 	// answersLost says that the start of a poison task is not answered.
 	answersLost bool
 	// storeAway says that nothing can be stored.
 	storeAway bool
-	states    map[string]*crashWorker
-	lives     int
-	records   map[string]*job.Record
-	progress  map[string][]byte
-	chunks    map[int][]KnownWorker
-	terms     uint64
+	// unlisted are workers that came back and are yet to write their entries.
+	unlisted []string
+	states   map[string]*crashWorker
+	lives    int
+	records  map[string]*job.Record
+	progress map[string][]byte
+	chunks   map[int][]KnownWorker
+	terms    uint64
 	// crashes counts the workers that crashed under a task, later its starts after
 	// crashesKnown of them.
 	crashes, later map[string]int
@@ -104,6 +108,7 @@
 		w.order(order)
 	}
 	w.store()
+	w.listLate()
 	for id := range w.submitted {
 		if state, _ := w.cell.State(id); state == job.Completed {
 			w.completed[id] = w.now
--- /dev/null
+++ b/internal/cell/restart_crash_test.go
@@ -0,0 +1,47 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+)
+
+// Guards against poison tasks that are started without a limit: a worker that restarts under
+// its id counts as one that has lived on.
+func TestPoisonTaskIsGivenUpWhenWorkersRestartUnderTheirIDs(t *testing.T) {
+	steps := map[string]job.Step{"may run twice": mayRunTwice(12), "once": once(12), "lasting": watchers(6)}
+	for name, s := range steps {
+		for _, back := range []time.Duration{20 * time.Millisecond, 600 * time.Millisecond, 3 * time.Second} {
+			t.Run(name+" "+back.String(), func(t *testing.T) {
+				w := newCrashWorld(t, 24)
+				w.sameIDs, w.backAfter = true, back
+				poison := w.submit(0, s, 0)
+				others := w.playBeside(40*time.Second, nil)
+				w.checkPoison()
+				w.checkState(poison, job.Failed)
+				w.runUntilEnded(time.Minute, nil)
+				for _, id := range others {
+					w.checkState(id, job.Completed)
+				}
+			})
+		}
+	}
+}
+
+// Guards against the same beside a lost owner: what is stored of a worker that was silent is
+// said of one incarnation.
+func TestPoisonTaskIsGivenUpByTheNextOwnerOfRestartedWorkers(t *testing.T) {
+	w := newCrashWorld(t, 24)
+	w.sameIDs, w.backAfter = true, 600*time.Millisecond
+	poison := w.submit(0, mayRunTwice(12), 0)
+	takeOvers := 0
+	w.playBeside(40*time.Second, func() {
+		if takeOvers < 2 && w.mostCrashesUnder(poison) > takeOvers && w.rnd.Intn(20) == 0 {
+			takeOvers++
+			w.takeOver()
+		}
+	})
+	w.checkPoison()
+	w.checkState(poison, job.Failed)
+}
