--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -109,6 +109,15 @@
 		peer.Delay(0)
 	}},
 	poison,
+	{"a worker restarts under its id", func(w *world, rnd *rand.Rand) {
+		w.restartWorker(rnd.Intn(workers), time.Duration(rnd.Intn(1500))*time.Millisecond, nil)
+	}},
+	{"all workers restart under their ids", func(w *world, rnd *rand.Rand) {
+		for i := range workers {
+			w.restartWorker(i, time.Duration(rnd.Intn(1500))*time.Millisecond, nil)
+			pause(rnd, 0, 200)
+		}
+	}},
 }
 
 // poison submits a job whose task crashes each worker that starts it.
@@ -118,10 +127,16 @@
 // draws from the list as long as it was when the seed failed.
 const beforePeerFaults = 14
 
+// beforeRestarts is how many faults there were before workers restarted under their ids.
+const beforeRestarts = 19
+
 // poisonShare is how many times as likely as another fault a poison task is in the seeds
 // for them: several of them are in each.
 const poisonShare = 6
 
+// restartShare is the same for restarts of workers.
+const restartShare = 6
+
 // play injects some of the faults until ctx ends, several at a time, and returns their
 // names in order.
 func play(ctx context.Context, w *world, rnd *rand.Rand, faults []fault) []string {
