--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -50,7 +50,7 @@
 	}
 	room.slots.take(slow)
 	b.asking = true
-	c.questions[s.id] = question{ahead: ahead, slow: slow}
+	c.questions[s.id] = question{ahead: ahead, slow: slow, askedAt: now}
 	c.stats.AdviceCalls++
 	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Term: c.settings.Term, Cost: *s.job.record.Advice, Workers: workers, Slow: slow})
 }
@@ -123,6 +123,7 @@
 func (c *Cell) Advised(stage job.StageID, asked []string, tickets []advice.Ticket, err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	askedAt := c.questions[stage].askedAt
 	delete(c.questions, stage)
 	j := c.jobs[stage.Job]
 	if j == nil {
@@ -139,14 +140,15 @@
 		c.log.WithField("stage", stage.String()).WithError(err).Info("advice_failed")
 		return
 	}
+	// What was asked of the life before does not hold for a worker that has restarted since.
 	until := now.Add(j.record.Advice.Valid - ticketMargin)
 	for _, id := range asked {
-		if w := c.workers[id]; w != nil {
+		if w := c.workers[id]; w != nil && !w.knownSince.After(askedAt) {
 			s.advice.verdicts[w] = verdict{life: w.life}
 		}
 	}
 	for _, t := range tickets {
-		if w := c.workers[t.Worker]; w != nil {
+		if w := c.workers[t.Worker]; w != nil && !w.knownSince.After(askedAt) {
 			s.advice.verdicts[w] = verdict{life: w.life, good: true, ticket: t.Text, until: until}
 		}
 	}
--- a/internal/cell/questions.go
+++ b/internal/cell/questions.go
@@ -1,6 +1,10 @@
 package cell
 
-import "gentianstand/internal/job"
+import (
+	"time"
+
+	"gentianstand/internal/job"
+)
 
 // aheadShare is the share of the adviser's lanes for slow calls that questions about full
 // workers may use at the same time.
@@ -12,6 +16,8 @@
 	ahead bool
 	// slow says that it takes a lane for slow calls; see AdviceSlots.
 	slow bool
+	// askedAt is when it was asked.
+	askedAt time.Time
 }
 
 // questions are those under way, by the stage that asks.
--- a/internal/cell/restart_site_test.go
+++ b/internal/cell/restart_site_test.go
@@ -133,6 +133,22 @@
 	}
 }
 
+// Guards against a crash that is forgotten with its owner: the next one knows the restarted
+// worker from the roster.
+func TestNewOwnerCountsTheCrashOfALifeBefore(t *testing.T) {
+	s := newSite(t, 2)
+	record := s.record(1, step(1))
+	s.cell.Load(record, &job.Progress{Stages: []job.StageProgress{{Tasks: []job.TaskProgress{{LastRun: 1, LostRuns: []uint64{1}}}}}})
+	before := usualWorker("a")
+	s.cell.SetRoster([]roster.Worker{s.restart("a")}, s.now)
+	task := job.TaskID{Job: record.ID}
+	s.cell.Inherit([]KnownWorker{{ID: "a", Born: before.Born, Address: before.Address, Closed: true,
+		Suspects: []KnownRun{{Task: task.String(), Run: 1}}}}, s.now)
+	if crashed := s.cell.task(task).crashes.crashed; len(crashed) != 1 {
+		t.Errorf("crashes %v, want that of run 1", crashed)
+	}
+}
+
 // Guards against tickets of a life that has ended: the worker would refuse them.
 func TestTicketsEndWithTheIncarnation(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
@@ -148,6 +164,13 @@
 	if starts := s.plan(); len(starts) > 0 {
 		t.Errorf("%d starts with tickets of the life before", len(starts))
 	}
+	s.list(s.restart("a"))
+	s.advise("a")
+	s.report("a")
+	s.commit()
+	if starts := s.plan(); len(starts) > 0 {
+		t.Errorf("%d starts with tickets that were asked for the life before", len(starts))
+	}
 	s.advise("a")
 	if starts := s.plan(); len(starts) != 2 {
 		t.Errorf("%d starts with new tickets, want 2", len(starts))
