--- a/internal/admission/book.go
+++ b/internal/admission/book.go
@@ -54,13 +54,9 @@
 }
 
 // Refuse reports whether a job should be refused, and when its caller should come back.
-//
-// Load pattern: for many seconds several times more work comes than workers can do.
-// Accepted without a limit it would wait for minutes, although work that is in time goes
-// first and workers are busy: most callers would get an end that is of no use, and none
-// of them would know. Refused are those that would take longer than lateFactor allows, so
-// the less urgent queues first, and of each queue the shortest jobs, which have least time.
-// What lasts, or is for later, has no such time.
+// Refused are jobs that would take longer than lateFactor allows: their ends would be of
+// no use, and their callers would not know. That is the less urgent queues first, and of
+// each queue the shortest jobs. What lasts, or is for later, has no such time.
 func (b *Book) Refuse(r *job.Record, now time.Time) (retryAfter time.Duration, refuse bool) {
 	if r.Schedule != nil || r.Lasts() {
 		return 0, false
--- a/internal/cell/advice_slots.go
+++ b/internal/cell/advice_slots.go
@@ -19,13 +19,8 @@
 	Any int
 }
 
-// any reports whether a call may begin.
-//
-// Load pattern: after a fault or in a burst more stages want advice than the
-// adviser can serve. Calls that wait there are served in the order in which they
-// came, and after a timeout the adviser still works through them, so asking
-// again makes the next ones late, too, and nothing is placed any more. The cell
-// therefore asks only when a call begins at once, and most urgent stages first.
+// any reports whether a call may begin at once. A call that waits at the adviser is served
+// even after its caller has given it up, so asking again would only delay the next ones.
 func (s *AdviceSlots) any(slow bool) bool { return s.Any > 0 || (!slow && s.Quick > 0) }
 
 // take books a call.
--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -60,13 +60,8 @@
 }
 
 // refused takes in that a worker declined a start. The run does not exist, unless the
-// start was sent before.
-//
-// What can go wrong: the link of the owner is full, and a start is on its way for
-// long. The worker declines the repeat, because it is full or not well for a moment, and
-// then gets the first one. If the refusal counted for both, the task would run here
-// and, started again, elsewhere. It shows as "start_refused" and "second_run_found" of
-// one run. So a repeated start is revoked.
+// start was sent before: the first one may still arrive after the repeat was declined. So
+// a repeated start is revoked.
 func (c *Cell) refused(a *attempt, refusal *runner.Refusal, now time.Time) {
 	c.log.WithFields(attemptFields(a)).WithFields(logrus.Fields{"reason": refusal.Reason, "repeated": refusal.Repeated}).Info("start_refused")
 	s := a.task.stage
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -26,14 +26,9 @@
 	adviceRetry = 150 * time.Millisecond
 )
 
-// askAdvice asks about workers for the stage's idle tasks.
-//
-// Load pattern: when nearly all workers are full, room opens on one of them
-// every few milliseconds, and a question may take far longer. A stage that asks
-// only when it sees room finds it taken, and processors stand idle while tasks
-// wait. The stages that are first in order therefore
-// keep tickets for all workers that may run them, also full ones, and renew
-// them before they expire; as many do as the adviser can serve.
+// askAdvice asks about workers for the stage's idle tasks. The stages that are first in
+// order keep tickets for full workers, too, and renew them before they expire, as many as
+// the adviser can serve: room that opens would be taken before an answer comes.
 func (c *Cell) askAdvice(s *stage, room *room, now time.Time) {
 	b := &s.advice
 	slow := isSlow(s.job.record.Advice)
--- a/internal/cell/ask_order.go
+++ b/internal/cell/ask_order.go
@@ -17,13 +17,10 @@
 	lot   uint64
 }
 
-// mostRoomFirst sorts workers in the order in which a stage asks about them: those
-// near its data, then those that take most of its tasks, and among equals by lot, each
-// stage its own. Tasks that fill go where fewest tasks serve.
-//
-// Load pattern: after a restart of all instances 400 stages ask at the same time. When
-// all of them asked about the same emptiest workers, the first ones filled these, and
-// the others had to ask again; four tenths of the processors stood idle meanwhile.
+// mostRoomFirst sorts workers in the order in which a stage asks about them: those near
+// its data, then those that take most of its tasks, and among equals by lot, each stage
+// its own, so that many stages do not all ask about the same workers. Tasks that fill go
+// where fewest tasks serve.
 func (c *Cell) mostRoomFirst(list []*worker, s *stage) {
 	prefix := s.id.String()
 	candidates := make([]askCandidate, len(list))
--- a/internal/cell/backlog.go
+++ b/internal/cell/backlog.go
@@ -54,12 +54,10 @@
 		share(p.used.Accelerators, p.all.Accelerators)) >= fullShare
 }
 
-// Backlogs returns the backlogs of services whose workers are full, as of some tenths of
-// a second ago.
-//
-// What can go wrong: a new owner has heard few workers yet, and takes those for all. What
-// it accepts would seem to take minutes, and everybody would be refused. So there is none
-// until all workers are accounted for, and workers that are silent or parked count.
+// Backlogs returns the backlogs of services whose workers are full, as of some tenths of a
+// second ago. There is none until all workers are accounted for, and workers that are
+// silent or parked count: an owner that takes the few it has heard for all would have
+// everybody refused.
 func (c *Cell) Backlogs(now time.Time) []admission.Backlog {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cell/closing.go
+++ b/internal/cell/closing.go
@@ -9,13 +9,9 @@
 // answers get lost, and each closing and opening is a write.
 const closeAfter = 250 * time.Millisecond
 
-// watchClosing closes a worker that is silent or leaves, and opens it again.
-//
-// What can go wrong: a new owner cannot tell which tasks run on a worker that does
-// not answer, and holds back everything that an earlier owner may have started
-// there until its lease must be over. It shows as a long "recovered" beside a "worker_silent". The
-// store therefore says of such a worker that nothing was started there since, and
-// what may still be there: only those tasks have to wait.
+// watchClosing closes a worker that is silent or leaves, and opens it again. The store
+// says of a closed worker that nothing was started there since, and what may still be
+// there, so that a new owner holds back those tasks alone.
 func (c *Cell) watchClosing(w *worker, now time.Time) {
 	if !c.uses(Closing) {
 		return
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -33,10 +33,8 @@
 	return commit
 }
 
-// takeDirty moves jobs into a commit, those that have ended or the others.
-//
-// Load pattern: every end makes its job dirty. In a slow store all jobs are dirty all the
-// time, and those that have ended would be shown late behind the others.
+// takeDirty moves jobs into a commit, those that have ended or the others. In a slow store
+// all jobs are dirty all the time, and those that have ended should be shown first.
 func (c *Cell) takeDirty(commit *Commit, limit int, ended bool) {
 	for j := range c.dirty {
 		if len(commit.Items)+len(commit.Chunks) >= limit {
--- a/internal/cell/condense.go
+++ b/internal/cell/condense.go
@@ -15,10 +15,8 @@
 
 // Condense returns jobs that ended longer than after ago and of which nothing runs, at
 // most limit, to be stored in a condensed form. Their text, steps and tasks are dropped
-// from memory.
-//
-// Load pattern: ended jobs are kept for minutes, because callers ask for them and repeats of
-// their submission must find them. A new owner reads them all, over a link that may be narrow.
+// from memory. Ended jobs are kept for minutes, and a new owner reads them all over a link
+// that may be narrow.
 func (c *Cell) Condense(after time.Duration, now time.Time, limit int) []Ended {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cell/copies.go
+++ b/internal/cell/copies.go
@@ -17,12 +17,9 @@
 	copyMargin = 300 * time.Millisecond
 )
 
-// copyIfDoubtful has another run of a task placed while one is doubtful, where the
-// task may run twice. Whichever ends first counts, and the other one is stopped.
-//
-// Load pattern: some workers stand still, work several times as slow, or fall
-// silent. A task that may not run twice has to wait for the stop of its run, or for
-// the end of the lease.
+// copyIfDoubtful has another run of a task placed while one is doubtful, where the task
+// may run twice. Whichever ends first counts, and the other one is stopped. Others have to
+// wait for a stop or the end of a lease.
 func (c *Cell) copyIfDoubtful(a *attempt, now time.Time) {
 	t := a.task
 	s := t.stage
@@ -41,11 +38,9 @@
 	c.wake(s)
 }
 
-// copyPays reports whether a copy of a run would end well before it. A copy costs
-// room alone, so it pays sooner than a move.
-//
-// Load pattern: some workers are several times slower. Moving a short task off one gains
-// nothing, as the stop takes as long as the task.
+// copyPays reports whether a copy of a run would end well before it. A copy costs room
+// alone, so it pays sooner than a move: the stop of a short task takes as long as the
+// task.
 func (c *Cell) copyPays(a *attempt) bool {
 	if a.changedAt.Sub(a.confirmedAt) < copyLeast || a.percent <= 0 {
 		return false
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -16,12 +16,9 @@
 // ownSilenceShare is from which share of silent workers on the silence is the owner's own.
 const ownSilenceShare = 0.5
 
-// isolatedFromWorkers reports whether so many workers are silent that it is this owner that
-// reaches none.
-//
-// What can go wrong: the link of a small machine is full, and no worker is heard for a
-// moment. All runs that were starting would be suspects, and each kept apart from others
-// afterwards, on top of the load. It shows as "worker_silent" of most workers.
+// isolatedFromWorkers reports whether so many workers are silent that it is this owner
+// that reaches none. Its link may be full; the runs that were starting are no suspects
+// then.
 func (c *Cell) isolatedFromWorkers() bool {
 	silent, awake := 0, 0
 	for _, w := range c.workers {
--- a/internal/cell/crash_history.go
+++ b/internal/cell/crash_history.go
@@ -31,12 +31,9 @@
 )
 
 // crashHistory is what is known of the workers that were lost while a task was starting
-// there.
-//
-// What can go wrong: a task crashes each worker that starts it, and with it all that runs
-// there. Started again without a limit it takes one worker down after the other. It shows
-// as "run_lost" of the same task with little "work_ms" each time. So the crashes are
-// counted with the task, in the store too, and such a poison task is given up.
+// there. A task that crashes each worker that starts it would otherwise take one down
+// after the other; the crashes are counted with the task, in the store too, and it is
+// given up.
 type crashHistory struct {
 	// crashed are the runs whose worker has crashed under them.
 	crashed []uint64
--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -75,11 +75,8 @@
 }
 
 // mayEnd reports whether a run may be ended by the owner's choice. Callers say how many
-// tasks of a lasting step may be away for that.
-//
-// What can go wrong: several workers with tasks of one step are emptied at the same
-// time, and the service that these tasks are is gone for seconds. It shows as several
-// "evacuated" of one step in a row.
+// tasks of a lasting step may be away for that; workers that are emptied together may have
+// several.
 func (c *Cell) mayEnd(a *attempt) bool {
 	s := a.task.stage
 	if !s.step.LongRunning || s.step.MayMiss == 0 {
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -12,13 +12,10 @@
 // that 3,000 of them fit into values of 64 KiB and a change writes little.
 const workerChunks = 16
 
-// knownWorkers tells which chunks are ahead of the store.
-//
-// What can go wrong: a worker that is cut off from the store vanishes from the
-// roster and goes on running what its owner told it. A new owner that knows the
-// roster alone takes those runs as not there and starts them again. Every worker
-// is therefore stored before the first run is placed on it, and stays stored
-// until nothing can run there any more, or it is parked.
+// knownWorkers tells which chunks are ahead of the store. Every worker is stored before
+// the first run is placed on it, and stays stored until nothing can run there any more, or
+// it is parked: one that is cut off from the store vanishes from the roster and goes on
+// running.
 type knownWorkers struct{ unsaved map[int]struct{} }
 
 func newKnownWorkers() knownWorkers { return knownWorkers{unsaved: map[int]struct{}{}} }
@@ -75,13 +72,9 @@
 	c.known.changed(w.ID)
 }
 
-// InheritedAll tells that Inherit was called with every chunk. On other workers no
-// earlier owner can have started anything: it would have stored them before, and since
-// this owner holds the claim it can store nothing more.
-//
-// What can go wrong: a new owner waits a whole lease for workers that it finds in the roster
-// and that do not answer, because they crashed, or their machines have their upkeep. It
-// shows as "worker_not_heard" of workers without runs before "recovered".
+// InheritedAll tells that Inherit was called with every chunk. On other workers no earlier
+// owner can have started anything: it would have stored them before, and since this owner
+// holds the claim it can store nothing more. So they are not waited for.
 func (c *Cell) InheritedAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -32,10 +32,8 @@
 	return w.target, look, true
 }
 
-// lookWait is how long a look may wait for an end: until a little after the next
-// one is expected. Load pattern: for some seconds a few percent of all calls get
-// no answer; a look that waits long is then noticed late, and every end on its
-// worker is heard late.
+// lookWait is how long a look may wait for an end: until a little after the next one is
+// expected. If an answer gets lost, a longer wait would delay every end on its worker.
 func (c *Cell) lookWait(w *worker, now time.Time) time.Duration {
 	wait := longLook
 	for a := range w.attempts {
@@ -178,10 +176,8 @@
 }
 
 // remove takes a worker out whose life has ended. Until the roster drops it, news of it
-// there is old.
-//
-// What can go wrong: a heartbeat that is read after the end brings the worker back. It
-// is stored as one that may have runs, answers nothing, and holds the next owner up.
+// there is old: taken for a worker again, it would be stored as one that may have runs,
+// and hold the next owner up.
 func (c *Cell) remove(w *worker, now time.Time) {
 	c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Info("worker_replaced")
 	c.loseAll(w, "worker_replaced", now)
--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -6,11 +6,8 @@
 // stage waits for room near it. Waiting for all of it would at worst double the loss.
 const nearPatience = 0.5
 
-// waitsForNear reports whether a stage waits for room near its data.
-//
-// Load pattern: many steps have their data on one rack, and take several times as long
-// elsewhere. If room there were taken only when it is free at once, many of these tasks would
-// run far away; most racks have room again within a fraction of a task.
+// waitsForNear reports whether a stage waits for room near its data. Elsewhere its tasks
+// take several times as long, and most racks have room again within a fraction of a task.
 func (c *Cell) waitsForNear(s *stage, room *room, now time.Time) bool {
 	if s.step.DataRack == "" || c.settings.FarFactor <= 1 || !c.uses(NearData) {
 		return false
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -23,12 +23,10 @@
 	comingFor = 500 * time.Millisecond
 )
 
-// park takes idle workers out of use until they are needed. A parked worker gets
-// no run and no look, and the store does not name it.
-//
-// Load pattern: thousands of workers of which a tenth have runs. Looks at idle workers
-// take most of the owner's processor, and leases run out while a new owner hears every
-// worker that the store names.
+// park takes idle workers out of use until they are needed. A parked worker gets no run
+// and no look, and the store does not name it. With thousands of workers, looks at idle
+// ones would take most of the owner's processor, and a new owner would have to hear them
+// all.
 func (c *Cell) park(now time.Time) {
 	if c.settings.SpareWorkers == 0 || !c.uses(Parking) || c.recovering || now.Sub(c.parkedAt) < parkPeriod {
 		return
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -158,12 +158,8 @@
 	}
 }
 
-// pick returns the first candidate with room for a task, avoiding the workers on
-// which it failed if another one will do. It returns -1 for none.
-//
-// Load pattern: two workers fail all that they start, and are always free. A task
-// that avoided only the last one went from one to the other until its attempts were
-// used up.
+// pick returns the first candidate with room for a task, avoiding all workers on which it
+// failed if another one will do. It returns -1 for none.
 func (c *Cell) pick(s *stage, t *task, fitting []candidate, now time.Time) int {
 	if t.crashes.any() {
 		return c.pickIsolated(s, t, fitting, now)
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -48,16 +48,11 @@
 	}
 }
 
-// inOrder sorts the waiting stages. Queues with a lower priority number go
-// first. Within a queue's priority, work that can still meet its objective goes
-// by the time at which it has to start; work that is late anyway goes after it,
-// shortest first. Load pattern: when a burst exceeds the room, earliest-first
-// would spend all room on jobs that are late already, and every job becomes
-// late.
-//
-// Of either kind, stages that have begun go before others. Load pattern: more than workers
-// can do. Urgent tasks stop less urgent ones again and again, and new jobs would take the
-// room of those that are half done.
+// inOrder sorts the waiting stages. Queues with a lower priority number go first. Within a
+// queue's priority, work that can still meet its objective goes by the time at which it
+// has to start; work that is late anyway goes after it, shortest first, or a burst would
+// make every job late. Of either kind, stages that have begun go before others: new jobs
+// would take the room of those that are half done.
 func (c *Cell) inOrder(now time.Time) []*stage {
 	type entry struct {
 		s     *stage
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -10,9 +10,8 @@
 // the first ones need up to a second to go.
 const preemptEvery = 30 * time.Millisecond
 
-// preempt stops less urgent runs for the idle tasks of a stage of the most
-// urgent queue. Load pattern: a burst of short urgent tasks meets workers full
-// of long ones, whose next end is seconds away.
+// preempt stops less urgent runs for the idle tasks of a stage of the most urgent queue,
+// where the next end of a run is too far away.
 func (c *Cell) preempt(s *stage, room *room, now time.Time) {
 	if !c.uses(Preemption) || s.job.record.Priority > 0 || s.step.Gang || len(s.idle) <= s.preempting || s.job.age(now) < preemptAfter {
 		return
--- a/internal/cell/questions.go
+++ b/internal/cell/questions.go
@@ -24,11 +24,8 @@
 type questions map[job.StageID]question
 
 // mayAskAhead reports whether a slow question about full workers may begin beside those
-// under way. free are the lanes that are free.
-//
-// Load pattern: more traffic than fits. Stages of a more urgent queue that find no room renew
-// their tickets for full workers, which takes all lanes of the adviser; stages of other
-// queues are never asked about, and wait beside free workers, also after the traffic.
+// under way. free are the lanes that are free. Such questions of urgent queues must not
+// take all lanes, or others would never be asked about beside free workers.
 func (q questions) mayAskAhead(free AdviceSlots) bool {
 	ahead, lanes := 0, free.Any
 	for _, asked := range q {
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -24,12 +24,8 @@
 )
 
 // reservation keeps the room of one worker for a large task of a stage until what is in
-// the way has ended.
-//
-// Load pattern: tasks that need a whole worker compete with a stream of tasks that need
-// an eighth of one. Whenever one of the small ones ends, the next takes its place, and
-// no worker is ever empty for the large ones, however urgent they are. Small tasks still
-// pass in front where they will have ended in time, or fit beside.
+// the way has ended. Without it the next small task takes the place of each one that ends.
+// Small tasks still pass in front where they will have ended in time, or fit beside.
 type reservation struct {
 	stage *stage
 	since time.Time
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// urgentReserve is the share of all processors that only the most urgent
-	// queue may use. Load pattern: short urgent tasks arrive in bursts while long
-	// ones fill all workers; without a reserve each has to wait for a stop.
+	// urgentReserve is the share of all processors that only the most urgent queue may
+	// use: its tasks are short and come in bursts, and without room each would have to
+	// wait for a stop.
 	urgentReserve = 0.06
 )
 
--- a/internal/cell/roster_news.go
+++ b/internal/cell/roster_news.go
@@ -11,11 +11,8 @@
 )
 
 // rosterNews tells whether entries of workers lapse because the store was away for all.
-//
-// What can go wrong: a worker alone is cut from the store, and cannot say that its room has
-// shrunk or that it drains. Its entry lapses; used on as in an outage, it gets tasks that
-// it has no room for. It shows as "worker_unlisted" of one worker beside a store that
-// answers. So only workers whose entries lapse in an outage are used without one.
+// Only workers whose entries lapse in an outage are used without one: one that is cut off
+// alone cannot say that its room has shrunk or that it drains.
 type rosterNews struct {
 	lastAt   time.Time
 	outageAt time.Time
--- a/internal/cell/silences.go
+++ b/internal/cell/silences.go
@@ -13,12 +13,9 @@
 	silenceKept = 30 * time.Second
 )
 
-// silences are when workers fell silent lately.
-//
-// What can go wrong: a rack loses power, or the network between, and the tasks that were
-// starting there look as if each had crashed its worker; twice so, and sound jobs are given
-// up. It shows as "job_given_up" beside many "worker_silent". So correlated failures are
-// not blamed on tasks, unless they came as soon as the tasks began.
+// silences are when workers fell silent lately. Correlated failures, as of a rack that
+// loses power, are not blamed on the tasks that were starting, unless they came as soon as
+// the tasks began.
 type silences []time.Time
 
 // add notes a silence, and forgets old ones.
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -148,10 +148,8 @@
 	c.stop(a, why, now)
 }
 
-// stallLimit returns how long a run may go without progress.
-//
-// Load pattern: an eighth of the workers stand still for some seconds. What is
-// started there until they are avoided is late by this limit.
+// stallLimit returns how long a run may go without progress. What is started on a worker
+// that stands still is late by this limit.
 func (a *attempt) stallLimit() time.Duration {
 	estimate := float64(a.task.stage.step.Estimate)
 	if a.fromStart && a.percent == 0 {
@@ -170,9 +168,7 @@
 }
 
 // suspicious reports whether a run goes so slowly that its worker is likely at fault.
-//
-// Load pattern: some workers are several times slower. Short tasks are not moved off them;
-// if nothing were held against such a worker either, it would go on getting urgent tasks.
+// Short tasks are not moved off such a worker, but it should not get urgent ones.
 func (c *Cell) suspicious(a *attempt) bool {
 	elapsed := a.changedAt.Sub(a.confirmedAt)
 	if !a.fromStart || elapsed < copyLeast || a.percent <= 0 {
@@ -213,11 +209,9 @@
 	return fresh
 }
 
-// usualDuration returns how long a fresh run of the attempt's task would take:
-// what its siblings on other workers show, or, without any, the longer of the
-// estimate and one and a half times what the queue's tasks usually take.
-//
-// Load pattern: estimates are far off, and runs on sound workers would be stopped as slow.
+// usualDuration returns how long a fresh run of the attempt's task would take: what its
+// siblings on other workers show, or, without any, the longer of the estimate and one and
+// a half times what the queue's tasks usually take. Estimates alone are far off.
 func (c *Cell) usualDuration(a *attempt) time.Duration {
 	fastest := time.Duration(0)
 	for _, sibling := range a.task.stage.tasks {
--- a/internal/celljobs/read.go
+++ b/internal/celljobs/read.go
@@ -21,12 +21,8 @@
 )
 
 // ReadersFor returns how many partitions to read at the same time over a link of some
-// Mbit/s; 0 is one that nobody has limited.
-//
-// What can go wrong: a new owner reads all partitions at once over a narrow link. Their
-// answers stand in line, so calls are given up and made again; pings stand in the same line,
-// and the owner is overtaken while it reads, and so is the next. It shows as
-// "ownership_taken" again and again without "cell_loaded".
+// Mbit/s; 0 is one that nobody has limited. Answers that stand in line on a narrow link
+// are given up and asked for again, and pings stand in the same line.
 func ReadersFor(linkMbps float64) int {
 	if linkMbps <= 0 {
 		return mostReaders
--- a/internal/celljobs/settle.go
+++ b/internal/celljobs/settle.go
@@ -25,11 +25,9 @@
 	attemptsOpen = 3
 )
 
-// attempts are the attempts at one transaction. It may be applied more than once:
-// the second time it finds the rows of the first.
-//
-// Load pattern: a store becomes slow at once. If the first writes were given up and made
-// again, they would take longer than the answer to the first attempt does.
+// attempts are the attempts at one transaction. It may be applied more than once: the
+// second time it finds the rows of the first. In a store that has become slow, giving the
+// first up and making it again would take longer than its answer.
 type attempts struct {
 	store *store.Watched
 	tx    store.Tx
--- a/internal/cellleader/confirmations.go
+++ b/internal/cellleader/confirmations.go
@@ -6,12 +6,9 @@
 )
 
 // confirmations tell whether an ownership holds, as far as others have told lately.
-//
-// What can go wrong: an owner and one other instance are cut off together, from the
-// store and from all others. They would confirm one another for good, while the others
-// have a new owner; on workers that only the old one reaches, leases go on and tasks run
-// that the new one starts again. So without the store more than half of all instances
-// have to be heard, counting the owner. In an outage of the store for everybody they are.
+// Without the store more than half of all instances have to be heard, counting the owner:
+// two that are cut off together must not confirm one another while the others have a new
+// owner.
 type confirmations struct {
 	mu sync.Mutex
 	// claimAt is when the store last said that the claim holds.
--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -157,13 +157,9 @@
 }
 
 // disowns reports whether the answer of a claim's holder says that it does not own the
-// cell.
-//
-// What can go wrong: in a slow store others read a new claim 0.1 s before its holder has
-// the answer to its write. It knows the term before alone, and owns nothing yet; it
-// would be overtaken at once, and everything read again. It shows as "ownership_taken"
-// twice within half a second. A holder that has not learned of its claim after the time
-// that it may be silent is taken for one that never will.
+// cell. In a slow store others read a claim before its holder has the answer to its write;
+// until then it knows the term before and owns nothing yet, which is no reason to overtake
+// it. After the time that it may be silent it is taken for one that never will.
 func disowns(reply *cellpb.PingReply, term uint64, vacant time.Duration) bool {
 	return reply.Term >= term || vacant >= vacantLimit
 }
--- a/internal/cellleader/links.go
+++ b/internal/cellleader/links.go
@@ -2,12 +2,9 @@
 
 import "time"
 
-// Links are the connections over which an owner reaches workers through this instance,
-// and this instance through others while it owns the cell. They carry frames several
-// times a second, which tell as much as a ping.
-//
-// Load pattern: with dozens of instances the pings that an owner answers take as much of it
-// as hundreds of starts.
+// Links are the connections over which an owner reaches workers through this instance, and
+// this instance through others while it owns the cell. They carry frames several times a
+// second, which tell as much as a ping and save it.
 type Links interface {
 	// Learned tells that there is an owner of a term: the orders of earlier ones are
 	// refused from now on.
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -27,12 +27,9 @@
 }
 
 // after returns a take-over with what follows from the claim before it, which has been
-// known for some time: whether no owner up to that one can act any more, and if not,
-// which one can.
-//
-// What can go wrong: an owner is silent, but lives; its successor ends 0.2 s later,
-// and the next owner knows that the process of its predecessor has ended. The first
-// one may act for 1.5 s after it was overtaken all the same.
+// known for some time: whether no owner up to that one can act any more, and if not, which
+// one can. That the last one has ended says nothing of the one before it, which may still
+// act.
 func (t takeOver) after(c claim, known time.Duration) takeOver {
 	// Whoever was alive when the claim was made was overtaken by it, and may act as
 	// long as a confirmation lasts.
--- a/internal/cellleader/yield.go
+++ b/internal/cellleader/yield.go
@@ -10,13 +10,9 @@
 	"gentianstand/internal/cellpeer"
 )
 
-// yield hands the cell over to a stronger instance, if there is one, even while this
-// one is still reading the cell.
-//
-// What can go wrong: all strong instances are away for a moment, and one with a
-// quarter of their processor takes over. It needs seconds where they need tenths,
-// and stays the owner when they are back. It shows as "cell_loaded" and "recovered"
-// of more than a second, and as an owner that falls silent under load.
+// yield hands the cell over to a stronger instance, if there is one, even while this one
+// is still reading the cell. A weak instance needs seconds where strong ones need tenths,
+// and is late under load.
 func (l *Leader) yield(ctx context.Context, t *term) {
 	if time.Since(t.began) < yieldAfter || !slices.ContainsFunc(l.directory.Others(), l.stronger) {
 		return
--- a/internal/cellowner/orders.go
+++ b/internal/cellowner/orders.go
@@ -13,14 +13,10 @@
 // call of the same instance that may be before this one.
 const adviceSlack = time.Second
 
-// start sends a start, and once more if it is not answered.
-//
-// Load pattern: for some seconds a few percent of the answers, or of the orders
-// themselves, get lost. A start of a run that is there is answered like the first
-// one, so repeating it soon either confirms the run or begins it; stopping it and
-// beginning anew elsewhere costs the work done so far and a round of planning. A
-// late effect of the first one meets the same run, or one that has ended, and the
-// worker declines it.
+// start sends a start, and once more if it is not answered. A start of a run that is there
+// is answered like the first one, so the repeat confirms the run or begins it, where a
+// stop would cost the work done so far. A late effect of the first one meets the same run,
+// or one that has ended, and the worker declines it.
 func (o *Owner) start(ctx context.Context, order cell.StartOrder) {
 	answer, err := o.startOnce(ctx, order, o.patience.Within(briefFactor, briefLeast))
 	if errors.Is(err, runner.ErrNoAnswer) && o.deps.Leadership.Confirmed() {
--- a/internal/cellowner/patience.go
+++ b/internal/cellowner/patience.go
@@ -6,18 +6,11 @@
 	"gentianstand/internal/patience"
 )
 
-// orderPatience bounds the wait for the answer to an order. Orders take milliseconds,
-// more when this instance is short of processor.
-//
-// Load pattern: for some seconds a few percent of the orders are carried out
-// late and not answered. A step of many tasks then often has one such order, and all
-// of the step waits for it. A wait that follows what answers usually take revokes the
-// order, and starts the task elsewhere, in time.
-//
-// A start that was given up counts as one that took as long. What can go wrong: the link
-// of a small machine is full, and all answers take longer than the wait. If only answers
-// taught patience, every start would be sent twice and then revoked, on the same link, for
-// as long as the load lasts. It shows as start_unanswered for most starts.
+// orderPatience bounds the wait for the answer to an order. Orders take milliseconds, more
+// when this instance is short of processor; one that gets no answer holds its whole step
+// up until it is revoked. A start that was given up counts as one that took as long: on a
+// full link all answers take longer than the wait, and if only answers taught patience
+// every start would be sent twice and revoked.
 var orderPatience = patience.Settings{
 	Least: 200 * time.Millisecond, Most: 800 * time.Millisecond, Factor: 15, AnswerWeight: 0.05, SilenceWeight: 0.05,
 }
--- a/internal/cellpeer/directory.go
+++ b/internal/cellpeer/directory.go
@@ -40,11 +40,9 @@
 	readGap = 10 * time.Second
 )
 
-// Directory knows the instances that have registered themselves in the store.
-//
-// What can go wrong: an instance that is replaced for good leaves its row behind.
-// After a week of replacements most rows would be of the dead; calls for advice would go to them first, and searches for an instance with the store would
-// find nobody. Rows are therefore renewed, and those that are not are passed over.
+// Directory knows the instances that have registered themselves in the store. Rows are
+// renewed, and those that are not are passed over: an instance that is replaced for good
+// leaves its row behind.
 type Directory struct {
 	self  Instance
 	store store.Store
--- a/internal/cellpeer/store_finder.go
+++ b/internal/cellpeer/store_finder.go
@@ -23,13 +23,9 @@
 	noneFor = time.Second
 )
 
-// StoreFinder finds an instance that the store serves, for one that it does not
-// serve. It is safe for concurrent use.
-//
-// Load pattern: in an outage every submission needs this answer. A search of its
-// own for each would keep callers waiting for the timeout of a call to a dead
-// instance, and cost them one of their few tries. Searches are shared, and a refusal does not wait for one if the
-// search before found nobody.
+// StoreFinder finds an instance that the store serves, for one that it does not serve. In
+// an outage every submission needs this answer, so searches are shared, and a refusal does
+// not wait for one if the search before found nobody. It is safe for concurrent use.
 type StoreFinder struct {
 	directory *Directory
 	clients   *Clients
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -53,11 +53,9 @@
 }
 
 // callContext returns the context for the calls that a request makes. A change that an
-// operator has asked for goes on when the operator goes away.
-//
-// What can go wrong: a connection that is being opened for a call outlives the handler,
-// and reads the context later. gin uses its own for the next request by then. It shows
-// as a data race, or as a call that ends with another request.
+// operator has asked for goes on when the operator goes away. It is not gin's own: a
+// connection that is being opened may read the context after the handler, when gin uses it
+// for the next request.
 func callContext(c *gin.Context) context.Context {
 	return context.WithoutCancel(c.Request.Context())
 }
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -13,11 +13,9 @@
 )
 
 // admit returns an error of kind Overloaded if a job could not be done in a time in which
-// its end is of use.
-//
-// What can go wrong: an earlier attempt of the caller was stored and its answer was lost.
-// A refusal would say that the job never runs, and it does. So the store is asked first;
-// if it does not answer, the job is passed on to where that is dealt with.
+// its end is of use. A refusal says that the job never runs, so the store is asked first
+// whether an earlier attempt was stored; if it does not answer, the job is passed on to
+// where that is dealt with.
 func (i *Intake) admit(ctx context.Context, r *job.Record) error {
 	retryAfter, refuse := i.book.Refuse(r, time.Now())
 	if !refuse {
--- a/internal/ownership/keeper_offers.go
+++ b/internal/ownership/keeper_offers.go
@@ -6,12 +6,9 @@
 	"gentianstand/internal/live"
 )
 
-// offer tells the next owner of a shard of the row that names it.
-//
-// What can go wrong: the table goes down right after a hand-over was written, before
-// the next owner has read it. For all of the outage nobody would own the shard, its
-// workers' leases would lapse, and their services and tasks would stop. The planner's
-// shard is not offered: its next owner needs the table to read the runs.
+// offer tells the next owner of a shard of the row that names it. If the table goes down
+// before it has read that row, nobody would own the shard for all of the outage. The
+// planner's shard is not offered: its next owner needs the table to read the runs.
 func (k *Keeper) offer(shard live.Shard) {
 	if shard.Name == live.PlannerShard {
 		return
--- a/internal/packed/text.go
+++ b/internal/packed/text.go
@@ -1,10 +1,6 @@
 // Package packed keeps texts of callers in a shorter form on their way through the
-// instances and the store.
-//
-// Load pattern: jobs with long texts, of which an owner on a small machine with a narrow
-// link hears twice, from the instance that accepted it and from the store, and passes
-// it to each relay that starts a task. Texts of programs, and names
-// and numbers, have half or less of their length when packed; once for each job.
+// instances and the store. An owner on a narrow link hears each text twice, and passes it
+// to each relay that starts a task; packed they have half the length or less.
 package packed
 
 import (
--- a/internal/planner/restarts.go
+++ b/internal/planner/restarts.go
@@ -16,12 +16,9 @@
 	startingFor = 10 * time.Second
 )
 
-// restarted handles an attempt that went with its worker's process.
-//
-// What can go wrong: a task crashes each worker that starts it, and with it
-// all that runs there. It shows as "task_vanished ... the worker restarted" of one task,
-// attempt after attempt. Such restarts are therefore counted with the task; it waits
-// before it starts again, and unless it is a service it is given up.
+// restarted handles an attempt that went with its worker's process. The task may be what
+// crashes its workers, so such restarts are counted with it; it waits before it starts
+// again, and unless it is a service it is given up.
 func (c *Core) restarted(e *entry, index int, now time.Time) {
 	t := &e.run.Tasks[index]
 	if !t.StartedAt.IsZero() && now.Sub(t.StartedAt) >= startingFor {
--- a/internal/relay/lateness.go
+++ b/internal/relay/lateness.go
@@ -2,14 +2,10 @@
 
 import "time"
 
-// lateness tells how much longer than usual requests were on their way, from the times
-// of day of both ends. Their clocks differ, so the shortest way of the last two
-// windows counts as none.
-//
-// What can go wrong: a relay is suspended for some seconds and then reads what came
-// meanwhile. A start that its owner has long given up, and whose job may be cancelled,
-// would begin seconds late. Its steady clock may have stood still, so only the time of
-// day shows it. It would be seen as runs that no start of that moment explains.
+// lateness tells how much longer than usual requests were on their way, from the times of
+// day of both ends. Their clocks differ, so the shortest way of the last two windows
+// counts as none. A relay that was suspended must not carry out what its owner has long
+// given up, and its steady clock may have stood still meanwhile.
 type lateness struct {
 	shortest, before time.Duration
 	since            time.Time
--- a/internal/relay/pool_routes.go
+++ b/internal/relay/pool_routes.go
@@ -17,10 +17,8 @@
 
 // route returns the link through which a worker is reached now, or nil if this instance
 // reaches it itself: an open one or one that will soon be, or else one that opens slowly.
-//
-// What can go wrong: a new owner opens its links while its own link to the network is full.
-// If none opens in time, and it calls all workers itself instead, over that same link, it
-// stays full. It shows as many new connections to workers in "traffic".
+// An owner whose network is full must not call all workers itself instead: that would keep
+// it full.
 func (p *Pool) route(w runner.Target, now time.Time) *Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/rank.go
+++ b/internal/relay/rank.go
@@ -25,12 +25,9 @@
 
 // Rank returns the instances through which a worker may be reached, best first: those of
 // its own zone, in an order that differs from group to group of workers (rendezvous
-// hashing).
-//
-// Load pattern: instances come and go all day. Only the workers of a lost instance move,
-// each group to its own next one, and the order needs no agreement: after a take-over the
-// new owner finds the same relays, with their connections to the workers open. Bytes
-// between zones cost, so the long calls of HTTP stay within one; the short frames cross.
+// hashing). Only the workers of a lost instance move, and the order needs no agreement: a
+// new owner finds the same relays with their connections open. Bytes between zones cost,
+// so the long calls of HTTP stay within one; the short frames cross.
 func Rank(workerID, zone string, all []cellpeer.Instance) []cellpeer.Instance {
 	near := slices.DeleteFunc(slices.Clone(all), func(i cellpeer.Instance) bool { return i.Zone != zone })
 	if len(near) == 0 {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -91,12 +91,9 @@
 	}
 }
 
-// Close ends all links, and returns when nothing of them is under way. Leave should be
-// called some time before.
-//
-// What can go wrong: an order of a closed link is still on its way to a worker when the
-// instance says that it has stopped. It shows as log lines of links after that one.
-// Waiting for the handlers, whose context has ended, prevents it.
+// Close ends all links, and returns when nothing of them is under way, so that no order is
+// on its way when the instance says that it has stopped. Leave should be called some time
+// before.
 func (s *Server) Close() {
 	s.closeSessions()
 	s.handlers.Wait()
--- a/internal/relay/spec_slots.go
+++ b/internal/relay/spec_slots.go
@@ -7,9 +7,9 @@
 // the same time.
 const slots = 128
 
-// specSlots remembers which specs were sent on a link. Load pattern: jobs of many tasks with
-// long specs; sent with every start, they would be most of an owner's bytes.
-// It is not safe for concurrent use.
+// specSlots remembers which specs were sent on a link: those of jobs with many tasks would
+// be most of an owner's bytes if they went with every start. It is not safe for concurrent
+// use.
 type specSlots struct {
 	bySpec map[packed.Text]uint32
 	specs  [slots]packed.Text
--- a/internal/roster/named.go
+++ b/internal/roster/named.go
@@ -6,12 +6,9 @@
 	"time"
 )
 
-// Named passes over the workers of services that the configuration does not name. They
-// are kept, because a later configuration may name them. It is safe for concurrent use.
-//
-// What can go wrong: an entry of another writer, which is none of ours, is taken as a
-// worker; it is called for ever and never answers. It shows as a "worker_silent" of a
-// service that no queue has.
+// Named passes over the workers of services that the configuration does not name: an entry
+// of another writer would be called for ever. They are kept, because a later configuration
+// may name them. It is safe for concurrent use.
 type Named struct {
 	source Source
 	// named reports whether the configuration in force names a service; before there is
--- a/internal/store/patience.go
+++ b/internal/store/patience.go
@@ -6,14 +6,11 @@
 	"gentianstand/internal/patience"
 )
 
-// callPatience bounds the wait for the answer to a call. The least is about what a
-// store that has just become slow needs; the most leaves time for one more
-// attempt within a caller's three seconds. The usual duration has to rise within a
-// few calls.
-//
-// Load pattern: a store becomes slow. Calls that are given up too early and made
-// again only lengthen its queues; calls on a
-// connection that went silent should be made again soon.
+// callPatience bounds the wait for the answer to a call. The least is about what a store
+// that has just become slow needs; the most leaves time for one more attempt within a
+// caller's three seconds. The usual duration has to rise within a few calls: calls that
+// are made again too early lengthen the queues of a slow store, but those on a connection
+// that went silent should be made again soon.
 var callPatience = patience.Settings{
 	Least: 450 * time.Millisecond, Most: 2200 * time.Millisecond, Factor: 6, AnswerWeight: 0.1, SilenceWeight: 0.3,
 }
--- a/internal/store/persistent.go
+++ b/internal/store/persistent.go
@@ -15,12 +15,9 @@
 )
 
 // Persistent is a Store that reads a page again while the store does not answer or
-// refuses, until the context ends. Contexts therefore need a deadline.
-//
-// What can go wrong: some partitions of the store are silent for seconds, and a
-// connection that has lost an answer never delivers another one. An owner whose first
-// reads meet that would wait for ever; it answers pings, so nobody overtakes it, and
-// nothing is planned any more. It shows as "ownership_taken" without "cell_loaded".
+// refuses, until the context ends. Contexts therefore need a deadline. A connection that
+// has lost an answer never delivers another one, so a read without a limit could last for
+// ever.
 type Persistent struct{ Store }
 
 // Read implements Store.
--- a/internal/store/return_watch.go
+++ b/internal/store/return_watch.go
@@ -14,11 +14,8 @@
 )
 
 // WatchReturn asks a lost store for a row, until ctx ends, so that its return is known
-// soon.
-//
-// What can go wrong: the store is silent, and whoever asks it next waits for a timeout
-// first. Instances notice its return late, and refuse callers needlessly until then. It shows as a "store_back" long after the first
-// commit. Where calls fail at once there are others that ask often enough.
+// soon and callers are not refused needlessly. Where calls fail at once there are others
+// that ask often enough.
 func (w *Watched) WatchReturn(ctx context.Context, table, partition, key string) {
 	ticker := time.NewTicker(probePeriod)
 	defer ticker.Stop()
--- a/internal/store/watched.go
+++ b/internal/store/watched.go
@@ -119,12 +119,8 @@
 }
 
 // begin books a call and returns what to call with its result. A call that was given up
-// makes the next ones wait longer, also if no other call was answered meanwhile.
-//
-// What can go wrong: a store turns slow. All calls that are under way are
-// given up before the first answer comes; if they taught nothing because nobody was
-// answered, the next ones would be given up as early, and commits be made again and
-// again into its queues.
+// makes the next ones wait longer, also if no other call was answered meanwhile: in a
+// store that turns slow all calls may be given up before the first answer comes.
 func (w *Watched) begin() func(context.Context, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/upkeep/tracker.go
+++ b/internal/upkeep/tracker.go
@@ -49,11 +49,8 @@
 func (t *Tracker) Wave() Wave { return t.wave }
 
 // Plan says what to do now. listed are all machines by name, load tells what runs on a
-// worker.
-//
-// Load pattern: a third of all machines within seconds, many at once. If as many as allowed
-// were emptied at once, much room would be gone when the wave begins, and the last seconds
-// of its time would go unused.
+// worker. As few machines are emptied at once as still finish in the wave's time: their
+// room is gone meanwhile.
 func (t *Tracker) Plan(now time.Time, listed map[string]Machine, load func(worker string) Load) Plan {
 	t.observe(now, listed)
 	t.choose(now, listed, load)
