--- a/internal/admission/book_test.go
+++ b/internal/admission/book_test.go
@@ -48,10 +48,7 @@
 	}
 }
 
-// Symptom: an instance refuses everything although workers are idle.
-// Sequence: workers were full when it last told the owner of a job; it refuses all since,
-// so it tells of none.
-// Cause to be ruled out: old news counts for ever.
+// Failure: an instance refuses everything although workers are idle.
 func TestOldNewsOfABacklogIsForgotten(t *testing.T) {
 	now := time.Now()
 	var b Book
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -28,9 +28,7 @@
 	}
 }
 
-// Symptom: a queue that was added is gone again, and comes back.
-// Sequence: two reads of the configuration end in the other order.
-// Cause to be ruled out: an older version replaces a newer one.
+// Failure: a queue that was added is gone again, and comes back.
 func TestCatalogOnlyMovesUp(t *testing.T) {
 	var current Current
 	if current.Get() != nil {
--- a/internal/cell/ask_order_test.go
+++ b/internal/cell/ask_order_test.go
@@ -29,11 +29,8 @@
 	return len(seen), questions
 }
 
-// Symptom: after a restart of all instances stages ask for advice several times each,
+// Failure: after a restart of all instances stages ask for advice several times each,
 // while workers stand idle.
-// Sequence: many stages ask at the same time.
-// Cause: all of them asked about the same emptiest workers, and the first ones filled
-// these.
 func TestStagesThatAskTogetherSpreadOverTheWorkers(t *testing.T) {
 	s := newSite(t, 1, manyWorkers(24)...)
 	if workers, questions := askedTogether(s, 4); questions != 4 || workers < 2*leastAsked {
@@ -41,9 +38,7 @@
 	}
 }
 
-// Symptom: a stage of many tasks asks about workers that are nearly full.
-// Sequence: some workers have room for all of its tasks, others for one.
-// Cause to be ruled out: the lot goes before the room.
+// Failure: a stage of many tasks asks about workers that are nearly full.
 func TestWorkersWithMoreRoomAreAskedAboutFirst(t *testing.T) {
 	workers := manyWorkers(24)
 	for i := range workers {
--- a/internal/cell/ask_test.go
+++ b/internal/cell/ask_test.go
@@ -35,10 +35,7 @@
 	return list
 }
 
-// Symptom: after a fault nothing was placed any more, beside free workers.
-// Sequence: more stages want advice than the adviser serves; calls wait there,
-// time out here, and are made again.
-// Cause: calls were made whether or not one could begin.
+// Failure: after a fault nothing was placed any more, beside free workers.
 func TestAdviceIsAskedOnlyWhenALaneIsFree(t *testing.T) {
 	s := newSite(t, 1, manyWorkers(4)...)
 	for _, w := range manyWorkers(4) {
@@ -132,8 +129,7 @@
 	}
 }
 
-// Symptom: starts were refused for want of a ticket, again and again.
-// Cause: a ticket that a worker refused was used for the next start.
+// Failure: starts were refused for want of a ticket, again and again.
 func TestRefusedTicketIsNotUsedAgain(t *testing.T) {
 	s := newSite(t, 1, manyWorkers(1)...)
 	s.report("a")
--- a/internal/cell/closing_test.go
+++ b/internal/cell/closing_test.go
@@ -6,11 +6,8 @@
 	"gentianstand/internal/runner"
 )
 
-// Symptom: after a take-over nothing was placed for four to five seconds, although
-// all workers but one answered.
-// Sequence: B is lost, or leaves; a little later the owner is lost, too.
-// Cause: the new owner could not tell what may run on B, and held back every task
-// of older jobs.
+// Failure: after a take-over nothing was placed for four to five seconds, although all
+// workers but one answered.
 func TestOnlyTheRunsOfASilentWorkerWait(t *testing.T) {
 	before := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	before.report("a")
@@ -57,11 +54,7 @@
 	}
 }
 
-// Symptom: a sound run is stopped after a take-over.
-// Sequence: a task's run on B ends and it starts again on A; the owner is lost
-// before the store is told that nothing is on B any more.
-// Cause: the new owner takes the stored run for the true one and the reported for
-// a second one.
+// Failure: a sound run is stopped after a take-over.
 func TestAReportedRunReplacesAnOlderStoredOne(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"))
 	r := s.record(1, step(1))
@@ -79,9 +72,7 @@
 	}
 }
 
-// Symptom: a task runs twice. Sequence: a silent worker was closed in the store;
-// it answers again and gets a run before the store says that it is open; the owner
-// is lost. Cause: the next owner believes the store that nothing was started there.
+// Failure: a task runs twice.
 func TestAnOpenedWorkerGetsNothingBeforeItIsStored(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
--- a/internal/cell/commit_test.go
+++ b/internal/cell/commit_test.go
@@ -7,10 +7,8 @@
 	"gentianstand/internal/runner"
 )
 
-// Symptom: in a slow store jobs are shown as completed seconds after their last
-// task has ended.
-// Sequence: more jobs have news than one commit holds, some of them have ended.
-// Cause: the ended ones wait their turn among all others.
+// Failure: in a slow store jobs are shown as completed seconds after their last task
+// has ended.
 func TestEndedJobsAreStoredFirst(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
--- a/internal/cell/condense_test.go
+++ b/internal/cell/condense_test.go
@@ -46,10 +46,7 @@
 	}
 }
 
-// Symptom: the owner ends, or a task of a job that has ended runs on.
-// Sequence: a run of a condensed job is reported, or its end listed, or advice for it
-// comes, seconds late.
-// Cause to be ruled out: the tasks of the job are looked for where there are none.
+// Failure: the owner ends, or a task of a job that has ended runs on.
 func TestLateNewsOfACondensedJob(t *testing.T) {
 	l, ended, _ := endedLoad(t)
 	l.cell.Condense(time.Second, l.now, 10)
@@ -68,9 +65,7 @@
 	}
 }
 
-// Symptom: a job that has ended runs again after a take-over.
-// Sequence: its record was condensed; a new owner reads it, or hears of it by the feed.
-// Cause to be ruled out: a record without steps and progress is taken for a new job.
+// Failure: a job that has ended runs again after a take-over.
 func TestCondensedJobsAreReadAsEnded(t *testing.T) {
 	r := job.EndedRecord(&job.Record{ID: "00000000000000aa", Queue: "q", Service: "desk"})
 	l := newLoad(t, 1)
--- a/internal/cell/copies_test.go
+++ b/internal/cell/copies_test.go
@@ -46,9 +46,7 @@
 	return nil
 }
 
-// Symptom: jobs whose tasks may run twice are 3.6 s late when a worker is lost.
-// Sequence: the worker with a task falls silent, another one has room.
-// Cause: the task waited for the end of the lease, as one that may not run twice.
+// Failure: jobs whose tasks may run twice are 3.6 s late when a worker is lost.
 func TestTaskThatMayRunTwiceDoesNotWaitForALease(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	o := runOnA(t, s, true, 3)
@@ -58,9 +56,7 @@
 	}
 }
 
-// Symptom: a task runs twice.
-// Sequence: the worker with a task that may not run twice falls silent.
-// Cause to be ruled out: it is copied like one that may.
+// Failure: a task runs twice.
 func TestTaskThatMayNotRunTwiceWaitsForTheLease(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	runOnA(t, s, false, 3)
@@ -69,9 +65,7 @@
 	}
 }
 
-// Symptom: a task that may run twice waits 0.9 s for the stop of its run.
-// Sequence: its run stands still, and the stop is not answered.
-// Cause: the task became placeable only at the end of the run.
+// Failure: a task that may run twice waits 0.9 s for the stop of its run.
 func TestCopyOfAStalledRunDoesNotWaitForItsStop(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	o := runOnA(t, s, true, 3)
@@ -107,9 +101,7 @@
 	return StartOrder{}
 }
 
-// Symptom: a slow run that was nearly done is stopped, and its task begins anew.
-// Sequence: a run goes at a fiftieth of its estimate; the task may run twice.
-// Cause to be ruled out: it is stopped instead of being raced.
+// Failure: a slow run that was nearly done is stopped, and its task begins anew.
 func TestSlowRunGoesOnBesideItsCopyUntilOneIsDone(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	o := runOnA(t, s, true, 3)
@@ -131,10 +123,7 @@
 	}
 }
 
-// Symptom: a job fails although its task succeeded.
-// Sequence: of two runs of a task with one attempt, one is done and the other one
-// fails.
-// Cause to be ruled out: the failure of a copy counts after the success.
+// Failure: a job fails although its task succeeded.
 func TestFailureOfACopyAfterTheSuccessDoesNotCount(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	s.report("a")
@@ -162,9 +151,7 @@
 	}
 }
 
-// Symptom: a worker runs a task twice.
-// Sequence: the only worker with room is the one on which the task stands still.
-// Cause to be ruled out: a copy is placed beside its original.
+// Failure: a worker runs a task twice.
 func TestCopyIsNeverPlacedBesideItsOriginal(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
@@ -183,10 +170,7 @@
 	}
 }
 
-// Symptom: on days with slow workers short tasks take 5 s instead of 1 s.
-// Sequence: a task of 1 s goes at a sixth of its speed; stopping and starting it
-// again would take about as long as letting it end.
-// Cause: only runs that are worth a stop were looked at.
+// Failure: on days with slow workers short tasks take 5 s instead of 1 s.
 func TestShortTaskOnASlowWorkerIsCopied(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	o := runOnA(t, s, true, 3)
@@ -202,9 +186,7 @@
 	t.Error("not copied within 1.2 s")
 }
 
-// Symptom: each short task runs twice, and the workers are full.
-// Sequence: a task goes a third slower than estimated.
-// Cause to be ruled out: a copy is started that ends at the same time.
+// Failure: each short task runs twice, and the workers are full.
 func TestTaskThatEndsSoonIsNotCopied(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	o := runOnA(t, s, true, 3)
--- a/internal/cell/evacuate_test.go
+++ b/internal/cell/evacuate_test.go
@@ -36,9 +36,7 @@
 	return s.plan()
 }
 
-// Symptom: an upkeep ends tasks that were started just before.
-// Sequence: a worker is to be emptied while tasks wait for room.
-// Cause to be ruled out: it still gets new tasks.
+// Failure: an upkeep ends tasks that were started just before.
 func TestWorkerThatIsEmptiedGetsNothingNew(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
@@ -53,10 +51,7 @@
 	}
 }
 
-// Symptom: an upkeep throws work away, or waits for a long run.
-// Sequence: a worker is emptied on which a run of ten seconds checkpoints, another one
-// does not, and a third is nearly done.
-// Cause to be ruled out: runs are stopped that cannot resume, or that end soon.
+// Failure: an upkeep throws work away, or waits for a long run.
 func TestOnlyLongRunsWithACheckpointAreMoved(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
@@ -82,9 +77,7 @@
 	}
 }
 
-// Symptom: a service of several lasting tasks is gone for seconds during a wave.
-// Sequence: the workers of two of its tasks are emptied together; one may be away.
-// Cause to be ruled out: each worker is emptied without regard to the other.
+// Failure: a service of several lasting tasks is gone for seconds during a wave.
 func TestLastingTasksAreMovedWithinTheirBudget(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"), usualWorker("c"))
 	s.report("a")
@@ -130,9 +123,7 @@
 	}
 }
 
-// Symptom: an upkeep ends tasks that nobody knew of.
-// Sequence: a new owner sees to a wave before it has heard a worker.
-// Cause to be ruled out: a worker without booked runs counts as empty.
+// Failure: an upkeep ends tasks that nobody knew of.
 func TestWorkerThatWasNotHeardIsNotEmpty(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	if load := s.cell.WorkerLoad("a"); load.Runs == 0 || !load.Protected {
@@ -140,10 +131,7 @@
 	}
 }
 
-// Symptom: a take-over in the middle of a wave takes 5.3 s.
-// Sequence: an upkeep ends a worker's life; a heartbeat of it that was written before is
-// read from the roster.
-// Cause: it was taken for a new worker, and stored as one that may have runs.
+// Failure: a take-over in the middle of a wave takes 5.3 s.
 func TestEndedWorkerDoesNotComeBackByAnOldHeartbeat(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
--- a/internal/cell/known_workers_test.go
+++ b/internal/cell/known_workers_test.go
@@ -8,11 +8,7 @@
 	"gentianstand/internal/runner"
 )
 
-// Symptom: sixty tasks ran twice at once after a take-over.
-// Sequence: B is cut off from the store and vanishes from the roster; it goes on
-// running what its owner tells it. The owner loses the store and is overtaken.
-// Cause: the new owner knew the roster alone; with all of it accounted for, it
-// took B's tasks as not started.
+// Failure: sixty tasks ran twice at once after a take-over.
 func TestWorkersThatLeftTheRosterAreAccountedFor(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"))
 	r := s.record(1, step(1))
@@ -60,11 +56,8 @@
 	}
 }
 
-// Symptom: after a take-over in the middle of a wave of upkeep nothing older is started
+// Failure: after a take-over in the middle of a wave of upkeep nothing older is started
 // for 5.3 s.
-// Sequence: workers are down when the owner is lost; the roster still lists them, the
-// store does not name them any more.
-// Cause: the new owner waited for them like for workers that may have runs.
 func TestWorkersThatTheStoreDoesNotNameDoNotHoldARecoveryUp(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("down"))
 	older := s.record(1, step(1))
@@ -86,9 +79,7 @@
 	}
 }
 
-// Symptom: a task runs twice.
-// Sequence: a part of the stored workers cannot be read; a worker in it is silent.
-// Cause to be ruled out: workers that are not named count as unused all the same.
+// Failure: a task runs twice.
 func TestUnreadWorkersHoldARecoveryUp(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	s.cell.Load(s.record(1, step(1)), nil)
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -11,10 +11,7 @@
 	"gentianstand/internal/runner"
 )
 
-// Symptom: tasks of a worker that was gone for good never started again.
-// Sequence: a worker runs a task and goes; each look at it fails.
-// Cause: every look carried a later lease end, and because a look without an
-// answer may have been carried out, the lease never counted as over.
+// Failure: tasks of a worker that was gone for good never started again.
 func TestLeaseOfASilentWorkerEnds(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	s.report("a")
@@ -47,10 +44,7 @@
 	}
 }
 
-// Symptom: a task ran twice at once.
-// Sequence: a start gets no answer; the worker carries it out three seconds
-// later.
-// Cause: the task was started elsewhere before the first start was revoked.
+// Failure: a task ran twice at once.
 func TestUnansweredStartIsRevokedBeforeTheNext(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	s.report("a")
@@ -82,10 +76,7 @@
 	}
 }
 
-// Symptom: a worker was told to run more than it has.
-// Sequence: a start without an answer may still be carried out; the room it
-// needs looks free in the worker's reports.
-// Cause: only reported runs were counted.
+// Failure: a worker was told to run more than it has.
 func TestUnsettledStartsCountAgainstCapacity(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
@@ -102,11 +93,8 @@
 	}
 }
 
-// Symptom: a task that was done ran again after the owner and the worker were
-// lost together.
-// Sequence: a task ends; the end is acknowledged; the owner dies before it
-// stores the end; the worker has forgotten it.
-// Cause: the acknowledgement did not wait for the store.
+// Failure: a task that was done ran again after the owner and the worker were lost
+// together.
 func TestEndsAreAcknowledgedAfterTheyAreStored(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	s.report("a")
@@ -136,10 +124,8 @@
 	}
 }
 
-// Symptom: tasks of a crashed worker waited for the end of its lease although
-// it was back as a new process.
-// Sequence: the worker crashes; a new incarnation answers at its address.
-// Cause: "another incarnation" was treated like silence.
+// Failure: tasks of a crashed worker waited for the end of its lease although it was
+// back as a new process.
 func TestReplacedWorkerLosesItsRunsAtOnce(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	s.report("a")
@@ -154,10 +140,7 @@
 	}
 }
 
-// Symptom: a task ran twice after a take-over.
-// Sequence: the new owner's first look finds a run on A; then A is cut off. The
-// lease that the earlier owner granted goes on for three more seconds.
-// Cause: the new owner had granted no lease yet, and took A's as over.
+// Failure: a task ran twice after a take-over.
 func TestLeaseOfTheEarlierOwnerCounts(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
@@ -181,12 +164,8 @@
 	}
 }
 
-// Symptom: after a take-over older tasks waited four seconds for a worker that
-// had left.
-// Sequence: a worker without runs leaves the roster and does not answer; the
-// owner dies a second later.
-// Cause: the worker stayed among the known ones until its lease was over, and
-// the new owner waited for its report.
+// Failure: after a take-over older tasks waited four seconds for a worker that had
+// left.
 func TestWorkerThatLeftWithoutRunsIsForgottenAtOnce(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	s.report("a")
@@ -209,12 +188,7 @@
 	}
 }
 
-// Symptom: a task is started again after its success was acknowledged.
-// Sequence: A runs the task; the owner is overtaken and goes on acting for a
-// moment. The new owner hears of the success on A, stores and acknowledges it; A
-// crashes. The old owner finds A gone and starts the task on B, which has not seen
-// the new fencing token yet.
-// Cause: an end was acknowledged while the earlier owner could still start runs.
+// Failure: a task is started again after its success was acknowledged.
 func TestEndsAreAcknowledgedWhenTheEarlierOwnerIsFenced(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
--- a/internal/cell/long_wait_test.go
+++ b/internal/cell/long_wait_test.go
@@ -7,11 +7,8 @@
 	"gentianstand/internal/job"
 )
 
-// Symptom: tasks wait for good beside workers that are nine tenths free, and neither
+// Failure: tasks wait for good beside workers that are nine tenths free, and neither
 // log nor metric says why.
-// Sequence: the adviser allows a stage on no worker; or no worker holds a task, or not
-// all members of a gang.
-// Cause: a wait that cannot end looked like one for room.
 func TestLongWaitsAreExplained(t *testing.T) {
 	large := step(1)
 	large.Need.MilliCPU = 17000
--- a/internal/cell/mechanism_test.go
+++ b/internal/cell/mechanism_test.go
@@ -27,9 +27,7 @@
 	}
 }
 
-// Symptom: a switch does nothing, and the mechanism is taken for worthless.
-// Sequence: the same load is replayed with and without each of two mechanisms.
-// Cause to be ruled out: the mechanism is in use although it is switched off.
+// Failure: a switch does nothing, and the mechanism is taken for worthless.
 func TestMechanismsCanBeSwitchedOff(t *testing.T) {
 	for _, test := range []struct {
 		off   Mechanism
--- a/internal/cell/near_test.go
+++ b/internal/cell/near_test.go
@@ -34,9 +34,7 @@
 	return StartOrder{}
 }
 
-// Symptom: a fifth of the tasks with their data on one rack take three times as long.
-// Sequence: the workers of that rack are full for a moment; others have room.
-// Cause: room near the data was used only if it was there at once.
+// Failure: a fifth of the tasks with their data on one rack take three times as long.
 func TestStageWaitsForRoomNearItsData(t *testing.T) {
 	s := twoRacks(t)
 	first := s.fill()
@@ -56,9 +54,7 @@
 	t.Error("not started when there was room near its data")
 }
 
-// Symptom: many jobs want one rack, and wait while the rest of the site is idle.
-// Sequence: the rack of the data stays full.
-// Cause to be ruled out: a stage waits for it for longer than running far away costs.
+// Failure: many jobs want one rack, and wait while the rest of the site is idle.
 func TestStageRunsFarFromItsDataAfterAWhile(t *testing.T) {
 	s := twoRacks(t)
 	s.fill()
@@ -77,9 +73,7 @@
 	t.Error("not started within what running far away costs")
 }
 
-// Symptom: a stage waits for a rack that can never take it.
-// Sequence: the workers near its data are too small, not there, or not allowed.
-// Cause to be ruled out: it waits all the same.
+// Failure: a stage waits for a rack that can never take it.
 func TestStageDoesNotWaitForARackThatCannotTakeIt(t *testing.T) {
 	for name, change := range map[string]func(*roster.Worker){
 		"too small":       func(w *roster.Worker) { w.Capacity.MilliCPU = 500 },
@@ -101,9 +95,7 @@
 	}
 }
 
-// Symptom: a stage has no ticket for any worker near its data.
-// Sequence: other racks have more room.
-// Cause: it asked about the workers with most room alone.
+// Failure: a stage has no ticket for any worker near its data.
 func TestWorkersNearTheDataAreAskedAboutFirst(t *testing.T) {
 	workers := manyWorkers(24)
 	for i := range workers {
--- a/internal/cell/overload_test.go
+++ b/internal/cell/overload_test.go
@@ -72,12 +72,8 @@
 	return float64(sum) / float64(seconds)
 }
 
-// Symptom: callers' jobs are accepted, and end minutes later or when nobody waits any more.
-// Load: for forty seconds twice, then five times, what workers can do.
-// Limits: work that ends in time stays at 80% or more of what full workers do; urgent work
-// is refused last, and waits no longer a few seconds after the load; letters that were
-// accepted, 1.5 times their objective of 12.5 s at most, are done by the other half of the
-// workers in twice that and the time of one.
+// Failure: callers' jobs are accepted, and end minutes later or when nobody waits any
+// more.
 func TestLoadBeyondTheWorkersIsRefusedAndTheRestIsInTime(t *testing.T) {
 	for _, times := range []float64{2, 5} {
 		o := newOverload(t, true)
@@ -139,9 +135,7 @@
 	}
 }
 
-// Symptom: an instance refuses jobs although workers are idle.
-// Sequence: many jobs wait that fit on no worker, or for something else than room.
-// Cause to be ruled out: whatever waits counts.
+// Failure: an instance refuses jobs although workers are idle.
 func TestWorkThatWaitsForNoRoomIsNoBacklog(t *testing.T) {
 	l := newLoad(t, 8)
 	huge := lookup(50)
--- a/internal/cell/pacing_test.go
+++ b/internal/cell/pacing_test.go
@@ -43,9 +43,7 @@
 	return -1
 }
 
-// Symptom: a service misses its response times for four seconds on end.
-// Sequence: a task that fills is started beside it, and its load grows.
-// Cause to be ruled out: the filling task goes on at full speed.
+// Failure: a service misses its response times for four seconds on end.
 func TestFillerIsSlowedBeforeTheTargetIsMissedAndStoppedWhenItIs(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	serving, filling := besideServing(t, s)
@@ -60,9 +58,7 @@
 	}
 }
 
-// Symptom: filling work stands still for good, and is late.
-// Sequence: a service missed its target once and is well again; later it ends.
-// Cause to be ruled out: the pace is never raised again.
+// Failure: filling work stands still for good, and is late.
 func TestFillerGoesOnWhenTheTailIsWell(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	serving, filling := besideServing(t, s)
@@ -86,9 +82,7 @@
 	t.Error("still paced where no serving task is left")
 }
 
-// Symptom: a filling task is taken as paced although the worker never heard of it.
-// Sequence: the order to slow down gets no answer.
-// Cause to be ruled out: it is not sent again.
+// Failure: a filling task is taken as paced although the worker never heard of it.
 func TestUnansweredPaceIsSentAgain(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	serving, filling := besideServing(t, s)
--- a/internal/cell/parking_test.go
+++ b/internal/cell/parking_test.go
@@ -76,10 +76,7 @@
 	}
 }
 
-// Symptom: letters stand still beside thousands of idle workers.
-// Sequence: the workers in use are full but for the share that is kept for urgent
-// work; all others are parked.
-// Cause: the reserve counts as room for the letters, so nobody is woken.
+// Failure: letters stand still beside thousands of idle workers.
 func TestTheUrgentReserveIsNoRoomForOthers(t *testing.T) {
 	s := idleSite(t, 20, 1)
 	small := s.record(1, step(15))
@@ -93,10 +90,8 @@
 	}
 }
 
-// Symptom: tasks run far from their data, three times as long, although the
-// machines beside the data are idle.
-// Sequence: the workers of the data's rack are parked, another one has room.
-// Cause: only workers in use are compared.
+// Failure: tasks run far from their data, three times as long, although the machines
+// beside the data are idle.
 func TestParkedWorkersWakeNearTheData(t *testing.T) {
 	s := idleSite(t, 20, 2)
 	s.startAll()
@@ -114,10 +109,8 @@
 	}
 }
 
-// Symptom: a new owner places nothing for seconds on a site of thousands of
-// workers, and leases run out meanwhile.
-// Sequence: 3,000 workers, a tenth of them in use; the owner is lost.
-// Cause: the new owner waits until it has heard all of them.
+// Failure: a new owner places nothing for seconds on a site of thousands of workers,
+// and leases run out meanwhile.
 func TestANewOwnerHearsOnlyWorkersInUse(t *testing.T) {
 	before := idleSite(t, 20, 2)
 	for range 4 {
@@ -146,9 +139,7 @@
 	}
 }
 
-// Symptom: workers are woken and parked again and again.
-// Sequence: a job's steps leave a worker idle for a moment between them.
-// Cause: a worker is parked as soon as it is idle.
+// Failure: workers are woken and parked again and again.
 func TestAWorkerIsParkedOnlyAfterAWhile(t *testing.T) {
 	s := idleSite(t, 6, 1)
 	s.cell.Add(s.record(1, wide(5)), true)
@@ -175,11 +166,7 @@
 	}
 }
 
-// Symptom: a task runs twice after a take-over.
-// Sequence: a worker is parked while a commit that names it is under way; the commit
-// is stored, the next one no longer names the worker; then it is woken.
-// Cause: the late success marks it as stored, so it gets a run before the store names
-// it again, and the next owner does not look for the run there.
+// Failure: a task runs twice after a take-over.
 func TestAWokenWorkerGetsNothingBeforeItIsStored(t *testing.T) {
 	s := idleSite(t, 2, 1)
 	for _, w := range s.cell.workers {
--- a/internal/cell/questions_test.go
+++ b/internal/cell/questions_test.go
@@ -5,10 +5,7 @@
 	"time"
 )
 
-// Symptom: work stands still beside workers that are four fifths free.
-// Sequence: stages of a more urgent queue find no room on the workers of their service
-// and renew their tickets there; stages of another service have room and no ticket yet.
-// Cause: the former took every lane of the adviser, for as long as they waited.
+// Failure: work stands still beside workers that are four fifths free.
 func TestQuestionsAboutFullWorkersLeaveLanesToOthers(t *testing.T) {
 	other := usualWorker("b")
 	other.Service = "other"
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -8,13 +8,8 @@
 	"gentianstand/internal/runner"
 )
 
-// Symptom: a task was started a fourth time although its queue allows three
-// failed runs.
-// Sequence: runs 1 and 2 of a task fail on workers B and A; the owner dies
-// before it stores either end. The new owner hears A first, which lists run 2,
-// and then B, which lists run 1.
-// Cause: only failures with a higher run than the last counted one were counted,
-// so the failure of run 1 was lost.
+// Failure: a task was started a fourth time although its queue allows three failed
+// runs.
 func TestFailuresHeardOutOfOrderAllCount(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
@@ -40,10 +35,7 @@
 	}
 }
 
-// Symptom: a task failed once and counted twice.
-// Sequence: the owner stores the failure and dies before it acknowledges the
-// end; the worker still lists it to the new owner.
-// Cause: an end that was counted by the earlier owner looks new.
+// Failure: a task failed once and counted twice.
 func TestFailureStoredByAnEarlierOwnerCountsOnce(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	r := s.record(1, step(1))
@@ -64,10 +56,7 @@
 	}
 }
 
-// Symptom: a task ran on two workers at once after a take-over.
-// Sequence: the old owner starts a task on B and dies. B cannot be reached by
-// the new owner, which sees the task on no worker.
-// Cause: the new owner took a task that no worker reported as not started.
+// Failure: a task ran on two workers at once after a take-over.
 func TestTasksOfOlderJobsWaitForSilentWorkers(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	older := s.record(1, step(1))
@@ -93,12 +82,8 @@
 	}
 }
 
-// Symptom: after a take-over beside a lost worker, all jobs stood still until
-// the longest possible lease had passed, although most had tasks at work.
-// Sequence: the owner dies while a step's first tasks run on A; B is lost at the
-// same time. The first step ends on A.
-// Cause: the second step was held back like one that may run unseen on B, but
-// the first step's run was seen after the take-over, so it cannot have begun.
+// Failure: after a take-over beside a lost worker, all jobs stood still until the
+// longest possible lease had passed, although most had tasks at work.
 func TestStageAfterAVisibleRunIsNotHeldBack(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	second := step(1)
@@ -115,12 +100,7 @@
 	}
 }
 
-// Symptom: a task that was done ran again just after a take-over.
-// Sequence: a new owner has read the store; the overtaken one, not yet fenced on
-// worker A, is told of a new job and runs it there; the new owner hears the end
-// from A, and only then of the job.
-// Cause: ends of unknown jobs were passed over and acknowledged, and the job
-// looked new.
+// Failure: a task that was done ran again just after a take-over.
 func TestEndOfAJobThatTheOverTakenOwnerBeganIsKept(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
@@ -149,10 +129,7 @@
 	}
 }
 
-// Symptom: a run of no job went on for ever, or its worker's ends were stuck.
-// Sequence: a worker reports a run and an end of a job that the store does not
-// have.
-// Cause: waiting for a job that will never come.
+// Failure: a run of no job went on for ever, or its worker's ends were stuck.
 func TestRunsOfAbsentJobsAreStopped(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"))
 	id := "00000000000000ff"
@@ -171,11 +148,8 @@
 	}
 }
 
-// Symptom: a task ran on two workers at once, and one worker got more than it
-// has, just after a take-over.
-// Sequence: the new owner's first look at A shows a run of a job that it does
-// not know yet; then it loads the job.
-// Cause: the run was not booked, and A and the job counted as accounted for.
+// Failure: a task ran on two workers at once, and one worker got more than it has, just
+// after a take-over.
 func TestRunOfAMissingJobIsBookedBeforeAnythingIsPlaced(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
 	r := s.record(1, step(1))
@@ -196,11 +170,8 @@
 	}
 }
 
-// Symptom: after a crash of the owner beside a lost worker, tasks that may run there are
-// started 5.3 s later, although the owner's new process has shown itself after 0.6 s.
-// Sequence: the owner crashes, its successor sees it refuse connections and takes over;
-// the new process asks the successor who owns the cell.
-// Cause: the successor went on reckoning with an owner that may act for 1.5 s.
+// Failure: tasks of a lost worker are started 5.3 s after a crash of the owner, although
+// the owner's new process has shown itself after 0.6 s.
 func TestRecoveryReckonsWithTheEarlierOwnerOnlyUntilItIsKnownToHaveStopped(t *testing.T) {
 	waited := func(stoppedAfter time.Duration) time.Duration {
 		s := newSite(t, 2, usualWorker("a"))
--- a/internal/cell/reservation_test.go
+++ b/internal/cell/reservation_test.go
@@ -62,10 +62,7 @@
 	return waiting
 }
 
-// Symptom: work stands still beside a free worker.
-// Sequence: a worker is reserved for a task; the task's job is cancelled, or is placed
-// elsewhere.
-// Cause to be ruled out: the reservation outlives what it was made for.
+// Failure: work stands still beside a free worker.
 func TestReservationsEndWithTheirTask(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	waiting := s.reserveBehind(thumbnails(4))
@@ -84,10 +81,7 @@
 	}
 }
 
-// Symptom: a reserved worker stands idle while short work waits.
-// Sequence: a long task keeps a worker from having room for a large one for seconds.
-// Cause to be ruled out: work that will have ended before must wait, too; and work that
-// will not have may pass.
+// Failure: a reserved worker stands idle while short work waits.
 func TestShortTasksPassInFrontOfAReservation(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	long := thumbnails(1)
--- a/internal/cell/watch_test.go
+++ b/internal/cell/watch_test.go
@@ -44,9 +44,7 @@
 	return stopped
 }
 
-// Symptom: one start in thirteen was stopped as slow on sound workers.
-// Sequence: a job's estimate is a tenth of what its tasks take.
-// Cause: a run was compared with the estimate alone.
+// Failure: one start in thirteen was stopped as slow on sound workers.
 func TestRunAsFastAsItsSiblingsIsNotSlow(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	starts := twoRuns(t, s)
@@ -63,9 +61,7 @@
 	}
 }
 
-// Symptom: a job was late because one of its tasks ran on a slow worker.
-// Sequence: one task goes at a tenth of its sibling's speed.
-// Cause: nothing moved it.
+// Failure: a job was late because one of its tasks ran on a slow worker.
 func TestRunMuchSlowerThanItsSiblingIsMoved(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	starts := twoRuns(t, s)
@@ -86,9 +82,7 @@
 	t.Error("the slow run was not moved")
 }
 
-// Symptom: a task stood still for the rest of the day.
-// Sequence: a worker accepts a run and does nothing for it.
-// Cause: nothing looked at the progress.
+// Failure: a task stood still for the rest of the day.
 func TestStalledRunIsMoved(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	starts := twoRuns(t, s)
@@ -106,9 +100,7 @@
 	t.Error("runs without progress were not stopped")
 }
 
-// Symptom: on days on which workers hang, short urgent tasks are 2 s late.
-// Sequence: a worker accepts a run and never makes any progress with it.
-// Cause: it was given as long as a run that stands still half-way.
+// Failure: on days on which workers hang, short urgent tasks are 2 s late.
 func TestRunThatNeverBeginsIsMovedSoon(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	starts := twoRuns(t, s)
@@ -126,9 +118,7 @@
 	t.Error("runs without any progress were not stopped within 1.25 s")
 }
 
-// Symptom: sound runs are stopped as if they hung.
-// Sequence: a run of half a minute has shown its first percent after a second.
-// Cause to be ruled out: the short limit goes on after the first progress.
+// Failure: sound runs are stopped as if they hung.
 func TestRunThatHasBegunIsGivenTime(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	starts := twoRuns(t, s)
@@ -168,9 +158,7 @@
 	return starts
 }
 
-// Symptom: urgent tasks are late for as long as a worker is slow.
-// Sequence: a worker becomes six times slower; its short tasks are not worth a move.
-// Cause: nothing was held against the worker, and it went on getting tasks.
+// Failure: urgent tasks are late for as long as a worker is slow.
 func TestWorkerOnWhichTasksOfThreeJobsAreSlowIsAvoided(t *testing.T) {
 	for jobs, avoided := range map[int]bool{badStreak - 1: false, badStreak: true} {
 		s := newSite(t, 1, usualWorker("a"))
@@ -181,9 +169,7 @@
 	}
 }
 
-// Symptom: a slow worker is never avoided.
-// Sequence: between two slow tasks another slow one ends.
-// Cause to be ruled out: an end that comes six times too late counts as a success.
+// Failure: a slow worker is never avoided.
 func TestLateEndOnASlowWorkerIsNoSuccess(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
 	starts := slowJobs(t, s, badStreak-1)
--- a/internal/celljobs/jobs_test.go
+++ b/internal/celljobs/jobs_test.go
@@ -45,12 +45,8 @@
 	return &job.Record{ID: "5c0e7a21d94b36f8", Steps: []job.Step{{Count: 1}}}
 }
 
-// Symptom: a caller was told that its job was not accepted, and it ran; or a job
-// began seconds late.
-// Sequence: the store takes the record and its answer is lost; the repeat finds
-// the record.
-// Cause: the repeat's conflict was told as a failure; then it was taken for the
-// record of another submission, and the owner was not told.
+// Failure: a caller was told that its job was not accepted, and it ran; or a job began
+// seconds late.
 func TestCreateSettlesALostAnswer(t *testing.T) {
 	l := &lossy{losses: 1}
 	created, err := newJobs(l).Create(t.Context(), record())
@@ -62,10 +58,7 @@
 	}
 }
 
-// Symptom: a task runs twice around a take-over.
-// Sequence: a caller hands a job in again at another instance; that instance tells
-// the new owner of it, which then takes it for one that no earlier owner has begun.
-// Cause to be ruled out: the record of an earlier submission is taken for the own.
+// Failure: a task runs twice around a take-over.
 func TestRecordOfAnEarlierSubmissionIsNotNew(t *testing.T) {
 	l := &lossy{}
 	jobs := newJobs(l)
@@ -100,11 +93,8 @@
 	}
 }
 
-// Symptom: in the first second of a slow store jobs are accepted after 1.3 s instead
-// of 0.7 s.
-// Sequence: the first attempt is given up after 0.45 s, and the next one needs 0.7 s
-// again.
-// Cause: the answer to the first attempt was thrown away.
+// Failure: in the first second of a slow store jobs are accepted after 1.3 s instead of
+// 0.7 s.
 func TestAnswerToTheFirstAttemptCountsWhileTheSecondIsUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &slow{lossy: &lossy{}, takes: []time.Duration{700 * time.Millisecond}}
@@ -119,9 +109,7 @@
 	})
 }
 
-// Symptom: a caller waits for its whole deadline although the store is well.
-// Sequence: the connection of the first attempt has gone silent.
-// Cause to be ruled out: the write waits for an answer that never comes.
+// Failure: a caller waits for its whole deadline although the store is well.
 func TestSecondAttemptOvertakesASilentConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &slow{lossy: &lossy{}, takes: []time.Duration{time.Hour, 4 * time.Millisecond}}
@@ -136,9 +124,7 @@
 	})
 }
 
-// Symptom: a caller was told "never runs" about a job that ran.
-// Sequence: the first write has no answer, the second is refused.
-// Cause: only the last attempt was looked at.
+// Failure: a caller was told "never runs" about a job that ran.
 func TestRefusalAfterALostAnswerIsNoRefusal(t *testing.T) {
 	l := &lossy{losses: 1}
 	jobs := newJobs(l)
--- a/internal/celljobs/read_test.go
+++ b/internal/celljobs/read_test.go
@@ -2,10 +2,8 @@
 
 import "testing"
 
-// Symptom: a new owner on a small machine reads the cell for three seconds, and is
+// Failure: a new owner on a small machine reads the cell for three seconds, and is
 // overtaken meanwhile.
-// Sequence: it reads all partitions at the same time.
-// Cause: the answers stand in line on its link for longer than a call may take.
 func TestSmallLinksReadFewPartitionsAtATime(t *testing.T) {
 	for _, test := range []struct {
 		mbps float64
--- a/internal/cellleader/candidates_test.go
+++ b/internal/cellleader/candidates_test.go
@@ -20,10 +20,7 @@
 	return all
 }
 
-// Symptom: nothing starts for five seconds after most instances lost power for 2.5 s.
-// Sequence: the strong ones are away; a weak one takes over and is too slow to hear
-// all workers; the strong ones are back before it has.
-// Cause: it waited 1.3 s longer than they would have, which is less than a restart.
+// Failure: nothing starts for five seconds after most instances lost power for 2.5 s.
 func TestWeakInstancesLeaveTimeForARestartOfTheStrongOnes(t *testing.T) {
 	all := candidates(6, 29)
 	slowestStrong, quickestWeak := time.Duration(0), time.Hour
@@ -40,10 +37,8 @@
 	}
 }
 
-// Symptom: a site of equal instances, or of weak ones alone, is without an owner for
+// Failure: a site of equal instances, or of weak ones alone, is without an owner for
 // seconds.
-// Sequence: its owner is lost.
-// Cause to be ruled out: the wait for strong instances where there are none.
 func TestEqualInstancesDoNotWaitForStrongerOnes(t *testing.T) {
 	for _, all := range [][]cellpeer.Instance{candidates(9, 0), candidates(0, 9)} {
 		quickest := time.Hour
@@ -56,8 +51,8 @@
 	}
 }
 
-// Symptom: the owner of a large site spends its processor on pings.
-// Load: 44 instances follow one owner. Limit: as few as succeed it first ask often.
+// Failure: the owner of a large site spends its processor on pings. Load: 44 instances
+// follow one owner. Limit: as few as succeed it first ask often.
 func TestFewInstancesAskOftenAfterTheOwner(t *testing.T) {
 	all := candidates(9, 35)
 	eager := 0
--- a/internal/cellleader/claim_test.go
+++ b/internal/cellleader/claim_test.go
@@ -6,10 +6,8 @@
 	"gentianstand/internal/cellpeer"
 )
 
-// Symptom: after a restart of all instances nobody planned for 0.3 s more than
-// needed, or a process that died again and again kept the cell for itself.
-// Sequence: the owner's process is replaced, once or repeatedly.
-// Cause: the new process waits for its turn like all others, or never does.
+// Failure: after a restart of all instances nobody planned for 0.3 s more than needed,
+// or a process that died again and again kept the cell for itself.
 func TestReplacedOwnerReturnsOnce(t *testing.T) {
 	self := cellpeer.Instance{Name: "edge-1", Incarnation: "new"}
 	l := &Leader{directory: cellpeer.NewDirectory(self, nil, nil)}
--- a/internal/cellleader/confirmations_test.go
+++ b/internal/cellleader/confirmations_test.go
@@ -6,10 +6,7 @@
 	"time"
 )
 
-// Symptom: a task runs twice, on a worker that only an overtaken owner reaches.
-// Sequence: the owner and one other instance are cut off together from the store and
-// from all others; the other one goes on asking the owner, as it knows no later one.
-// Cause: one instance without the store was enough to confirm an ownership.
+// Failure: a task runs twice, on a worker that only an overtaken owner reaches.
 func TestOwnershipWithoutTheStoreNeedsMostInstances(t *testing.T) {
 	for _, test := range []struct {
 		others, heard int
@@ -47,11 +44,8 @@
 
 func nobody(time.Time) []string { return nil }
 
-// Symptom: in an outage of the store the owner stops giving orders, although all others
+// Failure: in an outage of the store the owner stops giving orders, although all others
 // serve it as relays.
-// Sequence: instances that hear the owner over a link ping it no more.
-// Cause to be ruled out: only pings confirm an ownership; or a link that is long silent
-// does.
 func TestLinksConfirmAnOwnershipLikePings(t *testing.T) {
 	others := func() int { return 8 }
 	began := time.Now()
--- a/internal/cellleader/follow_test.go
+++ b/internal/cellleader/follow_test.go
@@ -7,11 +7,8 @@
 	"gentianstand/internal/cellpeer/cellpb"
 )
 
-// Symptom: in a slow store each take-over is followed by another one, and nothing is
+// Failure: in a slow store each take-over is followed by another one, and nothing is
 // started for half a second more.
-// Sequence: an instance has claimed the cell and waits for the answer; another one reads
-// the claim and asks it whether it owns the cell.
-// Cause: "not yet" was taken for "no longer".
 func TestHolderThatDoesNotKnowItsClaimYetIsNotOvertaken(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/internal/cellleader/hand_over_test.go
+++ b/internal/cellleader/hand_over_test.go
@@ -8,9 +8,7 @@
 	"gentianstand/platform/standin"
 )
 
-// Symptom: a planned restart of the owner stalled all work for seconds.
-// Sequence: the owner is asked to stop.
-// Cause: its successor waited for its silence.
+// Failure: a planned restart of the owner stalled all work for seconds.
 func TestStoppingOwnerHandsOver(t *testing.T) {
 	members := group(t, 3)
 	first := owner(t, members)
@@ -24,11 +22,7 @@
 	}
 }
 
-// Symptom: a task runs twice.
-// Sequence: an owner is cut off and overtaken; its successor is asked to stop at once
-// and hands the cell over.
-// Cause: the third owner was told that no earlier one acts any more, but the first one
-// may, for as long as a confirmation of its ownership lasts.
+// Failure: a task runs twice.
 func TestHandOverWaitsUntilTheSilentOwnerCannotAct(t *testing.T) {
 	members := group(t, 3)
 	first := owner(t, members)
@@ -45,9 +39,7 @@
 	}
 }
 
-// Symptom: after a moment without the strong instances everything is slow for good.
-// Sequence: a weak instance owns the cell; a strong one joins.
-// Cause: an owner kept the cell for as long as it lived.
+// Failure: after a moment without the strong instances everything is slow for good.
 func TestWeakOwnerYieldsToAStrongerInstance(t *testing.T) {
 	backing := httptest.NewServer(standin.NewStore())
 	t.Cleanup(backing.Close)
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -143,10 +143,7 @@
 	return left
 }
 
-// Symptom: nobody planned any more; or two owners extended leases at once.
-// Sequence: the owner's process dies, and connections to it are refused.
-// Cause: nobody took over; or a refused connection, which a cut can cause as well,
-// was taken for proof that the process has ended.
+// Failure: nobody planned any more; or two owners extended leases at once.
 func TestDeadOwnerIsOvertaken(t *testing.T) {
 	members := group(t, 3)
 	first := owner(t, members)
@@ -161,9 +158,7 @@
 	}
 }
 
-// Symptom: nobody planned any more.
-// Sequence: the owner is cut off from the other instances, and lives.
-// Cause: nobody noticed, or nobody took over.
+// Failure: nobody planned any more.
 func TestSilentOwnerIsOvertaken(t *testing.T) {
 	members := group(t, 3)
 	first := owner(t, members)
@@ -178,10 +173,7 @@
 	}
 }
 
-// Symptom: all work stops for seconds in a burst.
-// Sequence: the owner's link or processor is full, and it answers pings after 0.6 s.
-// Cause: an answer after the timeout of a ping was taken for none, so an owner that is
-// busy was taken for a dead one.
+// Failure: all work stops for seconds in a burst.
 func TestLateOwnerIsNotOvertaken(t *testing.T) {
 	members := group(t, 3)
 	first := owner(t, members)
@@ -195,9 +187,7 @@
 	}
 }
 
-// Symptom: jobs were accepted and their ends never shown.
-// Sequence: the store stops serving the owner and serves the others.
-// Cause: the owner lives and answers, so nobody took over.
+// Failure: jobs were accepted and their ends never shown.
 func TestOwnerWithoutTheStoreIsOvertaken(t *testing.T) {
 	members := group(t, 3)
 	first := owner(t, members)
@@ -213,12 +203,8 @@
 	}
 }
 
-// Symptom: two instances owned the cell, each confirmed, for as long as the store
-// was away from one of them.
-// Sequence: an instance starts first, owns the cell, and loses the store before
-// it has read of the others; they overtake it.
-// Cause: an owner that knew of no other instance counted as alone, which needs no
-// confirmation.
+// Failure: two instances owned the cell, each confirmed, for as long as the store was
+// away from one of them.
 func TestOwnerThatKnowsNobodyIsOvertaken(t *testing.T) {
 	backing := httptest.NewServer(standin.NewStore())
 	t.Cleanup(backing.Close)
@@ -236,11 +222,8 @@
 	}
 }
 
-// Symptom: for as long as an instance lacked the store, its callers got 503 for
-// every question about a job, and what they handed in was noticed late.
-// Sequence: an instance loses the store; the owner is lost and another one takes
-// over; or the other way round.
-// Cause: only the row in the store told who the new owner is.
+// Failure: for as long as an instance lacked the store, its callers got 503 for every
+// question about a job, and what they handed in was noticed late.
 func TestInstanceWithoutTheStoreLearnsTheNewOwner(t *testing.T) {
 	for name, storeFirst := range map[string]bool{"store lost first": true, "owner lost first": false} {
 		t.Run(name, func(t *testing.T) {
@@ -270,9 +253,7 @@
 	}
 }
 
-// Symptom: the cell's owner changed again and again.
-// Sequence: the store serves nobody for a while.
-// Cause: an outage for all was taken for a failure of the owner.
+// Failure: the cell's owner changed again and again.
 func TestOwnerStaysInAnOutageForAll(t *testing.T) {
 	members := group(t, 2)
 	first := owner(t, members)
--- a/internal/cellleader/silence_test.go
+++ b/internal/cellleader/silence_test.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// Symptom: after a crash of the owner no task starts for 1.4 s.
-// Sequence: the owner's process ends; its machine refuses connections at once.
-// Cause: refusals were waited for as long as for an answer that is late.
+// Failure: after a crash of the owner no task starts for 1.4 s.
 func TestRefusalsCountSoonerThanSilence(t *testing.T) {
 	for _, test := range []struct {
 		refusals      int
@@ -25,20 +23,14 @@
 	}
 }
 
-// Symptom: a living owner is overtaken.
-// Sequence: it refuses an instance twice, and answers the others, which ping it once
-// in each period.
-// Cause to be ruled out: what the others heard in their last period does not count.
+// Failure: a living owner is overtaken.
 func TestOthersArePingedWithinTheTimeThatCounts(t *testing.T) {
 	if refusedHeard < pingPeriod || heardLately < pingPeriod {
 		t.Errorf("%v and %v, but the others ping every %v", refusedHeard, heardLately, pingPeriod)
 	}
 }
 
-// Symptom: nothing starts for 1.3 s after the owner lost power.
-// Sequence: all instances hear it last within one period of each other.
-// Cause to be ruled out: the first to succeed it still counts what another one heard
-// just before the loss.
+// Failure: nothing starts for 1.3 s after the owner lost power.
 func TestInstancesThatLoseTheOwnerTogetherDoNotWaitForOneAnother(t *testing.T) {
 	if heardLately+pingPeriod > silentLimit {
 		t.Errorf("silent after %v, but the others count what they heard in the last %v", silentLimit, heardLately)
@@ -48,10 +40,7 @@
 	}
 }
 
-// Symptom: a calm site falls over for good in a burst, with a new owner every second.
-// Sequence: the owner's small machine answers late; its successor, which has all workers
-// to hear beside the same load, answers late, too.
-// Cause: each of them was missed after the same half second.
+// Failure: a calm site falls over for good in a burst, with a new owner every second.
 func TestEachTakeOverAfterAShortOwnershipIsHarder(t *testing.T) {
 	for _, test := range []struct {
 		name    string
--- a/internal/cellleader/survey_test.go
+++ b/internal/cellleader/survey_test.go
@@ -5,10 +5,7 @@
 	"time"
 )
 
-// Symptom: all work stands still for 1.5 s although the owner is sound.
-// Sequence: some instances are cut off from all others for four seconds and come back;
-// nobody else answers over their old connections, and the store does again.
-// Cause: one of them took the silence for the owner's and took the cell over.
+// Failure: all work stands still for 1.5 s although the owner is sound.
 func TestInstanceThatWasCutOffDoesNotTakeOver(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/internal/cellleader/take_over_test.go
+++ b/internal/cellleader/take_over_test.go
@@ -5,11 +5,7 @@
 	"time"
 )
 
-// Symptom: a task is started again after its success was acknowledged, or runs twice.
-// Sequence: an owner is silent and overtaken, but lives; its successor's process ends
-// at once and is replaced; the new process takes the cell back.
-// Cause: it knew that its own old process had ended, and took that for all owners
-// before it.
+// Failure: a task is started again after its success was acknowledged, or runs twice.
 func TestOwnerBeforeTheLastOneMayStillAct(t *testing.T) {
 	doubtful := claim{Holder: "edge-2", Term: 2, Doubtful: true, version: 5}
 	sure := claim{Holder: "edge-2", Term: 2, version: 5}
--- a/internal/cellleader/term_test.go
+++ b/internal/cellleader/term_test.go
@@ -13,10 +13,7 @@
 	"gentianstand/internal/store"
 )
 
-// Symptom: a task runs twice after a take-over.
-// Sequence: an owner is overtaken and does not know it yet; it asks around under its own
-// term, and another instance pings under the new one.
-// Cause to be ruled out: either is taken for a sign that the owner has stopped.
+// Failure: a task runs twice after a take-over.
 func TestOnlyTheEarlierHolderThatKnowsTheTermHasStopped(t *testing.T) {
 	log, hook := logtest.NewNullLogger()
 	owner := cellowner.New(cell.Settings{Term: 5}, store.Check{}, cellowner.Deps{Log: log, Metrics: cellowner.NewMetrics(metrics.NewSet())})
--- a/internal/cellowner/commit_test.go
+++ b/internal/cellowner/commit_test.go
@@ -59,10 +59,7 @@
 	return s.version, nil
 }
 
-// Symptom: a task that had ended ran again after a take-over.
-// Sequence: a commit gets no answer; the next one is stored; then the first one
-// takes effect.
-// Cause: older progress replaces newer.
+// Failure: a task that had ended ran again after a take-over.
 func TestALateCommitHasNoEffect(t *testing.T) {
 	client := &losing{}
 	o, order := ownerOfOne(t, client)
@@ -87,9 +84,7 @@
 	}
 }
 
-// Symptom: nothing is stored any more after one lost answer.
-// Sequence: a commit takes effect, its answer gets lost.
-// Cause: the owner goes on expecting the sequence row from before.
+// Failure: nothing is stored any more after one lost answer.
 func TestCommitsGoOnAfterALostAnswer(t *testing.T) {
 	client := &losing{}
 	o, _ := ownerOfOne(t, client)
--- a/internal/cellowner/condense_test.go
+++ b/internal/cellowner/condense_test.go
@@ -15,9 +15,7 @@
 	"gentianstand/internal/store"
 )
 
-// Symptom: a new owner's rows are replaced by those of the one before it.
-// Sequence: an owner condenses jobs; the write takes effect after it was overtaken.
-// Cause to be ruled out: the write does not depend on the claim.
+// Failure: a new owner's rows are replaced by those of the one before it.
 func TestCondensedJobsAreWrittenUnderTheClaim(t *testing.T) {
 	o := &Owner{claim: store.Check{Table: "cells", Key: "owner", Version: 7},
 		deps: Deps{Jobs: celljobs.New(store.NewWatched(&lateStore{}), "cell-0")}}
--- a/internal/cellowner/follow_test.go
+++ b/internal/cellowner/follow_test.go
@@ -32,10 +32,7 @@
 	return next, nil
 }
 
-// Symptom: a worker got new tasks five seconds after it had said that it leaves.
-// Sequence: 3,000 workers write 2,000 heartbeats a second; the feed gives 500 a
-// call; the owner calls every 0.4 s.
-// Cause: only one page was read each time, so the news fell behind for good.
+// Failure: a worker got new tasks five seconds after it had said that it leaves.
 func TestRosterIsReadToItsEnd(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
 	worker := roster.Worker{ID: "a", Service: "desk", Capacity: resource.Amount{MilliCPU: 1000}}
--- a/internal/cellowner/load_test.go
+++ b/internal/cellowner/load_test.go
@@ -54,11 +54,8 @@
 	return took, err
 }
 
-// Symptom: after a take-over nothing is planned for the rest of the day, and nobody takes
-// the cell over.
-// Sequence: the new owner reads the cell while parts of the store are silent for four
-// seconds; they answer again, but not on the connections of these reads.
-// Cause: the reads had no limit.
+// Failure: after a take-over nothing is planned for the rest of the day, and nobody
+// takes the cell over.
 func TestCellIsReadWhenTheStoreAnswersAgain(t *testing.T) {
 	took, err := loadBeside(t, 4*time.Second)
 	if err != nil || took > 6*time.Second {
@@ -66,8 +63,7 @@
 	}
 }
 
-// Symptom and sequence as above, but the store stays silent for this instance alone.
-// Cause to be ruled out: it keeps the cell without ever reading it.
+// Failure: an owner that the store serves no more keeps a cell that it has never read.
 func TestOwnerThatCannotReadTheCellGivesItUp(t *testing.T) {
 	took, err := loadBeside(t, time.Hour)
 	if err == nil || took > loadTimeout {
--- a/internal/cellowner/upkeep_test.go
+++ b/internal/cellowner/upkeep_test.go
@@ -105,10 +105,7 @@
 	}
 }
 
-// Symptom: two holders order about one machine in turn.
-// Sequence: an owner is overtaken right after an order; its successor goes on with the
-// wave at once.
-// Cause to be ruled out: the lease of the earlier holder is not waited for.
+// Failure: two holders order about one machine in turn.
 func TestNewOwnerWaitsForTheEarlierHoldersLease(t *testing.T) {
 	f := &smallFleet{}
 	u, _ := upkeeperOfOne(t, f, &rows{}, confirmed{}, 0)
@@ -121,9 +118,7 @@
 	}
 }
 
-// Symptom: an overtaken owner goes on ordering about machines.
-// Sequence: the fleet refuses an order because of a higher fencing token.
-// Cause to be ruled out: it is tried again.
+// Failure: an overtaken owner goes on ordering about machines.
 func TestFencedUpkeepOrderGivesTheOwnershipUp(t *testing.T) {
 	f, l := &smallFleet{refuse: upkeep.ErrFenced}, &recordedLeadership{}
 	u, source := upkeeperOfOne(t, f, &rows{}, l, time.Hour)
--- a/internal/cellpeer/directory_test.go
+++ b/internal/cellpeer/directory_test.go
@@ -89,10 +89,8 @@
 	return d, cancel
 }
 
-// Symptom: weeks after the start calls for advice fail one after the other, and
+// Failure: weeks after the start calls for advice fail one after the other, and
 // submissions are refused although most instances have the store.
-// Sequence: instances are replaced for good, by others with new names.
-// Cause: the rows of the dead are never removed, and calls go to them.
 func TestDeadInstancesAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &tableStore{rows: map[string]store.Row{}}
@@ -115,9 +113,7 @@
 	})
 }
 
-// Symptom: after a long outage of the store no instance calls another one.
-// Sequence: the store is away for half an hour.
-// Cause: nobody could renew, and all were taken as gone.
+// Failure: after a long outage of the store no instance calls another one.
 func TestInstancesStayKnownThroughAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &tableStore{rows: map[string]store.Row{}}
--- a/internal/cellpeer/refused_test.go
+++ b/internal/cellpeer/refused_test.go
@@ -8,10 +8,7 @@
 	"gentianstand/internal/cellpeer/cellpb"
 )
 
-// Symptom: an owner that crashed is missed as late as one that is slow.
-// Sequence: a ping reaches a machine on which nothing listens; another one reaches
-// a machine that never answers.
-// Cause to be ruled out: the client's error does not tell the two apart.
+// Failure: an owner that crashed is missed as late as one that is slow.
 func TestRefusedIsToldFromSilent(t *testing.T) {
 	gone, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/cellpeer/server_test.go
+++ b/internal/cellpeer/server_test.go
@@ -34,11 +34,8 @@
 	return store.Row{}, store.ErrUnknown
 }
 
-// Symptom: in the first second of an outage callers get an open outcome although
-// the instance they asked knows that it lacks the store.
-// Sequence: it passes a job to an instance that has not noticed the outage yet,
-// which writes and gets no answer.
-// Cause: what a peer believes of the store is half a second old.
+// Failure: in the first second of an outage callers get an open outcome although the
+// instance they asked knows that it lacks the store.
 func TestNothingIsWrittenForAnotherWithoutTheStore(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/intake/bound_test.go
+++ b/internal/intake/bound_test.go
@@ -2,9 +2,7 @@
 
 import "testing"
 
-// Symptom: an owner that answers late gets a hundred new connections a second.
-// Sequence: callers ask for their jobs; each question waits for its timeout.
-// Cause: nothing limited how many questions were under way.
+// Failure: an owner that answers late gets a hundred new connections a second.
 func TestQuestionsUnderWayAreBounded(t *testing.T) {
 	b := newBound(2)
 	for n := range 2 {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -130,10 +130,7 @@
 	return known
 }
 
-// Symptom: callers in one zone are refused while the others are served.
-// Sequence: the store turns one instance away.
-// Cause to be ruled out: an instance without the store refuses what another one
-// could have stored.
+// Failure: callers in one zone are refused while the others are served.
 func TestJobIsStoredThroughAnotherInstance(t *testing.T) {
 	all := entries(t, "edge-0", "edge-1", "edge-2")
 	all[0].refuse(t)
@@ -145,10 +142,7 @@
 	}
 }
 
-// Symptom: callers wait for nothing in an outage, or a job that was refused runs.
-// Sequence: the store serves nobody.
-// Cause to be ruled out: something is written before the refusal, or it has no time
-// to come back.
+// Failure: callers wait for nothing in an outage, or a job that was refused runs.
 func TestOutageForAllIsRefusedAndNothingIsStored(t *testing.T) {
 	all := entries(t, "edge-0", "edge-1")
 	for _, e := range all {
@@ -169,10 +163,7 @@
 	}
 }
 
-// Symptom: callers get an open outcome (504) although most instances have the store.
-// Sequence: the store's answers to one instance get lost from the moment in which it
-// stores a job.
-// Cause: the write was repeated over the same dead way until the caller's deadline.
+// Failure: callers get an open outcome (504) although most instances have the store.
 func TestOpenOutcomeIsSettledThroughAnotherInstance(t *testing.T) {
 	all := entries(t, "edge-0", "edge-1")
 	all[0].proxy.Cut(false, true)
@@ -184,10 +175,7 @@
 	}
 }
 
-// Symptom: a caller was told that its job never runs, and it ran.
-// Sequence: an instance stores a job, and its answer gets lost; workers are full when the
-// caller asks again.
-// Cause to be ruled out: the repeat is refused like a new job.
+// Failure: a caller was told that its job never runs, and it ran.
 func TestRepeatOfAStoredJobIsNotRefused(t *testing.T) {
 	e := entries(t, "edge-0")[0]
 	if err := e.submit(t, "00000000000000dd"); err != nil {
--- a/internal/node/catalog_follower_test.go
+++ b/internal/node/catalog_follower_test.go
@@ -48,9 +48,7 @@
 	return &catalogFollower{source: source, current: &catalog.Current{}, log: log}, source, hook
 }
 
-// Symptom: changes of the configuration are not seen any more.
-// Sequence: the store drops its history.
-// Cause to be ruled out: the feed is asked for what it no longer has.
+// Failure: changes of the configuration are not seen any more.
 func TestFollowerReadsAnewWhenTheHistoryIsGone(t *testing.T) {
 	f, source, _ := followerOf(scriptedAnswer{version: 1, at: 10}, scriptedAnswer{err: store.ErrHistoryGone}, scriptedAnswer{version: 2, at: 30})
 	for range 3 {
@@ -63,9 +61,7 @@
 	}
 }
 
-// Symptom: callers are refused for a second after the end of an outage.
-// Sequence: the store is away, and comes back.
-// Cause to be ruled out: the question that would notice it waits for news.
+// Failure: callers are refused for a second after the end of an outage.
 func TestFollowerAsksWithoutWaitingWhileTheStoreIsLost(t *testing.T) {
 	f, source, hook := followerOf(scriptedAnswer{version: 1, at: 10}, scriptedAnswer{err: store.ErrUnavailable},
 		scriptedAnswer{err: store.ErrUnavailable}, scriptedAnswer{at: 11})
--- a/internal/node/readiness_test.go
+++ b/internal/node/readiness_test.go
@@ -32,9 +32,7 @@
 	}
 }
 
-// Symptom: after a planned stop callers find their open connection broken.
-// Sequence: an instance stops while callers keep connections to it.
-// Cause to be ruled out: answers do not say that the connection ends.
+// Failure: after a planned stop callers find their open connection broken.
 func TestStoppingInstanceClosesItsConnectionsWithTheAnswer(t *testing.T) {
 	stopping := &atomic.Bool{}
 	handler := closing{http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), stopping}
--- a/internal/ownership/keeper_offers_test.go
+++ b/internal/ownership/keeper_offers_test.go
@@ -55,11 +55,8 @@
 	return NewKeeper(id, timing, downTable{}, peers, membership.NewSession(timing, time.Now()), func() []Place { return nil }, l, logrus.NewEntry(log))
 }
 
-// Symptom: services and watch tasks of two racks stop in an outage of the table, and
+// Failure: services and watch tasks of two racks stop in an outage of the table, and
 // start a second time after it.
-// Sequence: an owner hands a rack over; the row is written; the table goes down before
-// the next owner reads it.
-// Cause: only the table told the next owner.
 func TestNextOwnerIsToldOfAHandOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		heard := &heldNames{}
--- a/internal/relay/avoidance_test.go
+++ b/internal/relay/avoidance_test.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// Symptom: some calls are late by 0.2 s again and again.
-// Sequence: a machine is lost for good, and the list names it for a minute.
-// Cause to be ruled out: every second another call waits for a link to it.
+// Failure: some calls are late by 0.2 s again and again.
 func TestLostRelayIsTriedLessAndLessOften(t *testing.T) {
 	now := time.Now()
 	var a avoidance
--- a/internal/relay/lateness_test.go
+++ b/internal/relay/lateness_test.go
@@ -5,10 +5,7 @@
 	"time"
 )
 
-// Symptom: a task starts seconds after its job was cancelled.
-// Sequence: a relay is suspended; its owner gives up the start that it sent, and so
-// does the caller of the job; the relay wakes and reads it.
-// Cause: nothing told it how old the request is.
+// Failure: a task starts seconds after its job was cancelled.
 func TestRequestsThatWaitedForASuspendedRelayAreLate(t *testing.T) {
 	began := time.UnixMilli(1_000_000)
 	const skew = 700 * time.Millisecond // the clocks of the two ends differ
@@ -31,9 +28,7 @@
 	}
 }
 
-// Symptom: a relay refuses everything for good.
-// Sequence: the time of day of one end is set.
-// Cause to be ruled out: the difference is taken for lateness for ever.
+// Failure: a relay refuses everything for good.
 func TestClockThatWasSetIsBelievedAfterAWhile(t *testing.T) {
 	for _, step := range []time.Duration{2 * time.Second, -2 * time.Second} {
 		began := time.UnixMilli(1_000_000)
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -206,10 +206,7 @@
 	}
 }
 
-// Symptom: an owner that was overtaken goes on starting tasks.
-// Sequence: its successor orders through the same relay; then the old one does, to a
-// worker that the successor has not called yet.
-// Cause: only the worker compared the tokens.
+// Failure: an owner that was overtaken goes on starting tasks.
 func TestRelayRefusesOwnersThatWereOvertaken(t *testing.T) {
 	s := newSite(t)
 	old, next := s.link(t), s.link(t)
@@ -226,9 +223,7 @@
 	}
 }
 
-// Symptom: a task is started elsewhere although it runs.
-// Sequence: a relay dies between an order and its reply.
-// Cause to be ruled out: the order counts as one that was not carried out.
+// Failure: a task is started elsewhere although it runs.
 func TestOrdersOfALostLinkMayHaveBeenCarriedOut(t *testing.T) {
 	s := newSite(t)
 	l := s.link(t)
@@ -249,9 +244,7 @@
 	}
 }
 
-// Symptom: a task starts seconds after its owner gave it up.
-// Sequence: a request waits in the buffers of a relay that stands still.
-// Cause: the relay carried out whatever it read.
+// Failure: a task starts seconds after its owner gave it up.
 func TestRequestsThatAreTooOldAreNotCarriedOut(t *testing.T) {
 	one := newSession(nil, NewServer(&fakeWorkers{}, nil, logger(t)))
 	now := time.UnixMilli(1_000_000)
--- a/internal/relay/pool_test.go
+++ b/internal/relay/pool_test.go
@@ -75,10 +75,7 @@
 	return err
 }
 
-// Symptom: workers count as silent when an instance dies.
-// Sequence: the relay of a worker dies while a look waits there.
-// Cause to be ruled out: the end of the link is taken for the worker's silence, or for
-// a start that was not carried out.
+// Failure: workers count as silent when an instance dies.
 func TestLooksGoOnWhenARelayDies(t *testing.T) {
 	f := newFleet(t, 3)
 	if err := f.start(t); err != nil {
@@ -113,9 +110,7 @@
 	}
 }
 
-// Symptom: a worker counts as silent for seconds although it serves.
-// Sequence: the way between it and its relay is cut, and no other one.
-// Cause: each look went the same way.
+// Failure: a worker counts as silent for seconds although it serves.
 func TestWorkerThatDoesNotAnswerIsTriedThroughItsNextRelay(t *testing.T) {
 	f := newFleet(t, 3)
 	first := f.used(t)
@@ -157,10 +152,8 @@
 	return links
 }
 
-// Symptom: an owner whose own link is full for a second loses all relays, and has to
+// Failure: an owner whose own link is full for a second loses all relays, and has to
 // reach every worker itself over that link.
-// Sequence: nothing is heard of any relay.
-// Cause: each of them was given up as a silent one.
 func TestSilenceOfMostRelaysIsTheOwnersOwn(t *testing.T) {
 	for _, test := range []struct {
 		silent int
@@ -204,10 +197,8 @@
 	}
 }
 
-// Symptom: a new owner on a small machine reaches half of the workers, for as long as the
-// load lasts.
-// Sequence: its own link is full when it opens its links to relays; none is open soon.
-// Cause: it called all workers itself, over that same link.
+// Failure: a new owner on a small machine reaches half of the workers, for as long as
+// the load lasts.
 func TestCallsWaitForLinksWhereNoneOpensSoon(t *testing.T) {
 	f := newFleet(t, 3)
 	f.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
@@ -222,9 +213,7 @@
 	}
 }
 
-// Symptom: each call to some workers is late by as long as a link takes to be given up.
-// Sequence: the machine of their relay is gone, and answers nothing.
-// Cause to be ruled out: calls wait for that link although another relay's is open.
+// Failure: each call to some workers is late by as long as a link takes to be given up.
 func TestCallsTakeAnOpenLinkRatherThanASlowOne(t *testing.T) {
 	f := newFleet(t, 2)
 	first := f.pool.route(w1, time.Now())
--- a/internal/relay/rank_test.go
+++ b/internal/relay/rank_test.go
@@ -71,9 +71,7 @@
 	}
 }
 
-// Symptom: after the loss of one instance all workers get new connections.
-// Sequence: an instance leaves the list.
-// Cause to be ruled out: workers of other instances move.
+// Failure: after the loss of one instance all workers get new connections.
 func TestOnlyWorkersOfALostInstanceMove(t *testing.T) {
 	// Of 11 and 10 instances the same number are relays.
 	all := instances("a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a")
--- a/internal/roster/named_test.go
+++ b/internal/roster/named_test.go
@@ -21,10 +21,7 @@
 	return c
 }
 
-// Symptom: an instance calls an address for ever that never answers.
-// Sequence: the list has an entry of a service that no configuration names; later one
-// does.
-// Cause: whatever was listed was taken as a worker of ours.
+// Failure: an instance calls an address for ever that never answers.
 func TestWorkersOfUnknownServicesAreHeldBackUntilTheyAreNamed(t *testing.T) {
 	ours, stranger, leaver := Worker{ID: "a", Service: "desk"}, Worker{ID: "b", Service: "other"}, Worker{ID: "c", Service: "other"}
 	source := &scripted{{Workers: []Worker{ours, stranger, leaver}, Version: 1}, {Removed: []string{"c"}, Version: 2}, {Version: 3}}
--- a/internal/store/persistent_test.go
+++ b/internal/store/persistent_test.go
@@ -27,9 +27,7 @@
 	return Page{}, ErrUnknown
 }
 
-// Symptom: an owner reads the cell for ever, and nothing is planned any more.
-// Sequence: a partition of the store is silent, and answers later on new connections.
-// Cause: the read had no limit, and was not repeated.
+// Failure: an owner reads the cell for ever, and nothing is planned any more.
 func TestSilentReadIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &moody{first: []error{nil, ErrUnavailable, nil}}
--- a/internal/store/return_watch_test.go
+++ b/internal/store/return_watch_test.go
@@ -26,10 +26,7 @@
 	return 1, err
 }
 
-// Symptom: callers are refused for 0.75 s after a silent store is back.
-// Sequence: the store is silent for three seconds; each call that is under way when it
-// returns waits for its timeout.
-// Cause: nobody asked while the last question was open.
+// Failure: callers are refused for 0.75 s after a silent store is back.
 func TestReturnOfASilentStoreIsNoticedSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -52,11 +49,8 @@
 	})
 }
 
-// Symptom: in a store that has turned 100 times slower commits and submissions are made
+// Failure: in a store that has turned 100 times slower commits and submissions are made
 // again and again, and none is answered in time.
-// Sequence: all calls that are under way are given up before the first answer comes.
-// Cause: a call that was given up was taken for one of a store that is silent, and
-// taught no patience, because no other one had been answered meanwhile.
 func TestCallsGivenUpTeachPatienceThoughNobodyWasAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const slowAnswer = 700 * time.Millisecond
--- a/internal/store/watched_test.go
+++ b/internal/store/watched_test.go
@@ -25,10 +25,7 @@
 	}
 }
 
-// Symptom: callers were held until their deadline while the store was known to
-// be lost.
-// Sequence: a call is refused; later calls are answered.
-// Cause: nobody remembered how the last call went.
+// Failure: callers were held until their deadline while the store was known to be lost.
 func TestWatchedRemembersHowTheLastCallWent(t *testing.T) {
 	s := &scripted{}
 	w := NewWatched(s)
@@ -82,10 +79,8 @@
 	}
 }
 
-// Symptom: in a store 60 times slower the owner was overtaken, and the cell stood
-// still for 2.6 s.
-// Sequence: one call takes a second while others are answered.
-// Cause: the oldest call under way alone decided whether the store is lost.
+// Failure: in a store 60 times slower the owner was overtaken, and the cell stood still
+// for 2.6 s.
 func TestOneSlowCallBesideAnsweredOnesIsNoLoss(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &scripted{took: 2 * time.Second}
@@ -105,10 +100,7 @@
 	})
 }
 
-// Symptom: an owner that was cut off from the store kept the cell for 1.7 s.
-// Sequence: a call is not answered, and given up.
-// Cause: with its end the loss counted from that moment, instead of from the last
-// answer.
+// Failure: an owner that was cut off from the store kept the cell for 1.7 s.
 func TestALossCountsFromTheLastAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &scripted{took: time.Hour}
--- a/internal/upkeep/tracker_test.go
+++ b/internal/upkeep/tracker_test.go
@@ -38,9 +38,7 @@
 	f.listed[name] = Machine{Name: name, Worker: worker, Up: up, InUpkeep: !up}
 }
 
-// Symptom: tasks are ended by an upkeep although their worker was to be emptied.
-// Sequence: an idle worker is chosen; it gets a run before it is told so.
-// Cause to be ruled out: the upkeep is ordered in the pass that chooses the worker.
+// Failure: tasks are ended by an upkeep although their worker was to be emptied.
 func TestUpkeepIsNotOrderedInThePassThatChoosesAWorker(t *testing.T) {
 	f := newFleet(1)
 	tracker := f.tracker(1, 10*time.Second)
@@ -52,9 +50,7 @@
 	}
 }
 
-// Symptom: lasting tasks of one step are gone together.
-// Sequence: the time for emptying a worker is over while a task on it is protected.
-// Cause to be ruled out: patience goes before protection.
+// Failure: lasting tasks of one step are gone together.
 func TestProtectedRunsHoldAnUpkeepBack(t *testing.T) {
 	f := newFleet(1)
 	f.loads["w-m-0"] = Load{Runs: 1, Protected: true}
@@ -69,10 +65,7 @@
 	}
 }
 
-// Symptom: a wave is reported as completed while a machine has had no upkeep.
-// Sequence: an order gets no answer, and the machine is listed as up with the same
-// worker.
-// Cause to be ruled out: sent counts as begun.
+// Failure: a wave is reported as completed while a machine has had no upkeep.
 func TestOrderWithoutAnAnswerIsRepeated(t *testing.T) {
 	f := newFleet(2)
 	tracker := f.tracker(1, 10*time.Second)
@@ -88,9 +81,7 @@
 	}
 }
 
-// Symptom: a new owner empties machines that have had their upkeep.
-// Sequence: an owner is lost in the middle of a wave.
-// Cause to be ruled out: what the store tells is not used.
+// Failure: a new owner empties machines that have had their upkeep.
 func TestNextOwnerGoesOnWithTheRest(t *testing.T) {
 	f := newFleet(3)
 	tracker := NewTracker(Wave{Number: 1, Machines: f.names, Within: time.Second, AtOnce: 3}, 2*time.Second, []string{"m-1", "m-2"}, start)
@@ -99,9 +90,7 @@
 	}
 }
 
-// Symptom: a wave never ends.
-// Sequence: a machine of it is taken away.
-// Cause to be ruled out: it is waited for.
+// Failure: a wave never ends.
 func TestMachineThatIsGoneNeedsNoUpkeep(t *testing.T) {
 	f := newFleet(1)
 	tracker := f.tracker(1, time.Second)
