--- a/internal/cell/crash_blame_test.go
+++ b/internal/cell/crash_blame_test.go
@@ -57,11 +57,8 @@
 	}
 }
 
-// A sixth of the workers crash by themselves, and 0.4 s later another sixth, again and again.
-// The jobs whose tasks were starting there are started again and hit again, on a site of 350
-// workers two of them: "job_given_up crashes=2" 20 s into a day without any poison task. That
-// so many workers fall silent at the same time says that no task crashed them, so two or
-// three of them give no job up. Four under one task do.
+// Failure: sound jobs are given up when many workers crash by themselves, again and
+// again.
 func TestCorrelatedCrashesGiveNoJobUp(t *testing.T) {
 	for seed := range 6 {
 		w := newCrashWorld(t, 24)
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -44,13 +44,8 @@
 	return others
 }
 
-// One job took a worker down every second for two minutes, 179 in all, and everything
-// that ran on them with it. One of its tasks crashed each worker that started it within 10
-// ms; the worker came back after three seconds under a new id. The log showed
-// "worker_silent ... EOF" 60 ms after "job_added", "run_copied" of all the job's tasks
-// 0.25 s later, and "worker_silent" of the next worker within 25 ms; then "worker_replaced
-// runs=15" twice, and the same again, up to run 117 of one task. A run that went with its
-// worker was held against nobody, so the task was placed again as if nothing had been.
+// Failure: a task that crashes each worker that starts it takes down one after the
+// other.
 func TestAPoisonTaskIsGivenUp(t *testing.T) {
 	w := newCrashWorld(t, 24)
 	poison := w.submit(0, mayRunTwice(12), 0)
@@ -79,10 +74,7 @@
 	}
 }
 
-// The same task in steps of other kinds, and beside what else goes wrong: the owner is
-// lost right after each worker, or half a second later; the store is away; the worker
-// comes back after its lease, or after it has been forgotten; the start is not answered
-// before the worker crashes. What is known of the crashes must outlive all of these.
+// Failure: the same, as what is known of the crashes does not outlive other faults.
 func TestCrashesAreCountedBesideOtherFaults(t *testing.T) {
 	steps := map[string]func(int) job.Step{"may run twice": mayRunTwice, "once": once, "gang": gang, "lasting": watchers}
 	faults := map[string]func(w *crashWorld) func(){
--- a/internal/cell/shrink_test.go
+++ b/internal/cell/shrink_test.go
@@ -54,10 +54,7 @@
 	}
 }
 
-// Rooms of workers shrink and grow again every tenth of a second beside twice the work
-// that fits, with urgent tasks that have others stopped, large ones that wait for a
-// reservation, gangs, and stops that take up to 0.9 s. No start may bring a worker over
-// the room that it has at that moment, and when the rooms are whole again all is done.
+// Failure: a start brings a worker over the room that it has at that moment.
 func TestStartsFitRoomsThatShrink(t *testing.T) {
 	s := newShrinking(t)
 	s.slowStops = 900 * time.Millisecond
@@ -87,10 +84,7 @@
 	}
 }
 
-// A worker lost the store and not its owner. Its room shrank; it could not say so, and after
-// three heartbeats its entry lapsed, while those of the others were renewed. For four
-// seconds more it got tasks for the room that it had had, as if the store had been away
-// for all.
+// Failure: a worker that lost the store gets tasks for a room that it has no more.
 func TestAWorkerWhoseEntryLapsesAloneGetsNothingNew(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
 	for range 6 {
--- a/internal/cellowner/condense_test.go
+++ b/internal/cellowner/condense_test.go
@@ -39,10 +39,8 @@
 	}
 }
 
-// After the loss of an owner on a small link nothing was started for six seconds, and all
-// leases ran out meanwhile. Its successor had the roster after 0.2 s, the progress after
-// 0.4 s, and the records after 2.7 s: 257 KB of 322 jobs, of which 229 had ended. Ended jobs
-// kept their texts and steps for up to 15 s.
+// Failure: a take-over on a small link lasts longer than leases, for texts of ended
+// jobs.
 func TestNewOwnersDoNotReadTheTextsOfEndedJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, _ := logtest.NewNullLogger()
--- a/internal/cellowner/follow_test.go
+++ b/internal/cellowner/follow_test.go
@@ -87,10 +87,8 @@
 	}
 }
 
-// An owner on a small link that had missed more of the news of jobs than the store keeps
-// read all jobs again and again, "jobs_not_reloaded" each four seconds, and heard of no
-// new job from the store any more: the limit was for the whole of a read that the link
-// carries in six.
+// Failure: an owner on a small link hears of no new job, and reads all jobs again and
+// again.
 func TestAllJobsAreReadOverASmallLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, _ := logtest.NewNullLogger()
--- a/internal/cellowner/orders_test.go
+++ b/internal/cellowner/orders_test.go
@@ -72,10 +72,7 @@
 	return nil, cell.StartOrder{}
 }
 
-// TestLostAnswerOfAStart: symptom: one step in three of ten tasks is late while
-// answers of workers get lost. Sequence: a worker starts a run, its answer gets
-// lost. Cause: the run is stopped and begun anew, although asking once more would
-// have told that it is there.
+// Failure: one step in three of ten tasks is late while answers of workers get lost.
 func TestLostAnswerOfAStart(t *testing.T) {
 	client := &losing{lost: 1}
 	o, order := ownerOfOne(t, client)
@@ -101,10 +98,7 @@
 	return runner.Answer{}, &runner.Refusal{Reason: runner.Unhealthy}
 }
 
-// TestRefusalOfARepeatIsNoProof: symptom: a task runs twice. Sequence: a start is on
-// its way for half a second; its repeat is declined; then the first one arrives and
-// is carried out. Cause: the refusal of the repeat was taken for both, and the task
-// was placed again.
+// Failure: a task runs twice.
 func TestRefusalOfARepeatIsNoProof(t *testing.T) {
 	client := &declining{}
 	o, order := ownerOfOne(t, client)
@@ -125,9 +119,8 @@
 	}
 }
 
-// TestStartThatIsNeverAnswered: symptom: a task never runs, or runs twice, while
-// its worker leaves all orders unanswered. Sequence: no start is answered. Cause
-// to be ruled out: starts are repeated for ever, or the run is not revoked.
+// Failure: a task never runs, or runs twice, while its worker leaves all orders
+// unanswered.
 func TestStartThatIsNeverAnswered(t *testing.T) {
 	client := &losing{lost: 100}
 	o, order := ownerOfOne(t, client)
--- a/internal/cellowner/poison_test.go
+++ b/internal/cellowner/poison_test.go
@@ -12,10 +12,7 @@
 	"gentianstand/internal/store"
 )
 
-// A stored record that decodes and names a step that does not exist, or progress of a task
-// with a negative number, would end each process that loads it with "index out of range":
-// every owner, one after the other, and no job would run. Such rows are reported as
-// "job_unreadable" and "progress_unreadable" and left alone; the other jobs are loaded.
+// Failure: a stored row that is not valid ends every owner that loads it.
 func TestRowsThatNoCallerCouldSubmitEndNoOwner(t *testing.T) {
 	log, lines := logtest.NewNullLogger()
 	sound := &job.Record{ID: "00000000000000aa", Queue: "q", Steps: []job.Step{{Count: 1}}, AcceptedAt: time.Now()}
--- a/internal/cellpeer/store_finder_test.go
+++ b/internal/cellpeer/store_finder_test.go
@@ -55,9 +55,7 @@
 	return NewStoreFinder(d, NewClients())
 }
 
-// TestSubmissionsShareASearch: symptom: in an outage instances are busy with
-// pings. Sequence: the store serves nobody, and hundreds of submissions arrive.
-// Cause: each asks all instances for itself.
+// Failure: in an outage instances are busy with pings.
 func TestSubmissionsShareASearch(t *testing.T) {
 	peer := &pingable{}
 	f := finderAmong(t, peer)
@@ -75,9 +73,7 @@
 	}
 }
 
-// TestRefusalDoesNotWaitForADeadInstance: symptom: callers are refused 0.4 s late
-// in an outage, each time. Sequence: the store serves nobody, one instance is dead
-// and does not answer. Cause: every refusal waits for the dead instance's answer.
+// Failure: callers are refused 0.4 s late in an outage, each time.
 func TestRefusalDoesNotWaitForADeadInstance(t *testing.T) {
 	peer, dead := &pingable{}, &pingable{hold: make(chan struct{})}
 	f := finderAmong(t, peer, dead)
@@ -95,9 +91,7 @@
 	<-search
 }
 
-// TestInstanceWithTheStoreIsAskedAgain: symptom: submissions are passed to an
-// instance that has lost the store as well. Sequence: a search finds an instance,
-// then the store stops serving it. Cause: the result is kept for good.
+// Failure: submissions are passed to an instance that has lost the store as well.
 func TestInstanceWithTheStoreIsAskedAgain(t *testing.T) {
 	peer := &pingable{}
 	peer.serves.Store(true)
--- a/internal/dev/system_test.go
+++ b/internal/dev/system_test.go
@@ -163,9 +163,7 @@
 	}
 }
 
-// TestSlowSenders: symptom: an instance runs out of connections. Sequence: a
-// caller sends part of a header, or of a body, and then nothing. Cause to be
-// ruled out: it is waited for without end.
+// Failure: an instance runs out of connections.
 func TestSlowSenders(t *testing.T) {
 	sys := newSystem(t)
 	before := requestsRun(sys)
@@ -196,10 +194,7 @@
 	return n
 }
 
-// TestWorkerAnswersNonsense: symptom: a caller gets garbage, or a request that
-// must not be repeated runs twice. Sequence: workers answer with bytes that are
-// no HTTP. Cause to be ruled out: the bytes are passed on, or the request is
-// sent again as if it had not run.
+// Failure: a caller gets garbage, or a request that must not be repeated runs twice.
 func TestWorkerAnswersNonsense(t *testing.T) {
 	sys := newSystem(t)
 	sys.WorkerFaults(standworker.Fault{Nonsense: true})
--- a/internal/entry/operators_test.go
+++ b/internal/entry/operators_test.go
@@ -29,10 +29,7 @@
 
 type requestName struct{}
 
-// A connection to the planner that was still being opened after its operator had been
-// answered read the context of the next operator's request: what handlers passed on is used
-// again for another request. The race detector showed it, a "previous read" in
-// net.(*sysDialer).dialSingle beside a write in (*Engine).ServeHTTP.
+// Failure: a call that outlives its request reads the context of the next operator's.
 func TestCallsKeepTheirOwnRequest(t *testing.T) {
 	runs := &rememberingRuns{}
 	s := &Server{runs: runs}
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -228,10 +228,7 @@
 	return len(seen), false
 }
 
-// TestModelTakeOver: symptom: a task runs in two places. Sequence: any
-// interleaving of cuts, outages, freezes, late messages and take-overs, tried
-// exhaustively. Cause to be ruled out: a newcomer calls a worker lost while its
-// old owner, behind a cut, still keeps the lease.
+// Failure: a task runs in two places.
 func TestModelTakeOver(t *testing.T) {
 	states, unsafe := explore(variant{})
 	if unsafe {
--- a/internal/node/catalog_follower_test.go
+++ b/internal/node/catalog_follower_test.go
@@ -92,10 +92,7 @@
 	}
 }
 
-// An instance with a small link that started beside a configuration of some hundred
-// kilobytes never had it in force, and refused all callers: it gave each read up after a
-// second, whatever had come, and began anew. It was found where the news of workers, read
-// with such a limit, was never read again.
+// Failure: an instance on a small link never has a large configuration in force.
 func TestLargeCatalogIsReadInOneAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, _ := logtest.NewNullLogger()
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -36,11 +36,8 @@
 	return states, nil
 }
 
-// TestSilentConnectionAcrossAHandOver: symptom: a request hangs until its
-// deadline, half a minute, although the worker is well. Sequence: it is sent on
-// a connection that has gone silent, and before it is doubted the worker's shard
-// goes to another owner. Cause: only the loop that minds a worker asks about
-// requests, and it ends with the hand-over.
+// Failure: a request hangs until its deadline, half a minute, although the worker is
+// well.
 func TestSilentConnectionAcrossAHandOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		agent := &handedOver{}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -29,10 +29,7 @@
 	return New("o", membership.DefaultTiming(), nobody{}, dial, routing.NewRouter(), nobody{}, metrics.NewSet(), logrus.NewEntry(log))
 }
 
-// TestOrderForAWorkerThatWentOn: symptom: a start gets lost for as long as the
-// time between two full reports. Sequence: a worker changes hands while an order
-// for it is on its way to the owner before. Cause to be ruled out: the order is
-// dropped without a word.
+// Failure: a start gets lost for as long as the time between two full reports.
 func TestOrderForAWorkerThatWentOn(t *testing.T) {
 	order := fleet.Order{PlannerEpoch: 1, Sequence: 1, Assignments: []fleet.Assignment{{Worker: "w", Epoch: 1}}}
 	if err := newTestOwner().Assign(order); !fault.Is(err, fault.NotOwner) {
@@ -40,9 +37,7 @@
 	}
 }
 
-// TestOrdersAreTakenInOrder: symptom: a task that has ended and been forgotten
-// runs again. Sequence: an order with its start is overtaken on the wire by
-// later ones. Cause to be ruled out: orders are taken as they come.
+// Failure: a task that has ended and been forgotten runs again.
 func TestOrdersAreTakenInOrder(t *testing.T) {
 	o := newTestOwner()
 	steps := []struct {
--- a/internal/owner/tracker_test.go
+++ b/internal/owner/tracker_test.go
@@ -65,10 +65,7 @@
 	}
 }
 
-// TestLateStartOfOvertakenOwner: symptom: a task runs that nobody asked for any
-// more. Sequence: an owner's message with a start is held up; a later owner
-// claims the worker; the message arrives. Cause to be ruled out: the worker
-// cannot tell old owners from new.
+// Failure: a task runs that nobody asked for any more.
 func TestLateStartOfOvertakenOwner(t *testing.T) {
 	r := newRig(t)
 	old := r.owner(1)
@@ -87,9 +84,7 @@
 	r.expectRunning(0)
 }
 
-// TestLateMessageOfSameOwner: symptom: a task that has ended runs again.
-// Sequence: a message with a start is held up, sent again, the task ends and
-// is forgotten, and then the first message arrives.
+// Failure: a task that has ended runs again.
 func TestLateMessageOfSameOwner(t *testing.T) {
 	r := newRig(t)
 	tr := r.owner(1)
@@ -106,8 +101,7 @@
 	r.expectRunning(0)
 }
 
-// TestLateMessageDoesNotExtendLease: symptom: tasks run on after their lease.
-// Sequence: a renewal is held up until the lease has ended, and arrives.
+// Failure: tasks run on after their lease.
 func TestLateMessageDoesNotExtendLease(t *testing.T) {
 	r := newRig(t)
 	tr := r.owner(1)
--- a/internal/planner/core_test.go
+++ b/internal/planner/core_test.go
@@ -58,9 +58,7 @@
 	}
 }
 
-// TestFailingWorkerIsTakenOut: symptom: everything fails although one worker of
-// four is bad. Sequence: a worker fails each task at once, so it is always
-// free. Cause to be ruled out: the freest worker gets the next task.
+// Failure: everything fails although one worker of four is bad.
 func TestFailingWorkerIsTakenOut(t *testing.T) {
 	text := teams
 	list := "batches:\n"
@@ -103,9 +101,7 @@
 	s.expectRunning("good", 12)
 }
 
-// TestUnrepeatableEndsHonestly: symptom: a letter is sent twice, or its run is
-// called a failure that did not happen. Sequence: the worker of a task that
-// must not be repeated is lost. Only "may have run" is known.
+// Failure: a letter is sent twice, or its run is called a failure that did not happen.
 func TestUnrepeatableEndsHonestly(t *testing.T) {
 	s := newSite(t, 2, fourCores, teams+work("batches", "letters", "a", 2, 4, "    idempotent: false\n    retries: 5\n"))
 	s.steps(2)
@@ -225,10 +221,7 @@
 	}
 }
 
-// TestOvertakenReportIsDropped: symptom: tasks of a restarted worker start a
-// second time while they run. Sequence: the report from before the restart
-// arrives after the one from after it. Cause to be ruled out: the planner takes
-// the old process for a newer one.
+// Failure: tasks of a restarted worker start a second time while they run.
 func TestOvertakenReportIsDropped(t *testing.T) {
 	s := newSite(t, 1, fourCores, teams+work("batches", "plain", "a", 2, 1, ""))
 	s.steps(3)
@@ -251,10 +244,7 @@
 	}
 }
 
-// TestStartWaitsForItsRow: symptom: a task runs that no row tells of, and a
-// successor starts it again. Sequence: a start is decided, its row is being
-// written, or could not be. Only in a confirmed outage, and only for work that
-// may be repeated, may it leave before.
+// Failure: a task runs that no row tells of, and a successor starts it again.
 func TestStartWaitsForItsRow(t *testing.T) {
 	s := newSite(t, 2, fourCores, teams+work("batches", "plain", "a", 2, 1, "")+"  - name: letters\n    team: a\n    idempotent: false\n    resources: {cpu: 1, memory: 1GiB}\n")
 	s.now = s.now.Add(time.Second)
--- a/internal/planner/gangs_test.go
+++ b/internal/planner/gangs_test.go
@@ -19,9 +19,7 @@
 	s.expectRunning("gang", 4)
 }
 
-// TestGangRestartsTogether: symptom: a job goes on with some of its tasks.
-// Sequence: the worker of some tasks of a running job is lost. Cause to be
-// ruled out: each task is looked at alone.
+// Failure: a job goes on with some of its tasks.
 func TestGangRestartsTogether(t *testing.T) {
 	s := newSite(t, 4, fourCores, teams+work("jobs", "gang", "a", 4, 2, ""))
 	s.steps(3)
@@ -41,9 +39,8 @@
 	}
 }
 
-// TestGangIsNotStarved: symptom: a job for the whole site never starts while
-// small work keeps coming. Cause to be ruled out: every hole is filled at once
-// by the next small task.
+// Failure: a job for the whole site never starts while small work keeps coming. Cause
+// to be ruled out: every hole is filled at once by the next small task.
 func TestGangIsNotStarved(t *testing.T) {
 	text := teams + work("jobs", "gang", "a", 8, 2, "    run_time: 30s\n") + work("batches", "small", "a", 1, 2, "    run_time: 1m\n    start: on-submit\n")
 	s := newSite(t, 4, fourCores, text)
--- a/internal/planner/restarts_test.go
+++ b/internal/planner/restarts_test.go
@@ -27,10 +27,7 @@
 	return restarts
 }
 
-// A task of a batch crashed each worker that started it, and was started
-// again at once on the next one, a hundred times in ten seconds. "task_vanished ... the
-// worker restarted" of one task, attempt after attempt, showed it: attempts that went with
-// their worker counted against nothing.
+// Failure: a task that restarts its workers is started again at once, without a limit.
 func TestATaskThatRestartsItsWorkersIsGivenUp(t *testing.T) {
 	s := newSite(t, 4, fourCores, teams+work("batches", "bad", "a", 1, 1, "    retries: 5\n"))
 	restarts := 0
--- a/internal/planner/sequence_test.go
+++ b/internal/planner/sequence_test.go
@@ -56,9 +56,7 @@
 	}
 }
 
-// TestLateWriteHasNoEffect: symptom: a run falls back to an earlier state, and
-// a task that has ended runs again. Sequence: a write is held up on the wire
-// and given up, a later one is made, and then the first arrives.
+// Failure: a run falls back to an earlier state, and a task that has ended runs again.
 func TestLateWriteHasNoEffect(t *testing.T) {
 	ctx := context.Background()
 	h := newHoldingTable(t, 1)
@@ -79,9 +77,7 @@
 	h.expect(t, "succeeded")
 }
 
-// TestOvertakenPlannerCannotWrite: symptom: two planners write runs. Sequence:
-// a planner is overtaken without knowing, and writes; a write it had on the
-// wire arrives after its successor has begun.
+// Failure: two planners write runs.
 func TestOvertakenPlannerCannotWrite(t *testing.T) {
 	ctx := context.Background()
 	h := newHoldingTable(t, 1)
--- a/internal/relay/server_test.go
+++ b/internal/relay/server_test.go
@@ -28,10 +28,7 @@
 	}
 }
 
-// An instance reported that it had stopped while orders of its links were still under way:
-// closing the relay closed the connections and did not wait for what they had begun. Closing
-// now waits. The race detector showed it, a write of relay_link_over after the end of a test:
-// "Previous write by goroutine 7017: testing.tRunner.func1()".
+// Failure: orders of a relay go on after its instance has reported that it stopped.
 func TestClosedRelayHasNothingUnderWay(t *testing.T) {
 	s := newSite(t)
 	l := s.link(t)
--- a/internal/routing/queue_test.go
+++ b/internal/routing/queue_test.go
@@ -59,9 +59,7 @@
 	})
 }
 
-// TestHopelessIsRefusedAtOnce: symptom: callers wait for a refusal. Sequence:
-// the queue is so long that a newcomer's deadline passes before its turn.
-// Cause to be ruled out: it is let in and refused only then.
+// Failure: callers wait for a refusal.
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Second) // lets waiters return their slots
@@ -81,8 +79,7 @@
 	})
 }
 
-// TestFullQueueShedsLeastUrgent: symptom: urgent requests are refused while
-// others wait. Sequence: the queue is full and an urgent request comes.
+// Failure: urgent requests are refused while others wait.
 func TestFullQueueShedsLeastUrgent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Second) // lets waiters return their slots
@@ -131,9 +128,7 @@
 	})
 }
 
-// TestFailingUpstreamIsEjected: symptom: all requests fail although one worker
-// of three is bad. Sequence: a worker fails at once, so it is always free.
-// Cause to be ruled out: the freest is taken for the best.
+// Failure: all requests fail although one worker of three is bad.
 func TestFailingUpstreamIsEjected(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := NewRouter()
@@ -205,9 +200,7 @@
 	}
 }
 
-// TestRefusingWorkerIsClosed: symptom: a request fails although other workers
-// are free. Sequence: a worker has a later owner and refuses. Cause to be ruled
-// out: it is chosen again, because it is free.
+// Failure: a request fails although other workers are free.
 func TestRefusingWorkerIsClosed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := NewRouter()
--- a/internal/store/persistent_test.go
+++ b/internal/store/persistent_test.go
@@ -71,10 +71,7 @@
 	}
 }
 
-// A new owner on a small link read the same page of progress again and again, and loaded
-// nothing: a page of up to 1 MB takes a link of 2 Mbit/s four seconds, and each attempt
-// was given up after 1.5 s, whatever had come. It was found where the news of workers, read
-// with such a limit, was never read again: "rows=0 took=499 error=context deadline exceeded".
+// Failure: a new owner on a small link loads nothing, as it gives each large page up.
 func TestLargePageIsReadInOneAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &large{}
--- a/test/cell/focused_test.go
+++ b/test/cell/focused_test.go
@@ -77,18 +77,12 @@
 
 var rack0 = []string{"worker-0", "worker-1"}
 
-// TestIsolatedOwnerStops: symptom: tasks run in two places for as long as a cut
-// lasts. Sequence: an owner and its rack are cut off together from everything
-// else; the others take the shard over, cannot reach the workers, and start
-// their tasks elsewhere. Cause to be ruled out: the isolated owner keeps the
-// leases although nobody vouches for it.
+// Failure: tasks run in two places for as long as a cut lasts.
 func TestIsolatedOwnerStops(t *testing.T) {
 	afterCut(t, 1, func(c *cell, owner int) { c.splitOff(owner, rack0) })
 }
 
-// TestCutOwnerIsNotVouchedFor: symptom: as above. Sequence: an owner loses the
-// table only; the others reach the table but not the owner's workers. Cause to
-// be ruled out: electors vouch although the table answers them.
+// Failure: tasks run in two places after an outage that a cut follows.
 func TestCutOwnerIsNotVouchedFor(t *testing.T) {
 	afterCut(t, 5, func(c *cell, owner int) {
 		c.splitOff(owner, rack0)
@@ -100,10 +94,7 @@
 	})
 }
 
-// TestOwnerInOutageThenCut: symptom: as above. Sequence: the table is down, an
-// owner goes on by its electors' word, and is then cut off together with its
-// rack; the table comes back for the others. Cause to be ruled out: what the
-// electors said counts for longer than they stand by it.
+// Failure: tasks run in two places after an outage that a cut follows.
 func TestOwnerInOutageThenCut(t *testing.T) {
 	afterCut(t, 2, func(c *cell, owner int) {
 		c.faulty.Set(standplatform.Fault{TableDown: true})
@@ -113,8 +104,7 @@
 	})
 }
 
-// TestHourOfOutage: symptom: accepted work stops in a long outage. Sequence:
-// the table is down for an hour with work running and waiting.
+// Failure: accepted work stops in a long outage.
 func TestHourOfOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(3, &lockedLog{})
@@ -185,10 +175,7 @@
 	})
 }
 
-// TestReplacedProcessEnds: symptom: two processes act as one instance.
-// Sequence: a new process starts with the id of one that is still running, as
-// when an instance is replaced while the old one hangs. Cause to be ruled out:
-// both renew the same row in turn.
+// Failure: two processes act as one instance.
 func TestReplacedProcessEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(6, &lockedLog{})
--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -48,10 +48,7 @@
 	return n
 }
 
-// TestKilledPlanner: symptom: work stops, or runs twice. Sequence: the
-// instance that plans and owns workers is killed (SIGKILL) while a batch runs
-// and requests come in. Cause to be ruled out: its successor does not know
-// what was started, or never takes over.
+// Failure: work stops, or runs twice.
 func TestKilledPlanner(t *testing.T) {
 	s := loaded(t)
 	victim := s.planner(s.instances[0])
@@ -72,11 +69,7 @@
 	}
 }
 
-// TestFrozenOwnerReturns: symptom: a worker is given more than it has, or a
-// task runs in two places. Sequence: the planner is frozen (SIGSTOP) longer
-// than its session and leases, others take over, and it wakes up (SIGCONT)
-// believing nothing has happened. Cause to be ruled out: it acts on what it
-// believed before it checks its right to.
+// Failure: a worker is given more than it has, or a task runs in two places.
 func TestFrozenOwnerReturns(t *testing.T) {
 	s := loaded(t)
 	victim := s.planner(s.instances[0])
@@ -99,9 +92,7 @@
 	}
 }
 
-// TestCutFromTable: symptom: a task runs twice or stops. Sequence: one
-// instance, the planner, loses the table while the others reach it. Cause to
-// be ruled out: it takes the cut for an outage and goes on as owner.
+// Failure: a task runs twice or stops.
 func TestCutFromTable(t *testing.T) {
 	s := loaded(t)
 	victim := s.planner(s.instances[0])
@@ -123,10 +114,7 @@
 	}
 }
 
-// TestTableOutage: symptom: counters stop although workers and instances are
-// well. Sequence: the table is down for longer than sessions and leases last;
-// accepted work is still waiting. Cause to be ruled out: rights that cannot be
-// renewed lapse, and starts wait for rows that cannot be written.
+// Failure: counters stop although workers and instances are well.
 func TestTableOutage(t *testing.T) {
 	s := loaded(t)
 	s.fault(standplatform.Fault{TableDown: true, ObjectsDown: true})
@@ -164,11 +152,7 @@
 	}
 }
 
-// TestPlannerKilledInOutage: symptom: tasks run twice after the outage.
-// Sequence: in an outage of the table the planner starts accepted tasks, whose
-// rows cannot be written, and is killed; the table returns and another
-// instance plans, which finds the tasks pending. Cause to be ruled out: it
-// trusts the table before it has heard from every worker.
+// Failure: tasks run twice after the outage.
 func TestPlannerKilledInOutage(t *testing.T) {
 	s := loaded(t)
 	victim := s.planner(s.instances[0])
@@ -192,10 +176,8 @@
 	}
 }
 
-// TestLostAnswers: symptom: an operator sees an error for a change that was
-// accepted, or a run exists twice. Sequence: writes take effect but their
-// answers are lost. Cause to be ruled out: the repeat takes its own first
-// attempt for somebody else's.
+// Failure: an operator sees an error for a change that was accepted, or a run exists
+// twice.
 func TestLostAnswers(t *testing.T) {
 	s := loaded(t)
 	s.fault(standplatform.Fault{LoseAnswers: 12})
@@ -216,10 +198,7 @@
 	}
 }
 
-// TestLaggingList: symptom: work lands on a worker that is gone, or a new
-// instance is left out. Sequence: the platform's list stands still while a
-// worker is lost and an instance is replaced. Cause to be ruled out: the list
-// is taken for the truth.
+// Failure: work lands on a worker that is gone, or a new instance is left out.
 func TestLaggingList(t *testing.T) {
 	s := loaded(t)
 	s.fault(standplatform.Fault{FreezeList: true})
@@ -233,10 +212,7 @@
 	s.judge()
 }
 
-// TestWorkerLostAndReturned: symptom: a task runs in two places. Sequence: a
-// worker is cut off from its owner for longer than its lease, its tasks are
-// started elsewhere, and it comes back. Cause to be ruled out: the tasks are
-// started elsewhere before the worker must have stopped them.
+// Failure: a task runs in two places.
 func TestWorkerLostAndReturned(t *testing.T) {
 	s := loaded(t)
 	var cut *node
@@ -263,10 +239,7 @@
 	s.judge()
 }
 
-// TestAllInstancesRestarted: symptom: what was accepted is forgotten, or run
-// again. Sequence: all instances are killed at once and replaced by new
-// processes. Cause to be ruled out: something that must last was only in
-// memory.
+// Failure: what was accepted is forgotten, or run again.
 func TestAllInstancesRestarted(t *testing.T) {
 	s := loaded(t)
 	s.await("most letters sent", func() error {
--- a/test/e2e/matrix_test.go
+++ b/test/e2e/matrix_test.go
@@ -90,9 +90,7 @@
 	return found
 }
 
-// TestDrainHolds: symptom: a worker that is to be stopped gets work again.
-// Sequence: its planned stop is accepted, and then its owner, or everything,
-// fails. Cause to be ruled out: the stop is only in an owner's memory.
+// Failure: a worker that is to be stopped gets work again.
 func TestDrainHolds(t *testing.T) {
 	for _, tr := range troubles {
 		t.Run(tr.name, func(t *testing.T) {
@@ -121,9 +119,7 @@
 	}
 }
 
-// TestConfigurationHolds: symptom: an instance falls back to an earlier text.
-// Sequence: a second text is accepted, and then an instance, or everything,
-// fails. At no time does an instance that has it show an earlier one.
+// Failure: an instance falls back to an earlier text.
 func TestConfigurationHolds(t *testing.T) {
 	for _, tr := range troubles {
 		t.Run(tr.name, func(t *testing.T) {
@@ -176,10 +172,8 @@
 	}
 }
 
-// TestKeysHold: symptom: an order is placed twice, or a caller is told that it
-// did not run although it did. Sequence: orders are let go, then the instance
-// that did so, or everything, fails, and each order is repeated through the
-// others.
+// Failure: an order is placed twice, or a caller is told that it did not run although
+// it did.
 func TestKeysHold(t *testing.T) {
 	const keys = 8
 	for _, tr := range troubles {
@@ -254,9 +248,8 @@
 	})
 }
 
-// TestStopHolds: symptom: a planned stop cuts off requests in progress when
-// something else fails beside it. Sequence: an instance is asked to stop while
-// slow answers are on their way and the table, or another instance, fails.
+// Failure: a planned stop cuts off requests in progress when something else fails
+// beside it.
 func TestStopHolds(t *testing.T) {
 	for _, tr := range troubles {
 		if tr.name == "AllRestarted" {
--- a/test/e2e/requests_test.go
+++ b/test/e2e/requests_test.go
@@ -23,9 +23,7 @@
 	return n
 }
 
-// TestKeyRunsOnce: symptom: an order is placed twice. Sequence: the same
-// request with the same idempotency key comes through every instance, at once
-// and again later. Cause to be ruled out: each instance decides for itself.
+// Failure: an order is placed twice.
 func TestKeyRunsOnce(t *testing.T) {
 	s := loaded(t)
 	var wg sync.WaitGroup
@@ -59,10 +57,7 @@
 	}
 }
 
-// TestKeyWhoseHomeDied: symptom: an order is placed twice, or its repeat is
-// told that it did not run. Sequence: the instance that let the request go is
-// killed before the answer; the caller repeats it through another instance.
-// Cause to be ruled out: what was let go was only in the dead one's memory.
+// Failure: an order is placed twice, or its repeat is told that it did not run.
 func TestKeyWhoseHomeDied(t *testing.T) { keyWhoseHomeDied(t, standplatform.Fault{}) }
 
 // TestKeyWhoseHomeDiedInOutage is the same while the table is down: the keys
@@ -116,9 +111,7 @@
 	}
 }
 
-// TestKeysInOutage: symptom: orders cannot be placed while the table is down.
-// Sequence: the table is down, the object store is not. Cause to be ruled out:
-// keys can be kept in one place only.
+// Failure: orders cannot be placed while the table is down.
 func TestKeysInOutage(t *testing.T) {
 	s := loaded(t)
 	s.awaitKeyed(s.instances[0]) // a home that was taken over must have read its keys before
@@ -143,11 +136,7 @@
 	}
 }
 
-// TestSilentConnections: symptom: requests hang although the worker is well.
-// Sequence: something in between forgets the open connections to a worker: what
-// is sent on them is swallowed, new ones work. Cause to be ruled out: a
-// connection is trusted until the request's deadline, or a slow request is
-// taken for a silent one and cut.
+// Failure: requests hang although the worker is well.
 func TestSilentConnections(t *testing.T) {
 	s := loaded(t)
 	tr := s.sendTraffic(s.instances, 4)
@@ -186,10 +175,7 @@
 	s.judge()
 }
 
-// TestRacingOperators: symptom: one operator's change overwrites another's
-// unseen. Sequence: two operators apply different texts written for the same
-// configuration at the same time through different instances. Cause to be
-// ruled out: the last writer wins.
+// Failure: one operator's change overwrites another's unseen.
 func TestRacingOperators(t *testing.T) {
 	s := loaded(t)
 	results := make([]string, 2)
@@ -229,10 +215,7 @@
 	}
 }
 
-// TestConfigurationSurvivesOutage: symptom: an instance comes back with an old
-// text or none. Sequence: the table is down and an instance is replaced by a
-// new process, which cannot read the table. Cause to be ruled out: the
-// configuration is only asked of the table.
+// Failure: an instance comes back with an old text or none.
 func TestConfigurationSurvivesOutage(t *testing.T) {
 	s := loaded(t)
 	s.fault(standplatform.Fault{TableDown: true})
--- a/test/e2e/stops_test.go
+++ b/test/e2e/stops_test.go
@@ -9,10 +9,8 @@
 	standworker "gentianstand/internal/standin/worker"
 )
 
-// TestGracefulStop: symptom: a request in progress is cut off, or workers are
-// without an owner for a while. Sequence: an instance is asked to stop (SIGTERM)
-// while it is sending slow answers. Cause to be ruled out: it closes before
-// they are finished, or drops its shards instead of handing them over.
+// Failure: a request in progress is cut off, or workers are without an owner for a
+// while.
 func TestGracefulStop(t *testing.T) {
 	s := loaded(t)
 	leaving := s.instances[1]
@@ -44,9 +42,7 @@
 	s.judge()
 }
 
-// TestDrainedWorker: symptom: a worker that is to be stopped still gets work.
-// Sequence: a planned stop of a worker is asked for. Cause to be ruled out:
-// only new tasks are kept away, or only requests.
+// Failure: a worker that is to be stopped still gets work.
 func TestDrainedWorker(t *testing.T) {
 	s := loaded(t)
 	target := s.workers[0]
