--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -85,8 +85,8 @@
 	if wanted <= 0 {
 		return nil
 	}
-	c.mostRoomFirst(renew, s)
-	c.mostRoomFirst(unknown, s)
+	renew = c.mostRoomFirst(renew, s)
+	unknown = c.mostRoomFirst(unknown, s)
 	var ids []string
 	for _, w := range renew {
 		if len(ids) == mostAsked || wanted <= 0 {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gentianstand/internal/resource"
 	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
@@ -13,6 +15,8 @@
 	// Worker is its entry in the roster, which may still be one of an incarnation before.
 	roster.Worker
 	*life
+	// lot is drawn by its id, for choices among equals.
+	lot uint64
 	// unmatched is an entry of an incarnation that is not known yet, or has ended.
 	unmatched roster.Worker
 	target    runner.Target
@@ -53,7 +57,7 @@
 }
 
 func newWorker(r roster.Worker, now time.Time) *worker {
-	return &worker{Worker: r, life: &life{incarnation: r.Born, knownSince: now}, target: targetOf(r), attempts: map[*attempt]struct{}{}}
+	return &worker{Worker: r, lot: xxhash.Sum64String(r.ID), life: &life{incarnation: r.Born, knownSince: now}, target: targetOf(r), attempts: map[*attempt]struct{}{}}
 }
 
 func targetOf(r roster.Worker) runner.Target {
