--- a/internal/cell/life.go
+++ b/internal/cell/life.go
@@ -11,10 +11,10 @@
 type life struct {
 	// incarnation names it, or is 0 before the worker has told.
 	incarnation runner.Born
-	// knownSince is when the cell learned of it. follows says that it came in place of
-	// another one that was known.
+	// knownSince is when the cell learned of it. before is the one in whose place it came,
+	// or 0.
 	knownSince time.Time
-	follows    bool
+	before     runner.Born
 	// reported says that it answered a look under this ownership since it was
 	// last taken as lapsed; its books are complete only then.
 	reported   bool
--- a/internal/cell/model_restart_test.go
+++ b/internal/cell/model_restart_test.go
@@ -20,6 +20,9 @@
 		// To everybody else the run ended with the worker.
 		m.crashes[e.Task]++
 	}
+	for _, e := range w.ends[:w.listed] {
+		m.heard = append(m.heard, e.Task)
+	}
 	for task := range w.runs {
 		m.crashes[task]++
 		m.runEnded(w, task)
@@ -27,11 +30,23 @@
 	w.runs = map[string]*modelRun{}
 }
 
+// readStale has an owner read an entry of an incarnation that has ended. Only the last one
+// before the present one can still be read.
+func (m *model) readStale() {
+	if len(m.stale) == 0 {
+		return
+	}
+	r := m.stale[len(m.stale)-1]
+	m.rt.Logf("%v stale entry of %s, born %d", m.now.Sub(siteStart), r.ID, r.Born)
+	m.current().cell.register(r, m.now)
+}
+
 // restart crashes one of the workers and starts it again under its id, with what its time
 // of day shows then. Its entry in the roster may come late.
 func (m *model) restart(n int) {
 	m.crash(m.workers[n])
 	r := m.workers[n].roster
+	m.stale = append(m.stale, r)
 	m.restarts++
 	born := siteStart.Add(time.Duration(m.restarts) * time.Second)
 	if rapid.IntRange(0, 3).Draw(m.rt, "clock set back") == 0 {
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
 )
 
@@ -46,8 +47,13 @@
 	healed bool
 	// restarts counts the workers that started again under their ids.
 	restarts int
-	records  []*job.Record
-	stored   map[string]*job.Progress
+	// heard are the tasks of ends that a worker which has crashed since had listed to the
+	// present owner, and that are not stored for certain. They are lost with the owner.
+	heard []string
+	// stale are the entries of incarnations that have ended.
+	stale   []roster.Worker
+	records []*job.Record
+	stored  map[string]*job.Progress
 	// chunks are the stored known workers.
 	chunks map[int]WorkerChunk
 	owners []*modelOwner
@@ -105,6 +111,10 @@
 	if n := len(m.owners); n > 0 {
 		m.owners[n-1].lost = earlierStopped
 	}
+	for _, task := range m.heard {
+		m.crashes[task]++
+	}
+	m.heard = nil
 	term := uint64(len(m.owners) + 1)
 	m.rt.Logf("%v term %d taken, earlier stopped %v", m.now.Sub(siteStart), term, earlierStopped)
 	c := New(Settings{Term: term, EarlierStopped: earlierStopped, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, SpareWorkers: 1}, m.now, quietLog())
@@ -169,7 +179,7 @@
 }
 
 func (m *model) rare() {
-	switch rapid.IntRange(0, 6).Draw(m.rt, "rare") {
+	switch rapid.IntRange(0, 7).Draw(m.rt, "rare") {
 	case 0:
 		m.takeOver(rapid.Bool().Draw(m.rt, "earlier stopped"))
 	case 1:
@@ -180,6 +190,8 @@
 			m.current().cell.register(m.workers[len(m.workers)-1].roster, m.now)
 			m.commit(m.current(), true)
 		}
+	case 7:
+		m.readStale()
 	case 5, 6:
 		if n := rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "restart"); m.workers[n].alive {
 			m.restart(n)
@@ -267,6 +279,9 @@
 		for _, chunk := range commit.Chunks {
 			m.chunks[chunk.Number] = chunk
 		}
+		if len(o.cell.dirty) == 0 && len(o.cell.known.unsaved) == 0 {
+			m.heard = nil
+		}
 	}
 	if !stored || !answers {
 		o.cell.NotCommitted(commit)
--- a/internal/cell/restart.go
+++ b/internal/cell/restart.go
@@ -15,7 +15,7 @@
 	case born == 0 || born == w.incarnation:
 	case w.incarnation == 0:
 		c.setIncarnation(w, born)
-	case w.follows && sentAt.Before(w.knownSince):
+	case w.before != 0 && sentAt.Before(w.knownSince):
 		// A late answer of one that has ended.
 		return false
 	default:
@@ -40,8 +40,10 @@
 	}
 	c.workerCrashed(w.ID, now)
 	c.loseAll(w, "worker_restarted", now)
-	w.life = &life{knownSince: now, follows: true}
+	w.life = &life{knownSince: now, before: w.incarnation}
 	w.Draining = false
+	// No earlier owner can have stored this incarnation, and so started anything there.
+	w.accounted = true
 	// An overtaken owner may have heard of it, too: the one that can store that it is
 	// known may use it.
 	w.saved = false
--- a/internal/cell/restart_site_test.go
+++ b/internal/cell/restart_site_test.go
@@ -103,6 +103,28 @@
 	}
 }
 
+// Guards against dropping what runs on a worker whose time of day was set back, because an
+// entry of the life before is read late.
+func TestLateEntryOfTheLifeBeforeIsPassedOver(t *testing.T) {
+	before := usualWorker("a")
+	s := newSite(t, 1, before)
+	s.report("a")
+	next := s.restart("a")
+	next.Born = runner.Born(siteStart.Add(-time.Hour).UnixMilli())
+	s.born["a"] = next.Born
+	s.report("a")
+	s.list(next)
+	s.commit()
+	s.cell.Add(s.record(1, step(2)), true)
+	for _, o := range s.plan() {
+		s.confirm(o)
+	}
+	s.list(before)
+	if load := s.cell.WorkerLoad("a"); load.Runs != 2 {
+		t.Errorf("%d runs are booked, want 2", load.Runs)
+	}
+}
+
 // Guards against runs that are taken for lost on a worker which reported in the very moment
 // of its start, when its clock shows 0.
 func TestWorkerWhoseClockShowsNothingKeepsItsLease(t *testing.T) {
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -67,7 +67,7 @@
 	switch {
 	case r.Born == w.incarnation, w.incarnation == 0, r.Born == 0 && w.Worker.Born == 0:
 		c.describe(w, r, now)
-	case r.Born > w.incarnation:
+	case r.Born > w.incarnation && r.Born != w.before:
 		c.restarted(w, r.Born, now)
 		c.describe(w, r, now)
 	default:
