--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -135,8 +135,8 @@
 		c.log.WithField("stage", stage.String()).WithError(err).Info("advice_failed")
 		return
 	}
-	// What was asked of the life before does not hold for a worker that has restarted since.
 	until := now.Add(j.record.Advice.Valid - ticketMargin)
+	// What was asked of the life before does not hold for a worker that has restarted since.
 	for _, id := range asked {
 		if w := c.workers[id]; w != nil && !w.knownSince.After(askedAt) {
 			s.advice.verdicts[w] = verdict{life: w.life}
