--- a/internal/cell/load_world_test.go
+++ b/internal/cell/load_world_test.go
@@ -204,45 +204,45 @@
 	})
 }
 
+// reached returns why an order does not reach the incarnation that is meant, or nil.
+func (l *load) reached(to runner.Target) error {
+	w := l.workers[to.ID]
+	switch {
+	case l.now.Before(w.downUntil):
+		return runner.ErrNoAnswer
+	case w.gone, to.Born != w.roster.Born:
+		return runner.ErrGone
+	}
+	return nil
+}
+
 func (l *load) carryOut(order Order) {
 	switch order := order.(type) {
 	case StartOrder:
-		w := l.workers[order.Worker.ID]
-		if l.now.Before(w.downUntil) {
-			l.cell.StartAnswered(order, runner.Answer{}, runner.ErrNoAnswer, l.now)
-			return
-		}
-		if order.Worker.Born != w.roster.Born {
-			l.cell.StartAnswered(order, runner.Answer{}, runner.ErrGone, l.now)
-			return
-		}
-		if l.acknowledged[order.Start.Task] {
-			l.again = append(l.again, order.Start.Task)
-		}
-		if w.gone {
-			l.cell.StartAnswered(order, runner.Answer{}, runner.ErrGone, l.now)
-			return
-		}
-		if _, seen := l.firstStart[order.Task.Job]; !seen {
-			l.firstStart[order.Task.Job] = l.now
+		err := l.reached(order.Worker)
+		if err == nil {
+			l.begin(order)
 		}
-		w.runs[order.Start.Task] = l.newRun(order, w)
-		l.cell.StartAnswered(order, runner.Answer{}, nil, l.now)
+		l.cell.StartAnswered(order, runner.Answer{}, err, l.now)
 	case StopOrder:
-		w := l.workers[order.Worker.ID]
-		if l.now.Before(w.downUntil) {
-			l.cell.StopAnswered(order, runner.Answer{}, runner.ErrNoAnswer, l.now)
-			return
-		}
-		if order.Worker.Born != w.roster.Born {
-			l.cell.StopAnswered(order, runner.Answer{}, runner.ErrGone, l.now)
-			return
-		}
-		if r := w.runs[order.Stop.Task]; r != nil && r.stop.IsZero() {
+		err := l.reached(order.Worker)
+		if r := l.workers[order.Worker.ID].runs[order.Stop.Task]; err == nil && r != nil && r.stop.IsZero() {
 			r.stop = l.now.Add(l.stopTakes())
 		}
-		l.cell.StopAnswered(order, runner.Answer{}, nil, l.now)
+		l.cell.StopAnswered(order, runner.Answer{}, err, l.now)
+	}
+}
+
+// begin has a worker carry out a start.
+func (l *load) begin(order StartOrder) {
+	if l.acknowledged[order.Start.Task] {
+		l.again = append(l.again, order.Start.Task)
+	}
+	if _, seen := l.firstStart[order.Task.Job]; !seen {
+		l.firstStart[order.Task.Job] = l.now
 	}
+	w := l.workers[order.Worker.ID]
+	w.runs[order.Start.Task] = l.newRun(order, w)
 }
 
 // stopTakes draws how long a stop takes.
