--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -65,6 +65,7 @@
 		c.log.WithFields(workerFields(w)).Info("worker_added")
 	}
 	switch {
+	// The last one is of workers whose entries do not tell.
 	case r.Born == w.incarnation, w.incarnation == 0, r.Born == 0 && w.Worker.Born == 0:
 		c.describe(w, r, now)
 	case r.Born > w.incarnation && r.Born != w.before:
