--- /dev/null
+++ b/internal/access/caller.go
@@ -0,0 +1,15 @@
+package access
+
+// Caller is who a call comes from.
+type Caller struct {
+	// Workspace has the key of the call; it is empty where no key was needed.
+	Workspace string
+	// Anyone says that the queue is open without a key.
+	Anyone bool
+}
+
+// MaySee reports whether the caller may see and cancel a job of a workspace. A job without
+// one was handed in without a key.
+func (c Caller) MaySee(workspace string) bool {
+	return c.Anyone || workspace == "" || workspace == c.Workspace
+}
--- /dev/null
+++ b/internal/access/gate.go
@@ -0,0 +1,91 @@
+package access
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/fault"
+	"gentianstand/internal/steady"
+)
+
+const (
+	// confirmWait bounds the wait of a call for a confirmation: the time in which the store
+	// or another instance answers while either is well.
+	confirmWait = 600 * time.Millisecond
+	// unconfirmedRetryAfter tells callers when to come back to an instance that cannot tell
+	// whether their key is valid; another instance may serve them at once.
+	unconfirmedRetryAfter = time.Second
+)
+
+// Gate decides which calls are served.
+type Gate struct {
+	policy    Policy
+	current   *catalog.Current
+	confirmer Confirmer
+	// confirming shares a confirmation among the calls that need one.
+	confirming singleflight.Group
+	metrics    *Metrics
+	log        logrus.FieldLogger
+	// now may be replaced by tests.
+	now func() steady.Instant
+}
+
+// NewGate returns a gate before the configuration in force.
+func NewGate(p Policy, current *catalog.Current, c Confirmer, m *Metrics, log logrus.FieldLogger) *Gate {
+	return &Gate{policy: p, current: current, confirmer: c, metrics: m, log: log, now: steady.Now}
+}
+
+// Arrived returns the instant for a call that was just read.
+func (g *Gate) Arrived() steady.Instant { return g.now() }
+
+// Admit returns how a call is served, or an error of kind UnknownPath, UnknownKey or
+// PlatformUnavailable. In either case nothing was done for the call.
+func (g *Gate) Admit(ctx context.Context, call Call) (Grant, error) {
+	grant, verdict := g.policy.decide(g.current.View(), call, g.now())
+	if verdict == outdated {
+		g.confirm(ctx)
+		grant, verdict = g.policy.decide(g.current.View(), call, g.now())
+	}
+	return grant, g.refusal(verdict)
+}
+
+// confirm waits for a confirmation that began after now, or a moment before.
+func (g *Gate) confirm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	done := g.confirming.DoChan("", func() (any, error) {
+		// Others may wait for it when this caller has gone.
+		shared, cancel := context.WithTimeout(context.Background(), confirmWait)
+		defer cancel()
+		err := g.confirmer.Confirm(shared)
+		if err != nil {
+			g.log.WithError(err).Info("catalog_not_confirmed")
+		}
+		return nil, err
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (g *Gate) refusal(v verdict) error {
+	switch v {
+	case served:
+		return nil
+	case noCatalog:
+		return fault.New(fault.PlatformUnavailable, "no configuration is known yet")
+	case noQueue:
+		return fault.New(fault.UnknownPath, "no queue has this host and path")
+	case unknownKey:
+		g.metrics.UnknownKeys.Inc()
+		return fault.New(fault.UnknownKey, "the API key is missing, or no workspace has it")
+	}
+	g.metrics.Unconfirmed.Inc()
+	return fault.New(fault.PlatformUnavailable, "whether the API key is valid cannot be told: the configuration was last confirmed %s ago",
+		g.current.View().Age(g.now()).Round(time.Millisecond)).WithRetryAfter(unconfirmedRetryAfter)
+}
--- /dev/null
+++ b/internal/access/gate_test.go
@@ -0,0 +1,93 @@
+package access
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/fault"
+	"gentianstand/internal/steady"
+)
+
+// scriptedConfirmer does what a test says.
+type scriptedConfirmer struct {
+	confirm func(context.Context) error
+	asked   int
+}
+
+func (s *scriptedConfirmer) Confirm(ctx context.Context) error {
+	s.asked++
+	return s.confirm(ctx)
+}
+
+// gateSite is a gate whose clock stands at an hour, before a view of some age.
+func gateSite(age time.Duration, c *scriptedConfirmer) (*Gate, *catalog.Current, *logtest.Hook) {
+	log, hook := logtest.NewNullLogger()
+	current := &catalog.Current{}
+	current.Advance(someCatalog())
+	g := NewGate(Policy{KeysNeeded: true, RevokedWithin: 5 * time.Second}, current, c, NewMetrics(metrics.NewSet()), log)
+	g.now = func() steady.Instant { return steady.Instant(time.Hour) }
+	current.Confirm(g.now().Add(-age))
+	return g, current, hook
+}
+
+func (g *Gate) admitKey(ctx context.Context, key string) (Grant, error) {
+	return g.Admit(ctx, Call{Host: "desk.example", Path: "/closed/1", Key: key, ArrivedAt: g.Arrived()})
+}
+
+// Failure: a key that was added a moment ago is refused for good.
+func TestUnknownKeyIsLookedUpBeforeItIsRefused(t *testing.T) {
+	var g *Gate
+	var current *catalog.Current
+	c := &scriptedConfirmer{confirm: func(context.Context) error {
+		current.Advance(catalog.New(catalog.Content{Version: 4, Queues: []catalog.Queue{{Name: "closed", Host: "desk.example", PathPrefix: "/closed/"}},
+			Workspaces: []catalog.Workspace{{Name: "east", Keys: []catalog.KeyDigest{catalog.DigestOf("new")}}}}))
+		current.Confirm(g.now())
+		return nil
+	}}
+	g, current, _ = gateSite(time.Second, c)
+	if grant, err := g.admitKey(t.Context(), "new"); err != nil || grant.Caller.Workspace != "east" {
+		t.Errorf("new key: %+v, %v", grant.Caller, err)
+	}
+	if _, err := g.admitKey(t.Context(), northKey); !fault.Is(err, fault.UnknownKey) || c.asked != 1 {
+		t.Errorf("removed key: %v after %d questions, want unknown_key after 1", err, c.asked)
+	}
+}
+
+// Failure: a removed key goes on working on an instance that has lost touch.
+func TestKeysAreRefusedForNowWhenNobodyConfirms(t *testing.T) {
+	c := &scriptedConfirmer{confirm: func(context.Context) error { return errors.New("nobody") }}
+	g, _, hook := gateSite(4*time.Second, c)
+	_, err := g.admitKey(t.Context(), northKey)
+	if !fault.Is(err, fault.PlatformUnavailable) || fault.From(err).Answer().RetryAfter <= 0 || fault.From(err).Answer().Outcome != fault.DidNotRun {
+		t.Errorf("got %v, want a refusal for now that says that nothing ran", err)
+	}
+	if _, err := g.admitKey(t.Context(), "other"); !fault.Is(err, fault.PlatformUnavailable) {
+		t.Errorf("unknown key: %v, want a refusal for now", err)
+	}
+	for _, e := range hook.AllEntries() {
+		if line, _ := e.String(); strings.Contains(line, northKey) {
+			t.Errorf("the log holds a key: %s", line)
+		}
+	}
+}
+
+// Failure: callers wait until their deadline for an answer that cannot come.
+func TestConfirmationIsGivenUpSoon(t *testing.T) {
+	c := &scriptedConfirmer{confirm: func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}}
+	g, _, _ := gateSite(4*time.Second, c)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := g.admitKey(ctx, northKey); !fault.Is(err, fault.PlatformUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/access/model_test.go
@@ -0,0 +1,156 @@
+package access
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/steady"
+)
+
+const (
+	modelInstances = 2
+	modelRevoke    = 5 * time.Second
+	// modelRefuse is how long after it was added a key must not be refused for good.
+	modelRefuse = time.Second
+)
+
+// modelInstance is one instance with a clock of its own.
+type modelInstance struct {
+	current *catalog.Current
+	offset  time.Duration
+	drift   float64
+	reads   []*modelRead
+}
+
+// modelRead is a question under way, to the store or to another instance.
+type modelRead struct {
+	asked    steady.Instant
+	answered bool
+	found    *catalog.Catalog
+	age      time.Duration
+}
+
+// modelVersion is one version of the configuration and when it was acknowledged.
+type modelVersion struct {
+	keys []string
+	at   time.Duration
+}
+
+// accessModel plays a store, instances that read it and ask one another, and calls.
+type accessModel struct {
+	now       time.Duration
+	versions  []modelVersion
+	instances []*modelInstance
+}
+
+func (m *accessModel) clock(i *modelInstance) steady.Instant {
+	return steady.Instant(i.offset + time.Duration(float64(m.now)*(1+i.drift)))
+}
+
+func (m *accessModel) newest() *catalog.Catalog {
+	keys := []catalog.KeyDigest{}
+	for _, key := range m.versions[len(m.versions)-1].keys {
+		keys = append(keys, catalog.DigestOf(key))
+	}
+	return catalog.New(catalog.Content{Version: uint64(len(m.versions)), Workspaces: []catalog.Workspace{{Name: "w", Keys: keys}},
+		Queues: []catalog.Queue{{Name: "q", Host: "h", PathPrefix: "/"}}})
+}
+
+// validSince reports whether a key was valid at some moment from a time on.
+func (m *accessModel) validSince(key string, from time.Duration) bool {
+	for n, v := range m.versions {
+		endsBefore := n+1 < len(m.versions) && m.versions[n+1].at < from
+		if !endsBefore && slices.Contains(v.keys, key) {
+			return true
+		}
+	}
+	return false
+}
+
+// call has a key tried at an instance.
+func (m *accessModel) call(t *rapid.T, i *modelInstance, key string) {
+	call := Call{Host: "h", Path: "/1", Key: key, ArrivedAt: m.clock(i)}
+	policy := Policy{KeysNeeded: true, RevokedWithin: modelRevoke}
+	_, got := policy.decide(i.current.View(), call, m.clock(i))
+	if got == served && !m.validSince(key, m.now-modelRevoke) {
+		t.Fatalf("%s is served at %v; versions %+v", key, m.now, m.versions)
+	}
+	newest := m.versions[len(m.versions)-1]
+	if got == unknownKey && slices.Contains(newest.keys, key) && m.now-newest.at > modelRefuse {
+		t.Fatalf("%s is refused for good at %v; versions %+v", key, m.now, m.versions)
+	}
+}
+
+// Failure: a key opens a queue later than the time after which it must not, on an instance
+// whose reads are delayed, that hears from other instances, starts again or drifts.
+func TestModelOfRevocation(t *testing.T) {
+	keys := []string{"k0", "k1"}
+	rapid.Check(t, func(t *rapid.T) {
+		m := &accessModel{versions: []modelVersion{{keys: keys}}}
+		for range modelInstances {
+			m.instances = append(m.instances, &modelInstance{current: &catalog.Current{},
+				offset: time.Duration(rapid.IntRange(1, 1000).Draw(t, "offset")) * time.Second, drift: float64(rapid.IntRange(-10, 10).Draw(t, "drift")) / 1000})
+		}
+		instance := func(t *rapid.T) *modelInstance { return rapid.SampledFrom(m.instances).Draw(t, "instance") }
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				m.now += time.Duration(rapid.SampledFrom([]int{1, 100, 600, 1500, 3300}).Draw(t, "ms")) * time.Millisecond
+			},
+			"change": func(t *rapid.T) {
+				kept := rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 0, len(keys), rapid.ID[string]).Draw(t, "keys")
+				m.versions = append(m.versions, modelVersion{kept, m.now})
+			},
+			"ask": func(t *rapid.T) {
+				i := instance(t)
+				i.reads = append(i.reads, &modelRead{asked: m.clock(i)})
+			},
+			"store answers": func(t *rapid.T) {
+				for _, r := range instance(t).reads {
+					if !r.answered {
+						r.answered, r.found = true, m.newest()
+						return
+					}
+				}
+			},
+			"instance answers": func(t *rapid.T) {
+				i, peer := instance(t), instance(t)
+				view := peer.current.View()
+				if i == peer || view.Catalog == nil {
+					return
+				}
+				for _, r := range i.reads {
+					if !r.answered {
+						r.answered, r.found, r.age = true, view.Catalog, view.Age(m.clock(peer))
+						return
+					}
+				}
+			},
+			"answer arrives": func(t *rapid.T) {
+				i := instance(t)
+				at := slices.IndexFunc(i.reads, func(r *modelRead) bool { return r.answered })
+				if at < 0 {
+					return
+				}
+				r := i.reads[at]
+				i.reads = slices.Delete(i.reads, at, at+1)
+				i.current.Advance(r.found)
+				i.current.Confirm(r.asked.Add(-r.age))
+			},
+			"start again": func(t *rapid.T) {
+				i := instance(t)
+				i.current, i.reads = &catalog.Current{}, nil
+			},
+			"": func(t *rapid.T) {
+				for _, i := range m.instances {
+					for _, key := range keys {
+						m.call(t, i, key)
+					}
+				}
+			},
+		})
+	})
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,17 +11,21 @@
 	Version uint64
 	// MaxBodyBytes bounds the body of a submission.
 	MaxBodyBytes int64
+	content      Content
 	byHost       map[string][]Queue
 	services     map[string]struct{}
+	byKey        map[KeyDigest]string
 }
 
-// New returns a catalog of queues, and of services beside those that the queues use.
-func New(version uint64, maxBodyBytes int64, queues []Queue, services []string) *Catalog {
-	c := &Catalog{Version: version, MaxBodyBytes: maxBodyBytes, byHost: map[string][]Queue{}, services: map[string]struct{}{}}
-	for _, s := range services {
+// New returns the catalog of a configuration. A key that several workspaces have opens
+// queues for the one that is named first.
+func New(content Content) *Catalog {
+	c := &Catalog{Version: content.Version, MaxBodyBytes: content.MaxBodyBytes, content: content,
+		byHost: map[string][]Queue{}, services: map[string]struct{}{}, byKey: map[KeyDigest]string{}}
+	for _, s := range content.Services {
 		c.services[s] = struct{}{}
 	}
-	for _, q := range queues {
+	for _, q := range content.Queues {
 		c.services[q.Service] = struct{}{}
 		host := strings.ToLower(q.Host)
 		c.byHost[host] = append(c.byHost[host], q)
@@ -29,6 +33,13 @@
 	for _, list := range c.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
 	}
+	for _, w := range content.Workspaces {
+		for _, key := range w.Keys {
+			if _, taken := c.byKey[key]; !taken {
+				c.byKey[key] = w.Name
+			}
+		}
+	}
 	return c
 }
 
@@ -50,6 +61,15 @@
 	return nil, "", false
 }
 
+// WorkspaceOf returns the name of the workspace that has a key.
+func (c *Catalog) WorkspaceOf(key KeyDigest) (string, bool) {
+	name, known := c.byKey[key]
+	return name, known
+}
+
+// Workspaces returns all workspaces. The list must not be changed.
+func (c *Catalog) Workspaces() []Workspace { return c.content.Workspaces }
+
 func withoutPort(host string) string {
 	name, _, _ := strings.Cut(host, ":")
 	return name
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,11 +3,11 @@
 import "testing"
 
 func TestLongestPrefixOfTheHostDecides(t *testing.T) {
-	c := New(1, 0, []Queue{
+	c := New(Content{Version: 1, Queues: []Queue{
 		{Name: "all", Host: "desk.example", PathPrefix: "/a/"},
 		{Name: "some", Host: "desk.example", PathPrefix: "/a/b/"},
 		{Name: "other", Host: "Other.Example", PathPrefix: "/a/"},
-	}, nil)
+	}})
 	for _, test := range []struct{ host, path, queue, rest string }{
 		{"desk.example", "/a/1", "all", "1"},
 		{"desk.example", "/a/b/1", "some", "1"},
@@ -38,7 +38,7 @@
 		version uint64
 		taken   bool
 	}{{3, true}, {2, false}, {3, false}, {9, true}} {
-		if taken := current.Advance(New(test.version, 0, nil, nil)); taken != test.taken {
+		if taken := current.Advance(New(Content{Version: test.version})); taken != test.taken {
 			t.Errorf("version %d taken: %v", test.version, taken)
 		}
 	}
--- a/internal/catalog/queue.go
+++ b/internal/catalog/queue.go
@@ -1,5 +1,5 @@
-// Package catalog holds the queues that are in force: which host and path
-// belong to which queue, and the queue's policy.
+// Package catalog holds what the operator's configuration has in force: which host and path
+// belong to which queue, the queue's policy, and which workspaces there are.
 package catalog
 
 import (
@@ -16,6 +16,8 @@
 	PathPrefix string
 	// Service names the pool of workers that run the tasks.
 	Service string
+	// Public says that no key is needed.
+	Public bool
 	// Timeout bounds one request to the queue.
 	Timeout time.Duration
 	// The policy that accepted jobs are given; see job.Record.
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -5,12 +5,11 @@
 	"time"
 )
 
-// Source is where the operator's configuration is kept. A nil catalog means
-// that there is none, or no news.
+// Source is where the operator's configuration is kept.
 type Source interface {
-	// Newest returns the configuration and the version for Since.
-	Newest(ctx context.Context) (*Catalog, uint64, error)
-	// Since waits for at most wait for a configuration after a version. It
+	// Newest returns the configuration.
+	Newest(ctx context.Context) (News, error)
+	// Since waits for at most wait for a configuration after a position. It
 	// returns store.ErrHistoryGone when Newest has to be used again.
-	Since(ctx context.Context, version uint64, wait time.Duration) (*Catalog, uint64, error)
+	Since(ctx context.Context, position uint64, wait time.Duration) (News, error)
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -155,17 +155,17 @@
 	return true
 }
 
-// State returns what to tell a caller of a job; ok is false if it is unknown.
+// Status returns what to tell a caller of a job; ok is false if it is unknown.
 // A final state is shown only after it was stored, so that it cannot change
 // when this owner is lost.
-func (c *Cell) State(id string) (state job.State, ok bool) {
+func (c *Cell) Status(id string) (status job.Status, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j := c.jobs[id]
 	if j == nil {
-		return "", false
+		return job.Status{}, false
 	}
-	return j.state(), true
+	return job.Status{State: j.state(), Workspace: j.record.Workspace}, true
 }
 
 // Waiting returns how many accepted jobs of a queue have not started a task.
--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/job"
 	"gentianstand/internal/store"
 )
@@ -44,8 +45,8 @@
 
 // Create stores a record. A record that is already there counts as stored, so a
 // submission may be repeated; created says that this submission wrote it. It returns
-// store.ErrUnavailable only if no attempt can have taken effect, and
-// store.ErrUnknown otherwise.
+// store.ErrUnavailable only if no attempt can have taken effect, ErrTaken if the id is
+// that of another workspace's job, and store.ErrUnknown otherwise.
 func (b *Jobs) Create(ctx context.Context, r *job.Record) (created bool, err error) {
 	value, err := job.EncodeRecord(r)
 	if err != nil {
@@ -58,11 +59,40 @@
 	}
 	var conflict *store.ConflictError
 	if err = b.settle(ctx, tx); errors.As(err, &conflict) {
-		return isStored(tx.Puts[0], conflict.Rows), nil
+		if isStored(tx.Puts[0], conflict.Rows) {
+			return true, nil
+		}
+		return false, takenBy(r.Workspace, conflict.Rows)
 	}
 	return err == nil, err
 }
 
+// ErrTaken says that a job's id is in use by another workspace.
+var ErrTaken = errors.New("the id is in use by another workspace")
+
+// takenBy returns ErrTaken if a stored record is that of another workspace. A record
+// without one was handed in without a key, as a queue's calls may be again.
+func takenBy(workspace string, rows []store.Row) error {
+	stored, err := recordIn(rows)
+	if err != nil {
+		return err
+	}
+	if stored.Workspace != "" && workspace != "" && stored.Workspace != workspace {
+		return ErrTaken
+	}
+	return nil
+}
+
+// recordIn returns the record among the rows that a write found in its place.
+func recordIn(rows []store.Row) (*job.Record, error) {
+	for _, row := range rows {
+		if _, cancel, ok := ParseKey(row.Key); ok && !cancel && row.Version > 0 {
+			return job.DecodeRecord(row.Value)
+		}
+	}
+	return nil, errors.New("the store reports a conflict without a record")
+}
+
 // isStored reports whether one of the rows is what a put writes: then an attempt
 // whose answer is missing has taken effect. Records differ in their submission, so
 // the row of another submission of the same job is not taken for it.
@@ -81,13 +111,13 @@
 	return err
 }
 
-// Cancel stores a cancellation and reports whether the job is known. An unknown
+// Cancel stores a cancellation and reports whether the caller has such a job. An unknown
 // job is withdrawn: its submission, if it is still on its way, has no effect.
-// known says that the caller is already sure that the job exists.
-func (b *Jobs) Cancel(ctx context.Context, id string, known bool) (bool, error) {
+// known says that it is already sure that the job exists and is the caller's.
+func (b *Jobs) Cancel(ctx context.Context, by access.Caller, id string, known bool) (bool, error) {
 	if !known {
-		withdrawn, err := b.withdraw(ctx, id)
-		if err != nil || withdrawn {
+		found, err := b.withdraw(ctx, by, id)
+		if err != nil || !found {
 			return false, err
 		}
 	}
@@ -98,9 +128,10 @@
 	return true, err
 }
 
-// withdraw stores a withdrawn record unless the job exists.
-func (b *Jobs) withdraw(ctx context.Context, id string) (bool, error) {
-	value, err := job.EncodeRecord(&job.Record{ID: id, Withdrawn: true})
+// withdraw stores a withdrawn record unless the job exists, and reports whether it does
+// and is the caller's.
+func (b *Jobs) withdraw(ctx context.Context, by access.Caller, id string) (found bool, err error) {
+	value, err := job.EncodeRecord(&job.Record{ID: id, Workspace: by.Workspace, Withdrawn: true})
 	if err != nil {
 		return false, err
 	}
@@ -111,38 +142,38 @@
 	})
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
-		return err == nil, err
+		return false, err
 	}
-	for _, row := range conflict.Rows {
-		if r, err := job.DecodeRecord(row.Value); err == nil && r.Withdrawn {
-			return true, nil
-		}
+	stored, err := recordIn(conflict.Rows)
+	if err != nil {
+		return false, fmt.Errorf("job %s: %w", id, err)
 	}
-	return false, nil
+	return !stored.Withdrawn && by.MaySee(stored.Workspace), nil
 }
 
-// State reads the state of a job; ok is false if it was never accepted.
-func (b *Jobs) State(ctx context.Context, id string) (state job.State, ok bool, err error) {
+// Status reads the state of a job; ok is false if it was never accepted.
+func (b *Jobs) Status(ctx context.Context, id string) (status job.Status, ok bool, err error) {
 	record, err := b.store.Get(ctx, TableJobs, b.RecordPartition(id), JobKey(id))
 	if err != nil || record.Version == 0 {
-		return "", false, err
+		return job.Status{}, false, err
 	}
 	r, err := job.DecodeRecord(record.Value)
 	if err != nil {
-		return "", false, fmt.Errorf("job %s: %w", id, err)
+		return job.Status{}, false, fmt.Errorf("job %s: %w", id, err)
 	}
 	if r.Withdrawn {
-		return "", false, nil
+		return job.Status{}, false, nil
 	}
 	cancel, err := b.store.Get(ctx, TableJobs, b.RecordPartition(id), CancelKey(id))
 	if err != nil {
-		return "", false, err
+		return job.Status{}, false, err
 	}
 	row, err := b.store.Get(ctx, TableProgress, b.cell, id)
 	if err != nil {
-		return "", false, err
+		return job.Status{}, false, err
 	}
-	return stateOf(row, cancel.Version > 0)
+	state, ok, err := stateOf(row, cancel.Version > 0)
+	return job.Status{State: state, Workspace: r.Workspace}, ok, err
 }
 
 func stateOf(progress store.Row, cancelled bool) (job.State, bool, error) {
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -101,7 +101,7 @@
 		})
 	}
 	m.leader = cellleader.New("cell-0", directory, clients, watched, newOwner, nil, log)
-	server.Config.Handler = cellpeer.NewServer(m.leader, jobs, nil, log)
+	server.Config.Handler = cellpeer.NewServer(m.leader, jobs, nil, nil, log)
 	server.Start()
 	m.server = server
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cellleader/questions.go
+++ b/internal/cellleader/questions.go
@@ -55,14 +55,14 @@
 	return o != nil
 }
 
-// State implements cellpeer.Owning. The state is empty for an unknown job.
-func (l *Leader) State(id string) (job.State, bool) {
+// Status implements cellpeer.Owning. The state is empty for an unknown job.
+func (l *Leader) Status(id string) (job.Status, bool) {
 	o := l.Local()
 	if o == nil {
-		return "", false
+		return job.Status{}, false
 	}
-	state, _ := o.Cell().State(id)
-	return state, true
+	status, _ := o.Cell().Status(id)
+	return status, true
 }
 
 // Waiting implements cellpeer.Owning.
--- a/internal/cellowner/commit_test.go
+++ b/internal/cellowner/commit_test.go
@@ -103,8 +103,8 @@
 	if got := o.commitOnce(t.Context()); got != nothingToCommit {
 		t.Errorf("still to commit: %v", got)
 	}
-	if state, _ := o.cell.State("00000000000000aa"); state != job.Cancelled {
-		t.Errorf("state %s", state)
+	if status, _ := o.cell.Status("00000000000000aa"); status.State != job.Cancelled {
+		t.Errorf("state %s", status.State)
 	}
 }
 
--- a/internal/cellowner/poison_test.go
+++ b/internal/cellowner/poison_test.go
@@ -33,7 +33,7 @@
 	o := New(cell.Settings{Term: 1}, store.Check{}, Deps{Log: log, Jobs: celljobs.New(store.NewWatched(&lateStore{}), "cell-0")})
 	o.takeIn(rows, []store.Row{{Key: noSuchTask.ID, Value: kept, Version: 1}})
 	o.news(rows)
-	if _, known := o.Cell().State(sound.ID); !known {
+	if _, known := o.Cell().Status(sound.ID); !known {
 		t.Error("the sound job is not known")
 	}
 	seen := map[string]bool{}
--- a/internal/cellpeer/owning.go
+++ b/internal/cellpeer/owning.go
@@ -15,13 +15,13 @@
 	Ping(r *cellpb.PingRequest) *cellpb.PingReply
 	// TakeOver makes this instance the owner at once.
 	TakeOver(ctx context.Context, from string, term uint64) bool
-	// Submitted, Cancelled, State and Waiting report false if this instance does
+	// Submitted, Cancelled, Status and Waiting report false if this instance does
 	// not own the cell, or has not loaded it yet.
 	Submitted(r *job.Record) bool
 	// Backlogs returns those of services whose workers are full, or none if this
 	// instance does not own the cell.
 	Backlogs() []admission.Backlog
 	Cancelled(id string) bool
-	State(id string) (state job.State, owner bool)
+	Status(id string) (status job.Status, owner bool)
 	Waiting(queue string) (jobs int, owner bool)
 }
--- a/internal/cellpeer/server.go
+++ b/internal/cellpeer/server.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/advice"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/cellpeer/cellpb"
@@ -18,12 +19,13 @@
 	owning  Owning
 	jobs    *celljobs.Jobs
 	adviser advice.Adviser
+	catalog Catalogs
 	log     logrus.FieldLogger
 }
 
 // NewServer returns the HTTP handler for calls of other instances.
-func NewServer(o Owning, jobs *celljobs.Jobs, a advice.Adviser, log logrus.FieldLogger) http.Handler {
-	return cellpb.NewCellsServer(&Server{owning: o, jobs: jobs, adviser: a, log: log})
+func NewServer(o Owning, jobs *celljobs.Jobs, a advice.Adviser, c Catalogs, log logrus.FieldLogger) http.Handler {
+	return cellpb.NewCellsServer(&Server{owning: o, jobs: jobs, adviser: a, catalog: c, log: log})
 }
 
 // Ping implements cellpb.Cells.
@@ -56,8 +58,8 @@
 
 // State implements cellpb.Cells.
 func (s *Server) State(_ context.Context, r *cellpb.StateRequest) (*cellpb.StateReply, error) {
-	state, owner := s.owning.State(r.Job)
-	return &cellpb.StateReply{Owner: owner, State: string(state)}, nil
+	status, owner := s.owning.Status(r.Job)
+	return &cellpb.StateReply{Owner: owner, State: string(status.State), Workspace: status.Workspace}, nil
 }
 
 // Waiting implements cellpb.Cells.
@@ -112,9 +114,24 @@
 	if err := s.probe(ctx, r.Job); err != nil {
 		return nil, err
 	}
-	known, err := s.jobs.Cancel(ctx, r.Job, false)
+	known, err := s.jobs.Cancel(ctx, access.Caller{Workspace: r.Workspace, Anyone: r.Anyone}, r.Job, false)
 	if err != nil {
 		return nil, storeError(err)
 	}
 	return &cellpb.StoreCancelReply{Known: known}, nil
 }
+
+// NewestCatalog implements cellpb.Cells.
+func (s *Server) NewestCatalog(ctx context.Context, r *cellpb.NewestCatalogRequest) (*cellpb.NewestCatalogReply, error) {
+	newest, age, err := s.catalog.Newest(ctx)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	reply := &cellpb.NewestCatalogReply{AgeMicros: age.Microseconds() + 1}
+	if newest.Version > r.Version {
+		if reply.Catalog, err = newest.Encode(); err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+	}
+	return reply, nil
+}
--- a/internal/cellpeer/store_error.go
+++ b/internal/cellpeer/store_error.go
@@ -6,12 +6,16 @@
 
 	"github.com/twitchtv/twirp"
 
+	"gentianstand/internal/celljobs"
 	"gentianstand/internal/store"
 )
 
 // storeError tells a peer whether a write certainly did nothing (unavailable)
 // or may have taken effect (deadline exceeded).
 func storeError(err error) error {
+	if errors.Is(err, celljobs.ErrTaken) {
+		return twirp.NewError(twirp.AlreadyExists, err.Error())
+	}
 	if errors.Is(err, store.ErrUnavailable) {
 		return twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -22,6 +26,9 @@
 // leaves open whether the peer's write took effect.
 func StoreErrorFrom(err error) error {
 	var remote twirp.Error
+	if errors.As(err, &remote) && remote.Code() == twirp.AlreadyExists {
+		return celljobs.ErrTaken
+	}
 	if errors.As(err, &remote) && remote.Code() == twirp.Unavailable {
 		return fmt.Errorf("%w: %s", store.ErrUnavailable, remote.Msg())
 	}
--- a/internal/cellpeer/store_finder_test.go
+++ b/internal/cellpeer/store_finder_test.go
@@ -37,7 +37,7 @@
 func (p *pingable) Submitted(*job.Record) bool                    { return false }
 func (p *pingable) Backlogs() []admission.Backlog                 { return nil }
 func (p *pingable) Cancelled(string) bool                         { return false }
-func (p *pingable) State(string) (job.State, bool)                { return "", false }
+func (p *pingable) Status(string) (job.Status, bool)              { return job.Status{}, false }
 func (p *pingable) Waiting(string) (int, bool)                    { return 0, false }
 
 // finderAmong returns a finder of an instance that knows the given ones.
@@ -47,7 +47,7 @@
 	log.SetOutput(io.Discard)
 	d := NewDirectory(Instance{Name: "self"}, nil, log)
 	for i, p := range instances {
-		server := httptest.NewServer(NewServer(p, nil, nil, log))
+		server := httptest.NewServer(NewServer(p, nil, nil, nil, log))
 		t.Cleanup(server.Close)
 		name := fmt.Sprintf("edge-%d", i)
 		d.others[name] = listed{Instance: Instance{Name: name, Address: server.Listener.Addr().String()}}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -8,6 +8,7 @@
 const (
 	BadRequest          Kind = "bad_request"
 	Unauthorized        Kind = "unauthorized"
+	UnknownKey          Kind = "unknown_key"
 	TooLarge            Kind = "too_large"
 	UnknownService      Kind = "unknown_service"
 	UnknownRun          Kind = "unknown_run"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -11,6 +11,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:          {http.StatusBadRequest, DidNotRun, 0, "The request is malformed; the message names the place."},
 	Unauthorized:        {http.StatusUnauthorized, DidNotRun, 0, "The operator token is missing or wrong."},
+	UnknownKey:          {http.StatusUnauthorized, DidNotRun, 0, "The API key is missing, or no workspace has it."},
 	TooLarge:            {http.StatusRequestEntityTooLarge, DidNotRun, 0, "The body or a header exceeds its limit."},
 	UnknownService:      {http.StatusNotFound, DidNotRun, 0, "No service of this name is in the configuration in force."},
 	UnknownRun:          {http.StatusNotFound, DidNotRun, 0, "No run of this id is known."},
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -21,7 +21,7 @@
 	if !refuse {
 		return nil
 	}
-	if _, known, err := i.jobs.State(ctx, r.ID); err != nil || known {
+	if _, known, err := i.jobs.Status(ctx, r.ID); err != nil || known {
 		return nil
 	}
 	i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "retry_after_ms": retryAfter.Milliseconds()}).Info("job_refused")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/admission"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/cellpeer"
@@ -63,8 +64,8 @@
 }
 
 // New returns an intake.
-func New(jobs *celljobs.Jobs, s *store.Watched, l Leader, d *cellpeer.Directory, c *cellpeer.Clients, m *Metrics, log logrus.FieldLogger) *Intake {
-	return &Intake{jobs: jobs, store: s, leader: l, clients: c, finder: cellpeer.NewStoreFinder(d, c), metrics: m, log: log,
+func New(jobs *celljobs.Jobs, s *store.Watched, l Leader, f *cellpeer.StoreFinder, c *cellpeer.Clients, m *Metrics, log logrus.FieldLogger) *Intake {
+	return &Intake{jobs: jobs, store: s, leader: l, clients: c, finder: f, metrics: m, log: log,
 		asking: newBound(ownerCalls), telling: newBound(ownerCalls),
 		waiting: waitingCounts{byQueue: map[string]waitingCount{}}}
 }
@@ -88,10 +89,13 @@
 	if err != nil {
 		i.metrics.SubmitErrors.Inc()
 		i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "took_ms": time.Since(began).Milliseconds()}).WithError(err).Info("job_not_accepted")
+		if errors.Is(err, celljobs.ErrTaken) {
+			return fault.New(fault.Conflict, "job %s: %w", r.ID, err)
+		}
 		return i.storeFault(err)
 	}
 	i.metrics.Submitted.Inc()
-	i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "took_ms": time.Since(began).Milliseconds()}).Info("job_accepted")
+	i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "workspace": r.Workspace, "took_ms": time.Since(began).Milliseconds()}).Info("job_accepted")
 	if created {
 		// A job that was there already was told to the owner of that time. Told
 		// again, it would look new to the owner of now.
@@ -179,11 +183,14 @@
 	}
 }
 
-// Cancel ends a job and reports whether it is known. It is stored when Cancel
+// Cancel ends a job and reports whether the caller has it. It is stored when Cancel
 // returns without an error.
-func (i *Intake) Cancel(ctx context.Context, id string) (bool, error) {
-	state, _ := i.askOwner(ctx, id)
-	known, err := i.storeCancel(ctx, id, state != "")
+func (i *Intake) Cancel(ctx context.Context, by access.Caller, id string) (bool, error) {
+	status, _ := i.askOwner(ctx, id)
+	if !by.MaySee(status.Workspace) {
+		return false, nil
+	}
+	known, err := i.storeCancel(ctx, by, id, status.State != "")
 	if err != nil {
 		i.log.WithField("job", id).WithError(err).Info("job_not_cancelled")
 		return false, i.storeFault(err)
@@ -198,10 +205,10 @@
 	return known, nil
 }
 
-func (i *Intake) storeCancel(ctx context.Context, id string, known bool) (bool, error) {
+func (i *Intake) storeCancel(ctx context.Context, by access.Caller, id string, known bool) (bool, error) {
 	if !i.store.Reachable() {
 		if peer, ok := i.finder.Find(ctx); ok {
-			reply, err := i.clients.To(peer.Address).StoreCancel(ctx, &cellpb.StoreCancelRequest{Job: id})
+			reply, err := i.clients.To(peer.Address).StoreCancel(ctx, &cellpb.StoreCancelRequest{Job: id, Workspace: by.Workspace, Anyone: by.Anyone})
 			if err != nil {
 				return false, cellpeer.StoreErrorFrom(err)
 			}
@@ -209,34 +216,40 @@
 		}
 		return false, errOutage
 	}
-	return i.jobs.Cancel(ctx, id, known)
+	return i.jobs.Cancel(ctx, by, id, known)
 }
 
 // State returns a job's state; known is false only if the store has no such
-// job. The owner is asked first, because it knows the newest state.
-func (i *Intake) State(ctx context.Context, id string) (state job.State, known bool, err error) {
-	if state, ok := i.askOwner(ctx, id); ok && state != "" {
-		return state, true, nil
+// job of the caller. The owner is asked first, because it knows the newest state.
+func (i *Intake) State(ctx context.Context, by access.Caller, id string) (state job.State, known bool, err error) {
+	status, ok := i.askOwner(ctx, id)
+	if !ok || status.State == "" {
+		status, known, err = i.jobs.Status(ctx, id)
+		if err != nil {
+			return "", false, i.storeFault(err)
+		}
+		if !known {
+			return "", false, nil
+		}
 	}
-	state, known, err = i.jobs.State(ctx, id)
-	if err != nil {
-		return "", false, i.storeFault(err)
+	if !by.MaySee(status.Workspace) {
+		return "", false, nil
 	}
-	return state, known, nil
+	return status.State, true, nil
 }
 
-// askOwner asks the cell's owner for a job's state; it is empty if the owner
+// askOwner asks the cell's owner for a job's status; its state is empty if the owner
 // does not know the job, and ok is false if no owner answered.
-func (i *Intake) askOwner(ctx context.Context, id string) (state job.State, ok bool) {
-	if state, ok := i.leader.State(id); ok {
-		return state, true
+func (i *Intake) askOwner(ctx context.Context, id string) (status job.Status, ok bool) {
+	if status, ok := i.leader.Status(id); ok {
+		return status, true
 	}
 	address, self := i.leader.Owner()
 	if address == "" || self {
-		return "", false
+		return job.Status{}, false
 	}
 	if !i.asking.enter() {
-		return "", false
+		return job.Status{}, false
 	}
 	defer i.asking.leave()
 	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -245,9 +258,9 @@
 	if err != nil {
 		i.clients.Distrust(address)
 		i.log.WithFields(logrus.Fields{"job": id, "owner": address}).WithError(err).Debug("owner_not_asked")
-		return "", false
+		return job.Status{}, false
 	}
-	return job.State(reply.State), reply.Owner
+	return job.Status{State: job.State(reply.State), Workspace: reply.Workspace}, reply.Owner
 }
 
 // storeFault turns a failure of the store into the answer for the caller.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/admission"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/cellpeer"
@@ -40,7 +41,7 @@
 func (ownerless) Submitted(*job.Record) bool                    { return false }
 func (ownerless) Backlogs() []admission.Backlog                 { return nil }
 func (ownerless) Cancelled(string) bool                         { return false }
-func (ownerless) State(string) (job.State, bool)                { return "", false }
+func (ownerless) Status(string) (job.Status, bool)              { return job.Status{}, false }
 func (ownerless) Waiting(string) (int, bool)                    { return 0, false }
 func (ownerless) Owner() (string, bool)                         { return "", false }
 
@@ -81,8 +82,9 @@
 	t.Cleanup(proxy.Close)
 	e := &entry{proxy: proxy, store: store.NewWatched(platform.NewStore(proxy.Address()))}
 	e.jobs = celljobs.New(e.store, "cell-0")
-	server := httptest.NewServer(cellpeer.NewServer(ownerless{e.store}, e.jobs, nil, log))
+	server := httptest.NewServer(cellpeer.NewServer(ownerless{e.store}, e.jobs, nil, nil, log))
 	t.Cleanup(server.Close)
+	clients := cellpeer.NewClients()
 	self := cellpeer.Instance{Name: name, Address: server.Listener.Addr().String(), Incarnation: name}
 	directory := cellpeer.NewDirectory(self, e.store, log)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -95,7 +97,7 @@
 		cancel()
 		<-done
 	})
-	e.intake = intake.New(e.jobs, e.store, ownerless{e.store}, directory, cellpeer.NewClients(), intake.NewMetrics(metrics.NewSet()), log)
+	e.intake = intake.New(e.jobs, e.store, ownerless{e.store}, cellpeer.NewStoreFinder(directory, clients), clients, intake.NewMetrics(metrics.NewSet()), log)
 	return e, directory
 }
 
@@ -123,7 +125,7 @@
 
 func (e *entry) knows(t *testing.T, id string) bool {
 	t.Helper()
-	_, known, err := e.intake.State(t.Context(), id)
+	_, known, err := e.intake.State(t.Context(), access.Caller{Anyone: true}, id)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -46,6 +46,10 @@
 	// Ended says that the job has ended some time ago, and that its text and steps were
 	// dropped: the record only keeps a delayed repeat of the submission from running.
 	Ended bool `cbor:"15,keyasint,omitempty"`
+	// Workspace is whose job it is; empty where its queue asked for no key.
+	Workspace string `cbor:"16,keyasint,omitempty"`
+	// CatalogVersion is the version of the configuration under which it was accepted.
+	CatalogVersion uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
--- /dev/null
+++ b/internal/node/catalog_confirmer.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"gentianstand/internal/access"
+	"gentianstand/internal/store"
+)
+
+// ownWait bounds the question to the store before another instance is asked; the store
+// answers in a few milliseconds when it is well.
+const ownWait = 250 * time.Millisecond
+
+// catalogConfirmer asks the store, or else another instance, for the newest configuration.
+// It implements access.Confirmer.
+type catalogConfirmer struct {
+	reader *catalogReader
+	store  *store.Watched
+	peers  access.Confirmer
+}
+
+// Confirm implements access.Confirmer.
+func (c *catalogConfirmer) Confirm(ctx context.Context) error {
+	if c.store.Reachable() && c.ask(ctx) == nil {
+		return nil
+	}
+	return c.peers.Confirm(ctx)
+}
+
+func (c *catalogConfirmer) ask(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ownWait)
+	defer cancel()
+	return c.reader.read(ctx, 0)
+}
--- a/internal/node/catalog_follower.go
+++ b/internal/node/catalog_follower.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"gentianstand/internal/catalog"
-	"gentianstand/internal/store"
+	"gentianstand/internal/access"
 )
 
 const (
@@ -17,24 +15,39 @@
 	// three seconds in which instances whose connections were reset have to catch up.
 	// Shorter waits are more calls to the store, by every instance.
 	catalogWait = 2 * time.Second
+	// freshWaits is how many such questions fit into the time for which a view serves: one
+	// under way, one before it, and one that is lost.
+	freshWaits = 3
 	// catalogRetry is the pause after a failure, and catalogProbe the wait of the
 	// questions until the next answer: callers are refused while the store is
 	// lost, so its return has to be noticed soon.
 	catalogRetry = 200 * time.Millisecond
 	catalogProbe = time.Millisecond
-	// catalogRead bounds one read of the catalog; the store's client ends one in which
-	// nothing comes.
-	catalogRead = 5 * time.Second
+	// peerPeriod is how often another instance is asked while the store is lost.
+	peerPeriod = time.Second
 )
 
 // catalogFollower keeps the catalog in force up to date.
 type catalogFollower struct {
-	source  catalog.Source
-	current *catalog.Current
+	reader *catalogReader
+	// peers is asked while the store is lost, or nil.
+	peers   access.Confirmer
+	wait    time.Duration
 	log     logrus.FieldLogger
-	known   bool
-	version uint64
 	failing bool
+	askedAt time.Time
+}
+
+// newCatalogFollower returns a follower that confirms the view often enough for a policy.
+func newCatalogFollower(r *catalogReader, peers access.Confirmer, p access.Policy, log logrus.FieldLogger) *catalogFollower {
+	f := &catalogFollower{reader: r, wait: catalogWait, log: log}
+	if p.KeysNeeded {
+		f.peers = peers
+	}
+	if fresh := p.Fresh(); fresh > 0 {
+		f.wait = min(f.wait, fresh/freshWaits)
+	}
+	return f
 }
 
 // run follows until ctx ends.
@@ -42,6 +55,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.note(err)
+			f.askPeers(ctx)
 			select {
 			case <-ctx.Done():
 			case <-time.After(catalogRetry):
@@ -53,33 +67,21 @@
 }
 
 func (f *catalogFollower) step(ctx context.Context) error {
-	var next *catalog.Catalog
-	var err error
-	var version uint64
-	if f.known {
-		wait := catalogWait
-		if f.failing {
-			wait = catalogProbe
-		}
-		next, version, err = f.source.Since(ctx, f.version, wait)
-	} else {
-		callCtx, cancel := context.WithTimeout(ctx, catalogRead)
-		defer cancel()
-		next, version, err = f.source.Newest(callCtx)
-	}
-	if errors.Is(err, store.ErrHistoryGone) {
-		f.known = false
-		return nil
+	if f.failing {
+		return f.reader.read(ctx, catalogProbe)
 	}
-	if err != nil {
-		return err
+	return f.reader.read(ctx, f.wait)
+}
+
+// askPeers has the view confirmed by an instance that the store serves.
+func (f *catalogFollower) askPeers(ctx context.Context) {
+	if f.peers == nil || time.Since(f.askedAt) < peerPeriod {
+		return
 	}
-	f.version = version
-	f.known = true
-	if next != nil && f.current.Advance(next) {
-		f.log.WithField("version", next.Version).Info("catalog_in_force")
+	f.askedAt = time.Now()
+	if err := f.peers.Confirm(ctx); err != nil {
+		f.log.WithError(err).Debug("catalog_not_confirmed_by_peer")
 	}
-	return nil
 }
 
 // note logs when the store is lost and when it is back, not each failure.
--- a/internal/node/catalog_follower_test.go
+++ b/internal/node/catalog_follower_test.go
@@ -8,6 +8,7 @@
 
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/catalog"
 	"gentianstand/internal/store"
 )
@@ -25,19 +26,19 @@
 	err     error
 }
 
-func (s *scripted) next(call string) (*catalog.Catalog, uint64, error) {
+func (s *scripted) next(call string) (catalog.News, error) {
 	s.asked = append(s.asked, call)
 	a := s.answers[0]
 	s.answers = s.answers[1:]
 	if a.err != nil || a.version == 0 {
-		return nil, a.at, a.err
+		return catalog.News{Position: a.at}, a.err
 	}
-	return catalog.New(a.version, 0, nil, nil), a.at, nil
+	return catalog.News{Catalog: catalog.New(catalog.Content{Version: a.version}), Position: a.at}, nil
 }
 
-func (s *scripted) Newest(context.Context) (*catalog.Catalog, uint64, error) { return s.next("newest") }
+func (s *scripted) Newest(context.Context) (catalog.News, error) { return s.next("newest") }
 
-func (s *scripted) Since(_ context.Context, _ uint64, wait time.Duration) (*catalog.Catalog, uint64, error) {
+func (s *scripted) Since(_ context.Context, _ uint64, wait time.Duration) (catalog.News, error) {
 	s.waits = append(s.waits, wait)
 	return s.next("since")
 }
@@ -45,7 +46,7 @@
 func followerOf(answers ...scriptedAnswer) (*catalogFollower, *scripted, *logtest.Hook) {
 	log, hook := logtest.NewNullLogger()
 	source := &scripted{answers: answers}
-	return &catalogFollower{source: source, current: &catalog.Current{}, log: log}, source, hook
+	return newCatalogFollower(newCatalogReader(source, &catalog.Current{}, log), nil, access.Policy{}, log), source, hook
 }
 
 // Failure: changes of the configuration are not seen any more.
@@ -56,8 +57,8 @@
 			t.Fatal(err)
 		}
 	}
-	if want := []string{"newest", "since", "newest"}; len(source.asked) != 3 || source.asked[2] != want[2] || f.current.Get().Version != 2 {
-		t.Errorf("asked %v, version %d; want %v and 2", source.asked, f.current.Get().Version, want)
+	if want := []string{"newest", "since", "newest"}; len(source.asked) != 3 || source.asked[2] != want[2] || f.reader.current.Get().Version != 2 {
+		t.Errorf("asked %v, version %d; want %v and 2", source.asked, f.reader.current.Get().Version, want)
 	}
 }
 
@@ -83,12 +84,12 @@
 // narrow is a source whose catalog takes a small link three seconds.
 type narrow struct{ scripted }
 
-func (n *narrow) Newest(ctx context.Context) (*catalog.Catalog, uint64, error) {
+func (n *narrow) Newest(ctx context.Context) (catalog.News, error) {
 	select {
 	case <-time.After(3 * time.Second):
 		return n.scripted.Newest(ctx)
 	case <-ctx.Done():
-		return nil, 0, store.ErrUnknown
+		return catalog.News{}, store.ErrUnknown
 	}
 }
 
@@ -97,9 +98,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		log, _ := logtest.NewNullLogger()
 		source := &narrow{scripted{answers: []scriptedAnswer{{version: 1, at: 10}}}}
-		f := &catalogFollower{source: source, current: &catalog.Current{}, log: log}
-		if err := f.step(t.Context()); err != nil || f.current.Get() == nil || f.current.Get().Version != 1 {
-			t.Errorf("error %v, catalog %+v", err, f.current.Get())
+		f := newCatalogFollower(newCatalogReader(source, &catalog.Current{}, log), nil, access.Policy{}, log)
+		if err := f.step(t.Context()); err != nil || f.reader.current.Get() == nil || f.reader.current.Get().Version != 1 {
+			t.Errorf("error %v, catalog %+v", err, f.reader.current.Get())
 		}
 	})
 }
--- /dev/null
+++ b/internal/node/catalog_peers_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/steady"
+	"gentianstand/internal/store"
+)
+
+// serving is an instance that the store serves.
+type serving struct{ cellpeer.Owning }
+
+func (serving) Ping(*cellpb.PingRequest) *cellpb.PingReply { return &cellpb.PingReply{StoreOk: true} }
+
+// listing is a store that lists one other instance.
+type listing struct {
+	store.Store
+	rows []store.Row
+}
+
+func (l *listing) Commit(context.Context, store.Tx) (uint64, error) { return 1, nil }
+func (l *listing) Read(context.Context, string, string, string) (store.Page, error) {
+	return store.Page{Rows: l.rows, Version: 1}, nil
+}
+func (l *listing) Changes(context.Context, string, uint64, time.Duration) (store.Page, error) {
+	return store.Page{Version: 1}, nil
+}
+
+// Failure: an instance without the store refuses callers, or takes what another one tells
+// for newer than it is.
+func TestViewIsConfirmedByAnotherInstance(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	// The clocks of the two instances have nothing to do with one another.
+	theirs := &slowSource{now: steady.Instant(time.Hour), news: catalog.News{Position: 5, Catalog: catalog.New(catalog.Content{Version: 4,
+		Workspaces: []catalog.Workspace{{Name: "north", Keys: []catalog.KeyDigest{catalog.DigestOf("k")}}}})}}
+	peer := readerOf(theirs)
+	if err := peer.read(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	theirs.now = theirs.now.Add(400 * time.Millisecond)
+	server := httptest.NewServer(cellpeer.NewServer(serving{}, nil, nil, &catalogPeers{reader: peer}, log))
+	defer server.Close()
+
+	directory := cellpeer.NewDirectory(cellpeer.Instance{Name: "here"}, &listing{rows: []store.Row{instanceRow(t, "there", server.Listener.Addr().String())}}, log)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go directory.Run(ctx)
+	for end := time.Now().Add(30 * time.Second); len(directory.Others()) == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	clients := cellpeer.NewClients()
+	ours := readerOf(&slowSource{now: steady.Instant(time.Minute), err: store.ErrUnavailable})
+	asking := &catalogPeers{reader: ours, finder: cellpeer.NewStoreFinder(directory, clients), clients: clients}
+	if err := asking.Confirm(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	view := ours.current.View()
+	if view.Catalog == nil || view.Catalog.Version != 4 {
+		t.Fatalf("catalog %+v", view.Catalog)
+	}
+	if name, known := view.Catalog.WorkspaceOf(catalog.DigestOf("k")); !known || name != "north" {
+		t.Errorf("the key opens queues for %q", name)
+	}
+	if age := view.Age(ours.now()); age < 400*time.Millisecond || age > 500*time.Millisecond {
+		t.Errorf("the view is %v old here, 400 ms there", age)
+	}
+}
--- /dev/null
+++ b/internal/node/instance_row_test.go
@@ -0,0 +1,20 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/store"
+)
+
+// instanceRow is the row of an instance in the directory.
+func instanceRow(t *testing.T, name, address string) store.Row {
+	t.Helper()
+	value, err := cbor.Marshal(cellpeer.Instance{Name: name, Address: address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Row{Key: name, Value: value, Version: 1}
+}
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/catalog"
 	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
@@ -55,7 +56,8 @@
 		fx.StopTimeout(max(s.TerminationGrace, time.Second)),
 		fx.Supply(s, outside, log),
 		fx.Provide(newSelf, newWatched, newJobs, newDirectory, newOwnerMetrics, newLeader, newIntake,
-			newRelays, cellpeer.NewClients, metrics.NewSet, newCurrent, newState),
+			newRelays, cellpeer.NewClients, cellpeer.NewStoreFinder, metrics.NewSet, newCurrent, newState,
+			newReader, newCatalogPeers, newGate),
 		fx.Invoke(run),
 	)
 }
@@ -67,6 +69,18 @@
 
 func newCurrent() *catalog.Current { return &catalog.Current{} }
 
+func newReader(o Outside, w *store.Watched, current *catalog.Current, log *logrus.Entry) *catalogReader {
+	return newCatalogReader(o.Catalogs(w), current, log)
+}
+
+func newCatalogPeers(r *catalogReader, f *cellpeer.StoreFinder, c *cellpeer.Clients) *catalogPeers {
+	return &catalogPeers{reader: r, finder: f, clients: c}
+}
+
+func newGate(s Settings, r *catalogReader, p *catalogPeers, w *store.Watched, set *metrics.Set, log *logrus.Entry) *access.Gate {
+	return access.NewGate(s.Access, r.current, &catalogConfirmer{reader: r, store: w, peers: p}, access.NewMetrics(set), log)
+}
+
 func newSelf(s Settings) cellpeer.Instance {
 	return cellpeer.Instance{Name: s.Name, Address: cmp.Or(s.PeerAdvertise, s.PeerListen), Zone: s.Zone, Incarnation: uuid.NewString(), StartedAt: time.Now(), Cores: s.Cores}
 }
@@ -113,8 +127,8 @@
 	return cellowner.UpkeepDeps{Source: o.Waves(w, log), Fleet: o.Fleet, Holder: s.Name, Lasts: s.UpkeepLasts, HolderLease: s.HolderLease}
 }
 
-func newIntake(jobs *celljobs.Jobs, w *store.Watched, l *cellleader.Leader, d *cellpeer.Directory, c *cellpeer.Clients, set *metrics.Set, log *logrus.Entry) *intake.Intake {
-	return intake.New(jobs, w, l, d, c, intake.NewMetrics(set), log)
+func newIntake(jobs *celljobs.Jobs, w *store.Watched, l *cellleader.Leader, f *cellpeer.StoreFinder, c *cellpeer.Clients, set *metrics.Set, log *logrus.Entry) *intake.Intake {
+	return intake.New(jobs, w, l, f, c, intake.NewMetrics(set), log)
 }
 
 // parts is what run starts.
@@ -129,6 +143,9 @@
 	Leader    *cellleader.Leader
 	Relays    *relays
 	Intake    *intake.Intake
+	Gate      *access.Gate
+	Reader    *catalogReader
+	Peers     *catalogPeers
 	Current   *catalog.Current
 	Metrics   *metrics.Set
 	Log       *logrus.Entry
@@ -140,7 +157,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.MemoryMiB<<20)))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := newServer("callers", traffic.Callers, p.Settings.CallerListen, closing{p.Outside.Callers(p.Intake, p.Current, p.Log), &p.State.stopping}, p.Log)
+	callers := newServer("callers", traffic.Callers, p.Settings.CallerListen, closing{p.Outside.Callers(p.Intake, p.Gate, p.Log), &p.State.stopping}, p.Log)
 	others := []*server{
 		newServer("ready", traffic.Peers, p.Settings.ReadyListen, readiness{p.Current, &p.State.stopping}, p.Log),
 		newServer("peers", traffic.Peers, p.Settings.PeerListen, peersHandler(p), p.Log),
@@ -155,7 +172,7 @@
 					return err
 				}
 			}
-			follower := &catalogFollower{source: p.Outside.Catalogs(p.Store), current: p.Current, log: p.Log}
+			follower := newCatalogFollower(p.Reader, p.Peers, p.Settings.Access, p.Log)
 			loops.Go(func() { follower.run(ctx) })
 			loops.Go(func() { p.Directory.Run(ctx) })
 			loops.Go(func() { p.Directory.WatchStore(ctx, p.Store) })
@@ -183,7 +200,7 @@
 func peersHandler(p parts) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(relay.Path, p.Relays)
-	mux.Handle("/", cellpeer.NewServer(p.Leader, p.Jobs, p.Outside.Adviser, p.Log))
+	mux.Handle("/", cellpeer.NewServer(p.Leader, p.Jobs, p.Outside.Adviser, p.Peers, p.Log))
 	return mux
 }
 
--- a/internal/node/outside.go
+++ b/internal/node/outside.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/advice"
 	"gentianstand/internal/catalog"
 	"gentianstand/internal/intake"
@@ -27,5 +28,5 @@
 	Waves func(store.Store, logrus.FieldLogger) upkeep.Source
 	Fleet upkeep.Fleet
 	// Callers is the handler of the callers' address.
-	Callers func(*intake.Intake, *catalog.Current, logrus.FieldLogger) http.Handler
+	Callers func(*intake.Intake, *access.Gate, logrus.FieldLogger) http.Handler
 }
--- a/internal/node/readiness_test.go
+++ b/internal/node/readiness_test.go
@@ -22,7 +22,7 @@
 		r := readiness{&catalog.Current{}, &atomic.Bool{}}
 		r.stopping.Store(test.stopping)
 		if test.known {
-			r.current.Advance(catalog.New(1, 0, nil, nil))
+			r.current.Advance(catalog.New(catalog.Content{Version: 1}))
 		}
 		answer := httptest.NewRecorder()
 		r.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/ready", nil))
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"gentianstand/internal/access"
 	"gentianstand/internal/cell"
 )
 
@@ -36,6 +37,8 @@
 	Fleet       string
 	UpkeepLasts time.Duration
 	HolderLease time.Duration
+	// Access is what the platform demands of callers' calls.
+	Access access.Policy
 	// TerminationGrace is the time between a request to stop and the end by force.
 	TerminationGrace time.Duration
 	// Without names the mechanisms of the planner that are switched off.
@@ -75,5 +78,8 @@
 	if s.MaxLease <= 0 {
 		problems = append(problems, fmt.Errorf("the longest lease is %v; it must be positive", s.MaxLease))
 	}
+	if s.Access.RevokedWithin < 0 {
+		problems = append(problems, fmt.Errorf("removed keys have to stop working within %v; it must not be negative", s.Access.RevokedWithin))
+	}
 	return errors.Join(problems...)
 }
