Workspaces start no more than their quota

Package quota keeps an account for each workspace beside the books of workers: a run counts from its order until its end is certain, on lost and silent workers too, with all that its step needs (tasks that fill and lasting ones included). The gate comes before anything is done for a stage: what its quota holds back asks no adviser, reserves, wakes and stops nothing, and is not counted into the backlog that intake refuses by. Gangs start whole or not at all. The owner takes caps from the newest configuration before each planning pass; a job accepted under a later configuration than the owner knows waits for it. A new owner counts what an earlier one may have running on workers that it has not heard: the tasks of inherited jobs that are neither done nor booked, and no more than those workers hold.

TestModel has two workspaces, quotas that change, owners that are behind, late orders under old versions; strict (the quota itself, no tolerance): 60,000 sequences, nothing found. Without the gate it fails at once, without the count of the unseen after some 8,000 sequences. The check of the model was wrong once: a late order was judged by the quota of its arrival.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -81,7 +81,7 @@
 			ticketed += c.takes(s, w)
 		}
 	}
-	wanted := wantedRoom*float64(len(s.idle)) - ticketed
+	wanted := wantedRoom*float64(c.startable(s)) - ticketed
 	if wanted <= 0 {
 		return nil
 	}
--- a/internal/cell/backlog.go
+++ b/internal/cell/backlog.go
@@ -115,8 +115,9 @@
 		if s.step.LongRunning || s.isDone() || !need.Fits(p.largest) || !s.due(now, c.settings.Early) {
 			continue
 		}
-		waiting := len(s.idle)
-		running := len(s.tasks) - s.done - waiting
+		running := len(s.tasks) - s.done - len(s.idle)
+		// What waits for its quota takes no room from others.
+		waiting := c.startable(s)
 		// Those that run are half done on average.
 		sum = sum.add(need, time.Duration(waiting)*s.step.Estimate+time.Duration(max(0, running))*s.step.Estimate/2)
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"gentianstand/internal/admission"
 	"gentianstand/internal/job"
+	"gentianstand/internal/quota"
 	"gentianstand/internal/runner"
 )
 
@@ -47,7 +48,9 @@
 	// fenced says that the earlier owner can start nothing any more.
 	fenced    bool
 	durations durations
-	news      rosterNews
+	// quotas are the books of what workspaces have running.
+	quotas *quota.Ledger
+	news   rosterNews
 	// questions are those to the adviser that are under way.
 	questions questions
 	known     knownWorkers
@@ -80,7 +83,7 @@
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirty: map[*jobState]struct{}{},
 		known: newKnownWorkers(), questions: questions{}, gone: map[string]runner.Born{}, missing: map[string]struct{}{}, absent: map[string]struct{}{},
 		lost: map[string]*lostWorker{}, isolated: map[*attempt]struct{}{},
-		durations: durations{mean: map[string]time.Duration{}},
+		durations: durations{mean: map[string]time.Duration{}}, quotas: quota.NewLedger(),
 	}
 }
 
@@ -92,7 +95,7 @@
 	if r.Withdrawn || c.jobs[r.ID] != nil || r.Ended && (p == nil || p.Final == "") {
 		return
 	}
-	j := newJobState(r)
+	j := c.newJobState(r)
 	j.inherited, j.condensed = true, r.Ended
 	if p != nil {
 		j.restore(p, c.began)
@@ -110,8 +113,8 @@
 	if r.Withdrawn || r.Ended || c.jobs[r.ID] != nil {
 		return
 	}
-	c.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "steps": len(r.Steps)}).Info("job_added")
-	j := newJobState(r)
+	c.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "workspace": r.Workspace, "steps": len(r.Steps)}).Info("job_added")
+	j := c.newJobState(r)
 	_, reported := c.missing[r.ID]
 	j.inherited = c.recovering && (!told || reported)
 	c.insert(j)
--- a/internal/cell/job_state.go
+++ b/internal/cell/job_state.go
@@ -4,12 +4,15 @@
 	"time"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/quota"
 )
 
 // jobState is one job as its cell knows it.
 type jobState struct {
 	record *job.Record
-	stages []*stage
+	// account is that of the job's workspace, or nil if it has none.
+	account *quota.Account
+	stages  []*stage
 	// inherited jobs were accepted under an earlier owner.
 	inherited bool
 	// started says that a task has been confirmed as running.
@@ -26,8 +29,11 @@
 	depth int
 }
 
-func newJobState(r *job.Record) *jobState {
+func (c *Cell) newJobState(r *job.Record) *jobState {
 	j := &jobState{record: r}
+	if r.Workspace != "" {
+		j.account = c.quotas.Account(r.Workspace)
+	}
 	steps := len(r.Steps)
 	for k := range r.Occurrences() {
 		for i := range r.Steps {
--- a/internal/cell/long_wait.go
+++ b/internal/cell/long_wait.go
@@ -14,10 +14,11 @@
 
 // LongWait describes a stage that has waited for long.
 type LongWait struct {
-	Stage  job.StageID
-	Queue  string
-	Reason WaitReason
-	Waited time.Duration
+	Stage     job.StageID
+	Queue     string
+	Workspace string
+	Reason    WaitReason
+	Waited    time.Duration
 	// Idle is how many of the Tasks wait, Need what each of them takes.
 	Idle, Tasks int
 	Need        resource.Amount
@@ -29,7 +30,9 @@
 }
 
 // Impossible reports whether the wait cannot end with the workers that are known.
-func (l *LongWait) Impossible() bool { return l.Reason != NoRoom }
+func (l *LongWait) Impossible() bool {
+	return l.Reason != NoRoom && l.Reason != OverQuota && l.Reason != CatalogBehind
+}
 
 // LongWaits returns the stages that have waited for long, impossible ones first, then
 // those with the longest wait.
@@ -57,7 +60,7 @@
 
 // explain finds out why a stage waits.
 func (c *Cell) explain(s *stage, now time.Time) LongWait {
-	l := LongWait{Stage: s.id, Queue: s.job.record.Queue, Waited: now.Sub(s.readyAt),
+	l := LongWait{Stage: s.id, Queue: s.job.record.Queue, Workspace: s.job.record.Workspace, Waited: now.Sub(s.readyAt),
 		Idle: len(s.idle), Tasks: len(s.tasks), Need: s.step.Occupied()}
 	for _, w := range c.workers {
 		if !c.hasRoomEmpty(s, w) {
@@ -76,6 +79,9 @@
 		l.Places += s.placesEmpty(w)
 	}
 	l.Reason = l.reason(s.step.Gang)
+	if held := c.heldByQuota(s); held != "" && l.Reason == NoRoom {
+		l.Reason = held
+	}
 	return l
 }
 
--- a/internal/cell/model_orders_test.go
+++ b/internal/cell/model_orders_test.go
@@ -12,6 +12,7 @@
 
 // plan carries the orders out; some get no answer, some arrive late or never.
 func (m *model) plan(o *modelOwner, faults bool) {
+	m.configure(o)
 	orders := o.cell.Plan(m.now, AdviceSlots{})
 	sort.Slice(orders, func(a, b int) bool { return fmt.Sprint(orders[a]) < fmt.Sprint(orders[b]) })
 	for _, order := range orders {
@@ -58,6 +59,7 @@
 			answer(runner.ErrNoAnswer)
 		case 5: // carried out late, no answer
 			m.late = append(m.late, func() { _ = act(w) }) // as above
+			m.orderLate()
 			answer(runner.ErrNoAnswer)
 		case 6: // never carried out
 			answer(runner.ErrNoAnswer)
--- /dev/null
+++ b/internal/cell/model_quotas_test.go
@@ -0,0 +1,91 @@
+package cell
+
+import (
+	"strings"
+
+	"pgregory.net/rapid"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/resource"
+)
+
+// modelCapped is the workspace that has a quota.
+const modelCapped = "north"
+
+// modelQuotas are the configurations of the model.
+type modelQuotas struct {
+	// caps are those of the workspace in tasks, by version less one.
+	caps []int
+	// late says that orders may still arrive, and lateFrom is the oldest version under
+	// which one of them was given.
+	late     bool
+	lateFrom int
+}
+
+// orderLate notes that an order is on its way under the versions in use.
+func (m *model) orderLate() {
+	if from := m.oldestConfig(); !m.quotas.late || from < m.quotas.lateFrom {
+		m.quotas.late, m.quotas.lateFrom = true, from
+	}
+}
+
+// changeQuota puts a new configuration into force.
+func (m *model) changeQuota() {
+	m.quotas.caps = append(m.quotas.caps, rapid.IntRange(1, 5).Draw(m.rt, "cap"))
+}
+
+// configure tells an owner of the newest configuration, or leaves it behind.
+func (m *model) configure(o *modelOwner) {
+	if !m.healed && rapid.IntRange(0, 3).Draw(m.rt, "behind") == 0 {
+		return
+	}
+	o.config = len(m.quotas.caps)
+	limit := resource.Amount{MilliCPU: int64(m.quotas.caps[o.config-1]) * 1000}
+	o.cell.Configure(catalog.New(catalog.Content{Version: uint64(o.config), Workspaces: []catalog.Workspace{{Name: modelCapped, Cap: limit}}}))
+}
+
+// oldestConfig is the oldest version under which an owner may act.
+func (m *model) oldestConfig() int {
+	oldest := len(m.quotas.caps)
+	for i, o := range m.owners {
+		if o.config > 0 && (i == len(m.owners)-1 || !o.lost) {
+			oldest = min(oldest, o.config)
+		}
+	}
+	return oldest
+}
+
+// checkQuota fails if a task that has just started brings its workspace over the highest cap
+// that may be in force.
+func (m *model) checkQuota(task string) {
+	if m.workspaceOf(task) != modelCapped {
+		return
+	}
+	from := m.oldestConfig()
+	if m.quotas.late {
+		from = min(from, m.quotas.lateFrom)
+	}
+	most := 0
+	for _, limit := range m.quotas.caps[max(from, 1)-1:] {
+		most = max(most, limit)
+	}
+	running := 0
+	for open := range m.open {
+		if m.workspaceOf(open) == modelCapped {
+			running++
+		}
+	}
+	if running > most {
+		m.rt.Fatalf("%s: its workspace has %d tasks, with a quota of %d", task, running, most)
+	}
+}
+
+func (m *model) workspaceOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	for _, r := range m.records {
+		if r.ID == id {
+			return r.Workspace
+		}
+	}
+	return ""
+}
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -18,7 +18,8 @@
 // ends, crashes of workers, failed commits and take-overs with the overtaken
 // owner still acting, and checks after each step that no task runs twice, none
 // runs again after its success was acknowledged, and no worker gets more than it
-// has. At the end everything is healed, and all jobs must complete.
+// has, and no workspace more than its quota. At the end everything is healed, and all jobs
+// must complete.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newModel(rt)
@@ -35,6 +36,8 @@
 	cell  *Cell
 	lost  bool
 	since time.Time
+	// config is the version of the configuration that it knows.
+	config int
 }
 
 // model is the world around the cells: workers, store, time.
@@ -62,6 +65,7 @@
 	done   map[string]bool
 	// crashes counts the workers that crashed under a task.
 	crashes map[string]int
+	quotas  modelQuotas
 }
 
 func newModel(rt *rapid.T) *model {
@@ -69,6 +73,7 @@
 	for range 3 {
 		m.addWorker()
 	}
+	m.changeQuota()
 	m.takeOver(true)
 	return m
 }
@@ -88,6 +93,7 @@
 		m.rt.Fatalf("%s was started after its success was acknowledged", task)
 	}
 	m.open[task] = w.roster.ID
+	m.checkQuota(task)
 	if used := int64(len(w.runs)) * 1000; used > w.roster.Capacity.MilliCPU {
 		m.rt.Fatalf("%s has %d of %d", w.roster.ID, used, w.roster.Capacity.MilliCPU)
 	}
@@ -174,12 +180,15 @@
 			act := m.late[0]
 			m.late = m.late[1:]
 			act()
+			m.quotas.late = len(m.late) > 0
 		}
 	}
 }
 
 func (m *model) rare() {
-	switch rapid.IntRange(0, 7).Draw(m.rt, "rare") {
+	switch rapid.IntRange(0, 8).Draw(m.rt, "rare") {
+	case 8:
+		m.changeQuota()
 	case 0:
 		m.takeOver(rapid.Bool().Draw(m.rt, "earlier stopped"))
 	case 1:
@@ -215,6 +224,7 @@
 // submit stores a job; the owner of the moment is told of it, or finds it later.
 func (m *model) submit() {
 	r := &job.Record{ID: fmt.Sprintf("%016x", len(m.records)+1), Queue: "q", Service: "desk", MaxAttempts: 100, Stretch: 2, AcceptedAt: m.now,
+		Workspace: rapid.SampledFrom([]string{"", modelCapped, modelCapped}).Draw(m.rt, "workspace"), CatalogVersion: uint64(len(m.quotas.caps)),
 		Steps: []job.Step{step(rapid.IntRange(1, 3).Draw(m.rt, "tasks"))}}
 	if rapid.Bool().Draw(m.rt, "two steps") {
 		second := step(1)
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -165,7 +165,7 @@
 // shortOf returns for how many tasks of a stage the usable workers have no room.
 // Where the urgent reserve keeps the stage out, that is all of them.
 func (c *Cell) shortOf(s *stage, room *room) float64 {
-	wanted := float64(len(s.idle))
+	wanted := float64(c.startable(s))
 	if s.job.record.Advice != nil {
 		wanted *= wantedRoom
 	}
@@ -193,7 +193,7 @@
 	if c.parked == 0 || s.step.DataRack == "" {
 		return false
 	}
-	wanted := float64(len(s.idle))
+	wanted := float64(c.startable(s))
 	coming := false
 	var parked []*worker
 	for _, w := range c.workers {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -31,7 +31,9 @@
 		delete(c.waiting, s)
 		return
 	}
-	c.waitForRoom(s, room, now)
+	if c.startable(s) > 0 {
+		c.waitForRoom(s, room, now)
+	}
 }
 
 // waitForRoom does what brings a stage nearer to a place.
@@ -137,8 +139,9 @@
 func (c *Cell) placeTasks(s *stage, room *room, fitting []candidate, now time.Time) {
 	need := s.step.Occupied()
 	idle := append([]int(nil), s.idle...)
+	left := c.startable(s)
 	for _, index := range idle {
-		if !room.allows(s.job.record.Priority, need.MilliCPU) {
+		if left == 0 || !room.allows(s.job.record.Priority, need.MilliCPU) {
 			return
 		}
 		t := s.tasks[index]
@@ -155,6 +158,7 @@
 		}
 		c.start(t, fitting[at], t.nextRun(c.settings.Term), now)
 		room.free -= need.MilliCPU
+		left--
 	}
 }
 
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -19,6 +19,7 @@
 			c.watch(w, now)
 		}
 		c.park(now)
+		c.countUnseen(now)
 	}
 	c.placeAll(now, slots)
 	orders := c.orders
@@ -41,7 +42,7 @@
 		if s.readyAt.IsZero() {
 			s.readyAt = now
 		}
-		if c.heldBack(s) || s.job.final != "" || c.giveUpHopeless(s, now) || s.pauses(now) {
+		if c.heldBack(s) || s.job.final != "" || c.giveUpHopeless(s, now) || s.pauses(now) || c.startable(s) == 0 {
 			continue
 		}
 		c.placeStage(s, room, now)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -13,7 +13,7 @@
 // preempt stops less urgent runs for the idle tasks of a stage of the most urgent queue,
 // where the next end of a run is too far away.
 func (c *Cell) preempt(s *stage, room *room, now time.Time) {
-	if !c.uses(Preemption) || s.job.record.Priority > 0 || s.step.Gang || len(s.idle) <= s.preempting || s.job.age(now) < preemptAfter {
+	if !c.uses(Preemption) || s.job.record.Priority > 0 || s.step.Gang || c.startable(s) <= s.preempting || s.job.age(now) < preemptAfter {
 		return
 	}
 	if tooLate := s.job.objective(s, &c.durations).Sub(s.job.record.AcceptedAt); s.latestStart(&c.durations).Add(tooLate).Before(now) {
@@ -23,7 +23,7 @@
 		return
 	}
 	s.preemptedAt = now
-	wanted := len(s.idle) - s.preempting
+	wanted := c.startable(s) - s.preempting
 	// The tickets have to outlast a stop.
 	for _, w := range c.allowed(s, room, now.Add(c.settings.StopGrace)) {
 		if wanted == 0 {
--- /dev/null
+++ b/internal/cell/quotas.go
@@ -0,0 +1,136 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/quota"
+	"gentianstand/internal/resource"
+)
+
+// Configure takes in the configuration in force: the quotas of workspaces.
+func (c *Cell) Configure(current *catalog.Catalog) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quotas.Configure(current)
+}
+
+// startable returns how many idle tasks of a stage its workspace's quota lets start now. A
+// job that was accepted under a later configuration than the one known here waits for it:
+// its workspace may be new, or have another cap.
+func (c *Cell) startable(s *stage) int {
+	account := s.job.account
+	if account == nil {
+		return len(s.idle)
+	}
+	if s.job.record.CatalogVersion > c.quotas.Version() {
+		return 0
+	}
+	if !s.step.Gang {
+		return account.Startable(s.step.Need, len(s.idle))
+	}
+	if account.Startable(s.gangNeed(), 1) == 0 || !account.Holds(s.gangNeed()) {
+		return 0
+	}
+	return len(s.idle)
+}
+
+// heldByQuota returns why a stage's workspace may start nothing of it now, or "".
+func (c *Cell) heldByQuota(s *stage) WaitReason {
+	switch {
+	case len(s.idle) == 0 || c.startable(s) > 0:
+		return ""
+	case s.job.record.CatalogVersion > c.quotas.Version():
+		return CatalogBehind
+	case s.step.Gang && !s.job.account.Holds(s.gangNeed()):
+		return QuotaTooSmall
+	}
+	return OverQuota
+}
+
+// QuotaWaits returns the workspaces of which tasks wait for their quota, those with most of
+// them first.
+func (c *Cell) QuotaWaits(now time.Time) []QuotaWait {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waits := map[*quota.Account]*QuotaWait{}
+	for s := range c.waiting {
+		account := s.job.account
+		if account == nil || !s.due(now, c.settings.Early) || c.heldByQuota(s) == "" {
+			continue
+		}
+		if waits[account] == nil {
+			waits[account] = &QuotaWait{Workspace: account.Workspace, Used: account.Used, Unseen: account.Unseen, Cap: account.Cap, Version: c.quotas.Version()}
+		}
+		waits[account].Tasks += len(s.idle)
+	}
+	list := make([]QuotaWait, 0, len(waits))
+	for _, w := range waits {
+		list = append(list, *w)
+	}
+	slices.SortFunc(list, func(a, b QuotaWait) int {
+		return cmp.Or(cmp.Compare(b.Tasks, a.Tasks), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return list
+}
+
+// gangNeed is what all tasks of a gang occupy together.
+func (s *stage) gangNeed() resource.Amount { return s.step.Need.Times(int64(len(s.tasks))) }
+
+// countUnseen works out what workspaces may have running on workers that this owner has not
+// heard: what an earlier owner can have started there of their jobs, and no more than those
+// workers hold.
+func (c *Cell) countUnseen(now time.Time) {
+	accounts := c.quotas.Accounts()
+	for _, account := range accounts {
+		account.Unseen = resource.Amount{}
+	}
+	if len(accounts) == 0 || now.Sub(c.began) >= c.unseenLimit() {
+		return
+	}
+	room := c.unheardRoom()
+	if room.IsZero() {
+		return
+	}
+	for _, j := range c.jobs {
+		if j.account != nil && j.inherited && !j.condensed {
+			j.account.Unseen = j.account.Unseen.Add(j.unbooked())
+		}
+	}
+	for _, account := range accounts {
+		account.Unseen = account.Unseen.Min(room)
+	}
+}
+
+// unheardRoom returns what the workers hold on which an earlier owner can have started runs
+// that are not booked.
+func (c *Cell) unheardRoom() resource.Amount {
+	var room resource.Amount
+	for _, w := range c.workers {
+		if w.parked || w.reported || c.inheritedAll && !w.named {
+			continue
+		}
+		if !w.described() || w.Capacity.IsZero() {
+			// Nothing is known of its room.
+			return unknownRoom
+		}
+		room = room.Add(w.Capacity)
+	}
+	return room
+}
+
+// unknownRoom stands for more room than any fleet has.
+var unknownRoom = resource.Amount{MilliCPU: 1 << 50, MemoryMiB: 1 << 50, Accelerators: 1 << 50}
+
+// unbooked returns what the tasks of a job occupy that are neither done nor booked.
+func (j *jobState) unbooked() resource.Amount {
+	var sum resource.Amount
+	for _, s := range j.stages {
+		if !s.fresh {
+			sum = sum.Add(s.step.Need.Times(int64(len(s.idle))))
+		}
+	}
+	return sum
+}
--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		_, waits := c.waiting[r.stage]
-		if !waits || !w.usable(now) || now.Sub(r.since) > reserveMost || !c.mayHold(r.stage, w) {
+		if !waits || !w.usable(now) || now.Sub(r.since) > reserveMost || !c.mayHold(r.stage, w) || c.startable(r.stage) == 0 {
 			w.reserved = nil
 			continue
 		}
@@ -78,7 +78,7 @@
 	if !c.uses(Reservations) || s.job.record.Priority <= 0 || s.step.Fills || !s.largeOn(room.least) || !room.mayReserve() {
 		return
 	}
-	wanted := len(s.idle) - room.reserved[s]
+	wanted := c.startable(s) - room.reserved[s]
 	if wanted <= 0 {
 		return
 	}
--- a/internal/cell/wait_reason.go
+++ b/internal/cell/wait_reason.go
@@ -11,6 +11,13 @@
 	// TooFewPlaces says that a gang has more members than the workers that may run it
 	// hold when they are idle.
 	TooFewPlaces WaitReason = "too_few_places"
+	// OverQuota says that the workspace has as much running as it may.
+	OverQuota WaitReason = "over_quota"
+	// QuotaTooSmall says that a gang needs more than its workspace may have running.
+	QuotaTooSmall WaitReason = "quota_too_small"
+	// CatalogBehind says that the owner does not know yet the configuration under which the
+	// job was accepted.
+	CatalogBehind WaitReason = "catalog_behind"
 	// NoRoom says that the stage could run, and others use the room.
 	NoRoom WaitReason = "no_room"
 )
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -72,6 +72,9 @@
 	w.attempts[a] = struct{}{}
 	step := a.task.stage.step
 	w.used = w.used.Add(step.Occupied())
+	if account := a.task.stage.job.account; account != nil {
+		account.Book(step.Need)
+	}
 	a.task.stage.perWorker[w]++
 	if step.Fills {
 		w.fillers++
@@ -89,6 +92,9 @@
 	delete(w.attempts, a)
 	step := a.task.stage.step
 	w.used = w.used.Sub(step.Occupied())
+	if account := a.task.stage.job.account; account != nil {
+		account.Release(step.Need)
+	}
 	a.task.stage.perWorker[w]--
 	if step.Fills {
 		w.fillers--
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/catalog"
 	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/cellleader"
@@ -97,7 +98,7 @@
 		m.earlier.Store(earlierStopped)
 		return cellowner.New(cell.Settings{Term: term, Lease: time.Second}, claim, cellowner.Deps{
 			Store: watched, Jobs: jobs, Roster: platform.RosterIn(watched, log), Runner: platform.NewWorkers(),
-			Advisers: cellpeer.NewAdvicePool(directory, clients, nil, nil), Leadership: l, Metrics: ownerMetrics, Log: log,
+			Advisers: cellpeer.NewAdvicePool(directory, clients, nil, nil), Catalog: (&catalog.Current{}).Get, Leadership: l, Metrics: ownerMetrics, Log: log,
 		})
 	}
 	m.leader = cellleader.New("cell-0", directory, clients, watched, newOwner, nil, log)
--- a/internal/cellowner/deps.go
+++ b/internal/cellowner/deps.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/catalog"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
@@ -11,11 +12,13 @@
 
 // Deps is what an owner works with.
 type Deps struct {
-	Store      store.Store
-	Jobs       *celljobs.Jobs
-	Roster     roster.Source
-	Runner     runner.Client
-	Advisers   Advisers
+	Store    store.Store
+	Jobs     *celljobs.Jobs
+	Roster   roster.Source
+	Runner   runner.Client
+	Advisers Advisers
+	// Catalog returns the configuration in force, or nil before one is known.
+	Catalog    func() *catalog.Catalog
 	Upkeep     UpkeepDeps
 	Leadership Leadership
 	Metrics    *Metrics
--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -26,6 +26,8 @@
 	WaitingTasks *metrics.Gauge
 	// ImpossibleTasks are those of WaitingTasks that no known worker may or can run.
 	ImpossibleTasks *metrics.Gauge
+	// QuotaTasks are those of WaitingTasks that their workspace's quota holds back.
+	QuotaTasks *metrics.Gauge
 	// JobsNewsAge and WorkersNewsAge are how long ago, in seconds, news of them was read.
 	JobsNewsAge    *metrics.Gauge
 	WorkersNewsAge *metrics.Gauge
@@ -53,6 +55,7 @@
 		FreeShare:         set.NewGauge("gentianstand_cell_free_share", nil),
 		WaitingTasks:      set.NewGauge("gentianstand_cell_waiting_tasks", nil),
 		ImpossibleTasks:   set.NewGauge("gentianstand_cell_impossible_tasks", nil),
+		QuotaTasks:        set.NewGauge("gentianstand_cell_quota_waiting_tasks", nil),
 		JobsNewsAge:       set.NewGauge(`gentianstand_cell_news_age_seconds{of="jobs"}`, nil),
 		WorkersNewsAge:    set.NewGauge(`gentianstand_cell_news_age_seconds{of="workers"}`, nil),
 	}
--- a/internal/cellowner/peak_bench_test.go
+++ b/internal/cellowner/peak_bench_test.go
@@ -14,6 +14,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"gentianstand/internal/advice"
+	"gentianstand/internal/catalog"
 	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/job"
@@ -186,7 +187,7 @@
 	ctx, cancel := context.WithCancel(b.Context())
 	o := New(cell.Settings{Term: 1, Lease: 3500 * time.Millisecond, EarlierStopped: true, StopGrace: 900 * time.Millisecond, SpareWorkers: 128, FarFactor: 3},
 		store.Check{}, Deps{Store: quietStore{}, Jobs: celljobs.New(store.NewWatched(quietStore{}), "cell"), Roster: list, Runner: workers,
-			Advisers: &timedAdvisers{}, Leadership: confirmed{}, Metrics: m, Log: log})
+			Advisers: &timedAdvisers{}, Catalog: (&catalog.Current{}).Get, Leadership: confirmed{}, Metrics: m, Log: log})
 	loaded := make(chan struct{})
 	done := make(chan struct{})
 	go func() {
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -44,6 +44,7 @@
 		gap := planGap
 		if o.deps.Leadership.Confirmed() {
 			began := time.Now()
+			o.cell.Configure(o.deps.Catalog())
 			orders := o.cell.Plan(began, o.deps.Advisers.Slots())
 			o.deps.Metrics.PlanSeconds.UpdateDuration(began)
 			o.planned.note(time.Since(began))
@@ -76,6 +77,7 @@
 		"failed": s.Failed, "lost": s.Lost, "given_up": s.GivenUp, "stops": s.Stops, "preemptions": s.Preemptions, "reservations": s.Reservations, "moves": s.Moves, "copies": s.Copies,
 		"advice_calls": s.AdviceCalls, "jobs_news_ms": jobsNews.Milliseconds(), "workers_news_ms": workersNews.Milliseconds()}).WithFields(o.planned.take()).WithFields(o.waits.take()).Info("cell_state")
 	o.tellLongWaits(now)
+	o.tellQuotaWaits(now)
 	o.deps.Metrics.FreeShare.Set(s.FreeShare)
 	o.deps.Metrics.WaitingTasks.Set(float64(s.WaitingTasks))
 	o.deps.Metrics.JobsNewsAge.Set(jobsNews.Seconds())
--- /dev/null
+++ b/internal/quota/account.go
@@ -0,0 +1,57 @@
+package quota
+
+import (
+	"math"
+
+	"gentianstand/internal/resource"
+)
+
+// Account is what one workspace has running, and what it may have.
+type Account struct {
+	Workspace string
+	// Used is what its runs occupy, those included that may still be starting or stopping.
+	Used resource.Amount
+	// Unseen is what may run besides on workers that have not been heard yet.
+	Unseen resource.Amount
+	// Cap bounds the sum; 0 in a dimension is no limit.
+	Cap resource.Amount
+}
+
+// Book adds what a run occupies.
+func (a *Account) Book(need resource.Amount) { a.Used = a.Used.Add(need) }
+
+// Release takes it off again.
+func (a *Account) Release(need resource.Amount) { a.Used = a.Used.Sub(need) }
+
+// Startable returns how many tasks of some need may start now, at most most. A task that
+// exceeds the cap alone may start when nothing else of the workspace runs: it would wait
+// forever otherwise.
+func (a *Account) Startable(need resource.Amount, most int) int {
+	n := int(need.CountIn(a.room(), int64(most)))
+	if n == 0 && most > 0 && a.idle() && !need.Fits(unlimited(a.Cap)) {
+		return 1
+	}
+	return n
+}
+
+// Holds reports whether a gang of some need in all fits under the cap when nothing else of
+// the workspace runs.
+func (a *Account) Holds(need resource.Amount) bool { return need.Fits(unlimited(a.Cap)) }
+
+func (a *Account) room() resource.Amount {
+	return unlimited(a.Cap).Sub(a.Used).Sub(a.Unseen)
+}
+
+func (a *Account) idle() bool { return a.Used.IsZero() && a.Unseen.IsZero() }
+
+// unlimited returns a cap with a bound that nothing reaches in place of no limit.
+func unlimited(limit resource.Amount) resource.Amount {
+	return resource.Amount{MilliCPU: bound(limit.MilliCPU), MemoryMiB: bound(limit.MemoryMiB), Accelerators: bound(limit.Accelerators)}
+}
+
+func bound(limit int64) int64 {
+	if limit <= 0 {
+		return math.MaxInt64 / 2
+	}
+	return limit
+}
