A stopping owner stores for 0.3 s at most before it hands over

It ended its term and stored what it had; those writes used up the 1.5 s of the whole hand-over, each successor was then asked with a context that was over (30 lines hand_over_refused), and the release of the claim failed, too. Nobody owned the cell for 2.4 s, the next owner needed 0.9 s more to read it, 583 leases ran out (0 otherwise).

Now the writes have 0.3 s and the questions to successors 1.5 s of their own. What is not stored the workers tell the successor.

The owner's summary tells the free share of memory, too: on this site memory binds as much as processors.

--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -23,6 +23,8 @@
 	WaitingTasks int
 	// FreeShare is the share of the usable workers' processors that is free.
 	FreeShare float64
+	// FreeMemoryShare is the same of their memory.
+	FreeMemoryShare float64
 }
 
 // Stats returns the counts so far and the state at now.
@@ -39,5 +41,15 @@
 	r := c.newRoom(now)
 	s.Usable = len(r.usable)
 	s.FreeShare = float64(r.free) / float64(max(1, r.total))
+	s.FreeMemoryShare = freeMemoryShare(r.usable)
 	return s
 }
+
+func freeMemoryShare(workers []*worker) float64 {
+	free, total := int64(0), int64(0)
+	for _, w := range workers {
+		free += max(0, w.free().MemoryMiB)
+		total += w.Capacity.MemoryMiB
+	}
+	return float64(free) / float64(max(1, total))
+}
--- a/internal/cellleader/hand_over_test.go
+++ b/internal/cellleader/hand_over_test.go
@@ -1,10 +1,13 @@
 package cellleader_test
 
 import (
+	"fmt"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
+	"gentianstand/internal/job"
 	"gentianstand/platform/standin"
 )
 
@@ -22,6 +25,27 @@
 	}
 }
 
+// Failure: a planned restart of the owner in a slow store stalls all work until others find
+// it silent.
+func TestStoppingOwnerHandsOverInASlowStore(t *testing.T) {
+	members := group(t, 3)
+	first := owner(t, members)
+	for n := range 400 {
+		id := fmt.Sprintf("%016x", n+1)
+		first.leader.Submitted(&job.Record{ID: id, Queue: "q", Service: "desk", MaxAttempts: 1, Steps: []job.Step{{Count: 1}}})
+		first.leader.Cancelled(id)
+	}
+	first.proxy.Delay(400 * time.Millisecond)
+	first.leader.HandOver(t.Context())
+	taken := slices.ContainsFunc(without(members, first), func(m *member) bool {
+		_, self := m.leader.Owner()
+		return self
+	})
+	if !taken {
+		t.Error("nobody has taken the cell over when the hand-over ends")
+	}
+}
+
 // Failure: a task runs twice.
 func TestHandOverWaitsUntilTheSilentOwnerCannotAct(t *testing.T) {
 	members := group(t, 3)
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -87,6 +87,9 @@
 	// yieldAfter is how long an owner keeps the cell at least before it hands it over
 	// to a stronger instance: until no owner before it can act any more.
 	yieldAfter = confirmedFor
-	// handOverTimeout bounds the hand-over of a stopping owner.
+	// flushTimeout bounds the last writes of a stopping owner. Nothing is started until a
+	// successor has taken over, and leases run out meanwhile.
+	flushTimeout = 300 * time.Millisecond
+	// handOverTimeout bounds the questions to successors after them.
 	handOverTimeout = 1500 * time.Millisecond
 )
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -21,9 +21,7 @@
 		return
 	}
 	t.awaitSoleOwnership(ctx)
-	callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	l.giveUp(callCtx, t, known, l.successors(callCtx, known))
+	l.giveUp(ctx, t, known, l.successors(ctx, known))
 }
 
 // awaitSoleOwnership waits until no owner before this one can act any more, so that a
@@ -43,7 +41,9 @@
 // nothing is started from the end of the term on.
 func (l *Leader) giveUp(ctx context.Context, t *term, known claim, successors []cellpeer.Instance) {
 	t.end()
-	t.owner.Flush(ctx)
+	t.flush(ctx)
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
 	l.mu.Lock()
 	if l.term == t {
 		l.term = nil
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -56,6 +56,14 @@
 	<-t.done
 }
 
+// flush stores what is not stored, as far as the store answers soon. The workers tell the
+// successor of ends that are not.
+func (t *term) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	t.owner.Flush(ctx)
+}
+
 // heardOf takes in a ping of another instance that knows no later term. If it knows this
 // one and is the holder before, it owns nothing any more: either its process was
 // replaced, or it has learned that it was overtaken.
--- a/internal/cellleader/yield.go
+++ b/internal/cellleader/yield.go
@@ -18,15 +18,13 @@
 		return
 	}
 	known := l.current()
-	callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
-	defer cancel()
-	successors := slices.DeleteFunc(l.successors(callCtx, known), func(i cellpeer.Instance) bool { return !l.stronger(i) })
+	successors := slices.DeleteFunc(l.successors(ctx, known), func(i cellpeer.Instance) bool { return !l.stronger(i) })
 	if len(successors) == 0 {
 		return
 	}
 	l.log.WithFields(logrus.Fields{"term": t.number, "cores": l.directory.Self().Cores,
 		"stronger": len(successors)}).Info("ownership_yielded")
-	l.giveUp(callCtx, t, known, successors)
+	l.giveUp(ctx, t, known, successors)
 }
 
 // stronger reports whether an instance has more processor than this one.
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -73,7 +73,7 @@
 	s := o.cell.Stats(now)
 	jobsNews, workersNews := o.jobsNews.of(now), o.workersNews.of(now)
 	o.deps.Log.WithFields(logrus.Fields{"jobs": s.ActiveJobs, "waiting_tasks": s.WaitingTasks, "workers": s.Workers,
-		"usable": s.Usable, "parked": s.Parked, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
+		"usable": s.Usable, "parked": s.Parked, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "free_memory_share": strconv.FormatFloat(s.FreeMemoryShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
 		"failed": s.Failed, "lost": s.Lost, "given_up": s.GivenUp, "stops": s.Stops, "preemptions": s.Preemptions, "reservations": s.Reservations, "moves": s.Moves, "copies": s.Copies,
 		"advice_calls": s.AdviceCalls, "jobs_news_ms": jobsNews.Milliseconds(), "workers_news_ms": workersNews.Milliseconds()}).WithFields(o.planned.take()).WithFields(o.waits.take()).Info("cell_state")
 	o.tellLongWaits(now)
