Jobs beyond the share of their workspace wait behind others of their priority

What a workspace sends beyond its weight was served in turn with everybody else's jobs: in a full fleet a hot workspace made the others late. Package fairness meters jobs against weight, in jobs a second, in the order of acceptance (after a take-over too, from the records); what is beyond goes behind what is within, of the same priority. It waits only as long as there is not enough for all. Switch: -without fair-shares.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -50,7 +50,9 @@
 	durations durations
 	// quotas are the books of what workspaces have running.
 	quotas *quota.Ledger
-	news   rosterNews
+	// unmetered are jobs that were not measured against their workspace's share yet.
+	unmetered []*jobState
+	news      rosterNews
 	// questions are those to the adviser that are under way.
 	questions questions
 	known     knownWorkers
@@ -127,6 +129,9 @@
 		return
 	}
 	c.active[j.record.ID] = j
+	if j.account != nil {
+		c.unmetered = append(c.unmetered, j)
+	}
 	for _, s := range j.stages {
 		c.wake(s)
 	}
--- a/internal/cell/job_state.go
+++ b/internal/cell/job_state.go
@@ -13,6 +13,8 @@
 	// account is that of the job's workspace, or nil if it has none.
 	account *quota.Account
 	stages  []*stage
+	// beyondShare says that its workspace had sent more than its share when it was accepted.
+	beyondShare bool
 	// inherited jobs were accepted under an earlier owner.
 	inherited bool
 	// started says that a task has been confirmed as running.
--- a/internal/cell/mechanism.go
+++ b/internal/cell/mechanism.go
@@ -24,6 +24,8 @@
 	NearData Mechanism = "near-data"
 	// LateLast puts work that is late anyway behind other work; see inOrder.
 	LateLast Mechanism = "late-last"
+	// FairShares puts jobs beyond the share of their workspace behind others; see meterJobs.
+	FairShares Mechanism = "fair-shares"
 	// UrgentReserve keeps processors for the most urgent queue; see room.allows.
 	UrgentReserve Mechanism = "urgent-reserve"
 	// Reservations keeps workers for large tasks; see reserve.
@@ -35,7 +37,7 @@
 )
 
 // Mechanisms are all that there are, in the order of the planning pass.
-var Mechanisms = []Mechanism{LateLast, NearData, Reservations, Preemption, UrgentReserve, TicketsAhead, Quarantine, Moves, Copies, Closing, Parking, Relays}
+var Mechanisms = []Mechanism{FairShares, LateLast, NearData, Reservations, Preemption, UrgentReserve, TicketsAhead, Quarantine, Moves, Copies, Closing, Parking, Relays}
 
 func allNames() string {
 	names := make([]string, len(Mechanisms))
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -12,6 +12,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recover(now)
+	c.meterJobs()
 	if now.Sub(c.watchedAt) >= watchPeriod {
 		c.watchedAt = now
 		c.ownSilence = c.isolatedFromWorkers()
@@ -49,8 +50,8 @@
 	}
 }
 
-// inOrder sorts the waiting stages. Queues with a lower priority number go first. Within a
-// queue's priority, work that can still meet its objective goes by the time at which it
+// inOrder sorts the waiting stages. Queues with a lower priority number go first, and within
+// a priority the jobs that are within the share of their workspace. Among those, work that can still meet its objective goes by the time at which it
 // has to start; work that is late anyway goes after it, shortest first, or a burst would
 // make every job late. Of either kind, stages that have begun go before others: new jobs
 // would take the room of those that are half done.
@@ -69,6 +70,11 @@
 		switch {
 		case a.s.job.record.Priority != b.s.job.record.Priority:
 			return cmp.Compare(a.s.job.record.Priority, b.s.job.record.Priority)
+		case a.s.job.beyondShare != b.s.job.beyondShare:
+			if b.s.job.beyondShare {
+				return -1
+			}
+			return 1
 		case a.late && !b.late:
 			return 1
 		case b.late && !a.late:
--- /dev/null
+++ b/internal/fairness/meter.go
@@ -0,0 +1,37 @@
+// Package fairness tells which of the jobs of a workspace are within its share. It is pure.
+//
+// Weights are shares when there is not enough for all: a workspace that sends many times its
+// usual must not make the others wait. Its jobs beyond its share are done when there is room.
+package fairness
+
+import "time"
+
+// Meter measures the jobs of one workspace against its share of jobs a second. The zero
+// value is that of a workspace that has sent nothing.
+type Meter struct {
+	credit float64
+	at     time.Time
+}
+
+// Within takes in a job that was accepted at a time and reports whether it is within a share
+// of rate jobs a second, of which those of the last second may come at once. A share of 0 is
+// no limit. Jobs have to come in the order of their times; one that does not counts as of the
+// time of the one before.
+func (m *Meter) Within(rate float64, at time.Time) bool {
+	if rate <= 0 {
+		return true
+	}
+	most := max(rate, 1)
+	switch {
+	case m.at.IsZero():
+		m.credit, m.at = most, at
+	case at.After(m.at):
+		m.credit = min(most, m.credit+rate*at.Sub(m.at).Seconds())
+		m.at = at
+	}
+	if m.credit < 1 {
+		return false
+	}
+	m.credit--
+	return true
+}
--- /dev/null
+++ b/internal/fairness/meter_test.go
@@ -0,0 +1,33 @@
+package fairness
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestMeter(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		rate float64
+		// at are the times of jobs in milliseconds.
+		at   []int
+		want []bool
+	}{
+		{"no limit", 0, []int{0, 0, 0}, []bool{true, true, true}},
+		{"one a second", 1, []int{0, 10, 990, 1000, 1500, 2000}, []bool{true, false, false, true, false, true}},
+		{"three at once", 3, []int{0, 0, 0, 0, 334}, []bool{true, true, true, false, true}},
+		{"half a job a second", 0.5, []int{0, 1000, 2000}, []bool{true, false, true}},
+		{"nothing is saved for later", 2, []int{0, 60000, 60000, 60000}, []bool{true, true, true, false}},
+		{"out of order", 1, []int{1000, 0, 1500, 2000}, []bool{true, false, false, true}},
+	} {
+		var m Meter
+		var got []bool
+		for _, ms := range test.at {
+			got = append(got, m.Within(test.rate, time.UnixMilli(int64(ms)+1)))
+		}
+		if !slices.Equal(got, test.want) {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"gentianstand/internal/fairness"
 	"gentianstand/internal/resource"
 )
 
@@ -15,6 +16,10 @@
 	Unseen resource.Amount
 	// Cap bounds the sum; 0 in a dimension is no limit.
 	Cap resource.Amount
+	// Weight is its share when there is not enough for all, in jobs a second.
+	Weight float64
+	// Meter measures its jobs against that.
+	Meter fairness.Meter
 }
 
 // Book adds what a run occupies.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -2,7 +2,10 @@
 // beside those of what each worker runs. It is pure; its owner locks it.
 package quota
 
-import "gentianstand/internal/catalog"
+import (
+	"gentianstand/internal/catalog"
+	"gentianstand/internal/resource"
+)
 
 // Ledger holds the accounts of all workspaces.
 type Ledger struct {
@@ -39,9 +42,10 @@
 	}
 	l.version = c.Version
 	for _, a := range l.accounts {
-		a.Cap = catalog.Workspace{}.Cap
+		a.Cap, a.Weight = resource.Amount{}, 0
 	}
 	for _, w := range c.Workspaces() {
-		l.Account(w.Name).Cap = w.Cap
+		a := l.Account(w.Name)
+		a.Cap, a.Weight = w.Cap, w.Weight
 	}
 }
