--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -10,7 +10,8 @@
 	"gentianstand/internal/runner"
 )
 
-// StartAnswered takes in the result of a start order.
+// StartAnswered takes in the result of a start order. A run that is booked is one of the
+// worker's present incarnation: a restart drops all others.
 func (c *Cell) StartAnswered(o StartOrder, answer runner.Answer, err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -18,9 +19,7 @@
 	if a == nil {
 		return
 	}
-	if o.Worker.Born == a.worker.incarnation {
-		a.worker.sawClockOf(answer, now)
-	}
+	a.worker.sawClockOf(answer, now)
 	var refusal *runner.Refusal
 	switch {
 	case err == nil:
@@ -88,7 +87,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.attempt(o.Task, o.Worker.ID, o.Stop.Run)
-	if a == nil || o.Worker.Born != a.worker.incarnation {
+	if a == nil {
 		return
 	}
 	a.worker.sawClockOf(answer, now)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -2,13 +2,14 @@
 
 import "time"
 
-// preemptAfter is how long a stage of the most urgent queue waits for room
-// before others are stopped for it.
-const preemptAfter = 60 * time.Millisecond
-
-// preemptEvery is the least time between two looks for victims for one stage;
-// the first ones need up to a second to go.
-const preemptEvery = 30 * time.Millisecond
+const (
+	// preemptAfter is how long a stage of the most urgent queue waits for an end of a run
+	// before others are stopped for it.
+	preemptAfter = 60 * time.Millisecond
+	// preemptEvery is the least time between two looks for victims for one stage. Each looks
+	// through the runs of all workers that the stage may use.
+	preemptEvery = 30 * time.Millisecond
+)
 
 // preempt stops less urgent runs for the idle tasks of a stage of the most urgent queue,
 // where the next end of a run is too far away.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -32,9 +32,8 @@
 	// answerMargin is kept of a caller's deadline for the way of the answer.
 	answerMargin = 250 * time.Millisecond
 	// outageRetryAfter tells callers when to come back in an outage, and
-	// longOutageRetryAfter when it has lasted for longOutage: outages last from
-	// two to ten seconds, and a caller tries about five times. Callers that come
-	// back together are spread by the jitter that the adapter adds.
+	// longOutageRetryAfter when it has lasted for longOutage. A caller has few attempts, and
+	// must not use them up in one outage. The adapter adds jitter.
 	outageRetryAfter     = time.Second
 	longOutageRetryAfter = 2 * time.Second
 	longOutage           = 2500 * time.Millisecond
