Soak with workspaces: keys that are taken away and quotas that change

Instances in the soak demand keys; two workspaces hand jobs in, now and then with a key that was removed or that nobody has. The judge keeps its own books: what a workspace has running against the highest quota that may be in force, answers to removed and unknown keys, and valid keys that are refused for good. TestSoakWorkspaces draws replaced keys and changed quotas beside all other faults.

--- a/internal/cell/ask_bench_test.go
+++ b/internal/cell/ask_bench_test.go
@@ -14,7 +14,7 @@
 func BenchmarkWorthAsking(b *testing.B) {
 	for _, workers := range []int{48, 540, 3000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			c := fullCell(workers, 0)
+			c := fullCell(workers, 0, 0)
 			for _, w := range c.workers {
 				w.used = resource.Amount{MilliCPU: int64(len(w.ID)) * 1500}
 			}
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -27,6 +27,7 @@
 // submission is one job and what became of it.
 type submission struct {
 	id, queue string
+	workspace string
 	outcome   outcome
 	fails     bool
 }
@@ -63,7 +64,10 @@
 		queue := []string{"plain", "advised"}[rnd.Intn(2)]
 		body, fails := jobBody(rnd)
 		seed := rnd.Int63()
-		wg.Go(func() { c.submit(id, queue, body, fails, rand.New(rand.NewSource(seed))) })
+		workspace := []string{"north", cappedWorkspace}[n%2]
+		wg.Go(func() {
+			c.submit(submission{id: id, queue: queue, workspace: workspace, fails: fails}, body, rand.New(rand.NewSource(seed)))
+		})
 		time.Sleep(25 * time.Millisecond)
 	}
 	wg.Wait()
@@ -85,48 +89,55 @@
 
 // submit tries a job up to five times, as the protocol allows: again after a
 // refusal, and with the same id after no answer.
-func (c *callers) submit(id, queue, body string, fails bool, rnd *rand.Rand) {
-	c.world.judge.Submitted(id, false)
-	result := refused
+func (c *callers) submit(s submission, body string, rnd *rand.Rand) {
+	c.world.judge.Submitted(s.id, s.workspace, false)
+	s.outcome = refused
 	for range 5 {
-		status := c.call(http.MethodPost, queue, id, body, rnd)
+		key := c.world.workspaces.pick(s.workspace, rnd)
+		if key.workspace != s.workspace {
+			key = c.world.workspaces.valid(s.workspace)
+		}
+		status, _ := c.ask(http.MethodPost, s, key, body, rnd)
 		if status == http.StatusOK {
-			result = accepted
+			s.outcome = accepted
 			break
 		}
-		if status != http.StatusServiceUnavailable {
-			result = unknown
+		if status != http.StatusServiceUnavailable && status != http.StatusUnauthorized {
+			s.outcome = unknown
 		}
 		time.Sleep(time.Duration(100+rnd.Intn(300)) * time.Millisecond)
 	}
-	if result == refused {
-		c.world.judge.Submitted(id, true)
+	if s.outcome == refused {
+		c.world.judge.Submitted(s.id, s.workspace, true)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jobs = append(c.jobs, submission{id, queue, result, fails})
+	c.jobs = append(c.jobs, s)
 }
 
 // submitPoison submits a job of one task that crashes each worker that starts it.
 func (c *callers) submitPoison(rnd *rand.Rand) {
 	id := fmt.Sprintf("%08x%08x", rnd.Uint32(), rnd.Uint32())
-	c.submit(id, "plain", fmt.Sprintf(`{"spec":"crash","steps":[{"count":1,"cpu":%d,"mem_mb":10,"estimate_ms":200}]}`, taskCPU), true, rnd)
+	c.submit(submission{id: id, queue: "plain", workspace: "north", fails: true}, fmt.Sprintf(`{"spec":"crash","steps":[{"count":1,"cpu":%d,"mem_mb":10,"estimate_ms":200}]}`, taskCPU), rnd)
 }
 
-// call returns the status, or 0 for no answer.
-func (c *callers) call(method, queue, id, body string, rnd *rand.Rand) int {
-	status, _ := c.ask(method, queue, id, body, rnd)
-	return status
+// ask returns the status, or 0 for no answer, and the state that the answer names.
+func (c *callers) ask(method string, s submission, key *apiKey, body string, rnd *rand.Rand) (int, string) {
+	sent := time.Now()
+	status, state := c.send(method, s, key, body, rnd)
+	c.world.workspaces.judge(key, sent, status)
+	return status, state
 }
 
-func (c *callers) ask(method, queue, id, body string, rnd *rand.Rand) (int, string) {
+func (c *callers) send(method string, s submission, key *apiKey, body string, rnd *rand.Rand) (int, string) {
 	p := c.world.procs[rnd.Intn(len(c.world.procs))]
-	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:8161/%s/%s", p.ip, queue, id), strings.NewReader(body))
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:8161/%s/%s", p.ip, s.queue, s.id), strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	req.Host = callersHost
 	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set("Authorization", "Bearer "+key.text)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, ""
@@ -152,7 +163,7 @@
 		if j.outcome != accepted {
 			continue
 		}
-		if status, state := c.ask(http.MethodGet, j.queue, j.id, "", rnd); !j.endsWell(c.world.judge, state) {
+		if status, state := c.ask(http.MethodGet, j, c.world.workspaces.valid(j.workspace), "", rnd); !j.endsWell(c.world.judge, state) {
 			left = append(left, fmt.Sprintf("%s: %d %q, fails %v", j.id, status, state, j.fails))
 		}
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -171,3 +171,11 @@
 		w.t.Errorf("%s: %v", p.name, err)
 	}
 }
+
+// workspaceShare is how often workspaceFaults stand beside the other faults.
+const workspaceShare = 6
+
+var workspaceFaults = []fault{
+	{"a key is replaced", func(w *world, rnd *rand.Rand) { w.workspaces.replaceKey(rnd) }},
+	{"a quota changes", func(w *world, rnd *rand.Rand) { w.workspaces.changeQuota(rnd) }},
+}
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -20,6 +20,7 @@
 region = "region"
 internal_ports = [7720,7735]
 advice = "%[5]s"
+contracts = ["tenants"]
 [listen]
 frontend = "%[2]s:8161"
 ready = "%[2]s:8167"
@@ -31,6 +32,8 @@
 grace_s = 6
 far_x = 3
 early_ms = 250
+strict_revoke = true
+revoke_ms = %[6]d
 [platform]
 address = "%[4]s"
 `
@@ -55,7 +58,7 @@
 	t.Helper()
 	name := fmt.Sprintf("node-%d", index)
 	path := filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(settingsText, name, ip, index%2, store, adviser)
+	text := fmt.Sprintf(settingsText, name, ip, index%2, store, adviser, revokeMillis)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,6 +55,12 @@
 	soakSeeds(t, slices.Concat(faults, slices.Repeat([]fault{poison}, poisonShare)))
 }
 
+// TestSoakWorkspaces plays the seeds with keys that are taken away and quotas that change
+// beside all else.
+func TestSoakWorkspaces(t *testing.T) {
+	soakSeeds(t, slices.Concat(faults, slices.Repeat(workspaceFaults, workspaceShare)))
+}
+
 // regressions are the seeds that ever failed, with the number of faults that they drew
 // from and the cause.
 var regressions = []struct {
--- /dev/null
+++ b/test/soak/workspaces_test.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// revokeMillis is the time after which a removed key must not work.
+	revokeMillis = 3000
+	// knownAfter is when a key that was added must not be refused for good any more. An
+	// instance that cannot tell refuses for now.
+	knownAfter = time.Second
+	// quotaKnownAfter is when an owner must not start anything under an older quota.
+	quotaKnownAfter = 10 * time.Second
+	cappedWorkspace = "south"
+)
+
+// quota is one that was put into force at a time, in tasks.
+type quota struct {
+	at    time.Time
+	tasks int
+}
+
+// apiKey is one key.
+type apiKey struct {
+	text, workspace string
+	// from and until are when it was known to be valid, and to be so no more.
+	from, until time.Time
+	removed     bool
+}
+
+// workspaces are those of the configuration, with books of what was in force when.
+type workspaces struct {
+	world *world
+
+	mu      sync.Mutex
+	version int
+	keys    []*apiKey
+	quotas  []quota
+}
+
+func newWorkspaces(w *world) *workspaces {
+	s := &workspaces{world: w}
+	for _, name := range []string{"north", cappedWorkspace} {
+		s.addKey(name)
+	}
+	s.quotas = append(s.quotas, quota{time.Now(), 0})
+	s.store()
+	w.judge.Quota = s.allowed
+	return s
+}
+
+func (s *workspaces) addKey(workspace string) {
+	s.keys = append(s.keys, &apiKey{text: fmt.Sprintf("key-%s-%d", workspace, len(s.keys)), workspace: workspace})
+}
+
+// store puts the present state into force; s.mu is held, or nobody else knows s.
+func (s *workspaces) store() {
+	s.version++
+	var tenants []any
+	for _, name := range []string{"north", cappedWorkspace} {
+		valid := []string{}
+		for _, k := range s.keys {
+			if k.workspace == name && !k.removed {
+				valid = append(valid, k.text)
+			}
+		}
+		most := 0
+		if name == cappedWorkspace {
+			most = s.quotas[len(s.quotas)-1].tasks * taskCPU
+		}
+		tenants = append(tenants, map[string]any{"name": name, "api_keys": valid, "weight": 4, "cap": map[string]int{"cpu": most}})
+	}
+	s.world.store.Put("op", "config", configuration(s.version, tenants))
+	now := time.Now()
+	for _, k := range s.keys {
+		if k.from.IsZero() {
+			k.from = now
+		}
+	}
+}
+
+// replaceKey takes a workspace's key away and gives it another one.
+func (s *workspaces) replaceKey(rnd *rand.Rand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.keys[len(s.keys)-1-rnd.Intn(2)]
+	if old.removed {
+		return
+	}
+	s.addKey(old.workspace)
+	old.removed = true
+	s.store()
+	old.until = time.Now()
+}
+
+// changeQuota gives the workspace with a quota another one.
+func (s *workspaces) changeQuota(rnd *rand.Rand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quotas = append(s.quotas, quota{time.Now(), 2 + rnd.Intn(10)})
+	s.store()
+}
+
+// allowed returns how many tasks a workspace may have running, by the highest quota that may
+// be in force, with a tenth and one task more; ok is false if there is no limit.
+func (s *workspaces) allowed(workspace string) (most int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if workspace != cappedWorkspace {
+		return 0, false
+	}
+	for i, q := range s.quotas {
+		old := i+1 < len(s.quotas) && time.Since(s.quotas[i+1].at) > quotaKnownAfter
+		if old {
+			continue
+		}
+		if q.tasks == 0 {
+			return 0, false
+		}
+		most = max(most, q.tasks)
+	}
+	return most + most/10 + 1, true
+}
+
+// pick returns a key for a call of a workspace: mostly a valid one, else one that was
+// removed, or that never was one.
+func (s *workspaces) pick(workspace string, rnd *rand.Rand) *apiKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch rnd.Intn(30) {
+	case 0:
+		return &apiKey{text: "nobody's key", workspace: workspace}
+	case 1, 2, 3:
+		return s.keys[rnd.Intn(len(s.keys))]
+	}
+	return s.newest(workspace)
+}
+
+// newest returns the valid key of a workspace; s.mu is held.
+func (s *workspaces) newest(workspace string) *apiKey {
+	at := slices.IndexFunc(s.keys, func(k *apiKey) bool { return k.workspace == workspace && !k.removed })
+	return s.keys[at]
+}
+
+// valid returns the valid key of a workspace.
+func (s *workspaces) valid(workspace string) *apiKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest(workspace)
+}
+
+// judge checks the answer to a call with a key that was sent at a time.
+func (s *workspaces) judge(k *apiKey, sent time.Time, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case status == http.StatusOK && k.from.IsZero():
+		s.world.judge.Blame("ROUTE: a key that no configuration held is served")
+	case status == http.StatusOK && k.removed && sent.Sub(k.until) > revokeMillis*time.Millisecond:
+		s.world.judge.Blame("CONFIG: %s is served, sent %v after it was taken away", k.text, sent.Sub(k.until))
+	case status == http.StatusUnauthorized && !k.from.IsZero() && !k.removed && sent.Sub(k.from) > knownAfter:
+		s.world.judge.Blame("CONFIG: %s is refused for good, sent %v after it was added", k.text, sent.Sub(k.from))
+	}
+}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -32,8 +32,10 @@
 	judge   *standin.Judge
 	store   *standin.Store
 	callers *callers
-	procs   []*process
-	storeAt []*standin.Proxy
+	// workspaces are those of the configuration.
+	workspaces *workspaces
+	procs      []*process
+	storeAt    []*standin.Proxy
 
 	// tells says that workers tell their incarnations apart.
 	tells bool
@@ -76,7 +78,7 @@
 	for i := range workers {
 		w.addWorker(i)
 	}
-	w.store.Put("op", "config", configuration())
+	w.workspaces = newWorkspaces(w)
 	dir := t.TempDir()
 	for i := range nodes {
 		proxy, err := standin.NewProxy("127.0.0.1:0", storeServer.Listener.Addr().String())
@@ -212,14 +214,15 @@
 	return entry
 }
 
-func configuration() map[string]any {
+// configuration returns a version of the configuration with some tenants.
+func configuration(version int, tenants []any) map[string]any {
 	route := func(name string, priority int) map[string]any {
 		return map[string]any{"name": name, "host": callersHost, "path_prefix": "/" + name + "/", "type": "unsafe", "timeout_ms": 3000,
 			"target_duration_ms": 250, "priority": priority, "service": "desk", "max_attempts": 3, "stretch": 2}
 	}
 	advised := route("advised", 1)
 	advised["advice"] = map[string]int{"decide_ms": 5, "each_ms": 1, "valid_ms": 1500}
-	return map[string]any{"version": 1, "routes": []any{route("plain", 0), advised}, "services": []any{}, "limits": map[string]int{"max_body_bytes": 262144}}
+	return map[string]any{"version": version, "tenants": tenants, "routes": []any{route("plain", 0), advised}, "services": []any{}, "limits": map[string]int{"max_body_bytes": 262144}}
 }
 
 // advise allows every worker.
