--- a/internal/access/model_test.go
+++ b/internal/access/model_test.go
@@ -18,6 +18,9 @@
 	modelRefuse = time.Second
 )
 
+// modelKeys are the keys that configurations hold or lack.
+var modelKeys = []string{"k0", "k1"}
+
 // modelInstance is one instance with a clock of its own.
 type modelInstance struct {
 	current *catalog.Current
@@ -85,72 +88,103 @@
 	}
 }
 
+// pick draws an instance.
+func (m *accessModel) pick(t *rapid.T) *modelInstance {
+	return rapid.SampledFrom(m.instances).Draw(t, "instance")
+}
+
+// change puts a configuration with some of the keys into force.
+func (m *accessModel) change(t *rapid.T) {
+	kept := rapid.SliceOfNDistinct(rapid.SampledFrom(modelKeys), 0, len(modelKeys), rapid.ID[string]).Draw(t, "keys")
+	m.versions = append(m.versions, modelVersion{kept, m.now})
+}
+
+// ask sends a question.
+func (m *accessModel) ask(t *rapid.T) {
+	i := m.pick(t)
+	i.reads = append(i.reads, &modelRead{asked: m.clock(i)})
+}
+
+// unanswered returns the oldest question of an instance without an answer, or nil.
+func (i *modelInstance) unanswered() *modelRead {
+	at := slices.IndexFunc(i.reads, func(r *modelRead) bool { return !r.answered })
+	if at < 0 {
+		return nil
+	}
+	return i.reads[at]
+}
+
+// storeAnswers has the store answer a question.
+func (m *accessModel) storeAnswers(t *rapid.T) {
+	if r := m.pick(t).unanswered(); r != nil {
+		r.answered, r.found = true, m.newest()
+	}
+}
+
+// instanceAnswers has an instance answer another one's question.
+func (m *accessModel) instanceAnswers(t *rapid.T) {
+	i, peer := m.pick(t), m.pick(t)
+	view := peer.current.View()
+	r := i.unanswered()
+	if i == peer || view.Catalog == nil || r == nil {
+		return
+	}
+	r.answered, r.found, r.age = true, view.Catalog, view.Age(m.clock(peer))
+}
+
+// answerArrives has an instance take an answer in.
+func (m *accessModel) answerArrives(t *rapid.T) {
+	i := m.pick(t)
+	at := slices.IndexFunc(i.reads, func(r *modelRead) bool { return r.answered })
+	if at < 0 {
+		return
+	}
+	r := i.reads[at]
+	i.reads = slices.Delete(i.reads, at, at+1)
+	i.current.Advance(r.found)
+	i.current.Confirm(r.asked.Add(-r.age))
+}
+
+// startAgain has an instance forget everything.
+func (m *accessModel) startAgain(t *rapid.T) {
+	i := m.pick(t)
+	i.current, i.reads = &catalog.Current{}, nil
+}
+
+// callAll has all keys tried at all instances.
+func (m *accessModel) callAll(t *rapid.T) {
+	for _, i := range m.instances {
+		for _, key := range modelKeys {
+			m.call(t, i, key)
+		}
+	}
+}
+
+func newAccessModel(t *rapid.T) *accessModel {
+	m := &accessModel{versions: []modelVersion{{keys: modelKeys}}}
+	for range modelInstances {
+		m.instances = append(m.instances, &modelInstance{current: &catalog.Current{},
+			offset: time.Duration(rapid.IntRange(1, 1000).Draw(t, "offset")) * time.Second, drift: float64(rapid.IntRange(-10, 10).Draw(t, "drift")) / 1000})
+	}
+	return m
+}
+
 // Failure: a key opens a queue later than the time after which it must not, on an instance
 // whose reads are delayed, that hears from other instances, starts again or drifts.
 func TestModelOfRevocation(t *testing.T) {
-	keys := []string{"k0", "k1"}
 	rapid.Check(t, func(t *rapid.T) {
-		m := &accessModel{versions: []modelVersion{{keys: keys}}}
-		for range modelInstances {
-			m.instances = append(m.instances, &modelInstance{current: &catalog.Current{},
-				offset: time.Duration(rapid.IntRange(1, 1000).Draw(t, "offset")) * time.Second, drift: float64(rapid.IntRange(-10, 10).Draw(t, "drift")) / 1000})
-		}
-		instance := func(t *rapid.T) *modelInstance { return rapid.SampledFrom(m.instances).Draw(t, "instance") }
+		m := newAccessModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"pass": func(t *rapid.T) {
 				m.now += time.Duration(rapid.SampledFrom([]int{1, 100, 600, 1500, 3300}).Draw(t, "ms")) * time.Millisecond
 			},
-			"change": func(t *rapid.T) {
-				kept := rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 0, len(keys), rapid.ID[string]).Draw(t, "keys")
-				m.versions = append(m.versions, modelVersion{kept, m.now})
-			},
-			"ask": func(t *rapid.T) {
-				i := instance(t)
-				i.reads = append(i.reads, &modelRead{asked: m.clock(i)})
-			},
-			"store answers": func(t *rapid.T) {
-				for _, r := range instance(t).reads {
-					if !r.answered {
-						r.answered, r.found = true, m.newest()
-						return
-					}
-				}
-			},
-			"instance answers": func(t *rapid.T) {
-				i, peer := instance(t), instance(t)
-				view := peer.current.View()
-				if i == peer || view.Catalog == nil {
-					return
-				}
-				for _, r := range i.reads {
-					if !r.answered {
-						r.answered, r.found, r.age = true, view.Catalog, view.Age(m.clock(peer))
-						return
-					}
-				}
-			},
-			"answer arrives": func(t *rapid.T) {
-				i := instance(t)
-				at := slices.IndexFunc(i.reads, func(r *modelRead) bool { return r.answered })
-				if at < 0 {
-					return
-				}
-				r := i.reads[at]
-				i.reads = slices.Delete(i.reads, at, at+1)
-				i.current.Advance(r.found)
-				i.current.Confirm(r.asked.Add(-r.age))
-			},
-			"start again": func(t *rapid.T) {
-				i := instance(t)
-				i.current, i.reads = &catalog.Current{}, nil
-			},
-			"": func(t *rapid.T) {
-				for _, i := range m.instances {
-					for _, key := range keys {
-						m.call(t, i, key)
-					}
-				}
-			},
+			"change":           m.change,
+			"ask":              m.ask,
+			"store answers":    m.storeAnswers,
+			"instance answers": m.instanceAnswers,
+			"answer arrives":   m.answerArrives,
+			"start again":      m.startAgain,
+			"":                 m.callAll,
 		})
 	})
 }
--- a/internal/cell/load_world_test.go
+++ b/internal/cell/load_world_test.go
@@ -97,21 +97,6 @@
 	return r
 }
 
-// submit hands a job in.
-func (l *load) submit(queue string, priority int, steps ...job.Step) string {
-	return l.submitFor("", queue, priority, steps...)
-}
-
-// submitFor hands a job of a workspace in.
-func (l *load) submitFor(workspace, queue string, priority int, steps ...job.Step) string {
-	l.jobs++
-	r := &job.Record{ID: fmt.Sprintf("%016x", l.jobs), Queue: queue, Service: "desk", Workspace: workspace, Priority: priority, MaxAttempts: 4,
-		Stretch: 2, Target: 500 * time.Millisecond, AcceptedAt: l.now, Steps: steps}
-	l.submitted[r.ID] = l.now
-	l.cell.Add(r, true)
-	return r.ID
-}
-
 // run lets time pass; each, if not nil, is called before every step.
 func (l *load) run(d time.Duration, each func()) {
 	for end := l.now.Add(d); l.now.Before(end); {
