--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -129,7 +129,7 @@
 		return
 	}
 	c.active[j.record.ID] = j
-	if j.account != nil {
+	if j.account != nil && c.uses(FairShares) {
 		c.unmetered = append(c.unmetered, j)
 	}
 	for _, s := range j.stages {
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -51,10 +51,11 @@
 }
 
 // inOrder sorts the waiting stages. Queues with a lower priority number go first, and within
-// a priority the jobs that are within the share of their workspace. Among those, work that can still meet its objective goes by the time at which it
-// has to start; work that is late anyway goes after it, shortest first, or a burst would
-// make every job late. Of either kind, stages that have begun go before others: new jobs
-// would take the room of those that are half done.
+// a priority the jobs that are within the share of their workspace. Among those, work that
+// can still meet its objective goes by the time at which it has to start; work that is late
+// anyway goes after it, shortest first, or a burst would make every job late. Of either kind,
+// stages that have begun go before others: new jobs would take the room of those that are
+// half done.
 func (c *Cell) inOrder(now time.Time) []*stage {
 	type entry struct {
 		s     *stage
--- a/internal/cell/shares.go
+++ b/internal/cell/shares.go
@@ -5,12 +5,9 @@
 // meterJobs measures new jobs against the shares of their workspaces, in the order in which
 // they were accepted. After a take-over these are all jobs that have not ended.
 func (c *Cell) meterJobs() {
-	if len(c.unmetered) == 0 || !c.uses(FairShares) {
-		return
-	}
 	slices.SortFunc(c.unmetered, func(a, b *jobState) int { return a.record.AcceptedAt.Compare(b.record.AcceptedAt) })
 	for _, j := range c.unmetered {
 		j.beyondShare = !j.account.Meter.Within(j.account.Weight, j.record.AcceptedAt)
 	}
-	c.unmetered = c.unmetered[:0]
+	c.unmetered = nil
 }
