--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -134,30 +134,40 @@
 func (w *world) replaceWorker(i int, life *standin.Worker) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	old := w.agents[i]
-	if life != nil && old != life {
+	old, ended := w.endLife(i, life)
+	if !ended {
 		return
 	}
 	if old != nil {
-		old.Kill()
 		w.store.Remove("servers", old.ID)
 	}
-	w.lives++
 	agent := w.newLife(i, fmt.Sprintf("worker-%d-%d", i, w.lives), workerCPU)
 	w.store.Put("servers", agent.ID, w.entry(i, agent))
 }
 
+// endLife ends a worker's life, if it is the one that is meant; w.mu is held. It returns nil
+// for the life before the first one.
+func (w *world) endLife(i int, life *standin.Worker) (old *standin.Worker, ended bool) {
+	old = w.agents[i]
+	if life != nil && old != life {
+		return nil, false
+	}
+	if old != nil {
+		old.Kill()
+	}
+	w.lives++
+	return old, true
+}
+
 // restartWorker ends a worker's life and begins another under its id. Its entry changes when
 // the next heartbeat is written.
 func (w *world) restartWorker(i int, heartbeat time.Duration, life *standin.Worker) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	old := w.agents[i]
-	if life != nil && old != life {
+	old, ended := w.endLife(i, life)
+	if !ended {
 		return
 	}
-	old.Kill()
-	w.lives++
 	cpu := int64(workerCPU)
 	if w.lives%3 == 0 {
 		cpu = smallWorkerCPU
