--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -90,6 +90,7 @@
 		a.confirmedAt = now
 	}
 	c.noteSurvival(a, now)
+	c.noteAtWork(a, r.Percent, now)
 	a.task.stage.job.started = true
 	if r.Percent != a.percent || a.changedAt.IsZero() {
 		a.percent = r.Percent
--- /dev/null
+++ b/internal/cell/away_test.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// Failure: a lasting task was away for seconds, and no log said why.
+func TestLastingTasksThatAreAwayAreExplained(t *testing.T) {
+	wide := lasting(1, 0)
+	wide.Need.MilliCPU = 15500
+	for _, test := range []struct {
+		name    string
+		step    job.Step
+		advised bool
+		arrange func(s *site, task string)
+		want    AwayReason
+	}{
+		{"no room", wide, false, func(s *site, _ string) { s.cell.Add(s.record(9, step(16)), true) }, RoomTaken},
+		{"the urgent reserve", wide, false, nil, ReserveKept},
+		{"the adviser is asked", lasting(1, 0), true, nil, AdviserAsked},
+		{"its start is not answered", lasting(1, 0), false, nil, RunStarting},
+		{"its workers were lost", lasting(1, 0), false, func(s *site, task string) {
+			s.cell.taskNamed(task).crashes = crashHistory{silent: []uint64{1, 2, 3}, lostAt: s.now}
+		}, CrashPause},
+	} {
+		s := newSite(t, 1, usualWorker("a"))
+		s.report("a")
+		r := s.record(1, test.step)
+		r.Priority = 1
+		if test.advised {
+			r = advised(r, 30*time.Millisecond)
+		}
+		s.cell.Add(r, true)
+		if test.arrange != nil {
+			test.arrange(s, r.ID+".0.0.0")
+		}
+		s.cell.taskNamed(r.ID + ".0.0.0").stage.lostWorkers = true
+		s.plan()
+		s.pass(longAway)
+		s.report("a")
+		aways, total := s.cell.Aways(4, s.now)
+		if total != 1 || aways[0].Reason != test.want || aways[0].For < longAway {
+			t.Errorf("%s: %+v, want %s", test.name, aways, test.want)
+		}
+	}
+}
+
+// Failure: a lasting task that is at work was told to be away.
+func TestLastingTaskAtWorkIsNotAway(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	r := s.record(1, lasting(1, 0))
+	s.cell.Add(r, true)
+	start := s.plan()[r.ID+".0.0.0"]
+	s.confirm(start)
+	s.runs["a"] = []runner.RunState{{Task: start.Start.Task, Run: 1, Percent: atWork}}
+	for range 5 {
+		s.pass(time.Second)
+		s.report("a")
+		if aways, total := s.cell.Aways(4, s.now); total != 0 {
+			t.Fatalf("away: %+v", aways)
+		}
+	}
+}
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"gentianstand/internal/job"
 )
@@ -24,6 +25,8 @@
 	percent int
 	// crashes tells of the workers that were lost while it was starting.
 	crashes crashHistory
+	// workedAt is when a lasting task was last reported at work.
+	workedAt time.Time
 	// failedOn are the workers of failed runs, avoided for the next ones.
 	failedOn []string
 }
--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -26,6 +26,8 @@
 	WaitingTasks *metrics.Gauge
 	// ImpossibleTasks are those of WaitingTasks that no known worker may or can run.
 	ImpossibleTasks *metrics.Gauge
+	// LastingTasksAway are the tasks that are to last and have not been at work for long.
+	LastingTasksAway *metrics.Gauge
 	// QuotaTasks are those of WaitingTasks that their workspace's quota holds back.
 	QuotaTasks *metrics.Gauge
 	// JobsNewsAge and WorkersNewsAge are how long ago, in seconds, news of them was read.
@@ -55,6 +57,7 @@
 		FreeShare:         set.NewGauge("gentianstand_cell_free_share", nil),
 		WaitingTasks:      set.NewGauge("gentianstand_cell_waiting_tasks", nil),
 		ImpossibleTasks:   set.NewGauge("gentianstand_cell_impossible_tasks", nil),
+		LastingTasksAway:  set.NewGauge("gentianstand_cell_lasting_tasks_away", nil),
 		QuotaTasks:        set.NewGauge("gentianstand_cell_quota_waiting_tasks", nil),
 		JobsNewsAge:       set.NewGauge(`gentianstand_cell_news_age_seconds{of="jobs"}`, nil),
 		WorkersNewsAge:    set.NewGauge(`gentianstand_cell_news_age_seconds{of="workers"}`, nil),
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -77,6 +77,7 @@
 		"failed": s.Failed, "lost": s.Lost, "given_up": s.GivenUp, "stops": s.Stops, "preemptions": s.Preemptions, "reservations": s.Reservations, "moves": s.Moves, "copies": s.Copies,
 		"advice_calls": s.AdviceCalls, "jobs_news_ms": jobsNews.Milliseconds(), "workers_news_ms": workersNews.Milliseconds()}).WithFields(o.planned.take()).WithFields(o.waits.take()).Info("cell_state")
 	o.tellLongWaits(now)
+	o.tellAways(now)
 	o.tellQuotaWaits(now)
 	o.deps.Metrics.FreeShare.Set(s.FreeShare)
 	o.deps.Metrics.WaitingTasks.Set(float64(s.WaitingTasks))
