Test: a lasting task that fails beside free workers while the adviser is busy

The planner asks in the order in which it places stages. A lasting stage counts as late for all its life, so its question waits for a lane behind all work of its priority that is not late, and behind all more urgent work. The replay of loads plays the adviser and its lanes now.

Fails on the code as it is:

--- FAIL: TestFailedLastingTaskIsAskedAboutBesideOtherWork --- FAIL: .../more_urgent not started again within 3s; 20 s later: false --- FAIL: .../as_urgent not started again within 3s; 20 s later: false --- FAIL: TestFailedLastingTaskIsAskedAboutBeforeABacklog not started again within 3s; 4 s later: false --- FAIL: TestLastingTaskOfAnEarlierOwnerIsAskedAboutBesideOtherWork not started again within 3s; 20 s later: false

--- a/internal/cell/load_world_test.go
+++ b/internal/cell/load_world_test.go
@@ -36,6 +36,9 @@
 	// workOf tells how long a task of a job really takes on a worker.
 	workOf func(id job.TaskID, w *loadWorker) time.Duration
 	jobs   int
+	// adviser is asked about the queues in advice.
+	adviser loadAdviser
+	advice  map[string]*job.AdviceCost
 	// slowStops is how long a stop takes at most; 0 is 100 ms each time.
 	slowStops time.Duration
 }
@@ -113,7 +116,8 @@
 		l.work(l.workers[id])
 		l.report(l.workers[id])
 	}
-	for _, order := range l.cell.Plan(l.now, AdviceSlots{}) {
+	l.adviseDue()
+	for _, order := range l.cell.Plan(l.now, l.adviser.lanes) {
 		l.carryOut(order)
 	}
 	for commit := l.cell.NextCommit(90); commit != nil; commit = l.cell.NextCommit(90) {
@@ -220,6 +224,8 @@
 			r.stop = l.now.Add(l.stopTakes())
 		}
 		l.cell.StopAnswered(order, runner.Answer{}, err, l.now)
+	case AdviceOrder:
+		l.ask(order)
 	}
 }
 
