A worker is closed by an owner only when its runs are known

What callers saw: nothing yet. Two owners that follow one another within the lease of a worker that is cut off could have a task run twice.

Cause: watchClosing stores a silent worker as closed with the runs that are booked. An owner that has not heard the worker yet has none of the earlier owner's runs booked, so the store says that nothing is there.

Why it holds: while an owner recovers, a worker is closed only if its books are complete, because it has reported under this owner or was inherited as closed. After the recovery no lease of an earlier owner can be left, so an empty list is true. A complete report counts from then on, also when the worker falls silent again: its look carried this owner's fencing token, so no earlier owner starts anything there any more. A worker that stays open in the store makes the next owner wait longer, never shorter.

Before the fix: What callers saw: nothing yet; found in the code. An owner that has just taken over and has not heard a worker that is cut off stores it as closed after 250 ms, with the runs that it has booked there: none. The next owner takes this for all that can be there, waits for nothing and starts the tasks again.

Runs of sites now keep the stored known workers, so that a next owner can be given them.

--- a/internal/cell/closing.go
+++ b/internal/cell/closing.go
@@ -17,6 +17,10 @@
 		return
 	}
 	closed := w.Draining || w.silent(now) || (w.closed && !w.reported)
+	if c.recovering && w.unheard() {
+		// What may still be there is not known.
+		closed = false
+	}
 	if closed == w.closed {
 		return
 	}
--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -98,7 +98,7 @@
 		complete = false
 	}
 	if complete && !w.reported {
-		w.reported = true
+		w.reported, w.accounted = true, true
 		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Debug("worker_reported")
 	}
 }
--- a/internal/cell/site_test.go
+++ b/internal/cell/site_test.go
@@ -26,6 +26,8 @@
 	born map[string]runner.Born
 	ends map[string][]runner.End
 	runs map[string][]runner.RunState
+	// chunks are the known workers as they are stored.
+	chunks map[int][]KnownWorker
 	// slots is what Plan is told.
 	slots AdviceSlots
 	// orders are those of the last plan.
@@ -40,7 +42,7 @@
 
 func newSiteWith(t *testing.T, settings Settings, workers ...roster.Worker) *site {
 	s := &site{t: t, now: siteStart, clock: map[string]time.Duration{}, born: map[string]runner.Born{}, ends: map[string][]runner.End{},
-		runs: map[string][]runner.RunState{}, slots: AdviceSlots{Quick: 2, Any: 4}}
+		runs: map[string][]runner.RunState{}, chunks: map[int][]KnownWorker{}, slots: AdviceSlots{Quick: 2, Any: 4}}
 	s.cell = New(settings, s.now, quietLog())
 	s.cell.SetRoster(workers, s.now)
 	s.commit()
@@ -125,9 +127,12 @@
 	s.ends[worker] = append(s.ends[worker], runner.End{Sequence: uint64(len(s.ends[worker]) + 1), Task: task, Run: run, How: how})
 }
 
-// commit stores everything that is dirty.
+// commit stores everything that is dirty, and keeps the known workers for the next owner.
 func (s *site) commit() {
 	for commit := s.cell.NextCommit(40); commit != nil; commit = s.cell.NextCommit(40) {
+		for _, chunk := range commit.Chunks {
+			s.chunks[chunk.Number] = chunk.Workers
+		}
 		s.cell.Committed(commit)
 	}
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -32,7 +32,7 @@
 	// that the store was or is being told so.
 	closed bool
 	// accounted says that the runs that an earlier owner can have left here are
-	// booked, although the worker has not reported.
+	// booked, also if the worker has not reported.
 	accounted bool
 	// evacuating says that the worker gets nothing new and is emptied, because its
 	// machine is about to have its upkeep.
