An owner that hands its cell over tells how long the leases of silent workers last

What callers saw: a lasting task that does not run although workers have room.

Cause: an owner cannot know what an earlier one granted to a worker that does not answer, and counts a whole lease from its own take-over. A hand-over to a stronger instance, or one of each planned restart in a series, begins that time anew for every task on such a worker, and for all older tasks if the worker was never heard.

Evidence: TestLeaseOfASilentWorkerDoesNotBeginAnewWithEachHandOver failed before (not started within 20 s of hand-overs every 2 s, 4.27 s allowed) and passes now, never before the lease is over on a clock that is 2% slow.

Why it holds: the time is told after the last order of the term, so nothing the owner does makes it longer. Every lease that it sent is booked before it is sent, and a worker that it did not hear counts until the longest lease of the owners before it. The next owner counts the whole time from when it has read it, on a clock that may be 2% fast, and believes only the owner of the term just before its own: one between them may have extended the lease, be it that it was lost before it could store anything or that it does not know the field. An owner that was frozen or overtaken cannot tell: its write meets another claim. Then the next one counts a whole lease as before.

The alternative is to store the end of a lease as soon as a worker falls silent, which would help after a crash of the owner, too. Then no lease of that worker may be extended before the store has taken that it is back: where the store is away or slow, all runs on workers that answer again would lapse.

Each new owner counts the lease of a worker that it does not hear from its own take-over, also if the owner before has already waited for most of it.

Fails, with a hand-over every 2 s beside one dead worker: never heard: started after 20.008s, want 4.27s at most heard before: started after 20.008s, want 4.27s at most (20 s is where the test gives up.)

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -45,6 +45,8 @@
 	// earlierStoppedAt is when it was learned that the earlier owner gives no orders
 	// any more, if Settings did not tell.
 	earlierStoppedAt time.Time
+	// endedAt is when this owner gave its last order, or zero.
+	endedAt time.Time
 	// fenced says that the earlier owner can start nothing any more.
 	fenced    bool
 	durations durations
--- a/internal/cell/known_worker.go
+++ b/internal/cell/known_worker.go
@@ -15,4 +15,8 @@
 	Suspects []KnownRun `cbor:"5,keyasint,omitempty"`
 	// Born is the incarnation that all this is said of, or 0 if it was not known.
 	Born runner.Born `cbor:"6,keyasint,omitempty"`
+	// LeaseLeftMillis is how long leases on the worker may last from when this was stored,
+	// told by the owner of Term at the end of its term. It is 0 if no owner told.
+	LeaseLeftMillis int64  `cbor:"7,keyasint,omitempty"`
+	Term            uint64 `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -49,6 +49,7 @@
 			c.setParked(w, false)
 		}
 		w.named = true
+		c.inheritLease(w, k, now)
 		if k.Born > w.incarnation {
 			// The roster is behind.
 			c.setIncarnation(w, k.Born)
@@ -96,6 +97,7 @@
 	for id, w := range c.workers {
 		if chunk := byNumber[chunkOf(id)]; chunk != nil && !w.parked {
 			k := w.known()
+			c.tellLease(&k, w)
 			if lost := c.lost[id]; lost != nil {
 				k.Suspects = lost.known()
 			}
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -141,6 +141,12 @@
 	m.commit(o, true)
 }
 
+// endTerm has the owner tell the next one what it knows, as far as the store answers.
+func (m *model) endTerm() {
+	m.current().cell.EndTerm(m.now)
+	m.commit(m.current(), rapid.Bool().Draw(m.rt, "store answers"))
+}
+
 // current is the owner whose claim holds.
 func (m *model) current() *modelOwner { return m.owners[len(m.owners)-1] }
 
@@ -190,7 +196,11 @@
 	case 8:
 		m.changeQuota()
 	case 0:
-		m.takeOver(rapid.Bool().Draw(m.rt, "earlier stopped"))
+		earlierStopped := rapid.Bool().Draw(m.rt, "earlier stopped")
+		if earlierStopped && rapid.Bool().Draw(m.rt, "handed over") {
+			m.endTerm()
+		}
+		m.takeOver(earlierStopped)
 	case 1:
 		w := m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.rt, "crash")]
 		if w.alive {
--- a/internal/cell/owners_in_a_row_test.go
+++ b/internal/cell/owners_in_a_row_test.go
@@ -65,3 +65,79 @@
 		t.Errorf("run %d was started on %s while run %d may go on on a", again.Start.Run, again.Worker.ID, first.Start.Run)
 	}
 }
+
+// handOver has an owner end its term and the next one load a job and the known workers.
+func (s *site) handOver(r *job.Record, workers ...string) {
+	s.cell.EndTerm(s.now)
+	s.commit()
+	s.cell.settings.EarlierStopped = true
+	s.takeOver(r, workers...)
+}
+
+// lastingOn has the first owner start a lasting task on a worker.
+func (s *site) lastingOn(id string) (r *job.Record, task string) {
+	lasting := step(1)
+	lasting.LongRunning = true
+	r = s.record(1, lasting)
+	s.report(id)
+	s.cell.Add(r, true)
+	task = r.ID + ".0.0.0"
+	s.confirm(s.plan()[task])
+	s.report(id)
+	s.commit()
+	return r, task
+}
+
+// startedAfter returns how long it takes until a task is started while a worker is silent
+// and owners hand the cell over, the first time after some time and then again and again.
+func (s *site) startedAfter(task, silent string, first, again time.Duration, r *job.Record) time.Duration {
+	began := s.now
+	next := began.Add(first)
+	for s.now.Sub(began) < 20*time.Second {
+		if !s.now.Before(next) {
+			s.handOver(r, "a", "b")
+			next = s.now.Add(again)
+		}
+		if _, ok := s.silentFor(silent, watchPeriod, "b")[task]; ok {
+			break
+		}
+	}
+	return s.now.Sub(began)
+}
+
+// Failure: a lasting task of a crashed worker stays away as long as owners hand the cell over.
+func TestLeaseOfASilentWorkerDoesNotBeginAnewWithEachHandOver(t *testing.T) {
+	const losses = 500 * time.Millisecond
+	for name, first := range map[string]time.Duration{"heard before": time.Second, "never heard": 0} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+			r, task := s.lastingOn("a")
+			s.cell.settings.EarlierStopped = true
+			limit := s.cell.unseenLimit() + losses
+			lease := time.Duration(float64(s.cell.settings.Lease) / (1 - clockDrift))
+			took := s.startedAfter(task, "a", first, 2*time.Second, r)
+			if took > limit {
+				t.Errorf("started after %v, want %v at most", took, limit)
+			}
+			if took < lease {
+				t.Errorf("started after %v, within the lease of %v on a slow clock", took, lease)
+			}
+		})
+	}
+}
+
+// Failure: a task runs twice, as an owner that was lost had extended a lease of which the one
+// before it had told the end.
+func TestEndOfALeaseCountsOnlyAsTheLastOwnerToldIt(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	r, task := s.lastingOn("a")
+	s.silentFor("a", 2*time.Second, "b")
+	s.handOver(r, "a", "b")
+	s.report("a")
+	s.report("a")
+	lease := s.now.Add(s.cell.settings.Lease)
+	s.takeOver(r, "a", "b")
+	if again, ok := s.silentFor("a", lease.Sub(s.now), "b")[task]; ok {
+		t.Errorf("run %d was started on %s within the lease on a", again.Start.Run, again.Worker.ID)
+	}
+}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -91,11 +91,12 @@
 	}
 	over := w.lapsed(now)
 	if w.clockAt.IsZero() {
-		over = now.Sub(c.began) >= c.unseenLimit()
+		over = !now.Before(c.unseenUntil(w))
 	}
 	if !over || now.Sub(w.lastReport) < reportFresh {
 		return false
 	}
+	w.accounted = true
 	if len(w.attempts) > 0 {
 		c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"runs": len(w.attempts),
 			"report_age_ms": now.Sub(w.lastReport).Milliseconds()}).Warn("lease_over")
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -34,6 +34,9 @@
 	// accounted says that the runs that an earlier owner can have left here are
 	// booked, also if the worker has not reported.
 	accounted bool
+	// inheritedUntil is when, as an earlier owner told, every lease that was given before
+	// this owner must have ended, or zero.
+	inheritedUntil time.Time
 	// evacuating says that the worker gets nothing new and is emptied, because its
 	// machine is about to have its upkeep.
 	evacuating bool
@@ -127,11 +130,13 @@
 // lapsed reports whether the worker's lease must have ended, even if its clock
 // runs as slow as the platform allows.
 func (w *worker) lapsed(now time.Time) bool {
-	if w.clockAt.IsZero() {
-		return false
-	}
-	slowest := w.clock + time.Duration(float64(now.Sub(w.clockAt))*(1-clockDrift))
-	return slowest >= w.leaseEnd+lapseMargin
+	return !w.clockAt.IsZero() && !now.Before(w.leaseOver())
+}
+
+// leaseOver returns when the lease must have ended of a worker whose clock is known.
+func (w *worker) leaseOver() time.Time {
+	left := w.leaseEnd + lapseMargin - w.clock
+	return w.clockAt.Add(time.Duration(float64(left) / (1 - clockDrift)))
 }
 
 // sawClock takes in the worker's clock from a report that arrived at now. It may be 0 right
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -199,8 +199,10 @@
 	o.wake()
 }
 
-// Flush stores what is not stored yet, for a planned hand-over.
+// Flush stores what is not stored yet, for a planned hand-over. It must be called after
+// Run has ended.
 func (o *Owner) Flush(ctx context.Context) {
+	o.cell.EndTerm(time.Now())
 	for ctx.Err() == nil && o.commitOnce(ctx) == committed {
 	}
 }
