A pause after lost workers goes on where the earlier owner was

What callers saw: a lasting task that does not run although workers have room.

Cause: restore counts the pause of a crash history from when the job is read, as it was not stored when the last worker fell silent. Owners that follow one another within the pause begin it anew each time.

Evidence: TestPauseOfACrashHistoryDoesNotBeginAnewWithEachOwner failed before (not started within 20 s of take-overs every 2.5 s) and passes now; the poison tests pass.

Why it holds: only the time of the loss is stored; the losses themselves count as before, so a task that crashes its workers is given up after as many. A clock that is behind ends the pause early, which costs one start at most, and that is counted.

A task under which two workers fell silent while it was starting pauses for 5 s, after three for 10 s. Each new owner counts the pause from when it reads the job.

Fails, with a take-over every 2.5 s: owners_in_a_row_test.go:163: not started 20.008s after the last worker was lost (20 s is where the test gives up.)

--- a/internal/cell/crash_history.go
+++ b/internal/cell/crash_history.go
@@ -61,6 +61,23 @@
 	return true
 }
 
+// lostAtMillis returns when a worker was last lost, as it is stored.
+func (h *crashHistory) lostAtMillis() int64 {
+	if len(h.silent) == 0 {
+		return 0
+	}
+	return h.lostAt.UnixMilli()
+}
+
+// lostAtFrom returns a stored time on the steady clock of now. The time of day of another
+// instance may be ahead or was set since: a pause lasts from now on at most.
+func lostAtFrom(millis int64, now time.Time) time.Time {
+	if millis == 0 {
+		return now
+	}
+	return now.Add(-max(0, now.Sub(time.UnixMilli(millis))))
+}
+
 // workerLives takes a loss back: the worker did not crash under the run.
 func (h *crashHistory) workerLives(run uint64) {
 	h.silent = slices.DeleteFunc(h.silent, func(r uint64) bool { return r == run })
--- a/internal/cell/owners_in_a_row_test.go
+++ b/internal/cell/owners_in_a_row_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
 	"gentianstand/internal/runner"
 )
 
@@ -141,3 +142,74 @@
 		t.Errorf("run %d was started on %s within the lease on a", again.Start.Run, again.Worker.ID)
 	}
 }
+
+// Failure: a lasting task under which workers were lost stays away as long as owners follow
+// one another.
+func TestPauseOfACrashHistoryDoesNotBeginAnewWithEachOwner(t *testing.T) {
+	s := newSite(t, 1, usualWorker("b"))
+	lasting := step(1)
+	lasting.LongRunning = true
+	r := s.record(1, lasting)
+	s.cell.Add(r, true)
+	j := s.cell.jobs[r.ID]
+	crashes := &j.stages[0].tasks[0].crashes
+	crashes.workerSilent(1, s.now)
+	crashes.workerSilent(2, s.now)
+	j.stages[0].lostWorkers = true
+	j.stages[0].tasks[0].lastRun = 2
+	lostAt := s.now
+	for len(s.plan()) == 0 {
+		if s.now.Sub(lostAt) > 2*longPause {
+			t.Fatalf("not started %v after the last worker was lost", s.now.Sub(lostAt))
+		}
+		stored := encodeAndDecode(t, s.cell.jobs[r.ID].progress())
+		s.pass(lossPause / 2)
+		settings := s.cell.settings
+		settings.Term++
+		s.cell = New(settings, s.now, quietLog())
+		s.cell.Load(r, stored)
+		s.cell.SetRoster([]roster.Worker{usualWorker("b")}, s.now)
+		s.cell.InheritedAll()
+		s.commit()
+		s.report("b")
+	}
+	if took := s.now.Sub(lostAt); took < lossPause || took > lossPause*3/2 {
+		t.Errorf("started %v after the last worker was lost, want %v", took, lossPause)
+	}
+}
+
+// encodeAndDecode returns progress as the next owner reads it.
+func encodeAndDecode(t *testing.T, p *job.Progress) *job.Progress {
+	t.Helper()
+	data, err := job.EncodeProgress(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := job.DecodeProgress(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return read
+}
+
+// Failure: a lasting task stays away for an hour after a take-over, as the earlier owner's
+// time of day was an hour ahead.
+func TestPauseOfACrashHistoryIsBoundedWhereClocksJump(t *testing.T) {
+	for name, c := range map[string]struct{ ahead, want time.Duration }{
+		"an hour ahead":  {time.Hour, lossPause},
+		"an hour behind": {-time.Hour, 0},
+		"not kept":       {0, lossPause},
+	} {
+		millis := int64(0)
+		if c.ahead != 0 {
+			millis = siteStart.Add(c.ahead).UnixMilli()
+		}
+		h := crashHistory{silent: []uint64{1, 2}, lostAt: lostAtFrom(millis, siteStart)}
+		if h.pauses(siteStart.Add(c.want)) {
+			t.Errorf("%s: pauses after %v", name, c.want)
+		}
+		if c.want > 0 && !h.pauses(siteStart.Add(c.want-time.Millisecond)) {
+			t.Errorf("%s: does not pause for %v", name, c.want)
+		}
+	}
+}
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -30,7 +30,8 @@
 		}
 		if len(t.failedRuns) > 0 || t.saved != "" || t.lastRun > 0 {
 			p.Tasks = append(p.Tasks, job.TaskProgress{Index: t.index, FailedRuns: t.failedRuns,
-				LastRun: t.lastRun, Saved: t.saved, CrashedRuns: slices.Clone(t.crashes.crashed), CrashedAtOnce: t.crashes.atOnce, LostRuns: slices.Clone(t.crashes.silent)})
+				LastRun: t.lastRun, Saved: t.saved, CrashedRuns: slices.Clone(t.crashes.crashed), CrashedAtOnce: t.crashes.atOnce,
+				LostRuns: slices.Clone(t.crashes.silent), LostAtMillis: t.crashes.lostAtMillis()})
 		}
 	}
 	return p, len(p.Done) > 0 || len(p.Tasks) > 0
@@ -68,7 +69,7 @@
 		t.failedRuns = kept.FailedRuns
 		t.lastRun = kept.LastRun
 		t.saved = kept.Saved
-		t.crashes = crashHistory{crashed: kept.CrashedRuns, atOnce: kept.CrashedAtOnce, silent: kept.LostRuns, lostAt: now}
+		t.crashes = crashHistory{crashed: kept.CrashedRuns, atOnce: kept.CrashedAtOnce, silent: kept.LostRuns, lostAt: lostAtFrom(kept.LostAtMillis, now)}
 		s.lostWorkers = s.lostWorkers || t.crashes.any()
 	}
 }
--- a/internal/job/task_progress.go
+++ b/internal/job/task_progress.go
@@ -17,4 +17,7 @@
 	// CrashedAtOnce is how many of the workers of CrashedRuns fell silent as soon as the
 	// run had begun.
 	CrashedAtOnce int `cbor:"8,keyasint,omitempty"`
+	// LostAtMillis is when the last of the workers of LostRuns fell silent, by the owner's
+	// time of day since 1970, or 0 if it was not kept.
+	LostAtMillis int64 `cbor:"9,keyasint,omitempty"`
 }
