The adviser is asked about held back stages before the recovery ends

What callers saw: a lasting task that does not run although workers have room.

Cause: placeAll passes held back stages over, so their question to the placement adviser begins when the last lease of the earlier owner is over, and its time comes on top.

Why it holds: nothing is started earlier, only asked: the start still waits for the end of the recovery. The question begins by the duration of a usual call before that, so its tickets are fresh when they are used. It takes lanes in the order of urgency like any other question, and is one that would have been asked a moment later.

--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -35,6 +35,9 @@
 	}
 	room := c.newRoom(now)
 	room.slots = slots
+	if c.recovering {
+		room.recoversBy = c.recoversBy()
+	}
 	c.renewReservations(room, now)
 	for _, s := range c.inOrder(now) {
 		if !s.due(now, c.settings.Early) {
@@ -43,7 +46,11 @@
 		if s.readyAt.IsZero() {
 			s.readyAt = now
 		}
-		if c.heldBack(s) || s.job.final != "" || c.giveUpHopeless(s, now) || s.pauses(now) || c.startable(s) == 0 {
+		if c.heldBack(s) {
+			c.askHeld(s, room, now)
+			continue
+		}
+		if s.job.final != "" || c.giveUpHopeless(s, now) || s.pauses(now) || c.startable(s) == 0 {
 			continue
 		}
 		c.placeStage(s, room, now)
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -33,6 +33,8 @@
 	unreserved bool
 	// reserved counts the workers that are reserved for each stage.
 	reserved map[*stage]int
+	// recoversBy is when the recovery is over at the latest; see recover.
+	recoversBy time.Time
 	// woken counts the stages that had parked workers woken.
 	woken int
 }
