The adviser is asked about a task before the lease of its silent worker is over

What callers saw: a lasting task that does not run although workers have room.

Cause: a run on a silent worker counts until the lease there is over, and a stage is asked about only when it has a task to place. So the question began when the lease ended, and its time came on top of the wait: 0.8 s at an adviser that takes 560 ms and 8 ms for each of 30 workers.

Evidence: TestTicketsAreThereWhenTheLeaseOfASilentWorkerIsOver failed before (started 635.571429ms after the lease was over, 593ms after a take-over) and passes now, with one question as before. TestNoTicketsAreAskedForATaskThatPauses fails without the check for pauses and passes with it.

Why it holds: the run stays booked until its lease is over; only the question is earlier, by the duration of a usual call. Questions of stages that have something to start go first. If the worker answers again within that time, one call was made for nothing.

A task whose run may go on on a silent worker is not among those to place until the lease there is over. The question about it goes to the placement adviser only then.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -81,7 +81,7 @@
 			ticketed += c.takes(s, w)
 		}
 	}
-	wanted := wantedRoom*float64(c.startable(s)) - ticketed
+	wanted := wantedRoom*float64(c.startable(s)+s.expiring) - ticketed
 	if wanted <= 0 {
 		return nil
 	}
@@ -107,7 +107,7 @@
 
 // takes returns how many tasks of a stage a worker has room for.
 func (c *Cell) takes(s *stage, w *worker) float64 {
-	n := s.step.Occupied().CountIn(w.free(), int64(len(s.idle)))
+	n := s.step.Occupied().CountIn(w.free(), int64(len(s.idle)+s.expiring))
 	if s.step.MaxPerWorker > 0 {
 		n = min(n, int64(s.step.MaxPerWorker-s.perWorker[w]))
 	}
--- a/internal/cell/ask_held_test.go
+++ b/internal/cell/ask_held_test.go
@@ -6,6 +6,7 @@
 
 	"gentianstand/internal/advice"
 	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
 )
 
 // adviser answers each question after the time that it takes, with tickets for all workers.
@@ -63,3 +64,96 @@
 		t.Errorf("asked %d times, want once", asks.asked)
 	}
 }
+
+// silentUntilStarted lets time pass beside a silent worker a until the next start, and
+// returns how long that took.
+func (a *adviser) silentUntilStarted() time.Duration {
+	s := a.site
+	began := s.now
+	for len(s.plan()) == 0 {
+		if s.now.Sub(began) > 20*time.Second {
+			s.t.Fatal("never started")
+		}
+		a.serve()
+		s.pass(10 * time.Millisecond)
+		s.cell.NextLook("a", s.now)
+		s.cell.LookFailed("a", runner.ErrNoAnswer, s.now)
+		s.report("b")
+	}
+	return s.now.Sub(began)
+}
+
+// Failure: a lasting task of a crashed worker waits for the lease there and then for the
+// adviser, too.
+func TestTicketsAreThereWhenTheLeaseOfASilentWorkerIsOver(t *testing.T) {
+	const slack = 150 * time.Millisecond
+	for name, takenOver := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+			lasting := step(1)
+			lasting.LongRunning = true
+			r := s.record(1, lasting)
+			r.Advice = &job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Valid: 2 * time.Second}
+			asks := &adviser{site: s}
+			s.report("a")
+			s.cell.Add(r, true)
+			for len(s.cell.workers["a"].attempts) == 0 {
+				for _, o := range s.plan() {
+					s.confirm(o)
+				}
+				asks.serve()
+				s.pass(10 * time.Millisecond)
+				s.report("a")
+			}
+			over := s.cell.workers["a"].leaseOver()
+			if takenOver {
+				s.silentFor("a", time.Second, "b")
+				s.takeOver(r, "a", "b")
+				over = s.now.Add(s.cell.unseenLimit())
+			}
+			asks.asked = 0
+			limit := over.Sub(s.now)
+			took := asks.silentUntilStarted()
+			if took < limit {
+				t.Errorf("started after %v, while the lease on a may last for %v", took, limit)
+			}
+			if late := took - limit; late > slack {
+				t.Errorf("started %v after the lease on a was over", late)
+			}
+			if asks.asked != 1 {
+				t.Errorf("asked %d times, want once", asks.asked)
+			}
+		})
+	}
+}
+
+// Failure: the adviser is asked for tickets that nothing can use yet.
+func TestNoTicketsAreAskedForATaskThatPauses(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	lasting := step(1)
+	lasting.LongRunning = true
+	r := s.record(1, lasting)
+	r.Advice = &job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Valid: 2 * time.Second}
+	asks := &adviser{site: s}
+	s.report("a")
+	s.cell.Add(r, true)
+	for len(s.cell.workers["a"].attempts) == 0 {
+		s.plan()
+		asks.serve()
+		s.pass(10 * time.Millisecond)
+		s.report("a")
+	}
+	crashes := &s.cell.jobs[r.ID].stages[0].tasks[0].crashes
+	crashes.silent = []uint64{90, 91, 92}
+	crashes.lostAt = s.now
+	asks.asked = 0
+	for end := s.cell.workers["a"].leaseOver(); s.now.Before(end); s.pass(10 * time.Millisecond) {
+		s.cell.LookFailed("a", runner.ErrNoAnswer, s.now)
+		s.report("b")
+		s.plan()
+		asks.serve()
+	}
+	if asks.asked > 0 {
+		t.Errorf("asked %d times", asks.asked)
+	}
+}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -30,7 +30,8 @@
 
 // placeAll goes through the waiting stages in order of urgency.
 func (c *Cell) placeAll(now time.Time, slots AdviceSlots) {
-	if len(c.waiting) == 0 {
+	expiring := c.expiring(now)
+	if len(c.waiting) == 0 && len(expiring) == 0 {
 		return
 	}
 	room := c.newRoom(now)
@@ -55,6 +56,7 @@
 		}
 		c.placeStage(s, room, now)
 	}
+	c.askExpiring(expiring, room, now)
 }
 
 // inOrder sorts the waiting stages. Queues with a lower priority number go first, and within
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -27,6 +27,8 @@
 	// perWorker counts runs on each worker, for limits per worker.
 	perWorker map[*worker]int
 	advice    adviceBook
+	// expiring is, while it is asked about, how many of its runs are about to be lost.
+	expiring int
 	// fresh says that no earlier owner can have started the stage.
 	fresh bool
 	// lostWorkers says that a worker was lost while one of its tasks was starting. Few
