Lasting tasks are asked about first

What callers saw: a lasting task that stays away beside workers with room for it.

Cause: the adviser was asked in the order in which stages are placed. A lasting stage is late for all its life, so its question waited for a lane behind all work of its priority that is not late, and behind all more urgent work, for as long as such work came.

Why it holds: a lasting stage for which a worker has room is asked about before any other stage, in each planning pass in which a lane is free. Lasting stages are few beside the work that ends, and a question about one gives tickets for all its tasks. That there is room and a ticket is checked at the start as before.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -30,9 +30,7 @@
 // order keep tickets for full workers, too, and renew them before they expire, as many as
 // the adviser can serve: room that opens would be taken before an answer comes.
 func (c *Cell) askAdvice(s *stage, room *room, now time.Time) {
-	b := &s.advice
-	slow := isSlow(s.job.record.Advice)
-	if b.asking || now.Before(b.retryAt) || !room.slots.any(slow) {
+	if !c.mayAsk(s, room, now) {
 		return
 	}
 	workers := c.worthAsking(s, room, now)
@@ -40,14 +38,53 @@
 		return
 	}
 	ahead := !c.hasRoomOn(s, workers)
-	if ahead && slow && !c.questions.mayAskAhead(room.slots) {
+	if ahead && isSlow(s.job.record.Advice) && !c.questions.mayAskAhead(room.slots) {
 		return
 	}
+	c.ask(s, workers, ahead, room, now)
+}
+
+// askForLasting asks about workers for lasting tasks ahead of all other questions. Those
+// could take all lanes for as long as new work comes, and the users of a lasting task miss it
+// from the moment that it is away.
+func (c *Cell) askForLasting(stages []*stage, room *room, now time.Time) {
+	for _, s := range stages {
+		if s.step.LongRunning && c.isDue(s, now) {
+			c.askWithRoom(s, room, now)
+		}
+	}
+}
+
+// askWithRoom asks about a stage for which workers have room, or will when it is not held
+// back any more.
+func (c *Cell) askWithRoom(s *stage, room *room, now time.Time) {
+	switch {
+	case c.heldBack(s):
+		c.askHeld(s, room, now)
+		return
+	case !c.mayPlace(s, now) || !c.mayAsk(s, room, now) || len(c.fitting(s, room, now)) > 0:
+		return
+	}
+	if workers := c.worthAsking(s, room, now); c.hasRoomOn(s, workers) {
+		c.ask(s, workers, false, room, now)
+	}
+}
+
+// mayAsk reports whether a question about a stage may begin now.
+func (c *Cell) mayAsk(s *stage, room *room, now time.Time) bool {
+	cost := s.job.record.Advice
+	return cost != nil && !s.advice.asking && !now.Before(s.advice.retryAt) && room.slots.any(isSlow(cost))
+}
+
+// ask begins a question about a stage.
+func (c *Cell) ask(s *stage, workers []string, ahead bool, room *room, now time.Time) {
+	cost := s.job.record.Advice
+	slow := isSlow(cost)
 	room.slots.take(slow)
-	b.asking = true
+	s.advice.asking = true
 	c.questions[s.id] = question{ahead: ahead, slow: slow, askedAt: now}
 	c.stats.AdviceCalls++
-	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Term: c.settings.Term, Cost: *s.job.record.Advice, Workers: workers, Slow: slow})
+	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Term: c.settings.Term, Cost: *cost, Workers: workers, Slow: slow})
 }
 
 // hasRoomOn reports whether one of some workers has room for a task of the stage now.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -38,9 +38,7 @@
 
 // waitForRoom does what brings a stage nearer to a place.
 func (c *Cell) waitForRoom(s *stage, room *room, now time.Time) {
-	if s.job.record.Advice != nil {
-		c.askAdvice(s, room, now)
-	}
+	c.askAdvice(s, room, now)
 	if c.wakeFor(s, room, now) {
 		return
 	}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -40,25 +40,36 @@
 		room.recoversBy = c.recoversBy()
 	}
 	c.renewReservations(room, now)
-	for _, s := range c.inOrder(now) {
-		if !s.due(now, c.settings.Early) {
-			continue
-		}
-		if s.readyAt.IsZero() {
-			s.readyAt = now
-		}
-		if c.heldBack(s) {
+	stages := c.inOrder(now)
+	c.askForLasting(stages, room, now)
+	for _, s := range stages {
+		switch {
+		case !c.isDue(s, now):
+		case c.heldBack(s):
 			c.askHeld(s, room, now)
-			continue
+		case c.mayPlace(s, now):
+			c.placeStage(s, room, now)
 		}
-		if s.job.final != "" || c.giveUpHopeless(s, now) || s.pauses(now) || c.startable(s) == 0 {
-			continue
-		}
-		c.placeStage(s, room, now)
 	}
 	c.askExpiring(expiring, room, now)
 }
 
+// isDue reports whether a waiting stage may start by now, and notes since when.
+func (c *Cell) isDue(s *stage, now time.Time) bool {
+	if !s.due(now, c.settings.Early) {
+		return false
+	}
+	if s.readyAt.IsZero() {
+		s.readyAt = now
+	}
+	return true
+}
+
+// mayPlace reports whether tasks of a stage that is due may be started now if there is room.
+func (c *Cell) mayPlace(s *stage, now time.Time) bool {
+	return !c.heldBack(s) && s.job.final == "" && !c.giveUpHopeless(s, now) && !s.pauses(now) && c.startable(s) > 0
+}
+
 // inOrder sorts the waiting stages. Queues with a lower priority number go first, and within
 // a priority the jobs that are within the share of their workspace. Among those, work that
 // can still meet its objective goes by the time at which it has to start; work that is late
