The adviser is asked about lasting tasks of silent workers before other work, too

A lasting task on a silent worker is asked about before its lease is over, but behind all other work: beside a busy adviser it found no lane, and went on to wait when the lease had ended. It is asked about where lasting tasks that could start are.

--- a/internal/cell/ask_expiring.go
+++ b/internal/cell/ask_expiring.go
@@ -7,11 +7,24 @@
 	"time"
 )
 
+// expiringRuns counts, for each stage, the runs that are about to be lost.
+type expiringRuns struct{ lasting, ending map[*stage]int }
+
+func (e *expiringRuns) add(s *stage) {
+	if s.step.LongRunning {
+		e.lasting[s]++
+		return
+	}
+	e.ending[s]++
+}
+
+func (e *expiringRuns) any() bool { return len(e.lasting)+len(e.ending) > 0 }
+
 // expiring counts, for each stage that needs tickets, the runs that are lost within the time
 // of a question to the adviser, as the lease of their silent worker ends. Members of gangs
 // are not placed one by one.
-func (c *Cell) expiring(now time.Time) map[*stage]int {
-	counts := map[*stage]int{}
+func (c *Cell) expiring(now time.Time) expiringRuns {
+	runs := expiringRuns{lasting: map[*stage]int{}, ending: map[*stage]int{}}
 	for _, w := range c.workers {
 		if len(w.attempts) == 0 || !w.clockAt.IsZero() && !w.silent(now) {
 			continue
@@ -24,15 +37,15 @@
 				continue
 			}
 			if !now.Add(cost.Duration(advisedWorkers)).Before(over) {
-				counts[s]++
+				runs.add(s)
 			}
 		}
 	}
-	return counts
+	return runs
 }
 
 // askExpiring asks about stages before their runs are lost, so that they can start again at
-// once. They come after the stages that have something to start.
+// once.
 func (c *Cell) askExpiring(counts map[*stage]int, room *room, now time.Time) {
 	stages := slices.SortedFunc(maps.Keys(counts), func(a, b *stage) int {
 		return cmp.Or(cmp.Compare(a.job.record.Priority, b.job.record.Priority), cmp.Compare(a.id.String(), b.id.String()))
--- a/internal/cell/ask_held_test.go
+++ b/internal/cell/ask_held_test.go
@@ -157,3 +157,29 @@
 		t.Errorf("asked %d times", asks.asked)
 	}
 }
+
+// Failure: a lasting task of a crashed worker is asked about only when other work leaves a
+// lane of the adviser.
+func TestLastingTaskOfASilentWorkerIsAskedAboutBeforeOtherWork(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	r := advised(s.record(1, lasting(1, 0)), 560*time.Millisecond)
+	r.Priority = 1
+	s.cell.Add(r, true)
+	s.plan()
+	s.advise("a")
+	for _, o := range s.plan() {
+		s.confirm(o)
+	}
+	for over := s.cell.workers["a"].leaseOver().Add(-300 * time.Millisecond); s.now.Before(over); s.pass(100 * time.Millisecond) {
+		s.cell.LookFailed("a", runner.ErrNoAnswer, s.now)
+		s.report("b")
+	}
+	other := advised(s.record(2, step(1)), 560*time.Millisecond)
+	s.cell.Add(other, true)
+	s.slots = AdviceSlots{Any: 1}
+	s.plan()
+	if asked := s.questions(); len(asked) != 1 || asked[0].Stage.Job != r.ID {
+		t.Errorf("asked about %v, want the lasting task of a", asked)
+	}
+}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -31,7 +31,7 @@
 // placeAll goes through the waiting stages in order of urgency.
 func (c *Cell) placeAll(now time.Time, slots AdviceSlots) {
 	expiring := c.expiring(now)
-	if len(c.waiting) == 0 && len(expiring) == 0 {
+	if len(c.waiting) == 0 && !expiring.any() {
 		return
 	}
 	room := c.newRoom(now)
@@ -42,6 +42,7 @@
 	c.renewReservations(room, now)
 	stages := c.inOrder(now)
 	c.askForLasting(stages, room, now)
+	c.askExpiring(expiring.lasting, room, now)
 	for _, s := range stages {
 		switch {
 		case !c.isDue(s, now):
@@ -51,7 +52,7 @@
 			c.placeStage(s, room, now)
 		}
 	}
-	c.askExpiring(expiring, room, now)
+	c.askExpiring(expiring.ending, room, now)
 }
 
 // isDue reports whether a waiting stage may start by now, and notes since when.
