Lasting tasks are tried on avoided workers where no other has room

Callers saw a lasting task not running beside room on a worker that may run it. After failures of three jobs in a row a worker is avoided for 6 s.

Avoidance saves attempts and time of work that ends; lasting tasks have no limit of attempts. So a lasting task is tried on an avoided worker if no other worker that may run it has room, nor a parked one, and a second has passed since a run last failed there. Work that ends and gangs keep away from it as before, and so does everything for 500 ms after a start that was declined. Such a start takes no room that the reserve for urgent work counts.

One test more: parked workers are woken before an avoided one is tried; it failed while parked workers were not asked for.

No worker gets over its capacity and no task runs in two places: tried workers pass every other check of a usable one (reported, stored, not closed, not draining, room, limit per worker, label, ticket, isolation, reservation), and only idle tasks are placed. What ended and was acknowledged is not idle.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"gentianstand/internal/advice"
@@ -104,7 +105,11 @@
 	var renew, unknown []*worker
 	ticketed := 0.0
 	answer := now.Add(s.job.record.Advice.Duration(advisedWorkers))
-	for _, w := range room.usable {
+	workers := room.usable
+	if c.triesAvoided(s, room, now) {
+		workers = append(slices.Clip(workers), room.tried...)
+	}
+	for _, w := range workers {
 		if !c.hasRoomEmpty(s, w) || !c.uses(TicketsAhead) && c.takes(s, w) == 0 {
 			continue
 		}
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -11,6 +11,8 @@
 	avoidFor = 6 * time.Second
 	// refusedFor is how long a worker that declined a start is avoided.
 	refusedFor = 500 * time.Millisecond
+	// tryAfter is how long after the last failure lasting tasks are tried on a bad worker.
+	tryAfter = time.Second
 )
 
 // health judges a worker by how runs end there.
@@ -18,6 +20,10 @@
 	streak     int
 	lastJob    string
 	avoidUntil time.Time
+	// failedAt is when a run last failed or stalled, declinesUntil the end of the pause
+	// after a start that was declined.
+	failedAt      time.Time
+	declinesUntil time.Time
 }
 
 func (h *health) succeeded() {
@@ -27,6 +33,7 @@
 
 // failed counts a failed or stalled run. Failures of one job count once.
 func (h *health) failed(jobID string, now time.Time) {
+	h.failedAt = now
 	if h.lastJob == jobID {
 		return
 	}
@@ -39,10 +46,14 @@
 	}
 }
 
-func (h *health) refused(now time.Time) {
-	if until := now.Add(refusedFor); until.After(h.avoidUntil) {
-		h.avoidUntil = until
-	}
+func (h *health) refused(now time.Time) { h.declinesUntil = now.Add(refusedFor) }
+
+func (h *health) avoided(now time.Time) bool {
+	return now.Before(h.avoidUntil) || now.Before(h.declinesUntil)
 }
 
-func (h *health) avoided(now time.Time) bool { return now.Before(h.avoidUntil) }
+// mayTry reports whether a lasting task may be tried on a worker that is avoided. Its
+// failures use up no attempts.
+func (h *health) mayTry(now time.Time) bool {
+	return !now.Before(h.declinesUntil) && now.Sub(h.failedAt) >= tryAfter
+}
--- a/internal/cell/lasting_retry_test.go
+++ b/internal/cell/lasting_retry_test.go
@@ -175,3 +175,27 @@
 		t.Errorf("%d starts after the pause, want 1", len(starts))
 	}
 }
+
+// Failure: a lasting task was started on a worker that fails all, and parked ones slept on.
+func TestParkedWorkersWakeBeforeAnAvoidedOneIsTried(t *testing.T) {
+	s := idleSite(t, 4, 1)
+	s.startAll()
+	awake := s.cell.WorkerIDs()
+	if len(awake) != 1 {
+		t.Fatalf("%d workers are awake, want 1", len(awake))
+	}
+	s.avoid(awake[0])
+	s.pass(1200 * time.Millisecond)
+	s.cell.Add(s.record(1, lasting(1, 0)), true)
+	for range 5 {
+		s.hear()
+		for _, start := range s.plan() {
+			if start.Worker.ID == awake[0] {
+				t.Errorf("started on the avoided worker %s", awake[0])
+			}
+			return
+		}
+		s.commit()
+	}
+	t.Error("no start")
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -59,7 +59,11 @@
 	var list []candidate
 	need := s.step.Occupied()
 	nearOnly := c.waitsForNear(s, room, now)
-	for _, w := range c.allowed(s, room, now) {
+	workers := c.allowed(s, room, now)
+	if c.triesAvoided(s, room, now) {
+		workers = s.advised(room.tried, now)
+	}
+	for _, w := range workers {
 		if !w.openTo(s.job) || !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
 			continue
 		}
@@ -138,8 +142,9 @@
 	need := s.step.Occupied()
 	idle := append([]int(nil), s.idle...)
 	left := c.startable(s)
+	tried := fitting[0].w.triedIn == room.pass
 	for _, index := range idle {
-		if left == 0 || !room.allows(s.job.record.Priority, need.MilliCPU) {
+		if left == 0 || !tried && !room.allows(s.job.record.Priority, need.MilliCPU) {
 			return
 		}
 		t := s.tasks[index]
@@ -155,7 +160,9 @@
 			return
 		}
 		c.start(t, fitting[at], t.nextRun(c.settings.Term), now)
-		room.free -= need.MilliCPU
+		if !tried {
+			room.free -= need.MilliCPU
+		}
 		left--
 	}
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -55,6 +55,9 @@
 	isolatedFor *jobState
 	// usableIn is the last planning pass in which the worker was usable.
 	usableIn uint64
+	// triedIn is the last planning pass in which the worker could be tried although it was
+	// avoided.
+	triedIn uint64
 	// fillers and servers count runs that fill and runs with a tail target.
 	fillers, servers int
 }
@@ -108,14 +111,14 @@
 }
 
 // usable reports whether new runs may be placed on the worker.
-func (w *worker) usable(now time.Time) bool {
+func (w *worker) usable(now time.Time) bool { return w.ready(now) && !w.health.avoided(now) }
+
+// ready reports whether the worker can carry out new runs, however runs end there.
+func (w *worker) ready(now time.Time) bool {
 	if !w.reported || !w.described() || !w.saved || w.closed || w.Draining || w.evacuating || now.Sub(w.lastReport) > reportFresh {
 		return false
 	}
-	if !w.unlistedAt.IsZero() && (!w.lapsedInOutage || now.Sub(w.unlistedAt) > unlistedGrace) {
-		return false
-	}
-	return !w.health.avoided(now)
+	return w.unlistedAt.IsZero() || w.lapsedInOutage && now.Sub(w.unlistedAt) <= unlistedGrace
 }
 
 // described reports whether the worker's entry in the roster is one of its present
