Workers that are named while the roster cannot be read are kept

Callers saw workers of a service that a configuration had just named unused until each of them wrote its entry anew. The filter over the roster handed the workers that it had held back out with a failed read, too, of which callers take nothing, and forgot them.

Nothing is handed out with an error any more. The test failed before with 0 workers in place of 1, and passes now. What runs where is not touched: the worker is registered by the next read that succeeds, as any other.

--- a/internal/roster/named.go
+++ b/internal/roster/named.go
@@ -27,18 +27,20 @@
 
 // All implements Source.
 func (n *Named) All(ctx context.Context) (Change, error) {
-	change, err := n.source.All(ctx)
-	return n.filter(change), err
+	return n.filter(n.source.All(ctx))
 }
 
 // Since implements Source.
 func (n *Named) Since(ctx context.Context, version uint64, wait time.Duration) (Change, error) {
-	change, err := n.source.Since(ctx, version, wait)
-	return n.filter(change), err
+	return n.filter(n.source.Since(ctx, version, wait))
 }
 
-// filter holds strangers back, and adds those that have been named since.
-func (n *Named) filter(change Change) Change {
+// filter holds strangers back, and adds those that have been named since. What comes with
+// an error is not used by callers, so nothing is handed out with one.
+func (n *Named) filter(change Change, err error) (Change, error) {
+	if err != nil {
+		return Change{}, err
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, id := range change.Removed {
@@ -54,5 +56,5 @@
 			delete(n.strangers, id)
 		}
 	}
-	return change
+	return change, nil
 }
--- a/internal/roster/named_test.go
+++ b/internal/roster/named_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 )
@@ -52,3 +53,35 @@
 		}
 	}
 }
+
+// unread is a roster that cannot be read.
+type unread struct{}
+
+func (unread) All(context.Context) (Change, error) { return Change{}, errors.New("not read") }
+
+func (unread) Since(context.Context, uint64, time.Duration) (Change, error) {
+	return Change{}, errors.New("not read")
+}
+
+// Failure: workers of a service that had just been named were not used.
+func TestWorkersThatAreNamedInAnOutageAreNotLost(t *testing.T) {
+	named := false
+	n := NewNamed(&scripted{{Workers: []Worker{{ID: "a", Service: "desk"}}, Version: 1}}, func(string) bool { return named })
+	if _, err := n.Since(t.Context(), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	read := n.source
+	named, n.source = true, unread{}
+	if _, err := n.Since(t.Context(), 1, 0); err == nil {
+		t.Fatal("the roster was read")
+	}
+	if _, err := n.All(t.Context()); err == nil {
+		t.Fatal("the roster was read")
+	}
+	n.source = read
+	*read.(*scripted) = scripted{{Version: 2}}
+	change, err := n.Since(t.Context(), 1, 0)
+	if err != nil || len(change.Workers) != 1 {
+		t.Errorf("%d workers after the outage, error %v; want the one that was named in it", len(change.Workers), err)
+	}
+}
