A run that a full list of ends does not show is not taken for lost

Callers saw a task run again after it had ended `done`. A worker lists at most 500 ends at a time, and while the store is away none is acknowledged. A run that ended after those is neither shown as running nor listed: the owner revoked it and started its task again, and the end was taken note of later. A new owner took such a worker's books for complete after the first report, and started the tasks of all ends that were not listed yet.

While the list is full, runs that it does not show stay in the books, and a worker counts as reported only once its list has an end. Ends are acknowledged as soon as they are stored, so the list moves on by 500 with each look when the store is back.

No worker gets over its capacity: the runs keep their room. No task runs twice: nothing is dropped that was before kept. Leases and crashes end runs as before.

--- a/internal/cell/looks.go
+++ b/internal/cell/looks.go
@@ -80,7 +80,7 @@
 	w.lastReport = now
 	ended := map[runKey]bool{}
 	// complete says that the books on this worker will be right after the report.
-	complete := true
+	complete := !listIsFull(report)
 	for _, e := range report.Ended {
 		ended[runKey{e.Task, e.Run}] = true
 	}
@@ -128,6 +128,10 @@
 			c.progressed(a, r, now)
 		}
 	}
+	if listIsFull(report) {
+		// A run that is not shown may have an end that is not listed yet.
+		return complete
+	}
 	for a := range w.attempts {
 		if !present[a] {
 			c.notShown(a, len(report.Ended), sentAt, now)
@@ -136,6 +140,9 @@
 	return complete
 }
 
+// listIsFull reports whether a worker may have more ends than it lists.
+func listIsFull(report runner.Report) bool { return len(report.Ended) >= runner.MostListed }
+
 // notShown deals with a booked run that a report, which lists some ends, does not show.
 func (c *Cell) notShown(a *attempt, listed int, sentAt, now time.Time) {
 	switch {
--- /dev/null
+++ b/internal/cell/many_ends_test.go
@@ -0,0 +1,90 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// reportSome is report by a worker that lists no more ends than it may at a time: the oldest
+// that are not acknowledged.
+func (s *site) reportSome(id string) {
+	acked := s.cell.workers[id].acked
+	all := slices.DeleteFunc(s.ends[id], func(e runner.End) bool { return e.Sequence <= acked })
+	s.ends[id] = slices.Clone(all[:min(len(all), runner.MostListed)])
+	s.report(id)
+	s.ends[id] = all
+}
+
+// small returns a step of many tasks that fit on one worker.
+func small(count int) job.Step {
+	st := step(count)
+	st.Need.MilliCPU, st.Need.MemoryMiB = 10, 1
+	return st
+}
+
+// Failure: in an outage of the store tasks that had ended were started again.
+func TestRunWhoseEndIsNotListedYetIsNotTakenForLost(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	r := s.record(1, small(runner.MostListed+1))
+	starts := s.started(r)
+	last := starts[fmt.Sprintf("%s.0.0.%d", r.ID, runner.MostListed)]
+	for n := range runner.MostListed {
+		s.finish(starts[fmt.Sprintf("%s.0.0.%d", r.ID, n)], runner.Done)
+	}
+	s.pass(time.Second)
+	s.reportSome("a")
+	s.plan()
+	s.finish(last, runner.Done)
+	for range 5 {
+		s.pass(100 * time.Millisecond)
+		s.reportSome("a")
+		again := s.plan()
+		if len(again) > 0 {
+			t.Fatalf("started again after it had ended: %v", again)
+		}
+		for _, order := range s.orders {
+			if stop, ok := order.(StopOrder); ok {
+				s.cell.StopAnswered(stop, runner.Answer{}, nil, s.now)
+			}
+		}
+	}
+	s.pass(overtakenFor)
+	s.cell.Plan(s.now, s.slots)
+	s.commit()
+	s.reportSome("a")
+	s.reportSome("a")
+	s.commit()
+	if state, _ := s.cell.State(r.ID); state != job.Completed {
+		t.Errorf("the job is %q after the outage, want completed", state)
+	}
+}
+
+// Failure: a new owner started tasks again that had ended on a worker with a long list.
+func TestNewOwnerWaitsForAllEndsOfAWorker(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	r := s.record(1, small(runner.MostListed+1))
+	for n := range runner.MostListed + 1 {
+		s.end("a", fmt.Sprintf("%s.0.0.%d", r.ID, n), 1, runner.Done)
+	}
+	next := newSite(t, 2, usualWorker("a"))
+	next.ends = s.ends
+	next.cell.Load(r, nil)
+	for range 30 {
+		next.pass(100 * time.Millisecond)
+		next.reportSome("a")
+		if again := next.plan(); len(again) > 0 {
+			t.Fatalf("started again after it had ended: %v", again)
+		}
+		next.commit()
+	}
+	if state, _ := next.cell.State(r.ID); state != job.Completed {
+		t.Errorf("the job is %q, want completed", state)
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// MostListed is how many ends a worker lists at a time, the oldest first. The others follow
+// when those are acknowledged.
+const MostListed = 500
+
 // Report is a worker's answer to a look.
 type Report struct {
 	// Born names the incarnation that answers.
