Lasting runs that were at work for long speak for their worker

Callers saw jobs wait for up to six seconds beside a sound worker. Each failure of a lasting task counts against its worker, lasting tasks may fail at any time, and none of them ever ends `done`, which alone counts for the worker: three of different jobs, minutes apart, were enough for it to be avoided.

The failure of a lasting run that was at work for 6 s counts as a success of its worker now. One that fails sooner counts against it as before, so workers that fail all they start are avoided as before.

Capacity, attempts and what is started where do not depend on it otherwise.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -126,7 +126,11 @@
 		return
 	}
 	c.stats.Failed++
-	c.noteFailure(w, t.stage.id.Job, now)
+	if a := t.find(w, run); a != nil && a.showsSoundWorker(now) {
+		w.health.succeeded()
+	} else {
+		c.noteFailure(w, t.stage.id.Job, now)
+	}
 	t.failedOn = append(t.failedOn, w.ID)
 	j := t.stage.job
 	if j.final == "" && !t.stage.step.LongRunning && counted.failures() >= max(1, j.record.MaxAttempts) {
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -11,6 +11,9 @@
 	avoidFor = 6 * time.Second
 	// refusedFor is how long a worker that declined a start is avoided.
 	refusedFor = 500 * time.Millisecond
+	// soundAfter is how long a lasting run must have been going to count as a success: a
+	// worker that fails all does so sooner.
+	soundAfter = 6 * time.Second
 	// tryAfter is how long after the last failure lasting tasks are tried on a bad worker.
 	tryAfter = time.Second
 )
@@ -26,6 +29,12 @@
 	declinesUntil time.Time
 }
 
+// showsSoundWorker reports whether a lasting run, which never ends as done, was at work for
+// so long that its worker does not fail all that it starts.
+func (a *attempt) showsSoundWorker(now time.Time) bool {
+	return a.task.stage.step.LongRunning && a.percent >= atWork && now.Sub(a.confirmedAt) >= soundAfter
+}
+
 func (h *health) succeeded() {
 	h.streak = 0
 	h.lastJob = ""
