--- a/internal/cell/lasting_failure_test.go
+++ b/internal/cell/lasting_failure_test.go
@@ -7,8 +7,7 @@
 	"gentianstand/internal/job"
 )
 
-// Failure: jobs waited for six seconds beside a sound worker on which lasting tasks had
-// failed after a long time at work.
+// Failure: jobs waited for 6 s beside a sound worker on which lasting tasks had failed.
 func TestLastingTasksThatFailAfterALongTimeSayNothingOfTheirWorker(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/internal/cell/lasting_retry_test.go
+++ b/internal/cell/lasting_retry_test.go
@@ -63,8 +63,7 @@
 	w.away[id] = w.now
 }
 
-// Failure: lasting tasks that failed by themselves kept each other off their worker, which
-// was sound, for over ten seconds.
+// Failure: lasting tasks that failed kept each other off their sound worker for over 10 s.
 func TestLastingTasksThatFailAreStartedAgainOnTheirOnlyWorker(t *testing.T) {
 	w := newLastingWorld(t, 5)
 	w.run(5 * time.Second)
