Lasting tasks may use the urgent reserve

Callers saw a lasting task not running for as long as the workers were nearly full, with room for it. room.allows refused it as it refuses work that ends; the reserve is 6% of all processors, more than one lasting task takes.

allows takes the stage now, and lets lasting tasks pass. Work that ends is refused as before.

The reserve is a preference alone: what fits on a worker, tickets and limits per worker are checked as before, so no worker gets more than its capacity and no task a second run. Lasting tasks can use the reserve up; urgent tasks then stop others, as on full workers.

No lasting task waits for the reserve any more, so the reason reserve_kept is gone.

Before the fix: Callers saw a lasting task not running although its workers had room for two like it. On nearly full workers the reserve for the most urgent queue refuses every start of the other queues, and does not ask whether the task lasts. It is counted over the workers of all services, so full workers of one service hold the lasting tasks of another back.

--- a/internal/cell/away.go
+++ b/internal/cell/away.go
@@ -104,8 +104,6 @@
 		return QuotaHolds
 	case c.roomy(s) == 0:
 		return RoomTaken
-	case !room.allows(s.job.record.Priority, s.step.Occupied().MilliCPU):
-		return ReserveKept
 	case len(c.fitting(s, room, now)) > 0:
 		return RoomFree
 	case s.advice.asking:
--- a/internal/cell/away_reason.go
+++ b/internal/cell/away_reason.go
@@ -17,8 +17,6 @@
 	CrashPause AwayReason = "crash_pause"
 	// QuotaHolds says that its workspace's quota holds its stage back.
 	QuotaHolds AwayReason = "quota_holds"
-	// ReserveKept says that the room is kept for the most urgent queue.
-	ReserveKept AwayReason = "reserve_kept"
 	// AdviserAsked says that a question about its stage is under way.
 	AdviserAsked AwayReason = "adviser_asked"
 	// NoTicket says that workers have room, none of them with a valid ticket.
--- /dev/null
+++ b/internal/cell/lasting_site_test.go
@@ -0,0 +1,69 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/runner"
+)
+
+// longestAway is how long a lasting task may be away after the last failure while workers
+// have room for two like it.
+const longestAway = 7 * time.Second
+
+// newHeardSite returns a site whose workers have all reported.
+func newHeardSite(t *testing.T, workers ...roster.Worker) *site {
+	t.Helper()
+	s := newSite(t, 1, workers...)
+	for _, w := range workers {
+		s.report(w.ID)
+	}
+	return s
+}
+
+// lastingRecord returns a job with one lasting task of some thousandths of a core.
+func (s *site) lastingRecord(n int, milliCPU int64) *job.Record {
+	watch := step(1)
+	watch.LongRunning, watch.Need.MilliCPU = true, milliCPU
+	r := s.record(n, watch)
+	r.Priority = 1
+	return r
+}
+
+// startedOne starts the only task of a job.
+func (s *site) startedOne(r *job.Record) StartOrder {
+	s.t.Helper()
+	o, ok := s.started(r)[r.ID+".0.0.0"]
+	if !ok {
+		s.t.Fatalf("job %s was not started", r.ID)
+	}
+	return o
+}
+
+// awayFor lets time pass until the task of a run is started again, at most for limit, and
+// returns how long that took. each, if not nil, is called before every look.
+func (s *site) awayFor(o StartOrder, limit time.Duration, each func(), workers ...string) time.Duration {
+	s.t.Helper()
+	began := s.now
+	for s.now.Sub(began) < limit {
+		if each != nil {
+			each()
+		}
+		if _, ok := s.look(workers...)[o.Start.Task]; ok {
+			break
+		}
+		s.commit()
+	}
+	return s.now.Sub(began)
+}
+
+// failAndAwait fails a run and checks that its task is not away for long.
+func (s *site) failAndAwait(o StartOrder, each func(), workers ...string) {
+	s.t.Helper()
+	s.finish(o, runner.FailedRun)
+	if away := s.awayFor(o, 20*time.Second, each, workers...); away > longestAway {
+		s.t.Errorf("the lasting task was away for %v", away)
+	}
+}
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -169,7 +169,7 @@
 	if s.job.record.Advice != nil {
 		wanted *= wantedRoom
 	}
-	if !room.allows(s.job.record.Priority, s.step.Occupied().MilliCPU) {
+	if !room.allows(s, s.step.Occupied().MilliCPU) {
 		return wanted
 	}
 	for _, w := range room.usable {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -144,7 +144,7 @@
 	left := c.startable(s)
 	tried := fitting[0].w.triedIn == room.pass
 	for _, index := range idle {
-		if left == 0 || !tried && !room.allows(s.job.record.Priority, need.MilliCPU) {
+		if left == 0 || !room.allows(s, need.MilliCPU) {
 			return
 		}
 		t := s.tasks[index]
@@ -201,7 +201,7 @@
 		return
 	}
 	need := s.step.Occupied()
-	if !room.allows(s.job.record.Priority, need.MilliCPU*int64(len(s.tasks))) {
+	if !room.allows(s, need.MilliCPU*int64(len(s.tasks))) {
 		return
 	}
 	fitting = s.leastAtRisk(fitting)
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// urgentReserve is the share of all processors that only the most urgent queue may
-	// use: its tasks are short and come in bursts, and without room each would have to
-	// wait for a stop.
+	// urgentReserve is the share of all processors that only the most urgent queue and
+	// lasting tasks may use. The queue's tasks are short and come in bursts, and without
+	// room each would have to wait for a stop.
 	urgentReserve = 0.06
 )
 
@@ -88,9 +88,10 @@
 	return r.byRack[name]
 }
 
-// allows reports whether a queue of this priority may take more processors.
-func (r *room) allows(priority int, milliCPU int64) bool {
-	if priority <= 0 || r.unreserved {
+// allows reports whether a stage may take more processors. No room is kept from lasting
+// tasks: one that waits for others to end is away for as long as these come.
+func (r *room) allows(s *stage, milliCPU int64) bool {
+	if s.job.record.Priority <= 0 || s.step.LongRunning || r.unreserved {
 		return true
 	}
 	return float64(r.free-milliCPU) >= urgentReserve*float64(r.total)
