Lasting tasks pass in front of reservations

Callers saw a lasting task not running for as long as the worker with room was reserved, time and again, for a large task. leftFor let lasting tasks use only what is left beside the large one.

leftFor lets lasting tasks pass. TestReservationsKeepNoLastingTaskAway failed after 20 s and passes; the whole package passes. Others pass in front of a reservation as before.

A reservation is a preference: room, tickets, labels and limits per worker are still checked in fitting and takesNow, so no worker gets more than its capacity, and a task is still started only when none of its runs is booked.

Before the fix: Callers saw a lasting task not running beside a worker with room for it. The worker is reserved for a large task of the same priority, behind runs that last themselves. The reservation never comes true; after 8 s it is dropped, and made again in the same pass, before the lasting stage has its turn, as a stage that lasts is late and goes after those that are not.

Without a fix:

--- FAIL: TestReservationsKeepNoLastingTaskAway the lasting task was away for 20.099s

20 s is the time that the test waits at most.

--- a/internal/cell/reservation.go
+++ b/internal/cell/reservation.go
@@ -154,13 +154,14 @@
 }
 
 // leftFor reports whether a stage may take room on a worker although it may be
-// reserved: for itself, for a less urgent queue, or so that the reservation holds.
+// reserved: for itself, for a less urgent queue, or so that the reservation holds. Lasting
+// tasks pass in front of any: what the worker is kept for may never come.
 func (c *Cell) leftFor(s *stage, w *worker, now time.Time) bool {
 	r := w.reserved
-	if r == nil || r.stage == s || s.job.record.Priority < r.stage.job.record.Priority {
+	if r == nil || r.stage == s || s.step.LongRunning || s.job.record.Priority < r.stage.job.record.Priority {
 		return true
 	}
-	if !s.step.LongRunning && now.Add(time.Duration(backfillError*float64(c.usual(s)))).Before(r.ready) {
+	if now.Add(time.Duration(backfillError * float64(c.usual(s)))).Before(r.ready) {
 		return true
 	}
 	return s.step.Occupied().Fits(r.spare)
