Lasting tasks pause for five seconds at most after lost workers

Callers saw a lasting task not running for ten seconds after the third worker in a row had been lost under it, beside idle workers. The pause is meant for work that ends, where only the job's objective suffers.

A lasting task pauses for lossPause each time.

What contains a poison task stands: the pause of 5 s, isolation, and the job's end after five lost workers. The pause guards neither capacity nor single runs: a lost worker's run stays booked until its lease is over or it is known to have ended, and only then is the task idle.

Before the fix: Callers saw a lasting task not running while most workers were idle. Three workers in a row had fallen silent just after they had begun to run it, and it was not known whether they had crashed, as with workers that do not come back. The crash history then pauses the task for 10 s from the last loss, more than operators grant lasting tasks.

--- a/internal/cell/away.go
+++ b/internal/cell/away.go
@@ -98,7 +98,7 @@
 	switch {
 	case c.heldBack(s):
 		return RunUnseen
-	case t.crashes.pauses(now):
+	case t.pauses(now):
 		return CrashPause
 	case c.heldByQuota(s) != "":
 		return QuotaHolds
--- a/internal/cell/crash_history.go
+++ b/internal/cell/crash_history.go
@@ -24,7 +24,8 @@
 	manyLosses = 3
 	// pauseLosses is from how many lost workers on, of which some may yet turn out to
 	// have crashed, a task pauses before a further start: for lossPause, by when most
-	// workers that crashed are back, and then for longPause.
+	// workers that crashed are back, and then for longPause. Lasting tasks must not be
+	// away for that long, and pause for lossPause each time.
 	pauseLosses = 2
 	lossPause   = 5 * time.Second
 	longPause   = 10 * time.Second
@@ -96,14 +97,17 @@
 	}
 }
 
-// pauses reports whether the task must not be started yet.
-func (h *crashHistory) pauses(now time.Time) bool {
+// pauses reports whether a task that ends must not be started yet.
+func (h *crashHistory) pauses(now time.Time) bool { return h.pausesAtMost(longPause, now) }
+
+// pausesAtMost is pauses for a task that pauses for no longer than most.
+func (h *crashHistory) pausesAtMost(most time.Duration, now time.Time) bool {
 	if len(h.silent) == 0 || h.losses() < pauseLosses {
 		return false
 	}
 	pause := lossPause
 	if h.losses() > pauseLosses {
-		pause = longPause
+		pause = most
 	}
 	return now.Sub(h.lostAt) < pause
 }
--- a/internal/cell/isolation.go
+++ b/internal/cell/isolation.go
@@ -124,7 +124,7 @@
 	}
 	pausing := 0
 	for _, index := range s.idle {
-		if s.tasks[index].crashes.pauses(now) {
+		if s.tasks[index].pauses(now) {
 			pausing++
 		}
 	}
--- /dev/null
+++ b/internal/cell/lasting_crash_test.go
@@ -0,0 +1,47 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/runner"
+)
+
+// Failure: a lasting task stayed away for ten seconds because it was not known whether the
+// workers that were lost under it had crashed.
+func TestLostWorkersDoNotKeepALastingTaskAwayForLong(t *testing.T) {
+	s := newHeardSite(t, manyWorkers(6)...)
+	r := s.lastingRecord(1, 2000)
+	s.cell.Add(r, true)
+	alive := map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": true, "f": true}
+	answering := func() []string {
+		var ids []string
+		for _, w := range manyWorkers(6) {
+			if alive[w.ID] {
+				ids = append(ids, w.ID)
+			}
+		}
+		return ids
+	}
+	starts := s.plan()
+	for lost := 1; lost <= 3; lost++ {
+		o, ok := starts[r.ID+".0.0.0"]
+		if !ok {
+			t.Fatalf("not started after %d lost workers", lost-1)
+		}
+		s.cell.StartAnswered(o, runner.Answer{}, nil, s.now)
+		delete(alive, o.Worker.ID)
+		lostAt := s.now
+		for s.now.Sub(lostAt) < 20*time.Second {
+			s.cell.LookFailed(o.Worker.ID, runner.ErrNoAnswer, s.now)
+			starts = s.look(answering()...)
+			s.commit()
+			if len(starts) > 0 {
+				break
+			}
+		}
+		if away := s.now.Sub(lostAt); away > longestAway {
+			t.Errorf("away for %v after %d lost workers", away, lost)
+		}
+	}
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -148,7 +148,7 @@
 			return
 		}
 		t := s.tasks[index]
-		if t.crashes.pauses(now) {
+		if t.pauses(now) {
 			continue
 		}
 		at := c.pick(s, t, fitting, now)
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -55,6 +55,14 @@
 	return true
 }
 
+// pauses reports whether the task must not be started yet because of its crash history.
+func (t *task) pauses(now time.Time) bool {
+	if t.stage.step.LongRunning {
+		return t.crashes.pausesAtMost(lossPause, now)
+	}
+	return t.crashes.pauses(now)
+}
+
 func (t *task) failures() int { return len(t.failedRuns) }
 
 // nextRun returns a run number higher than any that this or an earlier owner
