Lasting tasks do not wait for room near their data

Callers saw a lasting task not running while workers on other racks had room. The wait is half of what running far away costs, worked out from the estimate. A task that lasts is late by the whole wait and gains nothing that the estimate tells.

waitsForNear leaves lasting steps out. Workers near the data still come first among those with room. TestLastingTaskDoesNotWaitForRoomNearItsData failed after 20 s and passes; the whole package passes.

Where a task waits is a preference alone: capacity, labels, tickets and single runs are checked as before.

Before the fix: Callers saw a lasting task with its data on one rack not running while workers on other racks had room. It waits for room near the data for a share of its estimate, which says how long a task takes; one that lasts takes for ever.

--- FAIL: TestLastingTaskDoesNotWaitForRoomNearItsData the lasting task was away for 20.094s

20 s is the time that the test waits at most; the task has an estimate of a minute.

--- a/internal/cell/near.go
+++ b/internal/cell/near.go
@@ -8,8 +8,9 @@
 
 // waitsForNear reports whether a stage waits for room near its data. Elsewhere its tasks
 // take several times as long, and most racks have room again within a fraction of a task.
+// That means nothing for tasks that last.
 func (c *Cell) waitsForNear(s *stage, room *room, now time.Time) bool {
-	if s.step.DataRack == "" || c.settings.FarFactor <= 1 || !c.uses(NearData) {
+	if s.step.DataRack == "" || s.step.LongRunning || c.settings.FarFactor <= 1 || !c.uses(NearData) {
 		return false
 	}
 	loss := (c.settings.FarFactor - 1) * float64(s.step.Estimate)
