A lasting task is started again however its run ends

Callers would see a lasting task gone for good and its job shown as completed after a run that ended as done. ended booked the task as done without asking whether it lasts.

The end of the run is booked in runDone, and the task is done only if it does not last. A lasting task is idle again when its last run is dropped, as after a failure, and a lasting gang when all its members are.

A task is still in one place: it is idle only when no run of it is booked, and the next run has a higher number than the one that ended. That nothing is started again after its success was acknowledged holds for tasks that end; of those that last no end is a success.

Before the fix: Callers see a lasting task gone for good, and its job shown as completed, once a run of it ends as done. Tasks that last run until their job is cancelled, however their runs end.

No such end was seen in the field.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -34,15 +34,7 @@
 	}
 	switch e.How {
 	case runner.Done:
-		c.clearCrashes(t)
-		if a != nil {
-			t.stage.markSuccessors()
-			c.noteDuration(a, now)
-		}
-		if a == nil || !a.blamed {
-			w.health.succeeded()
-		}
-		c.taskDone(t, w, now)
+		c.runDone(t, a, w, now)
 	case runner.FailedRun:
 		c.clearCrashes(t)
 		c.taskFailed(t, w, e.Run, now)
@@ -58,6 +50,22 @@
 	return true
 }
 
+// runDone books the end of a run as done; a is nil if the run is not booked. A task that
+// lasts has to run again however it ends.
+func (c *Cell) runDone(t *task, a *attempt, w *worker, now time.Time) {
+	c.clearCrashes(t)
+	if a != nil {
+		t.stage.markSuccessors()
+		c.noteDuration(a, now)
+	}
+	if a == nil || !a.blamed {
+		w.health.succeeded()
+	}
+	if !t.stage.step.LongRunning {
+		c.taskDone(t, w, now)
+	}
+}
+
 // noteDuration learns how long a task took, if the run was seen from its start
 // and did not resume from a checkpoint.
 func (c *Cell) noteDuration(a *attempt, now time.Time) {
