--- /dev/null
+++ b/internal/cell/lasting_given_up_test.go
@@ -0,0 +1,55 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// crashUnder crashes the workers of a lasting task one after the other, each some time
+// after the task began there, and returns the state of its job.
+func crashUnder(t *testing.T, crashes int, after time.Duration) job.State {
+	t.Helper()
+	s := newHeardSite(t, manyWorkers(8)...)
+	r := s.lastingRecord(1, 2000)
+	s.cell.Add(r, true)
+	starts := s.plan()
+	for range crashes {
+		o, ok := starts[r.ID+".0.0.0"]
+		if !ok {
+			break
+		}
+		s.confirm(o)
+		s.pass(after)
+		s.cell.LookFailed(o.Worker.ID, runner.ErrGone, s.now)
+		s.runs[o.Worker.ID] = nil
+		starts = s.look(s.cell.WorkerIDs()...)
+	}
+	s.commit()
+	state, _ := s.cell.State(r.ID)
+	return state
+}
+
+// Failure: a lasting job was shown as failed because two workers crashed by themselves,
+// each a moment after one of its tasks had begun there.
+func TestLastingJobIsNotGivenUpForTwoCrashes(t *testing.T) {
+	for _, after := range []time.Duration{150 * time.Millisecond, 300 * time.Millisecond, 450 * time.Millisecond} {
+		if state := crashUnder(t, 2, after); state != job.Running {
+			t.Errorf("after two crashes, each %v after a start, the job is shown as %s", after, state)
+		}
+	}
+}
+
+// Failure: a lasting task that crashes its workers is started on and on.
+func TestLastingTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, test := range []struct {
+		crashes int
+		after   time.Duration
+	}{{2, crashAfter}, {4, 300 * time.Millisecond}} {
+		if state := crashUnder(t, test.crashes, test.after); state != job.Failed {
+			t.Errorf("after %d crashes, each %v after a start, the job is shown as %s", test.crashes, test.after, state)
+		}
+	}
+}
