--- a/internal/cell/ask_expiring.go
+++ b/internal/cell/ask_expiring.go
@@ -33,7 +33,7 @@
 		for a := range w.attempts {
 			s := a.task.stage
 			cost := s.job.record.Advice
-			if cost == nil || s.step.Gang || a.task.done || s.job.final != "" || a.task.crashes.pauses(over) {
+			if cost == nil || s.step.Gang || a.task.done || s.job.final != "" || a.task.pauses(over) {
 				continue
 			}
 			if !now.Add(cost.Duration(advisedWorkers)).Before(over) {
