Test: a new lasting task beside a busy adviser

It fails where only tasks that have run before are asked about first: not started within 6 s, nor 20 s later.

--- a/internal/cell/lasting_advice_test.go
+++ b/internal/cell/lasting_advice_test.go
@@ -12,6 +12,9 @@
 // a question that is under way, one more, and the start.
 const restartLimit = 3 * time.Second
 
+// firstStartLimit is the same for a lasting task that has never run.
+const firstStartLimit = 6 * time.Second
+
 const (
 	// busyAdviser is a pause between jobs with which more questions come than the lanes
 	// of lastingLoad serve.
@@ -121,3 +124,16 @@
 		t.Errorf("not started again within %v; 20 s later: %t", restartLimit, l.atWork(r.ID))
 	}
 }
+
+// Failure: a lasting task that had never run was not started beside free workers while more
+// urgent work kept the adviser busy.
+func TestNewLastingTaskIsAskedAboutBesideMoreUrgentWork(t *testing.T) {
+	l, _ := lastingLoad(t)
+	l.submitEvery(busyAdviser, 2*time.Second, 0)
+	lasts := l.submit("watch", 1, lasting(1, 0))
+	l.submitEvery(busyAdviser, firstStartLimit, 0)
+	if !l.atWork(lasts) {
+		l.submitEvery(busyAdviser, 20*time.Second, 0)
+		t.Errorf("not started within %v; 20 s later: %t", firstStartLimit, l.atWork(lasts))
+	}
+}
