--- /dev/null
+++ b/internal/cell/lasting_load_test.go
@@ -0,0 +1,94 @@
+package cell
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
+)
+
+// Failure: lasting tasks that failed were away beside room for them, as questions about other
+// work took the adviser's lanes and other work the room.
+func TestFailedLastingTasksComeBackUnderLoad(t *testing.T) {
+	const lanesLeft = 3
+	for seed := range int64(2) {
+		l := newAdvisedLoad(t, lanesLeft, seed)
+		judge := newLastingJudge(l, submitLasting(l))
+		ticks := 0
+		l.run(26*time.Second, func() {
+			submitMixed(l)
+			if ticks++; ticks%100 == 0 {
+				failOneOf(l, judge.jobs)
+			}
+			judge.look()
+		})
+		if len(judge.lost) > 0 {
+			t.Errorf("seed %d: %d tasks were away beside room for two: %v", seed, len(judge.lost), judge.lost)
+		}
+	}
+}
+
+// newAdvisedLoad returns a load of 35 workers of which the adviser allows three in ten for a
+// stage, with lanes for slow questions.
+func newAdvisedLoad(t *testing.T, lanes int, seed int64) *load {
+	l := newLoad(t, 35)
+	l.rnd = rand.New(rand.NewSource(seed))
+	const valid = 2 * time.Second
+	l.advice = map[string]*job.AdviceCost{
+		"watch":  {PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Valid: valid},
+		"urgent": {PerCall: 15 * time.Millisecond, PerWorker: time.Millisecond, Valid: valid},
+		"slow":   {PerCall: 530 * time.Millisecond, PerWorker: 5 * time.Millisecond, Valid: valid},
+		"batch":  {PerCall: 60 * time.Millisecond, PerWorker: 2 * time.Millisecond, Valid: valid},
+	}
+	l.adviser.lanes = AdviceSlots{Quick: 4, Any: lanes}
+	l.adviser.goodPercent = 30
+	l.workOf = func(id job.TaskID, _ *loadWorker) time.Duration {
+		s := l.cell.jobs[id.Job].record.Steps[id.Step]
+		if s.LongRunning {
+			return time.Hour
+		}
+		return s.Estimate
+	}
+	return l
+}
+
+// submitLasting submits jobs of six lasting tasks that need an eighth to three quarters of a
+// worker each, and returns their ids.
+func submitLasting(l *load) []string {
+	var ids []string
+	for i, milliCPU := range []int64{2000, 4000, 4000, 6000, 12000} {
+		s := lasting(6, 0)
+		s.Need.MilliCPU = milliCPU
+		s.MaxPerWorker = 2 * (i % 2)
+		ids = append(ids, l.submit("watch", 1, s))
+		l.run(300*time.Millisecond, nil)
+	}
+	return ids
+}
+
+// submitMixed submits, on the mean, work for three fifths of the workers' processors.
+func submitMixed(l *load) {
+	submit := func(share float64, queue string, priority, count int, milliCPU int64, estimate time.Duration) {
+		if l.rnd.Float64() >= share {
+			return
+		}
+		s := step(count)
+		s.Need.MilliCPU, s.Estimate = milliCPU, estimate
+		l.submit(queue, priority, s)
+	}
+	submit(0.09, "urgent", 0, 2, 1000, time.Second)
+	submit(0.045, "slow", 1, 4, 2000, 3*time.Second)
+	submit(0.027, "batch", 2, 8, 2000, 5*time.Second)
+}
+
+// failOneOf ends the run of one task of some jobs as failed, if it has one.
+func failOneOf(l *load, jobs []string) {
+	task := job.TaskID{Job: jobs[l.rnd.Intn(len(jobs))], Index: l.rnd.Intn(6)}.String()
+	for _, w := range l.workers {
+		if r := w.runs[task]; r != nil {
+			w.end(task, r.run, runner.FailedRun)
+		}
+	}
+}
--- a/internal/cell/load_adviser_test.go
+++ b/internal/cell/load_adviser_test.go
@@ -1,9 +1,16 @@
 package cell
 
-import "gentianstand/internal/advice"
+import (
+	"github.com/cespare/xxhash/v2"
 
-// loadAdviser plays the placement adviser and the lanes to it. It allows all workers.
+	"gentianstand/internal/advice"
+	"gentianstand/internal/job"
+)
+
+// loadAdviser plays the placement adviser and the lanes to it.
 type loadAdviser struct {
+	// goodPercent is the share of the workers that may run a stage; 0 is all.
+	goodPercent uint64
 	// lanes are the free ones.
 	lanes AdviceSlots
 	// under are the questions under way.
@@ -33,14 +40,21 @@
 		} else {
 			l.adviser.lanes.Any++
 		}
-		l.cell.Advised(q.order.Stage, q.order.Workers, ticketsFor(q.order.Workers), nil, l.now)
+		l.cell.Advised(q.order.Stage, q.order.Workers, l.adviser.ticketsFor(q.order.Stage, q.order.Workers), nil, l.now)
 	}
 }
 
-func ticketsFor(workers []string) []advice.Ticket {
-	tickets := make([]advice.Ticket, len(workers))
-	for i, id := range workers {
-		tickets[i] = advice.Ticket{Worker: id, Text: "ticket-" + id}
+// allows reports whether a worker may run a stage, always the same.
+func (a *loadAdviser) allows(stage job.StageID, worker string) bool {
+	return a.goodPercent == 0 || xxhash.Sum64String(stage.String()+"|"+worker)%100 < a.goodPercent
+}
+
+func (a *loadAdviser) ticketsFor(stage job.StageID, workers []string) []advice.Ticket {
+	var tickets []advice.Ticket
+	for _, id := range workers {
+		if a.allows(stage, id) {
+			tickets = append(tickets, advice.Ticket{Worker: id, Text: "ticket-" + id})
+		}
 	}
 	return tickets
 }
