A queue that is not public any more closes without contact to the store

Callers without a key were served for as long as an instance was out of touch, after the queue had been made one that needs keys: public queues went on from a view of any age. They are served from a view as fresh as keys need now; from an older one the store or another instance is asked first, and if neither tells, the call is refused with when to come back.

The model of revocation opens and closes the queue now, and plays calls without a key. Where no time for revocation is set nothing changes.

--- a/internal/access/model_test.go
+++ b/internal/access/model_test.go
@@ -18,8 +18,9 @@
 	modelRefuse = time.Second
 )
 
-// modelKeys are the keys that configurations hold or lack.
-var modelKeys = []string{"k0", "k1"}
+// modelKeys are the keys that configurations hold or lack; the last one stands for a call
+// without a key, and is in none.
+var modelKeys = []string{"k0", "k1", ""}
 
 // modelInstance is one instance with a clock of its own.
 type modelInstance struct {
@@ -40,9 +41,14 @@
 // modelVersion is one version of the configuration and when it was acknowledged.
 type modelVersion struct {
 	keys []string
-	at   time.Duration
+	// public says that the queue needs no key.
+	public bool
+	at     time.Duration
 }
 
+// opens reports whether a call with a key is allowed.
+func (v *modelVersion) opens(key string) bool { return v.public || slices.Contains(v.keys, key) }
+
 // accessModel plays a store, instances that read it and ask one another, and calls.
 type accessModel struct {
 	now       time.Duration
@@ -56,18 +62,19 @@
 
 func (m *accessModel) newest() *catalog.Catalog {
 	keys := []catalog.KeyDigest{}
-	for _, key := range m.versions[len(m.versions)-1].keys {
+	version := m.versions[len(m.versions)-1]
+	for _, key := range version.keys {
 		keys = append(keys, catalog.DigestOf(key))
 	}
 	return catalog.New(catalog.Content{Version: uint64(len(m.versions)), Workspaces: []catalog.Workspace{{Name: "w", Keys: keys}},
-		Queues: []catalog.Queue{{Name: "q", Host: "h", PathPrefix: "/"}}})
+		Queues: []catalog.Queue{{Name: "q", Host: "h", PathPrefix: "/", Public: version.public}}})
 }
 
 // validSince reports whether a key was valid at some moment from a time on.
 func (m *accessModel) validSince(key string, from time.Duration) bool {
 	for n, v := range m.versions {
 		endsBefore := n+1 < len(m.versions) && m.versions[n+1].at < from
-		if !endsBefore && slices.Contains(v.keys, key) {
+		if !endsBefore && v.opens(key) {
 			return true
 		}
 	}
@@ -80,11 +87,11 @@
 	policy := Policy{KeysNeeded: true, RevokedWithin: modelRevoke}
 	_, got := policy.decide(i.current.View(), call, m.clock(i))
 	if got == served && !m.validSince(key, m.now-modelRevoke) {
-		t.Fatalf("%s is served at %v; versions %+v", key, m.now, m.versions)
+		t.Fatalf("%q is served at %v; versions %+v", key, m.now, m.versions)
 	}
 	newest := m.versions[len(m.versions)-1]
-	if got == unknownKey && slices.Contains(newest.keys, key) && m.now-newest.at > modelRefuse {
-		t.Fatalf("%s is refused for good at %v; versions %+v", key, m.now, m.versions)
+	if got == unknownKey && newest.opens(key) && m.now-newest.at > modelRefuse {
+		t.Fatalf("%q is refused for good at %v; versions %+v", key, m.now, m.versions)
 	}
 }
 
@@ -95,8 +102,9 @@
 
 // change puts a configuration with some of the keys into force.
 func (m *accessModel) change(t *rapid.T) {
-	kept := rapid.SliceOfNDistinct(rapid.SampledFrom(modelKeys), 0, len(modelKeys), rapid.ID[string]).Draw(t, "keys")
-	m.versions = append(m.versions, modelVersion{kept, m.now})
+	all := modelKeys[:len(modelKeys)-1]
+	kept := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 0, len(all), rapid.ID[string]).Draw(t, "keys")
+	m.versions = append(m.versions, modelVersion{kept, rapid.Bool().Draw(t, "public"), m.now})
 }
 
 // ask sends a question.
@@ -161,7 +169,7 @@
 }
 
 func newAccessModel(t *rapid.T) *accessModel {
-	m := &accessModel{versions: []modelVersion{{keys: modelKeys}}}
+	m := &accessModel{versions: []modelVersion{{keys: modelKeys[:len(modelKeys)-1]}}}
 	for range modelInstances {
 		m.instances = append(m.instances, &modelInstance{current: &catalog.Current{},
 			offset: time.Duration(rapid.IntRange(1, 1000).Draw(t, "offset")) * time.Second, drift: float64(rapid.IntRange(-10, 10).Draw(t, "drift")) / 1000})
--- a/internal/access/policy.go
+++ b/internal/access/policy.go
@@ -48,7 +48,7 @@
 		return Grant{}, outdated
 	case !found:
 		return Grant{}, noQueue
-	case !p.KeysNeeded || queue.Public:
+	case !p.KeysNeeded, queue.Public && !old:
 		grant.Caller = Caller{Anyone: true}
 		return grant, served
 	}
