A silent worker whose lease is over does not count against quotas

What callers saw: nothing yet; found in the code. A lasting task of a workspace that uses its whole quota stays away for as long as owners hand the cell over within a lease of one another.

Cause: unheardRoom counted a worker that was not heard until a whole lease from the take-over had passed, also when its lease was over as the earlier owner had told.

TestQuotaDoesNotCountASilentWorkerAnewWithEachHandOver failed before (started after 20.008s) and passes; the tests of quotas, owners, leases and TestModel pass.

Fails: started after 20.008s, want 4.27s at most (20 s is where the test gives up).

--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -90,7 +90,7 @@
 	if len(accounts) == 0 || now.Sub(c.began) >= c.unseenLimit() {
 		return
 	}
-	room := c.unheardRoom()
+	room := c.unheardRoom(now)
 	if room.IsZero() {
 		return
 	}
@@ -106,10 +106,10 @@
 
 // unheardRoom returns what the workers hold on which an earlier owner can have started runs
 // that are not booked.
-func (c *Cell) unheardRoom() resource.Amount {
+func (c *Cell) unheardRoom(now time.Time) resource.Amount {
 	var room resource.Amount
 	for _, w := range c.workers {
-		if w.parked || w.reported || c.inheritedAll && !w.named {
+		if w.parked || w.reported || c.inheritedAll && !w.named || !now.Before(c.leaseOver(w)) {
 			continue
 		}
 		if !w.described() || w.Capacity.IsZero() {
