The adviser is asked about unknown workers with room before tickets of full ones are renewed

What callers saw: nothing yet; found in the code. A lasting task at an adviser that had allowed many full workers is not started on a worker with room that came back.

TestALastingTaskAsksAboutAWorkerThatCameBackBesideManyFullOnes failed before and passes.

From about twice mostAsked allowed workers on, tickets expire as fast as they are renewed, and the unknown worker never has its turn.

Fails: not started after 30 questions beside a worker that came back (200 full workers; 120 fail, too, 100 do not).

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -90,17 +90,13 @@
 
 // hasRoomOn reports whether one of some workers has room for a task of the stage now.
 func (c *Cell) hasRoomOn(s *stage, ids []string) bool {
-	for _, id := range ids {
-		if c.takes(s, c.workers[id]) > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(ids, func(id string) bool { return c.takes(s, c.workers[id]) > 0 })
 }
 
 // worthAsking returns the workers to ask about, or none if the tickets at hand
 // will do: allowed workers whose tickets end before an answer would come, then
-// unknown ones, those with most room first.
+// unknown ones, those with most room first. If only unknown ones have room, they are asked
+// about alone.
 func (c *Cell) worthAsking(s *stage, room *room, now time.Time) []string {
 	var renew, unknown []*worker
 	ticketed := 0.0
@@ -129,6 +125,10 @@
 	}
 	renew = c.mostRoomFirst(renew, s)
 	unknown = c.mostRoomFirst(unknown, s)
+	if c.anyTakes(s, unknown) && !c.anyTakes(s, renew) {
+		// Tickets for many full workers expire as fast as they are renewed.
+		renew = nil
+	}
 	var ids []string
 	for _, w := range renew {
 		if len(ids) == mostAsked || wanted <= 0 {
@@ -147,6 +147,11 @@
 	return ids
 }
 
+// anyTakes reports whether one of some workers has room for a task of a stage.
+func (c *Cell) anyTakes(s *stage, workers []*worker) bool {
+	return slices.ContainsFunc(workers, func(w *worker) bool { return c.takes(s, w) > 0 })
+}
+
 // takes returns how many tasks of a stage a worker has room for.
 func (c *Cell) takes(s *stage, w *worker) float64 {
 	n := s.step.Occupied().CountIn(w.free(), int64(len(s.idle)+s.expiring))
