One lane to the adviser is left to others beside lasting tasks

Cause: askForLasting takes all lanes for slow calls as long as a lasting stage has to be asked about. It leaves one to other stages now; with one lane alone nothing changes. It also passes over stages that fit on no worker, which cost a look at all workers in each pass before.

TestUrgentJobsAreAskedAboutBesideManyLastingTasks failed before (5.13s) and passes. The tests of lasting tasks beside a busy adviser pass.

Before the fix: What callers would see: after a restart of everything urgent jobs wait for the adviser until it was asked about all lasting tasks, as these take all lanes first.

Fails: the urgent job began after 5.13s, want 2s at most (40 lasting stages, five lanes). It passes on.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -45,9 +45,9 @@
 	c.ask(s, workers, ahead, room, now)
 }
 
-// askForLasting asks about workers for lasting tasks ahead of all other questions. Those
-// could take all lanes for as long as new work comes, and the users of a lasting task miss it
-// from the moment that it is away.
+// askForLasting asks about workers for lasting tasks ahead of all other questions, through
+// all lanes but one. Others could take all lanes for as long as new work comes, and the users
+// of a lasting task miss it from the moment that it is away.
 func (c *Cell) askForLasting(stages []*stage, room *room, now time.Time) {
 	for _, s := range stages {
 		if s.step.LongRunning && c.isDue(s, now) {
@@ -59,11 +59,15 @@
 // askWithRoom asks about a stage for which workers have room, or will when it is not held
 // back any more.
 func (c *Cell) askWithRoom(s *stage, room *room, now time.Time) {
+	cost := s.job.record.Advice
+	if cost == nil || isSlow(cost) && !c.questions.mayAskFirst(room.slots) {
+		return
+	}
 	switch {
 	case c.heldBack(s):
 		c.askHeld(s, room, now)
 		return
-	case !c.mayPlace(s, now) || !c.mayAsk(s, room, now) || len(c.fitting(s, room, now)) > 0:
+	case !s.step.Occupied().Fits(room.most) || !c.mayPlace(s, now) || !c.mayAsk(s, room, now) || len(c.fitting(s, room, now)) > 0:
 		return
 	}
 	if workers := c.worthAsking(s, room, now); c.hasRoomOn(s, workers) {
@@ -83,7 +87,7 @@
 	slow := isSlow(cost)
 	room.slots.take(slow)
 	s.advice.asking = true
-	c.questions[s.id] = question{ahead: ahead, slow: slow, askedAt: now}
+	c.questions[s.id] = question{ahead: ahead, slow: slow, lasting: s.step.LongRunning, askedAt: now}
 	c.stats.AdviceCalls++
 	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Term: c.settings.Term, Cost: *cost, Workers: workers, Slow: slow})
 }
--- a/internal/cell/questions.go
+++ b/internal/cell/questions.go
@@ -16,6 +16,8 @@
 	ahead bool
 	// slow says that it takes a lane for slow calls; see AdviceSlots.
 	slow bool
+	// lasting says that it is about tasks that last.
+	lasting bool
 	// askedAt is when it was asked.
 	askedAt time.Time
 }
@@ -39,3 +41,20 @@
 	}
 	return float64(ahead+1) <= max(1, aheadShare*float64(lanes))
 }
+
+// mayAskFirst reports whether a question about tasks that last may begin before all others,
+// beside those under way. One lane is left to others: after a restart of everything there are
+// more such questions than lanes for many seconds.
+func (q questions) mayAskFirst(free AdviceSlots) bool {
+	lasting, lanes := 0, free.Any
+	for _, asked := range q {
+		if !asked.slow {
+			continue
+		}
+		lanes++
+		if asked.lasting {
+			lasting++
+		}
+	}
+	return lasting+1 <= max(1, lanes-1)
+}
