What is kept of the failures of a lasting task is bounded

TestWhatIsKeptOfFailuresOfALastingTaskIsBounded failed before (100 runs stored after 100 failures) and passes. An end that is heard again after ten further failures counts in the statistics, and against its worker's health, once more; lasting tasks have no limit of attempts.

Before the fix: What callers saw: nothing yet; found in the code. Each failed run is kept and stored for all time, which is meant for work with a limit of attempts.

Fails: 100 runs are stored and 100 workers kept after 100 failures, want 20 at most.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -140,6 +140,8 @@
 		c.noteFailure(w, t.stage.id.Job, now)
 	}
 	t.failedOn = append(t.failedOn, w.ID)
+	t.forgetOldFailures()
+	counted.forgetOldFailures()
 	j := t.stage.job
 	if j.final == "" && !t.stage.step.LongRunning && counted.failures() >= max(1, j.record.MaxAttempts) {
 		c.log.WithFields(logrus.Fields{"job": j.record.ID, "task": t.id().String(), "failures": counted.failures()}).Info("job_out_of_attempts")
--- /dev/null
+++ b/internal/cell/lasting_failures_test.go
@@ -0,0 +1,36 @@
+package cell
+
+import (
+	"testing"
+
+	"gentianstand/internal/runner"
+)
+
+// Failure: what is stored of a lasting job grows with each failure, until the store takes no
+// row of that size any more and no progress of any job is stored.
+func TestWhatIsKeptOfFailuresOfALastingTaskIsBounded(t *testing.T) {
+	const failures, most = 100, 20
+	s := newHeardSite(t, usualWorker("a"))
+	o := s.startedOne(s.lastingRecord(1, 2000))
+	for n := range failures {
+		s.report("a")
+		s.runs["a"] = nil
+		s.ends["a"] = append(s.ends["a"], runner.End{Sequence: uint64(n + 1), Task: o.Start.Task, Run: o.Start.Run, How: runner.FailedRun})
+		var ok bool
+		for range 20 {
+			if o, ok = s.look("a")[o.Start.Task]; ok {
+				break
+			}
+		}
+		if !ok {
+			t.Fatalf("not started after %d failures", n+1)
+		}
+		s.confirm(o)
+		s.commit()
+	}
+	task := s.cell.taskNamed(o.Start.Task)
+	kept := encodeAndDecode(t, task.stage.job.progress()).Stages[0].Tasks[0].FailedRuns
+	if len(kept) > most || len(task.failedOn) > most {
+		t.Errorf("%d runs are stored and %d workers kept after %d failures, want %d at most", len(kept), len(task.failedOn), failures, most)
+	}
+}
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -55,6 +55,20 @@
 	return true
 }
 
+// keptFailures is how many failures of a lasting task are kept: those of which a new owner may
+// hear again, and workers to avoid.
+const keptFailures = 10
+
+// forgetOldFailures bounds what is kept of a lasting task, which has no limit of attempts.
+func (t *task) forgetOldFailures() {
+	if !t.stage.step.LongRunning {
+		return
+	}
+	// A commit may still hold the list, so it is not changed in place.
+	t.failedRuns = slices.Clone(t.failedRuns[max(0, len(t.failedRuns)-keptFailures):])
+	t.failedOn = slices.Clone(t.failedOn[max(0, len(t.failedOn)-keptFailures):])
+}
+
 // pauses reports whether the task must not be started yet because of its crash history.
 func (t *task) pauses(now time.Time) bool {
 	if t.stage.step.LongRunning {
