Parked workers are woken for stages behind impossible work

What callers saw: work, lasting or not, that is not started although parked workers could hold it.

Cause: a planning pass wakes workers for the eight most urgent waiting stages. A stage that no parked worker can hold (it fits nowhere, or its label has none) counted among the eight in each pass, so eight of them kept all others from parked workers for as long as they waited.

Why it holds: a stage for which no parked worker was found is passed over for a second. Then others have its place; the work of a pass stays bounded by eight looks through the workers.

--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -18,6 +18,9 @@
 	// wakersPerPass is for how many stages, the most urgent ones, a planning pass wakes
 	// parked workers. Each of them goes through all workers.
 	wakersPerPass = 8
+	// wakePause is how long a stage that no parked worker can hold is passed over, so that
+	// its place among those stages is another's.
+	wakePause = time.Second
 	// comingFor is how long a woken worker counts as room that is about to come: a
 	// commit and a look, also where the store is slow.
 	comingFor = 500 * time.Millisecond
@@ -102,7 +105,7 @@
 // wakeFor wakes parked workers for the idle tasks of a stage that the usable ones
 // have no room for, and reports whether some are coming.
 func (c *Cell) wakeFor(s *stage, room *room, now time.Time) bool {
-	if c.parked == 0 || room.woken == wakersPerPass {
+	if c.parked == 0 || room.woken == wakersPerPass || now.Before(s.wakesAgainAt) {
 		return false
 	}
 	room.woken++
@@ -123,9 +126,13 @@
 			parked = append(parked, w)
 		}
 	}
+	if len(parked) == 0 && wanted > 0 {
+		s.wakesAgainAt = now.Add(wakePause)
+		return false
+	}
 	sort.Slice(parked, func(a, b int) bool { return s.wakesFirst(parked[a], parked[b]) })
 	c.wakeSome(s, parked, wanted, share, now)
-	return wanted <= 0 || len(parked) > 0
+	return true
 }
 
 // wakeSome wakes workers in their order until the tasks that are wanted have room,
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -34,6 +34,9 @@
 	// lostWorkers says that a worker was lost while one of its tasks was starting. Few
 	// stages are, so the others' tasks need not be looked through in each planning pass.
 	lostWorkers bool
+	// wakesAgainAt is when parked workers are looked for again, after there were none that
+	// could hold a task.
+	wakesAgainAt time.Time
 	// preempting is how many runs are being stopped to make room for the stage.
 	preempting int
 	// preemptedAt is when victims were last looked for.
