Cell: names of trial placement, ends of runs and poison tasks; model without a loop that ends at once

What the review stumbled over: two methods of one name on two types, questions that also note something, four words for workers that are avoided and tried all the same.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -50,7 +50,7 @@
 // of a lasting task miss it from the moment that it is away.
 func (c *Cell) askForLasting(stages []*stage, room *room, now time.Time) {
 	for _, s := range stages {
-		if s.step.LongRunning && c.isDue(s, now) {
+		if s.step.LongRunning && c.noteDue(s, now) {
 			c.askWithRoom(s, room, now)
 		}
 	}
@@ -106,8 +106,8 @@
 	ticketed := 0.0
 	answer := now.Add(s.job.record.Advice.Duration(advisedWorkers))
 	workers := room.usable
-	if c.triesAvoided(s, room, now) {
-		workers = append(slices.Clip(workers), room.tried...)
+	if c.placesOnTrial(s, room, now) {
+		workers = append(slices.Clip(workers), room.onTrial...)
 	}
 	for _, w := range workers {
 		if !c.hasRoomEmpty(s, w) || !c.uses(TicketsAhead) && c.takes(s, w) == 0 {
--- a/internal/cell/ask_expiring.go
+++ b/internal/cell/ask_expiring.go
@@ -29,7 +29,7 @@
 		if len(w.attempts) == 0 || !w.clockAt.IsZero() && !w.silent(now) {
 			continue
 		}
-		over := c.leaseOver(w)
+		over := c.runsOverAt(w)
 		for a := range w.attempts {
 			s := a.task.stage
 			cost := s.job.record.Advice
--- a/internal/cell/away.go
+++ b/internal/cell/away.go
@@ -92,7 +92,7 @@
 // awayReason finds out why a lasting task is not at work.
 func (c *Cell) awayReason(t *task, room *room, now time.Time) AwayReason {
 	if len(t.attempts) > 0 {
-		return t.attempts[0].awayReason()
+		return t.attempts[0].whyNotAtWork()
 	}
 	s := t.stage
 	switch {
@@ -145,8 +145,8 @@
 	return n
 }
 
-// awayReason tells why a task with a run is not at work.
-func (a *attempt) awayReason() AwayReason {
+// whyNotAtWork tells why a task with a run is not at work.
+func (a *attempt) whyNotAtWork() AwayReason {
 	switch {
 	case a.inherited:
 		return RunUnseen
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -106,7 +106,7 @@
 			"only_suspect": onlySuspect, "correlated": correlated}).Info("worker_crashed_under_run")
 	}
 	for _, r := range blamed {
-		if r.task.isPoison(onlySuspect, correlated) {
+		if r.task.crashesWorkers(onlySuspect, correlated) {
 			c.giveUp(r.task, now)
 		}
 	}
--- a/internal/cell/lease_left.go
+++ b/internal/cell/lease_left.go
@@ -16,8 +16,8 @@
 	}
 }
 
-// leaseOver returns when the lease of a worker must have ended that no owner extends.
-func (c *Cell) leaseOver(w *worker) time.Time {
+// runsOverAt returns when the runs on a worker must be over whose lease no owner extends.
+func (c *Cell) runsOverAt(w *worker) time.Time {
 	if w.clockAt.IsZero() {
 		return c.unseenUntil(w)
 	}
@@ -49,7 +49,7 @@
 	if c.endedAt.IsZero() {
 		return
 	}
-	left := max(0, c.leaseOver(w).Sub(c.endedAt))
+	left := max(0, c.runsOverAt(w).Sub(c.endedAt))
 	// Rounded up, and never 0, which is for an owner that did not tell.
 	k.LeaseLeftMillis = left.Milliseconds() + 1
 	k.Term = c.settings.Term
--- a/internal/cell/model_lasting_test.go
+++ b/internal/cell/model_lasting_test.go
@@ -91,14 +91,16 @@
 // failSomeRun ends a run by its own fault, or by its stop.
 func (m *lastingModel) failSomeRun() {
 	for _, w := range m.workers {
-		for _, task := range slices.Sorted(maps.Keys(w.runs)) {
-			how := runner.FailedRun
-			if w.runs[task].stop {
-				how = runner.Stopped
-			}
-			w.end(task, w.runs[task].run, how)
-			return
+		if len(w.runs) == 0 {
+			continue
 		}
+		task := slices.Min(slices.Collect(maps.Keys(w.runs)))
+		how := runner.FailedRun
+		if w.runs[task].stop {
+			how = runner.Stopped
+		}
+		w.end(task, w.runs[task].run, how)
+		return
 	}
 }
 
--- a/internal/cell/tried.go
+++ b/internal/cell/on_trial.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// triesAvoided reports whether a stage's tasks are tried on avoided workers: lasting ones
+// placesOnTrial reports whether a stage's tasks are tried on avoided workers: lasting ones
 // are, where no other worker that may run them has room. Their failures use up no attempts,
 // and a worker that runs lasting tasks alone never shows a success.
-func (c *Cell) triesAvoided(s *stage, room *room, now time.Time) bool {
-	if !s.step.LongRunning || s.step.Gang || len(room.tried) == 0 {
+func (c *Cell) placesOnTrial(s *stage, room *room, now time.Time) bool {
+	if !s.step.LongRunning || s.step.Gang || len(room.onTrial) == 0 {
 		return false
 	}
 	for _, w := range room.usable {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -60,8 +60,8 @@
 	need := s.step.Occupied()
 	nearOnly := c.waitsForNear(s, room, now)
 	workers := c.allowed(s, room, now)
-	if c.triesAvoided(s, room, now) {
-		workers = s.advised(room.tried, now)
+	if c.placesOnTrial(s, room, now) {
+		workers = s.advised(room.onTrial, now)
 	}
 	for _, w := range workers {
 		if !w.openTo(s.job) || !need.Fits(w.free()) || !c.eligible(s, w) || nearOnly && !s.near(w) || !c.leftFor(s, w, now) {
@@ -142,7 +142,8 @@
 	need := s.step.Occupied()
 	idle := append([]int(nil), s.idle...)
 	left := c.startable(s)
-	tried := fitting[0].w.triedIn == room.pass
+	// The candidates are avoided workers, or none of them is.
+	onTrial := fitting[0].w.onTrialIn == room.pass
 	for _, index := range idle {
 		if left == 0 || !room.allows(s, need.MilliCPU) {
 			return
@@ -160,7 +161,7 @@
 			return
 		}
 		c.start(t, fitting[at], t.nextRun(c.settings.Term), now)
-		if !tried {
+		if !onTrial {
 			room.free -= need.MilliCPU
 		}
 		left--
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -45,7 +45,7 @@
 	c.askExpiring(expiring.lasting, room, now)
 	for _, s := range stages {
 		switch {
-		case !c.isDue(s, now):
+		case !c.noteDue(s, now):
 		case c.heldBack(s):
 			c.askHeld(s, room, now)
 		case c.mayPlace(s, now):
@@ -55,8 +55,8 @@
 	c.askExpiring(expiring.ending, room, now)
 }
 
-// isDue reports whether a waiting stage may start by now, and notes since when.
-func (c *Cell) isDue(s *stage, now time.Time) bool {
+// noteDue reports whether a waiting stage may start by now, and notes since when.
+func (c *Cell) noteDue(s *stage, now time.Time) bool {
 	if !s.due(now, c.settings.Early) {
 		return false
 	}
@@ -66,7 +66,8 @@
 	return true
 }
 
-// mayPlace reports whether tasks of a stage that is due may be started now if there is room.
+// mayPlace reports whether tasks of a stage that is due may be started now if there is room. It
+// gives the job of a hopeless one up.
 func (c *Cell) mayPlace(s *stage, now time.Time) bool {
 	return !c.heldBack(s) && s.job.final == "" && !c.giveUpHopeless(s, now) && !s.pauses(now) && c.startable(s) > 0
 }
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -109,7 +109,7 @@
 func (c *Cell) unheardRoom(now time.Time) resource.Amount {
 	var room resource.Amount
 	for _, w := range c.workers {
-		if w.parked || w.reported || c.inheritedAll && !w.named || !now.Before(c.leaseOver(w)) {
+		if w.parked || w.reported || c.inheritedAll && !w.named || !now.Before(c.runsOverAt(w)) {
 			continue
 		}
 		if !w.described() || w.Capacity.IsZero() {
--- a/internal/cell/room.go
+++ b/internal/cell/room.go
@@ -18,8 +18,8 @@
 	// pass is the number of the planning pass.
 	pass   uint64
 	usable []*worker
-	// tried are workers that are avoided, on which lasting tasks may be tried.
-	tried []*worker
+	// onTrial are workers that are avoided, on which lasting tasks may be tried.
+	onTrial []*worker
 	// byRack are the usable workers by their racks, once somebody asked for a rack.
 	byRack map[string][]*worker
 	// total and free are thousandths of a core over all usable workers.
@@ -46,7 +46,7 @@
 	r := &room{pass: c.pass, usable: c.usableBuffer[:0], reserved: map[*stage]int{}, unreserved: !c.uses(UrgentReserve)}
 	for _, w := range c.workers {
 		if !w.usable(now) {
-			r.addTried(w, now)
+			r.addOnTrial(w, now)
 			continue
 		}
 		w.usableIn = c.pass
@@ -66,14 +66,14 @@
 	return r
 }
 
-// addTried notes a worker that is not usable if lasting tasks may be tried there.
-func (r *room) addTried(w *worker, now time.Time) {
+// addOnTrial notes a worker that is not usable if lasting tasks may be tried there.
+func (r *room) addOnTrial(w *worker, now time.Time) {
 	if !w.ready(now) || !w.health.mayTry(now) {
 		return
 	}
-	w.triedIn = r.pass
+	w.onTrialIn = r.pass
 	w.isolatedFor = nil
-	r.tried = append(r.tried, w)
+	r.onTrial = append(r.onTrial, w)
 	r.most = r.most.Max(w.free())
 }
 
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -77,10 +77,10 @@
 	return t.crashes.pauses(now)
 }
 
-// isPoison reports whether the task crashes its workers; see crashHistory.isPoison. A
+// crashesWorkers reports whether the task is a poison task; see crashHistory.isPoison. A
 // lasting task is not limited in its attempts, and fewer than mostCrashes count only if
 // they came as soon as it began.
-func (t *task) isPoison(onlySuspect, correlated bool) bool {
+func (t *task) crashesWorkers(onlySuspect, correlated bool) bool {
 	h := &t.crashes
 	if t.stage.step.LongRunning && len(h.crashed) < mostCrashes && h.atOnce < crashesAlone {
 		return false
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -55,9 +55,9 @@
 	isolatedFor *jobState
 	// usableIn is the last planning pass in which the worker was usable.
 	usableIn uint64
-	// triedIn is the last planning pass in which the worker could be tried although it was
+	// onTrialIn is the last planning pass in which the worker could be tried although it was
 	// avoided.
-	triedIn uint64
+	onTrialIn uint64
 	// fillers and servers count runs that fill and runs with a tail target.
 	fillers, servers int
 }
