Soak: lasting tasks run from before the first fault, and again after the last

Two of an advised queue run beside all else now; when the faults are over they must run again, unless workers crashed under them so often that their job may be given up.

--- /dev/null
+++ b/test/soak/lasting_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand"
+	"net/http"
+	"time"
+)
+
+// lastingTasks is how many tasks run from before the first fault to the end of a soak.
+const lastingTasks = 2
+
+// submitLasting submits a job whose tasks last, until it is accepted.
+func (c *callers) submitLasting(rnd *rand.Rand) submission {
+	s := submission{id: fmt.Sprintf("%08x%08x", rnd.Uint32(), rnd.Uint32()), queue: "advised", workspace: "north"}
+	c.world.judge.Submitted(s.id, s.workspace, false)
+	body := fmt.Sprintf(`{"spec":"forever","steps":[{"count":%d,"cpu":%d,"mem_mb":10,"long_running":true}]}`, lastingTasks, taskCPU)
+	for range 50 {
+		if status, _ := c.ask(http.MethodPost, s, c.world.workspaces.valid(s.workspace), body, rnd); status == http.StatusOK {
+			return s
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.world.judge.Blame("the lasting job %s was not accepted", s.id)
+	return s
+}
+
+// lasts reports whether all tasks of a lasting job run. A job under which workers crashed may
+// have been given up.
+func (c *callers) lasts(s submission, rnd *rand.Rand) bool {
+	if c.world.judge.CrashedUnder(s.id) {
+		_, state := c.ask(http.MethodGet, s, c.world.workspaces.valid(s.workspace), "", rnd)
+		if state == "failed" {
+			return true
+		}
+	}
+	for index := range lastingTasks {
+		if !c.world.judge.Runs(fmt.Sprintf("%s.0.0.%d", s.id, index)) {
+			return false
+		}
+	}
+	return true
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -108,6 +108,8 @@
 	})
 	c := newCallers(w)
 	w.callers = c
+	lastingRnd := rand.New(rand.NewSource(-seed))
+	lasting := c.submitLasting(lastingRnd)
 	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	callersDone := make(chan struct{})
@@ -123,6 +125,7 @@
 		left = c.unfinished(rnd)
 		return len(left) == 0
 	})
+	waitFor(t, "the lasting tasks run", func() bool { return c.lasts(lasting, lastingRnd) })
 	for _, line := range w.judge.Broken() {
 		t.Error(line)
 	}
