--- a/internal/cell/ask_held_test.go
+++ b/internal/cell/ask_held_test.go
@@ -83,6 +83,24 @@
 	return s.now.Sub(began)
 }
 
+// lastingOnA starts the lasting task of an advised job on worker a, the only one that reports.
+func (s *site) lastingOnA() (*adviser, *job.Record) {
+	r := s.record(1, lasting(1, 0))
+	r.Advice = &job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Valid: 2 * time.Second}
+	asks := &adviser{site: s}
+	s.report("a")
+	s.cell.Add(r, true)
+	for len(s.cell.workers["a"].attempts) == 0 {
+		for _, o := range s.plan() {
+			s.confirm(o)
+		}
+		asks.serve()
+		s.pass(10 * time.Millisecond)
+		s.report("a")
+	}
+	return asks, r
+}
+
 // Failure: a lasting task of a crashed worker waits for the lease there and then for the
 // adviser, too.
 func TestTicketsAreThereWhenTheLeaseOfASilentWorkerIsOver(t *testing.T) {
@@ -90,21 +108,7 @@
 	for name, takenOver := range map[string]bool{"same owner": false, "next owner": true} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
-			lasting := step(1)
-			lasting.LongRunning = true
-			r := s.record(1, lasting)
-			r.Advice = &job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Valid: 2 * time.Second}
-			asks := &adviser{site: s}
-			s.report("a")
-			s.cell.Add(r, true)
-			for len(s.cell.workers["a"].attempts) == 0 {
-				for _, o := range s.plan() {
-					s.confirm(o)
-				}
-				asks.serve()
-				s.pass(10 * time.Millisecond)
-				s.report("a")
-			}
+			asks, r := s.lastingOnA()
 			over := s.cell.workers["a"].leaseOver()
 			if takenOver {
 				s.silentFor("a", time.Second, "b")
@@ -130,19 +134,7 @@
 // Failure: the adviser is asked for tickets that nothing can use yet.
 func TestNoTicketsAreAskedForATaskThatPauses(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
-	lasting := step(1)
-	lasting.LongRunning = true
-	r := s.record(1, lasting)
-	r.Advice = &job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, Valid: 2 * time.Second}
-	asks := &adviser{site: s}
-	s.report("a")
-	s.cell.Add(r, true)
-	for len(s.cell.workers["a"].attempts) == 0 {
-		s.plan()
-		asks.serve()
-		s.pass(10 * time.Millisecond)
-		s.report("a")
-	}
+	asks, r := s.lastingOnA()
 	crashes := &s.cell.jobs[r.ID].stages[0].tasks[0].crashes
 	crashes.silent = []uint64{90, 91, 92}
 	crashes.lostAt = s.now
--- a/internal/cell/model_lasting_test.go
+++ b/internal/cell/model_lasting_test.go
@@ -30,9 +30,8 @@
 	awaySince map[string]time.Time
 }
 
-// TestModelLastingTasksComeBack plays random sequences of faults, as TestModel does, with
-// tasks that last. Then nothing fails any more, but workers that were cut off may never come
-// back, and no task may stay away for long while there is room for two.
+// Failure: after faults of any kind, with workers that never come back, a lasting task stays
+// away beside room for two.
 func TestModelLastingTasksComeBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &lastingModel{model: newModel(rt), awaySince: map[string]time.Time{}}
