An instance that stops waits for its announcement

Nobody outside saw it: a stopping process ends with it.

Cause: the announcement ran in a goroutine that nobody waited for.

--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -46,6 +46,9 @@
 	vacantFrom time.Time
 	term       *term
 	stopping   bool
+	// ended says that Run is over; announcing are the announcements under way.
+	ended      bool
+	announcing sync.WaitGroup
 	// wake has the next step taken at once.
 	wake chan struct{}
 }
@@ -75,10 +78,12 @@
 		case <-ctx.Done():
 			l.mu.Lock()
 			t := l.term
+			l.ended = true
 			l.mu.Unlock()
 			if t != nil {
 				t.end()
 			}
+			l.announcing.Wait()
 			return
 		case <-ticker.C:
 		case <-l.wake:
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -119,7 +119,7 @@
 func (l *Leader) begin(c claim, why takeOver) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term != nil || l.stopping {
+	if l.term != nil || l.stopping || l.ended {
 		return
 	}
 	l.known, l.knownAt = c, time.Now()
@@ -127,7 +127,7 @@
 	l.vacantFrom = time.Time{}
 	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why.reason}).Info("ownership_taken")
 	l.term = l.newTerm(c, why.earlierStopped, why.beside)
-	go l.announce(c)
+	l.announcing.Go(func() { l.announce(c) })
 }
 
 // announce tells the others of this instance's claim. News of jobs goes to the
