Questions under way and valid tickets are counted and checked in one place

mayAskAhead and mayAskFirst counted alike, and candidates on trial checked tickets as allowed does. Behaviour is the same; the tests of the cell pass.

--- a/internal/cell/advice_book.go
+++ b/internal/cell/advice_book.go
@@ -28,6 +28,12 @@
 	return v, true
 }
 
+// allows reports whether a worker has a ticket that is valid until later than until.
+func (b *adviceBook) allows(w *worker, until time.Time) bool {
+	v, _ := b.about(w)
+	return v.good && until.Before(v.until)
+}
+
 // expire makes the stage ask about a worker again before using it.
 func (b *adviceBook) expire(w *worker) {
 	v := b.verdicts[w]
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -86,8 +86,8 @@
 		return room.usable
 	}
 	var list []*worker
-	for w, v := range s.advice.verdicts {
-		if v.good && v.life == w.life && w.usableIn == room.pass && until.Before(v.until) {
+	for w := range s.advice.verdicts {
+		if w.usableIn == room.pass && s.advice.allows(w, until) {
 			list = append(list, w)
 		}
 	}
--- a/internal/cell/questions.go
+++ b/internal/cell/questions.go
@@ -25,20 +25,27 @@
 // questions are those under way, by the stage that asks.
 type questions map[job.StageID]question
 
-// mayAskAhead reports whether a slow question about full workers may begin beside those
-// under way. free are the lanes that are free. Such questions of urgent queues must not
-// take all lanes, or others would never be asked about beside free workers.
-func (q questions) mayAskAhead(free AdviceSlots) bool {
-	ahead, lanes := 0, free.Any
+// slowUnderWay returns how many slow questions of a kind are under way, and how many lanes for
+// slow calls there are, free ones among them.
+func (q questions) slowUnderWay(free AdviceSlots, kind func(question) bool) (n, lanes int) {
+	lanes = free.Any
 	for _, asked := range q {
 		if !asked.slow {
 			continue
 		}
 		lanes++
-		if asked.ahead {
-			ahead++
+		if kind(asked) {
+			n++
 		}
 	}
+	return n, lanes
+}
+
+// mayAskAhead reports whether a slow question about full workers may begin beside those
+// under way. free are the lanes that are free. Such questions of urgent queues must not
+// take all lanes, or others would never be asked about beside free workers.
+func (q questions) mayAskAhead(free AdviceSlots) bool {
+	ahead, lanes := q.slowUnderWay(free, func(asked question) bool { return asked.ahead })
 	return float64(ahead+1) <= max(1, aheadShare*float64(lanes))
 }
 
@@ -46,15 +53,6 @@
 // beside those under way. One lane is left to others: after a restart of everything there are
 // more such questions than lanes for many seconds.
 func (q questions) mayAskFirst(free AdviceSlots) bool {
-	lasting, lanes := 0, free.Any
-	for _, asked := range q {
-		if !asked.slow {
-			continue
-		}
-		lanes++
-		if asked.lasting {
-			lasting++
-		}
-	}
+	lasting, lanes := q.slowUnderWay(free, func(asked question) bool { return asked.lasting })
 	return lasting+1 <= max(1, lanes-1)
 }
