cell: count jobs that only a superseded owner knows against quotas

Callers saw a workspace with more running than its quota after an unplanned takeover, for as long as its tasks ran.

Cause: a superseded owner may start tasks for 1.5 s after its last confirmation, on workers that have not seen the new fencing token. The new owner allowed for the smaller of what these workers can hold and what the jobs that it inherited still have to run. The second bound is wrong while the superseded owner may be notified of further jobs: the new owner does not know them.

The bound by jobs now applies once a read of the jobs has completed that began after the previous owner must have stopped. Until then what an unreported worker can hold counts whole. This holds without any assumption about who is notified, as a job is stored before anybody is. The owner's loop that follows the jobs tells the cell when its reads began.

So that this does not wait for workers whose runs are known: a cordoned worker counts only if its stored runs include some that the accounting omits (of cancelled jobs, of steps that allow duplicates).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -50,7 +50,9 @@
 	endedAt time.Time
 	// previousOwnerFenced is set once the previous owner can no longer start anything.
 	previousOwnerFenced bool
-	durations           durations
+	// jobsReadAt is when the last completed read of the stored jobs began.
+	jobsReadAt time.Time
+	durations  durations
 	// quotas accounts for the running tasks of each workspace.
 	quotas *quota.Ledger
 	// unmeteredJobs are the jobs not yet measured against the share of their workspace.
--- a/internal/cell/cordon.go
+++ b/internal/cell/cordon.go
@@ -54,7 +54,11 @@
 	w.cordoned, w.accounted = true, true
 	for _, r := range runs {
 		t := c.taskByName(r.Task)
-		if t == nil || t.done || t.stage.job.final != "" || t.stage.step.AllowDuplicates {
+		if t == nil || t.stage.job.final != "" || t.stage.step.AllowDuplicates {
+			w.hasUnbookedRuns = true
+			continue
+		}
+		if t.done {
 			continue
 		}
 		if r.Run < t.lastRun || t.find(w, r.Run) != nil {
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -81,8 +81,8 @@
 func (s *stage) gangNeed() resource.Amount { return s.step.Need.Times(int64(len(s.tasks))) }
 
 // countUnconfirmed computes what each workspace may have running on workers that have not
-// reported to this owner: the tasks that a previous owner can have started there, limited by
-// the capacity of those workers.
+// reported to this owner: at most the capacity of those workers, and, once all jobs are known
+// that a previous owner can have started, their tasks.
 func (c *Cell) countUnconfirmed(now time.Time) {
 	accounts := c.quotas.Accounts()
 	for _, account := range accounts {
@@ -95,6 +95,12 @@
 	if capacity.IsZero() {
 		return
 	}
+	if !c.knowsEarlierJobs() {
+		for _, account := range accounts {
+			account.Unconfirmed = capacity
+		}
+		return
+	}
 	for _, j := range c.jobs {
 		if j.account != nil && j.inherited && !j.compacted {
 			j.account.Unconfirmed = j.account.Unconfirmed.Add(j.unaccounted())
@@ -105,12 +111,18 @@
 	}
 }
 
+// knowsEarlierJobs reports whether this owner knows all jobs that a previous owner can have
+// started. A superseded owner may still be notified of new jobs and start them.
+func (c *Cell) knowsEarlierJobs() bool {
+	return c.settings.PreviousOwnerStopped || !c.jobsReadAt.Before(c.previousOwnerStopsBy())
+}
+
 // unreportedCapacity returns the total capacity of the workers on which a previous owner can
 // have started runs that are not accounted.
 func (c *Cell) unreportedCapacity(now time.Time) resource.Amount {
 	var capacity resource.Amount
 	for _, w := range c.workers {
-		if w.parked || w.reported || c.workersLoaded && !w.storedByPreviousOwner || !now.Before(c.runsOverBy(w)) {
+		if !w.mayHaveUnbookedRuns() || !now.Before(c.runsOverBy(w)) {
 			continue
 		}
 		if !w.entryIsCurrent() || w.Capacity.IsZero() {
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -27,13 +27,26 @@
 // its ownership.
 func (c *Cell) earlierLeaseLimit() time.Duration {
 	limit := time.Duration(float64(c.settings.Lease)*(1+maxClockDrift)) + clockEstimateError + expiryMargin
+	return limit + c.previousOwnerStopsBy().Sub(c.startedAt)
+}
+
+// previousOwnerStopsBy returns when the previous owner gives its last order at the latest.
+func (c *Cell) previousOwnerStopsBy() time.Time {
 	if c.settings.PreviousOwnerStopped {
-		return limit
+		return c.startedAt
 	}
-	if !c.previousOwnerStoppedAt.IsZero() {
-		return limit + min(supersededOwnerLimit, c.previousOwnerStoppedAt.Sub(c.startedAt))
+	limit := c.startedAt.Add(supersededOwnerLimit)
+	if stopped := c.previousOwnerStoppedAt; !stopped.IsZero() && stopped.Before(limit) {
+		return stopped
 	}
-	return limit + supersededOwnerLimit
+	return limit
+}
+
+// JobsRead records that all jobs are known that were stored before a read of the store began.
+func (c *Cell) JobsRead(began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobsReadAt = began
 }
 
 // PreviousOwnerStopped records that the previous owner sends no more orders from now on, if
@@ -61,6 +74,11 @@
 // worker.
 func (w *worker) mayHaveEarlierRuns() bool { return !w.parked && !w.reported && !w.accounted }
 
+// mayHaveUnbookedRuns reports whether runs may exist on a worker that no quota counts.
+func (w *worker) mayHaveUnbookedRuns() bool {
+	return w.mayHaveEarlierRuns() || !w.reported && w.hasUnbookedRuns
+}
+
 func (c *Cell) allWorkersAccounted() bool {
 	if len(c.workers) == 0 {
 		return false
--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -29,6 +29,7 @@
 // followJobs applies new jobs and cancellations from the store.
 func (o *Owner) followJobs(ctx context.Context) {
 	for ; ctx.Err() == nil; o.awaitNextRead(ctx) {
+		began := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, changesTimeout)
 		page, err := o.deps.Store.Changes(callCtx, celljobs.TableJobs, o.jobsVersion, 0)
 		cancel()
@@ -43,6 +44,9 @@
 			o.jobsVersion = page.Version
 			o.jobsAge.markRead(time.Now())
 			o.applyJobRows(page.Rows)
+			if !page.More {
+				o.cell.JobsRead(began)
+			}
 		}
 		o.loadMissingJobs(ctx)
 	}
@@ -103,6 +107,7 @@
 
 // reloadJobs reads all jobs, because the store no longer has the changes since jobsVersion.
 func (o *Owner) reloadJobs(ctx context.Context) {
+	began := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, reloadTimeout)
 	defer cancel()
 	rows, version, err := o.deps.Jobs.Records(callCtx)
@@ -113,6 +118,7 @@
 	o.jobsVersion = version
 	o.jobsAge.markRead(time.Now())
 	o.applyJobRows(rows)
+	o.cell.JobsRead(began)
 }
 
 // applyJobRows applies changed rows of the jobs table to the cell.
