cell: a roster entry alone does not end the runs of a worker

Callers saw a job as failed although none of its tasks had, or a task that ran twice.

Cause: an incarnation is the time of day at which a worker started, and register took an entry with a larger one for a restart. If the time of day was set back at the restart, a late entry of the earlier incarnation has the larger one. The owner that saw the restart knows which came before; the next owner does not. It drops the runs of a worker that is well, counts a crash for each, and starts the tasks elsewhere.

While runs may exist on a worker, or its suspects are undecided, an entry of another incarnation is now kept until the worker reports. The next poll decides: a poll returns the report of whatever incarnation answers, and no order reaches another one.

Cost: a worker that restarts while the owner cannot reach it keeps its runs until its lease has expired.

--- a/internal/cell/restart_site_test.go
+++ b/internal/cell/restart_site_test.go
@@ -125,6 +125,71 @@
 	}
 }
 
+// newOwnerOfARestartedWorker returns the site of an owner that has taken over a job of one task. The
+// task runs on worker a, which has restarted with its time of day set back; b is idle. outdated is
+// the entry of a's earlier incarnation.
+func newOwnerOfARestartedWorker(t *testing.T, entries ...roster.Worker) (s *site, outdated roster.Worker) {
+	outdated = usualWorker("a")
+	current := runner.Incarnation(siteStart.Add(-time.Hour).UnixMilli())
+	s = newSite(t, 2, entries...)
+	s.incarnations["a"] = current
+	r := s.record(1, step(1))
+	s.runs["a"] = []runner.RunState{{Task: r.ID + ".0.0.0", Run: 1, Percent: 10}}
+	s.cell.Load(r, nil)
+	s.cell.LoadWorkers([]KnownWorker{{ID: "a", Incarnation: current, Address: outdated.Address},
+		{ID: "b", Incarnation: usualWorker("b").Incarnation, Address: "b:1"}}, s.now)
+	s.cell.WorkersLoaded()
+	return s, outdated
+}
+
+// Guards against a second run of a task: a late entry of an earlier incarnation makes a new owner
+// drop the runs of a worker whose time of day was set back.
+func TestNewOwnerKeepsRunsDespiteALateEntryOfAnEarlierIncarnation(t *testing.T) {
+	for name, reported := range map[string]bool{"after the worker's report": true, "before it": false} {
+		t.Run(name, func(t *testing.T) {
+			s, outdated := newOwnerOfARestartedWorker(t, usualWorker("b"))
+			if reported {
+				s.report("a")
+			}
+			s.register(outdated)
+			s.report("b")
+			s.commit()
+			if starts := s.plan(); len(starts) > 0 {
+				t.Errorf("%d starts of a task that runs, want none", len(starts))
+			}
+			s.report("a")
+			if load := s.cell.WorkerLoad("a"); load.Runs != 1 {
+				t.Errorf("%d runs are accounted, want 1", load.Runs)
+			}
+		})
+	}
+}
+
+// Guards against a worker that is unresponsive for good because it restarted at another address.
+func TestUnresponsiveWorkerIsPolledAtTheAddressOfItsNextEntry(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	s.cell.Add(s.record(1, step(1)), true)
+	for _, o := range s.plan() {
+		s.confirm(o)
+	}
+	next := s.restart("a")
+	next.Address = "a:2"
+	s.register(next)
+	if target, _, _ := s.cell.NextPoll("a", s.now); target.Address != "a:1" {
+		t.Errorf("a worker that answers is polled at %s, want a:1", target.Address)
+	}
+	s.cell.PollFailed("a", runner.ErrNoAnswer, s.now)
+	s.register(next)
+	if target, _, _ := s.cell.NextPoll("a", s.now); target.Address != "a:2" {
+		t.Errorf("a worker that does not answer is polled at %s, want a:2", target.Address)
+	}
+	s.report("a")
+	if load := s.cell.WorkerLoad("a"); load.Runs != 0 {
+		t.Errorf("%d runs are accounted after the restart, want none", load.Runs)
+	}
+}
+
 // Guards against runs that count as lost on a worker that reported at the moment of its start, when
 // its clock shows 0.
 func TestWorkerWithAZeroClockKeepsItsLease(t *testing.T) {
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -68,13 +68,28 @@
 	// The last condition covers workers whose entries have no incarnation.
 	case r.Incarnation == w.incarnation, w.incarnation == 0, r.Incarnation == 0 && w.Worker.Incarnation == 0:
 		c.updateEntry(w, r, now)
-	case r.Incarnation > w.incarnation && r.Incarnation != w.previous:
+	case r.Incarnation > w.incarnation && r.Incarnation != w.previous && !c.mayHaveRuns(w):
 		c.workerRestarted(w, r.Incarnation, now)
 		c.updateEntry(w, r, now)
 	default:
-		// The entry is outdated, was written by another process, or belongs to a worker whose
-		// wall clock was set back. The worker's own report decides.
-		w.pendingEntry = r
+		// The entry is outdated, was written by another process, or belongs to the worker's next
+		// incarnation. Incarnations cannot be ordered by number, as the worker's wall clock may
+		// have been set back. The worker's own report decides.
+		c.keepPendingEntry(w, r)
+	}
+}
+
+// mayHaveRuns reports whether runs may exist on a worker, or may have crashed it.
+func (c *Cell) mayHaveRuns(w *worker) bool {
+	return len(w.attempts) > 0 || w.mayHaveEarlierRuns() || c.lostWorkers[w.ID] != nil
+}
+
+// keepPendingEntry keeps a roster entry until the worker reports its incarnation. A worker that
+// does not answer is polled at the address in the entry, as it may have restarted there.
+func (c *Cell) keepPendingEntry(w *worker, r roster.Worker) {
+	w.pendingEntry = r
+	if r.Incarnation > w.incarnation && (!w.reported || !w.unresponsiveSince.IsZero()) {
+		w.target.Address, w.target.Zone = r.Address, r.Zone
 	}
 }
 
