cell: a new owner waits for workers with another stored incarnation

Callers could see a task run twice after a takeover: the roster that the new owner reads names an earlier incarnation of a worker whose time of day was set back at a restart.

TestNewOwnerWaitsForAWorkerWithAnOutdatedRosterEntry fails before: "1 starts of a task that runs, want none".

Such a worker now counts as stored by the previous owner: the recovery waits for its report, or for the end of its lease, as for any other.

--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -41,14 +41,14 @@
 			c.workers[k.ID] = w
 			c.unregister(w, now)
 		}
-		if k.Incarnation != 0 && k.Incarnation < w.incarnation {
-			c.restoreCrash(w, k, now)
-			continue
-		}
 		if w.parked {
 			c.setParked(w, false)
 		}
 		w.storedByPreviousOwner = true
+		if k.Incarnation != 0 && k.Incarnation < w.incarnation {
+			c.restoreCrash(w, k, now)
+			continue
+		}
 		c.restoreLease(w, k, now)
 		if k.Incarnation > w.incarnation {
 			// The roster is out of date.
@@ -65,8 +65,9 @@
 	}
 }
 
-// restoreCrash handles the stored entry of a previous incarnation: its runs have ended, and
-// nothing was started on the new one.
+// restoreCrash handles the stored entry of an incarnation that has probably ended. Its runs are not
+// restored, but the recovery waits for the worker: if its wall clock was set back, the roster entry
+// may be the outdated one.
 func (c *Cell) restoreCrash(w *worker, k KnownWorker, now time.Time) {
 	c.restoreSuspects(w, k.Suspects)
 	c.workerCrashed(w.ID, now)
--- a/internal/cell/restart_site_test.go
+++ b/internal/cell/restart_site_test.go
@@ -165,6 +165,21 @@
 	}
 }
 
+// Guards against a second run of a task: the roster that a new owner reads names an earlier
+// incarnation of a worker whose time of day was set back.
+func TestNewOwnerWaitsForAWorkerWithAnOutdatedRosterEntry(t *testing.T) {
+	s, _ := newOwnerOfARestartedWorker(t, usualWorker("a"), usualWorker("b"))
+	s.report("b")
+	s.commit()
+	if starts := s.plan(); len(starts) > 0 {
+		t.Errorf("%d starts of a task that runs, want none", len(starts))
+	}
+	s.report("a")
+	if load := s.cell.WorkerLoad("a"); load.Runs != 1 {
+		t.Errorf("%d runs are accounted, want 1", load.Runs)
+	}
+}
+
 // Guards against a worker that is unresponsive for good because it restarted at another address.
 func TestUnresponsiveWorkerIsPolledAtTheAddressOfItsNextEntry(t *testing.T) {
 	s := newSite(t, 1, usualWorker("a"))
