cell: extend no lease before all runs of the worker are accounted for

Callers could see a task run twice, or a workspace exceed its quota, if the store goes away right after a takeover beside a living owner.

Cause: what a superseded owner started of a job that the new one does not know is not accounted until the job is read. The recovery ends 5.3 s after the takeover, when each lease of the previous owner must have expired; but the new owner extended the leases of workers that had answered without being accounted completely. Their runs went on after the recovery had ended, uncounted, and were started again once their job was read.

Polls now extend a lease only after a complete report. The first poll never did, so nothing changes for workers whose first report is complete.

Weighed: holding the recovery open while such a worker answers. All inherited work would wait for the store, where runs and starts are to go on without it.

--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -19,14 +19,15 @@
 		return target, poll, false
 	}
 	poll = runner.Poll{Token: c.settings.Term, Acknowledged: w.ackedEnd}
-	if w.clockAt.IsZero() || !w.unresponsiveSince.IsZero() {
+	if !w.reported || !w.unresponsiveSince.IsZero() {
 		// An unanswered poll may have been carried out. If each carried a later lease end, the
-		// lease of a lost worker would never expire.
+		// lease of a lost worker would never expire. Nor would that of runs which cannot be
+		// accounted for because their jobs are unknown; the recovery relies on their end.
 		return w.target, poll, true
 	}
 	end := w.extendLease(c.settings.Lease, now)
 	poll.LeaseUntil = &end
-	if w.reported && !w.awaitsStopReport() {
+	if !w.awaitsStopReport() {
 		poll.Wait = c.pollWait(w, now)
 	}
 	return w.target, poll, true
