cell: count stops of the previous owner as unavailable tasks

Callers could see more long-running tasks of a step down together than they allow, if the cell changes hands during a maintenance wave. Found by looking for limits that two owners count at once.

Cause: the worker reports a run as running until a stop has ended it, up to 0.9 s. The new owner adopts it as working and moves a task of the same step from another worker.

A run that was adopted now counts as unavailable until a report shows it as running for longer than a stop takes. Stops of a superseded owner that arrive later are refused, as the worker has seen the new token by then.

--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -38,7 +38,7 @@
 
 // adopt accounts for a run that another owner started.
 func (c *Cell) adopt(t *task, w *worker, run uint64, now time.Time) *attempt {
-	a := &attempt{task: t, run: run, worker: w, phase: running, orderedAt: now, confirmedAt: now, progressedAt: now, speedPercent: 100}
+	a := &attempt{task: t, run: run, worker: w, phase: running, mayBeStopping: true, orderedAt: now, confirmedAt: now, progressedAt: now, speedPercent: 100}
 	t.lastRun = max(t.lastRun, run)
 	t.attempts = append(t.attempts, a)
 	t.stage.removeIdle(t.index)
@@ -89,6 +89,9 @@
 	if a.confirmedAt.IsZero() {
 		a.confirmedAt = now
 	}
+	if a.elapsed(now) > c.settings.StopGrace+expiryMargin {
+		a.mayBeStopping = false
+	}
 	c.recordSurvival(a, now)
 	c.recordWorking(a, r.Percent, now)
 	a.task.stage.job.started = true
--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -27,6 +27,9 @@
 	fromScratch bool
 	// inherited is set if the run is known only from the store, so that it may have ended.
 	inherited bool
+	// mayBeStopping is set while a previous owner may have ordered the end of the run. Its worker
+	// still reports it as running until it has ended.
+	mayBeStopping bool
 	// confirmedAt is when the worker answered the start or first reported the run.
 	confirmedAt time.Time
 	// survived is set once the run has worked for survivedAfter without crashing its worker.
--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -92,10 +92,11 @@
 	return down < s.step.MaxUnavailable
 }
 
-// isWorking reports whether a long-running task works, according to its worker's last report.
+// isWorking reports whether a long-running task works, according to its worker's last report, and
+// has not been ordered to stop.
 func (t *task) isWorking() bool {
 	for _, a := range t.attempts {
-		if a.phase == running && a.percent >= workingPercent && a.worker.unresponsiveSince.IsZero() {
+		if a.phase == running && !a.mayBeStopping && a.percent >= workingPercent && a.worker.unresponsiveSince.IsZero() {
 			return true
 		}
 	}
