cell: count copies of inherited tasks against quotas

Callers could see a workspace above its quota after a takeover, if its tasks may run twice.

Cause: what a previous owner may have started on workers that have not reported was bounded by the idle tasks of inherited jobs. A task that may run twice is not idle once one run is accounted, and not at all once it is done, while its copy may go on.

Such a stage now counts two runs for each task, less the adopted ones. Runs that this owner started are not subtracted: they come on top of two of the previous owner.

TestQuotaCountsCopiesOfInheritedTasks fails before: "2 starts beside a run and its possible copy under a quota of 3, want 1".

--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -38,7 +38,7 @@
 
 // adopt accounts for a run that another owner started.
 func (c *Cell) adopt(t *task, w *worker, run uint64, now time.Time) *attempt {
-	a := &attempt{task: t, run: run, worker: w, phase: running, mayBeStopping: true, orderedAt: now, confirmedAt: now, progressedAt: now, speedPercent: 100}
+	a := &attempt{task: t, run: run, worker: w, phase: running, adopted: true, mayBeStopping: true, orderedAt: now, confirmedAt: now, progressedAt: now, speedPercent: 100}
 	t.lastRun = max(t.lastRun, run)
 	t.attempts = append(t.attempts, a)
 	t.stage.removeIdle(t.index)
--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -27,6 +27,8 @@
 	fromScratch bool
 	// inherited is set if the run is known only from the store, so that it may have ended.
 	inherited bool
+	// adopted is set if another owner started the run.
+	adopted bool
 	// mayBeStopping is set while a previous owner may have ordered the end of the run. Its worker
 	// still reports it as running until it has ended.
 	mayBeStopping bool
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -137,14 +137,27 @@
 // unknownCapacity exceeds the capacity of any fleet.
 var unknownCapacity = resource.Amount{MilliCPU: 1 << 50, MemoryMiB: 1 << 50, Accelerators: 1 << 50}
 
-// unaccounted returns the need of a job's tasks that are neither done nor accounted as running
-// and that a previous owner can have started.
+// unaccounted returns the need of the runs of a job that a previous owner can have started and
+// that are not accounted.
 func (j *jobState) unaccounted() resource.Amount {
 	var sum resource.Amount
 	for _, s := range j.stages {
 		if !s.noEarlierRuns {
-			sum = sum.Add(s.step.Need.Times(int64(len(s.idle))))
+			sum = sum.Add(s.step.Need.Times(int64(s.unaccountedRuns())))
 		}
 	}
 	return sum
 }
+
+// unaccountedRuns returns how many runs of a stage a previous owner can have started that are not
+// accounted. If tasks may run twice, that includes copies of tasks that run or are done.
+func (s *stage) unaccountedRuns() int {
+	if !s.step.AllowDuplicates {
+		return len(s.idle)
+	}
+	runs := 0
+	for _, t := range s.tasks {
+		runs += max(0, maxConcurrentRuns-t.adoptedRuns())
+	}
+	return runs
+}
--- a/internal/cell/superseded_jobs_test.go
+++ b/internal/cell/superseded_jobs_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/runner"
 )
 
 // Guards against a workspace that exceeds its quota because a superseded owner starts a job that
@@ -68,6 +69,22 @@
 	}
 }
 
+// Guards against a workspace that exceeds its quota because a previous owner has started copies of
+// tasks that may run twice.
+func TestQuotaCountsCopiesOfInheritedTasks(t *testing.T) {
+	s := newTakenOverSite(t, Settings{Term: 2, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, PreviousOwnerStopped: true})
+	twice := step(1)
+	twice.AllowDuplicates = true
+	inherited := s.recordOf("north", 1, twice)
+	s.cell.Load(inherited, nil)
+	s.runs["w1"] = []runner.RunState{{Task: inherited.ID + ".0.0.0", Run: 1, Percent: 10}}
+	s.report("w1")
+	s.cell.Add(s.recordOf("north", 2, step(3)), true)
+	if starts := s.plan(); len(starts) != 1 {
+		t.Errorf("%d starts beside a run and its possible copy under a quota of 3, want 1", len(starts))
+	}
+}
+
 // newTakenOverSite returns the site of a new owner that has heard w1 but not w2. Both may have runs
 // of the previous owner.
 func newTakenOverSite(t *testing.T, settings Settings) *site {
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -46,6 +46,17 @@
 	return nil
 }
 
+// adoptedRuns returns the number of the task's runs that other owners started.
+func (t *task) adoptedRuns() int {
+	n := 0
+	for _, a := range t.attempts {
+		if a.adopted {
+			n++
+		}
+	}
+	return n
+}
+
 // countFailure counts a failed run and reports whether it is new.
 func (t *task) countFailure(run uint64) bool {
 	if slices.Contains(t.failedRuns, run) {
