cellleader: begin no term once a later claim is known

Callers could see tasks run twice in a slow store: two instances own the cell. Found by checking how long a superseded owner can act.

Cause: an instance that waits for the answer to the write of its claim can hear of a later claim meanwhile. startTerm began the term all the same and overwrote what the instance knew of the later one. It noticed with its next read of the claim, up to 1 s later, and acted until then.

TestClaimThatWasSupersededBeforeItsAnswerBeginsNoTerm fails before: the term is begun, and the known claim is the own one again.

--- /dev/null
+++ b/internal/cellleader/slow_claim_test.go
@@ -0,0 +1,87 @@
+package cellleader
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"gentianstand/internal/cell"
+	"gentianstand/internal/celljobs"
+	"gentianstand/internal/cellowner"
+	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/roster"
+	"gentianstand/internal/store"
+)
+
+// claimAnswerDelay is how long slowClaimStore takes to answer a write.
+const claimAnswerDelay = 800 * time.Millisecond
+
+// slowClaimStore applies a write at once and answers it late. It has no claim and no jobs.
+type slowClaimStore struct{ store.Store }
+
+func (slowClaimStore) Get(context.Context, string, string, string) (store.Row, error) {
+	return store.Row{}, nil
+}
+
+func (slowClaimStore) Commit(context.Context, store.Tx) (uint64, error) {
+	time.Sleep(claimAnswerDelay)
+	return 1, nil
+}
+
+func (slowClaimStore) Read(ctx context.Context, _, _, _ string) (store.Page, error) {
+	<-ctx.Done()
+	return store.Page{}, store.ErrUnknown
+}
+
+func (slowClaimStore) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Page, error) {
+	<-ctx.Done()
+	return store.Page{}, store.ErrUnknown
+}
+
+// unreadableRoster never answers.
+type unreadableRoster struct{ roster.Source }
+
+func (unreadableRoster) All(ctx context.Context) (roster.Change, error) {
+	<-ctx.Done()
+	return roster.Change{}, store.ErrUnknown
+}
+
+// testSlowClaim has an instance claim the cell in a slow store and calls check once the claim is
+// stored, before its write is answered.
+func testSlowClaim(t *testing.T, check func(l *Leader, claimed claim)) {
+	synctest.Test(t, func(t *testing.T) {
+		log, _ := logtest.NewNullLogger()
+		s := store.NewMonitored(slowClaimStore{})
+		self := cellpeer.Instance{Name: "edge-1", Incarnation: "first"}
+		newOwner := func(term uint64, _ bool, c store.Check, leadership cellowner.Leadership) *cellowner.Owner {
+			return cellowner.New(cell.Settings{Term: term}, c, cellowner.Deps{Store: s, Jobs: celljobs.New(s, "cell"),
+				Roster: unreadableRoster{}, Log: log, Metrics: cellowner.NewMetrics(metrics.NewSet()), Leadership: leadership})
+		}
+		l := New("cell", cellpeer.NewDirectory(self, s, log), cellpeer.NewClients(), s, newOwner, nil, log)
+		go l.tryTakeOver(t.Context(), claim{}, takeOver{previousStopped: true})
+		synctest.Wait()
+		check(l, claim{Holder: self.Name, Incarnation: self.Incarnation, Term: 1, version: 1})
+		l.mu.Lock()
+		owned := l.term
+		l.mu.Unlock()
+		if owned != nil {
+			owned.end()
+		}
+	})
+}
+
+// Guards against two owners at once: a claim is read by another instance, which takes over, before
+// its holder receives the answer to its write.
+func TestClaimThatWasSupersededBeforeItsAnswerBeginsNoTerm(t *testing.T) {
+	testSlowClaim(t, func(l *Leader, _ claim) {
+		l.updateClaim(claim{Holder: "edge-2", Incarnation: "second", Term: 2, version: 2})
+		time.Sleep(claimAnswerDelay + time.Millisecond)
+		if l.term != nil || l.current().Term != 2 {
+			t.Errorf("term %v begun, claim %+v", l.term, l.current())
+		}
+	})
+}
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -114,11 +114,11 @@
 	return false
 }
 
-// startTerm starts this instance's term.
+// startTerm starts this instance's term, unless a later claim is known.
 func (l *Leader) startTerm(c claim, why takeOver) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term != nil || l.stopping || l.ended {
+	if l.term != nil || l.stopping || l.ended || l.known.version > c.version {
 		return
 	}
 	l.known, l.knownAt = c, time.Now()
