cellleader: count an ownership as confirmed from the start of its write

Callers could see what a superseded owner does later than its successor allows for: tasks that run twice, workspaces above their quota.

Cause: a successor counts on a superseded owner to stop 1.5 s after the takeover, as its last confirmation is older than that. Reads of the claim confirm it as of the time at which they were sent, but the write that begins a term confirmed it as of its answer, up to 1 s later in a slow store, or as of the answer of the read that follows a write without one.

Both now count from when they were sent, and the next read of the claim is due 1 s after that.

TestOwnershipIsConfirmedFromTheStartOfItsWrite fails before: "the ownership is confirmed more than 1.5s after its write was sent".

--- a/internal/cellleader/slow_claim_test.go
+++ b/internal/cellleader/slow_claim_test.go
@@ -74,6 +74,21 @@
 	})
 }
 
+// Guards against a superseded owner that acts for longer than its successor waits: in a slow store
+// its claim counted as confirmed from the answer to its write.
+func TestOwnershipIsConfirmedFromTheStartOfItsWrite(t *testing.T) {
+	testSlowClaim(t, func(l *Leader, _ claim) {
+		time.Sleep(claimAnswerDelay + time.Millisecond)
+		if !l.term.Confirmed() {
+			t.Error("the ownership is not confirmed after the answer to its write")
+		}
+		time.Sleep(confirmationTTL - claimAnswerDelay)
+		if l.term.Confirmed() {
+			t.Errorf("the ownership is confirmed more than %v after its write was sent", confirmationTTL)
+		}
+	})
+}
+
 // Guards against two owners at once: a claim is read by another instance, which takes over, before
 // its holder receives the answer to its write.
 func TestClaimThatWasSupersededBeforeItsAnswerBeginsNoTerm(t *testing.T) {
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -75,6 +75,7 @@
 	self := l.directory.Self()
 	next := claim{Holder: self.Name, Address: self.Address, Incarnation: self.Incarnation, Term: current.Term + 1,
 		Returned: current.Holder == self.Name, PredecessorMayAct: !why.previousStopped, ShortOwnerships: why.shortOwnerships(current, l.knownFor())}
+	sentAt := time.Now()
 	version, err := l.write(ctx, next, current.version)
 	if err != nil {
 		// The write may have taken effect; the row then names this process.
@@ -82,7 +83,7 @@
 		return l.resolveUnknownWrite(ctx, next, why)
 	}
 	next.version = version
-	l.startTerm(next, why)
+	l.startTerm(next, why, sentAt)
 	return true
 }
 
@@ -102,20 +103,22 @@
 
 // resolveUnknownWrite reads the claim to find out whether a write without an answer took effect.
 func (l *Leader) resolveUnknownWrite(ctx context.Context, next claim, why takeOver) bool {
+	sentAt := time.Now()
 	c, err := l.readClaim(ctx)
 	if err != nil {
 		return false
 	}
 	if c.Term == next.Term && c.Incarnation == next.Incarnation {
-		l.startTerm(c, why)
+		l.startTerm(c, why, sentAt)
 		return true
 	}
 	l.updateClaim(c)
 	return false
 }
 
-// startTerm starts this instance's term, unless a later claim is known.
-func (l *Leader) startTerm(c claim, why takeOver) {
+// startTerm starts this instance's term, unless a later claim is known. sentAt is when the request
+// was sent that confirmed the claim: another instance may have taken over since.
+func (l *Leader) startTerm(c claim, why takeOver, sentAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term != nil || l.stopping || l.ended || l.known.version > c.version {
@@ -125,7 +128,7 @@
 	l.links.ObserveTerm(c.Term)
 	l.vacantSince = time.Time{}
 	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why.reason}).Info("ownership_taken")
-	l.term = l.newTerm(c, why.previousStopped, why.onlyPredecessor)
+	l.term = l.newTerm(c, why, sentAt)
 	l.announcing.Go(func() { l.announce(c) })
 }
 
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -31,13 +31,12 @@
 	supersededOnce  sync.Once
 }
 
-// newTerm creates and starts the owner for a claim.
-func (l *Leader) newTerm(c claim, previousStopped bool, onlyPredecessor string) *term {
+// newTerm creates and starts the owner for a claim that a request sent at sentAt has confirmed.
+func (l *Leader) newTerm(c claim, why takeOver, sentAt time.Time) *term {
 	ctx, cancel := context.WithCancel(context.Background())
-	now := time.Now()
-	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: now, verifiedAt: now,
-		confirmations: newConfirmations(now), previousStopped: previousStopped, onlyPredecessor: onlyPredecessor}
-	t.owner = l.newOwner(c.Term, previousStopped, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
+	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: sentAt,
+		confirmations: newConfirmations(sentAt), previousStopped: why.previousStopped, onlyPredecessor: why.onlyPredecessor}
+	t.owner = l.newOwner(c.Term, why.previousStopped, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
 	go t.run(ctx)
 	return t
 }
