cellleader: a holder whose claim is not answered yet has not stopped

Callers could see tasks run twice in a slow store after two takeovers: the second owner treats the first one as stopped while its term is about to begin.

Cause: an instance that is pinged as the holder of a claim and says that it does not own the cell counted as stopped, for two reasons that do not hold while its write is unanswered. It may know its term from another instance that has read the claim; it may not know it even after 0.9 s, while the write and the read that follows it take up to 2 s.

An instance whose claim is being written now reports the previous term, and a holder that is replaced without knowing its term counts as one that may still act. The successor then waits for its leases and confirmations as for any unresponsive owner.

TestHolderOfAPendingClaimHasNotStopped and TestHolderThatDoesNotKnowIts- TermMayStillAct fail before: "the holder disclaims its pending claim", "stopped true, want false".

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -65,7 +65,7 @@
 		if !disclaimsOwnership(reply, known.Term, l.vacantFor(now)) {
 			return
 		}
-		l.takeVacant(ctx, known, takeOver{reason: "the named owner does not own the cell", previousStopped: true})
+		l.takeVacant(ctx, known, disclaimedTakeOver(reply, known.Term))
 	default:
 		l.ownerResponded(ctx, known, reply, now)
 	}
@@ -162,11 +162,17 @@
 // disclaimsOwnership reports whether the answer of a claim's holder means that it does not own
 // the cell. In a slow store others can read a claim before its holder receives the answer to its
 // write. Until then the holder knows only the previous term and owns nothing yet, which is no
-// reason to replace it. After vacancyTimeout it counts as a holder that will never own the cell.
+// reason to replace it. After vacancyTimeout it is replaced, but may still begin its term.
 func disclaimsOwnership(reply *cellpb.PingReply, term uint64, vacant time.Duration) bool {
 	return reply.Term >= term || vacant >= vacancyTimeout
 }
 
+// disclaimedTakeOver returns the takeover of a cell from a holder that disclaims it. A holder that
+// does not know of its term has not ended it.
+func disclaimedTakeOver(reply *cellpb.PingReply, term uint64) takeOver {
+	return takeOver{reason: "the named owner does not own the cell", previousStopped: reply.Term >= term}
+}
+
 // vacantFor returns how long no owner of the cell has been known.
 func (l *Leader) vacantFor(now time.Time) time.Duration {
 	l.mu.Lock()
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -47,7 +47,9 @@
 	// responds.
 	vacantSince time.Time
 	term        *term
-	stopping    bool
+	// claiming is the term for which this instance is writing a claim, or 0.
+	claiming uint64
+	stopping bool
 	// ended is true once Run has stopped. announcing tracks the announcements in progress.
 	ended      bool
 	announcing sync.WaitGroup
--- a/internal/cellleader/slow_claim_test.go
+++ b/internal/cellleader/slow_claim_test.go
@@ -13,6 +13,7 @@
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/cellowner"
 	"gentianstand/internal/cellpeer"
+	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/roster"
 	"gentianstand/internal/store"
 )
@@ -100,3 +101,36 @@
 		}
 	})
 }
+
+// Guards against a successor that counts the holder of a claim as stopped although its term is
+// about to begin.
+func TestHolderOfAPendingClaimHasNotStopped(t *testing.T) {
+	testSlowClaim(t, func(l *Leader, claimed claim) {
+		ping := &cellpb.PingRequest{From: "edge-2", Term: claimed.Term}
+		l.updateClaim(claimed)
+		if reply := l.Ping(ping); disclaimsOwnership(reply, claimed.Term, 0) {
+			t.Errorf("the holder disclaims its pending claim: %v", reply)
+		}
+		time.Sleep(claimAnswerDelay + time.Millisecond)
+		if reply := l.Ping(ping); !reply.Owner || reply.Term != claimed.Term {
+			t.Errorf("the holder does not own the cell after the answer: %v", reply)
+		}
+	})
+}
+
+// Guards against two owners at once: a holder that is replaced because it does not know of its claim
+// receives the answer to its write later.
+func TestHolderThatDoesNotKnowItsTermMayStillAct(t *testing.T) {
+	for name, test := range map[string]struct {
+		knows uint64
+		want  bool
+	}{
+		"it does not know its term": {4, false},
+		"it has given up its term":  {5, true},
+		"it knows of a later owner": {6, true},
+	} {
+		if got := disclaimedTakeOver(&cellpb.PingReply{Term: test.knows}, 5); got.previousStopped != test.want {
+			t.Errorf("%s: stopped %v, want %v", name, got.previousStopped, test.want)
+		}
+	}
+}
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -120,7 +120,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reply := &cellpb.PingReply{Claim: l.known.message(), Term: l.known.Term, Owner: l.term != nil, StoreOk: l.store.Reachable(), HeardMillis: -1,
+	reply := &cellpb.PingReply{Claim: l.known.message(), Term: l.reportedTermLocked(), Owner: l.term != nil, StoreOk: l.store.Reachable(), HeardMillis: -1,
 		Stopping: l.stopping, StoreLostMillis: l.store.UnreachableFor(time.Now()).Milliseconds()}
 	if !l.ownerSeenAt.IsZero() {
 		reply.HeardMillis = time.Since(l.ownerSeenAt).Milliseconds()
@@ -136,3 +136,14 @@
 	}
 	return reply
 }
+
+// reportedTermLocked returns the term that this instance knows. While the answer to the write of its
+// own claim is pending, that is the previous one: the term begins only with the answer, so an
+// instance that read the claim earlier must not conclude that the term is over. The caller holds
+// l.mu.
+func (l *Leader) reportedTermLocked() uint64 {
+	if l.claiming > 0 && l.known.Term == l.claiming && l.known.Incarnation == l.directory.Self().Incarnation {
+		return l.claiming - 1
+	}
+	return l.known.Term
+}
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -75,6 +75,8 @@
 	self := l.directory.Self()
 	next := claim{Holder: self.Name, Address: self.Address, Incarnation: self.Incarnation, Term: current.Term + 1,
 		Returned: current.Holder == self.Name, PredecessorMayAct: !why.previousStopped, ShortOwnerships: why.shortOwnerships(current, l.knownFor())}
+	l.setClaiming(next.Term)
+	defer l.setClaiming(0)
 	sentAt := time.Now()
 	version, err := l.write(ctx, next, current.version)
 	if err != nil {
@@ -87,6 +89,13 @@
 	return true
 }
 
+// setClaiming sets the term for which a claim is being written, or 0.
+func (l *Leader) setClaiming(term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claiming = term
+}
+
 func (l *Leader) write(ctx context.Context, c claim, expectedVersion uint64) (uint64, error) {
 	value, err := cbor.Marshal(c)
 	if err != nil {
