cellleader: confirmations from before a suspension do not count

Callers could see a task run twice after the owner's machine was suspended for seconds and another instance took over.

Cause: an owner acts for 1.5 s after its last confirmation, measured on the monotonic clock, which stops in a suspension. After it the owner goes on for the rest of that time, on workers that the new owner does not reach and whose leases it has counted as expired.

boottime.SuspensionMeter compares CLOCK_BOOTTIME with the monotonic clock. Each check of the confirmations asks it; after a suspension of 50 ms or more all earlier confirmations are void, reads of the claim that were sent before among them.

TestConfirmationsFromBeforeASuspensionDoNotCount fails without the check: "valid by confirmations from before the suspension".

--- a/internal/cellleader/confirmations.go
+++ b/internal/cellleader/confirmations.go
@@ -15,17 +15,43 @@
 	claimVerifiedAt time.Time
 	// pingedAt holds the time of the last ping of each instance that knows of no later owner.
 	pingedAt map[string]time.Time
+	// suspensions returns the total duration for which the machine was suspended, and suspended is
+	// its last value. Confirmations from before resumedAt do not count: they appear recent, because
+	// the clock stops during a suspension.
+	suspensions func() time.Duration
+	suspended   time.Duration
+	resumedAt   time.Time
 }
 
 func newConfirmations(now time.Time) *confirmations {
-	return &confirmations{claimVerifiedAt: now, pingedAt: map[string]time.Time{}}
+	return &confirmations{claimVerifiedAt: now, pingedAt: map[string]time.Time{}, suspensions: noSuspensions}
+}
+
+func noSuspensions() time.Duration { return 0 }
+
+// measureSuspensions sets the source of the durations of suspensions, which are measured from now
+// on.
+func (c *confirmations) measureSuspensions(total func() time.Duration) {
+	c.suspensions, c.suspended = total, total()
+}
+
+// discardBeforeSuspension discards all confirmations if the machine was suspended. The caller holds
+// c.mu.
+func (c *confirmations) discardBeforeSuspension(now time.Time) {
+	total := c.suspensions()
+	if total-c.suspended < minSuspension {
+		return
+	}
+	c.suspended, c.resumedAt = total, now
+	c.claimVerifiedAt = time.Time{}
+	clear(c.pingedAt)
 }
 
 // claimVerified records that a read of the store that began at startedAt found this ownership.
 func (c *confirmations) claimVerified(startedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if startedAt.After(c.claimVerifiedAt) {
+	if startedAt.After(c.claimVerifiedAt) && !startedAt.Before(c.resumedAt) {
 		c.claimVerifiedAt = startedAt
 	}
 }
@@ -42,10 +68,15 @@
 func (c *confirmations) valid(others func() int, linked func(since time.Time) []string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.discardBeforeSuspension(now)
 	if now.Sub(c.claimVerifiedAt) < confirmationTTL {
 		return true
 	}
-	for _, name := range linked(now.Add(-confirmationTTL)) {
+	since := now.Add(-confirmationTTL)
+	if since.Before(c.resumedAt) {
+		since = c.resumedAt
+	}
+	for _, name := range linked(since) {
 		if _, pinged := c.pingedAt[name]; !pinged {
 			// The oldest time that still counts, so that the link is asked again next time.
 			c.pingedAt[name] = now.Add(-confirmationTTL + 1)
--- a/internal/cellleader/confirmations_test.go
+++ b/internal/cellleader/confirmations_test.go
@@ -73,3 +73,36 @@
 		}
 	}
 }
+
+// Guards against a superseded owner that acts after its machine was suspended: its confirmations
+// appear recent, because the clock stopped.
+func TestConfirmationsFromBeforeASuspensionDoNotCount(t *testing.T) {
+	others := func() int { return 2 }
+	began := time.Now()
+	resumed := began.Add(time.Second)
+	linked := func(since time.Time) []string {
+		if since.Before(resumed) {
+			return []string{"edge-2", "edge-3"}
+		}
+		return nil
+	}
+	var suspended time.Duration
+	c := newConfirmations(began)
+	c.measureSuspensions(func() time.Duration { return suspended })
+	c.pingReceived("edge-2", began)
+	if !c.valid(others, linked, resumed) {
+		t.Fatal("not valid without a suspension")
+	}
+	suspended = minSuspension
+	if c.valid(others, linked, resumed) {
+		t.Error("valid by confirmations from before the suspension")
+	}
+	c.claimVerified(began.Add(time.Millisecond))
+	if c.valid(others, linked, resumed) {
+		t.Error("valid by a read of the claim from before the suspension")
+	}
+	c.claimVerified(resumed)
+	if !c.valid(others, linked, resumed) {
+		t.Error("not valid after a read of the claim")
+	}
+}
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/boottime"
 	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/store"
@@ -22,6 +23,8 @@
 	newOwner  NewOwner
 	links     Links
 	log       logrus.FieldLogger
+	// suspensions returns the total duration for which the machine was suspended.
+	suspensions func() time.Duration
 
 	// refreshing is true while refreshAsync is running.
 	refreshing atomic.Bool
@@ -62,7 +65,7 @@
 	if links == nil {
 		links = noLinks{}
 	}
-	return &Leader{partition: partition, directory: d, clients: c, store: s, newOwner: n, links: links, log: log,
+	return &Leader{partition: partition, directory: d, clients: c, store: s, newOwner: n, links: links, log: log, suspensions: boottime.NewSuspensionMeter().Total,
 		vacantSince: time.Now(), wake: make(chan struct{}, 1)}
 }
 
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -82,6 +82,9 @@
 	// confirmationTTL is how long a confirmation of the ownership is valid. Package cell relies
 	// on it: see supersededOwnerLimit there.
 	confirmationTTL = 1500 * time.Millisecond
+	// minSuspension is the shortest suspension that voids the confirmations. It covers the error of
+	// the measurement, and is short beside confirmationTTL.
+	minSuspension = 50 * time.Millisecond
 	// verifyInterval is how often the owner reads its own claim.
 	verifyInterval = time.Second
 	// storeTimeout bounds one call to the store about the ownership.
--- a/internal/cellleader/slow_claim_test.go
+++ b/internal/cellleader/slow_claim_test.go
@@ -63,6 +63,7 @@
 				Roster: unreadableRoster{}, Log: log, Metrics: cellowner.NewMetrics(metrics.NewSet()), Leadership: leadership})
 		}
 		l := New("cell", cellpeer.NewDirectory(self, s, log), cellpeer.NewClients(), s, newOwner, nil, log)
+		l.suspensions = noSuspensions
 		go l.tryTakeOver(t.Context(), claim{}, takeOver{previousStopped: true})
 		synctest.Wait()
 		check(l, claim{Holder: self.Name, Incarnation: self.Incarnation, Term: 1, version: 1})
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -36,6 +36,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: sentAt,
 		confirmations: newConfirmations(sentAt), previousStopped: why.previousStopped, onlyPredecessor: why.onlyPredecessor}
+	t.confirmations.measureSuspensions(l.suspensions)
 	t.owner = l.newOwner(c.Term, why.previousStopped, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
 	go t.run(ctx)
 	return t
