cellleader: late answers tell that the owner does not reach the store

Callers saw cancelled tasks started again, up to 10 s after the cancellation: the owner had read no job meanwhile, and was not replaced.

Cause: an owner that has lost the store is replaced by an instance that learns of it from the answer to a ping. Pings wait 0.2 s; the owner, whose link is full, answers later. Late answers were recorded as a sign of life only, so it counted as neither silent nor cut off.

The loss of the store in a late answer now counts like that in one that is in time, if the ping was sent after the store had served the instance that asks for 0.3 s: otherwise it may tell of an outage for all that is over.

--- a/internal/cellleader/follow.go
+++ b/internal/cellleader/follow.go
@@ -87,19 +87,26 @@
 	return c.version == 0 || c.Released || (c.Holder == self.Name && c.Incarnation != self.Incarnation)
 }
 
-// ownerResponded handles the answer of the owner, and takes over if the owner cannot reach the
-// store while this instance can.
+// ownerResponded handles the answer of the owner.
 func (l *Leader) ownerResponded(ctx context.Context, known claim, reply *cellpb.PingReply, now time.Time) {
 	l.mu.Lock()
 	l.ownerSeenAt = now
 	l.vacantSince = time.Time{}
 	l.refusals = 0
 	l.mu.Unlock()
-	lost := time.Duration(reply.StoreLostMillis) * time.Millisecond
+	l.takeOverWithoutStore(ctx, known, storeLoss{duration: storeLossOf(reply), askedAt: now}, now)
+}
+
+// takeOverWithoutStore takes over from an owner that has not reached the store for too long. The
+// store must have served this instance for some time when the owner was asked; otherwise the loss
+// may be that of an outage for all. It reports whether it tried.
+func (l *Leader) takeOverWithoutStore(ctx context.Context, known claim, loss storeLoss, now time.Time) bool {
 	limit := max(storeLossTimeout, l.store.CallTimeout(), l.currentSuspicion(now).timeout()) + l.takeOverDelay(known.Term)
-	if lost > limit && l.store.ReachableFor(now) > storeRecoverySkew {
-		l.tryTakeOver(ctx, known, takeOver{reason: "the owner does not reach the store", unresponsive: true})
+	if loss.duration <= limit || l.store.ReachableFor(now)-now.Sub(loss.askedAt) <= storeRecoverySkew {
+		return false
 	}
+	l.tryTakeOver(ctx, known, takeOver{reason: "the owner does not reach the store", unresponsive: true})
+	return true
 }
 
 // ownerUnresponsive handles a failed ping of the owner, and takes over if the owner has been
@@ -116,6 +123,9 @@
 		return
 	}
 	suspicion := l.recordPingFailure(err, now)
+	if l.takeOverWithoutStore(ctx, known, suspicion.storeLoss, now) {
+		return
+	}
 	ownerTimeout, seenWithin := suspicion.limits()
 	if now.Sub(suspicion.since) < ownerTimeout+l.takeOverDelay(known.Term) {
 		return
@@ -156,7 +166,7 @@
 		from = l.vacantSince
 	}
 	return suspicion{since: from, refusals: l.refusals, slowestResponse: l.responseTimes.slowestRecent(now),
-		shortOwnerships: l.known.ShortOwnerships, newOwner: now.Sub(l.knownAt) < shortOwnershipLimit}
+		shortOwnerships: l.known.ShortOwnerships, newOwner: now.Sub(l.knownAt) < shortOwnershipLimit, storeLoss: l.ownerStoreLoss.ifRecent(now)}
 }
 
 // disclaimsOwnership reports whether the answer of a claim's holder means that it does not own
@@ -273,5 +283,6 @@
 	l.responseTimes.record(now.Sub(sent), now)
 	if sent.After(l.ownerSeenAt) {
 		l.ownerSeenAt = sent
+		l.ownerStoreLoss = storeLoss{duration: storeLossOf(reply), askedAt: sent}
 	}
 }
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -42,6 +42,8 @@
 	ownerSeenAt time.Time
 	// refusals is the number of consecutive pings of the owner that were refused.
 	refusals int
+	// ownerStoreLoss is what its last answer tells about the owner's access to the store.
+	ownerStoreLoss storeLoss
 	// responseTimes are those of the owner of the known claim.
 	responseTimes responseTimes
 	// lateAnswerPending is true while a ping waits for its answer beyond ownerPingTimeout.
@@ -226,6 +228,7 @@
 		l.ownerSeenAt = time.Time{}
 		l.refusals = 0
 		l.responseTimes = responseTimes{}
+		l.ownerStoreLoss = storeLoss{}
 		l.vacantSince = time.Now()
 		l.knownAt = time.Now()
 		l.links.ObserveTerm(c.Term)
--- a/internal/cellleader/suspicion.go
+++ b/internal/cellleader/suspicion.go
@@ -15,6 +15,9 @@
 	// one has been short, too.
 	shortOwnerships uint32
 	newOwner        bool
+	// storeLoss is what a recent answer, which may have been late, tells about the owner's access
+	// to the store.
+	storeLoss storeLoss
 }
 
 // limits returns how long the owner may be unresponsive, and how recently another instance must
