relay: omit ends that the previous report on a link has listed

Callers saw the cell not come back after an outage of the store on small machines: cancelled tasks started, long-running tasks down, jobs unfinished.

Cause: a worker lists its ends until they are acknowledged, and they are acknowledged once stored. While the store is away each poll brings them all again; they fill an owner's link of 2 Mbit/s, the store cannot be reached when it is back, and nothing is stored or acknowledged any more. The state sustains itself.

A trial with a log line for each report: 125 reports a second, ends per report rising from 8 to 28, runs below one. Ruled out: dead connections to the store (dials fail), calls of other instances (a quarter of the bytes).

A reply now names how many ends, the last ones of the worker's previous report on the link, precede the listed ones. The relay does so only if the owner has declared in the upgrade request that it restores them, so owners and relays of either version work together.

Weighed: polling less often while ends cannot be acknowledged. 139 workers polled once a second would still take 155 of the 250 KB/s by arithmetic; not built.

--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -38,6 +38,7 @@
 	}
 	req.Header.Set("Connection", "Upgrade")
 	req.Header.Set("Upgrade", protocol)
+	req.Header.Set(featuresHeader, repeatedEnds)
 	if err := req.Write(conn); err != nil {
 		return err
 	}
--- a/internal/relay/link_frames.go
+++ b/internal/relay/link_frames.go
@@ -77,7 +77,7 @@
 	}
 }
 
-var errBadReport = errors.New("report refers to a run that the previous report does not contain")
+var errBadReport = errors.New("report refers to a run or an end that the previous report does not contain")
 
 // handleReply passes a reply to the call that waits for it, and updates the state of the
 // link from it.
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -17,6 +17,9 @@
 	// IncarnationMillis is runner.Report.Incarnation, or 0 if it is the same as in the
 	// worker's previous report on this link.
 	IncarnationMillis int64 `cbor:"9,keyasint,omitempty"`
+	// RepeatedEnds is the number of ends, the last ones of the worker's previous report on this
+	// link, that precede Report.Ended. It is 0 unless the owner has declared repeatedEnds.
+	RepeatedEnds int `cbor:"10,keyasint,omitempty"`
 }
 
 // outcome classifies how a call to a worker ended.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 	}
 	defer conn.Close()
 	link := newSession(conn, s)
+	link.readsRepeatedEnds = slices.Contains(r.Header.Values(featuresHeader), repeatedEnds)
 	if !s.add(link) {
 		return
 	}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -24,6 +24,8 @@
 	conn   net.Conn
 	server *Server
 	wake   chan struct{}
+	// readsRepeatedEnds is set if the owner restores repeated ends.
+	readsRepeatedEnds bool
 
 	// workers, ids, specs, delays and the counters are used by the reading goroutine only.
 	workers           map[uint32]runner.Target
@@ -242,7 +244,7 @@
 func (s *session) send(out *bufio.Writer, encoder *cbor.Encoder, known reportCodec, batch []outgoing) error {
 	for _, d := range batch {
 		if d.report != nil {
-			known.shorten(&d.reply, d.worker, *d.report)
+			s.shorten(&d, known)
 		}
 		if err := encoder.Encode(&d.reply); err != nil {
 			return err
@@ -253,3 +255,12 @@
 	}
 	return out.Flush()
 }
+
+// shorten stores the short form of a report that the owner can read in its reply.
+func (s *session) shorten(d *outgoing, known reportCodec) {
+	if s.readsRepeatedEnds {
+		known.shortenRepeated(&d.reply, d.worker, *d.report)
+		return
+	}
+	known.shorten(&d.reply, d.worker, *d.report)
+}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -7,6 +7,11 @@
 	Path = "/relay"
 	// protocol is the value of the Upgrade header.
 	protocol = "gentianstand-relay"
+	// featuresHeader lists the features of the frames that an owner can read beyond those that
+	// every version reads.
+	featuresHeader = "Relay-Features"
+	// repeatedEnds is the feature reply.RepeatedEnds.
+	repeatedEnds = "repeated-ends"
 	// openWait is how long calls wait for a link to open before they use another one that
 	// is open. Opening takes milliseconds, or more at an instance that is short of CPU.
 	openWait = 200 * time.Millisecond
