--- a/internal/cell/restart_site_test.go
+++ b/internal/cell/restart_site_test.go
@@ -142,6 +142,21 @@
 	return s, outdated
 }
 
+// checkRunContinues fails the test if the task on worker a is started again, or is not accounted
+// there once the worker has reported.
+func (s *site) checkRunContinues() {
+	s.t.Helper()
+	s.report("b")
+	s.commit()
+	if starts := s.plan(); len(starts) > 0 {
+		s.t.Errorf("%d starts of a task that runs, want none", len(starts))
+	}
+	s.report("a")
+	if load := s.cell.WorkerLoad("a"); load.Runs != 1 {
+		s.t.Errorf("%d runs are accounted, want 1", load.Runs)
+	}
+}
+
 // Guards against a second run of a task: a late entry of an earlier incarnation makes a new owner
 // drop the runs of a worker whose time of day was set back.
 func TestNewOwnerKeepsRunsDespiteALateEntryOfAnEarlierIncarnation(t *testing.T) {
@@ -152,15 +167,7 @@
 				s.report("a")
 			}
 			s.register(outdated)
-			s.report("b")
-			s.commit()
-			if starts := s.plan(); len(starts) > 0 {
-				t.Errorf("%d starts of a task that runs, want none", len(starts))
-			}
-			s.report("a")
-			if load := s.cell.WorkerLoad("a"); load.Runs != 1 {
-				t.Errorf("%d runs are accounted, want 1", load.Runs)
-			}
+			s.checkRunContinues()
 		})
 	}
 }
@@ -169,15 +176,7 @@
 // incarnation of a worker whose time of day was set back.
 func TestNewOwnerWaitsForAWorkerWithAnOutdatedRosterEntry(t *testing.T) {
 	s, _ := newOwnerOfARestartedWorker(t, usualWorker("a"), usualWorker("b"))
-	s.report("b")
-	s.commit()
-	if starts := s.plan(); len(starts) > 0 {
-		t.Errorf("%d starts of a task that runs, want none", len(starts))
-	}
-	s.report("a")
-	if load := s.cell.WorkerLoad("a"); load.Runs != 1 {
-		t.Errorf("%d runs are accounted, want 1", load.Runs)
-	}
+	s.checkRunContinues()
 }
 
 // Guards against a worker that is unresponsive for good because it restarted at another address.
