--- a/internal/spec/parse.go
+++ b/internal/spec/parse.go
@@ -22,7 +22,6 @@
 	text           Text
 	nodes          map[string]*yaml.Node
 	dependsOnNodes map[string][]*yaml.Node
-	teamNodes      map[string]*yaml.Node
 }
 
 // Parse parses a text. The error is of type Problems and contains every mistake found.
@@ -70,7 +69,7 @@
 }
 
 func (r *reader) document(root *yaml.Node) *document {
-	doc := &document{nodes: map[string]*yaml.Node{}, dependsOnNodes: map[string][]*yaml.Node{}, teamNodes: map[string]*yaml.Node{}}
+	doc := &document{nodes: map[string]*yaml.Node{}, dependsOnNodes: map[string][]*yaml.Node{}}
 	var version int64
 	r.mapping(root, "the text", map[string]fieldReader{
 		"version":  r.integer(&version, FormatVersion, FormatVersion),
@@ -109,7 +108,7 @@
 	var dependsOnNodes []*yaml.Node
 	fields := map[string]fieldReader{
 		"name":       r.name(&w.Name),
-		"team":       func(v *yaml.Node) { doc.teamNodes[w.Name] = v; r.name(&w.Team)(v) },
+		"team":       r.name(&w.Team),
 		"resources":  r.amount(&w.Need),
 		"urgency":    choice(r, &w.Urgency, Urgent, Normal, Low),
 		"depends_on": r.nameList(&w.DependsOn, &dependsOnNodes),
