--- a/internal/idempotency/limits.go
+++ b/internal/idempotency/limits.go
@@ -16,7 +16,7 @@
 	maxBatch = 200
 	// writeTimeout bounds a write.
 	writeTimeout = 2 * time.Second
-	loadPage = 1000
+	loadPage     = 1000
 	// readyPollPeriod is how often a waiting request checks whether the owning
 	// shard is ready.
 	readyPollPeriod = 25 * time.Millisecond
