cellowner: order no maintenance after a listing outlasts the ownership

Callers could see more machines of a wave down than operators allow. Found by looking for limits that two owners count at once.

Cause: an owner checked that its ownership is confirmed, listed the machines, which takes up to 1 s on a slow platform, reported completed waves, up to 1 s each, and then sent its orders. Together with the 1.5 s for which a superseded owner may act, they could arrive after the 3 s that its successor waits before it counts the machines that are down. The fleet compares fencing tokens for each machine alone, so it refuses none of another machine.

The confirmation is checked again after the listing, and waves are completed after the orders are sent.

TestNoMaintenanceIsOrderedAfterASlowListing fails before: "orders sent without a confirmed ownership: [{m-1 3 edge-1 7}]".

--- a/internal/cellowner/maintenance_controller.go
+++ b/internal/cellowner/maintenance_controller.go
@@ -79,16 +79,18 @@
 		return
 	}
 	listed, ok := c.listMachines(ctx)
-	if !ok {
+	if !ok || !c.owner.deps.Leadership.Confirmed() {
+		// A slow listing can outlast the ownership. The next owner counts on no further orders.
 		return
 	}
 	var empty []string
 	var orders []upkeep.Order
+	var completed []*upkeep.Tracker
 	for number, t := range c.trackers {
 		plan := t.Plan(time.Now(), listed, c.owner.cell.WorkerLoad)
 		empty = append(empty, plan.Evacuate...)
 		if plan.Completed {
-			c.complete(ctx, t)
+			completed = append(completed, t)
 		}
 		if time.Since(c.startedAt) < c.HolderLease {
 			// Another holder may have sent orders for these machines shortly before.
@@ -101,6 +103,9 @@
 	}
 	c.owner.cell.SetEvacuating(empty)
 	c.sendOrders(ctx, orders)
+	for _, t := range completed {
+		c.complete(ctx, t)
+	}
 }
 
 // listMachines returns the machines of the fleet by name.
--- a/internal/cellowner/maintenance_test.go
+++ b/internal/cellowner/maintenance_test.go
@@ -120,6 +120,41 @@
 	}
 }
 
+// expiringLeadership is confirmed until the fleet has listed its machines.
+type expiringLeadership struct {
+	recordedLeadership
+	fleet *slowFleet
+}
+
+func (l *expiringLeadership) Confirmed() bool { return !l.fleet.listed }
+
+// slowFleet takes so long to list its machines that the ownership expires.
+type slowFleet struct {
+	smallFleet
+	listed bool
+}
+
+func (f *slowFleet) Machines(ctx context.Context) ([]upkeep.Machine, error) {
+	f.listed = true
+	return f.smallFleet.Machines(ctx)
+}
+
+// Guards against more machines in maintenance than a wave allows: a superseded owner orders some
+// after its successor has begun to count.
+func TestNoMaintenanceIsOrderedAfterASlowListing(t *testing.T) {
+	f := &slowFleet{}
+	c, _ := controllerOfOneMachine(t, &f.smallFleet, &lastRowStore{}, &expiringLeadership{fleet: f}, time.Hour)
+	c.Fleet = f
+	c.readWaves(t.Context())
+	for range 4 {
+		c.reconcile(t.Context())
+		f.listed = false
+	}
+	if len(f.orders) > 0 {
+		t.Errorf("orders sent without a confirmed ownership: %v", f.orders)
+	}
+}
+
 // Guards against a superseded owner that continues to send orders for machines.
 func TestFencedMaintenanceOrderEndsTheOwnership(t *testing.T) {
 	f, l := &smallFleet{refuse: upkeep.ErrFenced}, &recordedLeadership{}
