--- a/internal/cell/cordon.go
+++ b/internal/cell/cordon.go
@@ -55,7 +55,7 @@
 	for _, r := range runs {
 		t := c.taskByName(r.Task)
 		if t == nil || t.stage.job.final != "" || t.stage.step.AllowDuplicates {
-			w.hasUnbookedRuns = true
+			w.hasUncountedRuns = true
 			continue
 		}
 		if t.done {
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -122,7 +122,7 @@
 func (c *Cell) unreportedCapacity(now time.Time) resource.Amount {
 	var capacity resource.Amount
 	for _, w := range c.workers {
-		if !w.mayHaveUnbookedRuns() || !now.Before(c.runsOverBy(w)) {
+		if !w.mayHaveUncountedRuns() || !now.Before(c.runsOverBy(w)) {
 			continue
 		}
 		if !w.entryIsCurrent() || w.Capacity.IsZero() {
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -74,9 +74,9 @@
 // worker.
 func (w *worker) mayHaveEarlierRuns() bool { return !w.parked && !w.reported && !w.accounted }
 
-// mayHaveUnbookedRuns reports whether runs may exist on a worker that no quota counts.
-func (w *worker) mayHaveUnbookedRuns() bool {
-	return w.mayHaveEarlierRuns() || !w.reported && w.hasUnbookedRuns
+// mayHaveUncountedRuns reports whether runs may exist on a worker that no quota counts.
+func (w *worker) mayHaveUncountedRuns() bool {
+	return w.mayHaveEarlierRuns() || !w.reported && w.hasUncountedRuns
 }
 
 func (c *Cell) allWorkersAccounted() bool {
--- a/internal/cellleader/confirmations.go
+++ b/internal/cellleader/confirmations.go
@@ -35,9 +35,9 @@
 	c.suspensions, c.suspended = total, total()
 }
 
-// discardBeforeSuspension discards all confirmations if the machine was suspended. The caller holds
+// discardIfSuspended discards all confirmations if the machine was suspended. The caller holds
 // c.mu.
-func (c *confirmations) discardBeforeSuspension(now time.Time) {
+func (c *confirmations) discardIfSuspended(now time.Time) {
 	total := c.suspensions()
 	if total-c.suspended < minSuspension {
 		return
@@ -68,7 +68,7 @@
 func (c *confirmations) valid(others func() int, linked func(since time.Time) []string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.discardBeforeSuspension(now)
+	c.discardIfSuspended(now)
 	if now.Sub(c.claimVerifiedAt) < confirmationTTL {
 		return true
 	}
