--- a/internal/cellleader/slow_claim_test.go
+++ b/internal/cellleader/slow_claim_test.go
@@ -67,25 +67,30 @@
 		go l.tryTakeOver(t.Context(), claim{}, takeOver{previousStopped: true})
 		synctest.Wait()
 		check(l, claim{Holder: self.Name, Incarnation: self.Incarnation, Term: 1, version: 1})
-		l.mu.Lock()
-		owned := l.term
-		l.mu.Unlock()
-		if owned != nil {
+		if owned := l.ownTerm(); owned != nil {
 			owned.end()
 		}
 	})
 }
 
+// ownTerm returns the term of this instance, or nil.
+func (l *Leader) ownTerm() *term {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
 // Guards against a superseded owner that acts for longer than its successor waits: in a slow store
 // its claim counted as confirmed from the answer to its write.
 func TestOwnershipIsConfirmedFromTheStartOfItsWrite(t *testing.T) {
 	testSlowClaim(t, func(l *Leader, _ claim) {
 		time.Sleep(claimAnswerDelay + time.Millisecond)
-		if !l.term.Confirmed() {
+		owned := l.ownTerm()
+		if !owned.Confirmed() {
 			t.Error("the ownership is not confirmed after the answer to its write")
 		}
 		time.Sleep(confirmationTTL - claimAnswerDelay)
-		if l.term.Confirmed() {
+		if owned.Confirmed() {
 			t.Errorf("the ownership is confirmed more than %v after its write was sent", confirmationTTL)
 		}
 	})
@@ -97,8 +102,8 @@
 	testSlowClaim(t, func(l *Leader, _ claim) {
 		l.updateClaim(claim{Holder: "edge-2", Incarnation: "second", Term: 2, version: 2})
 		time.Sleep(claimAnswerDelay + time.Millisecond)
-		if l.term != nil || l.current().Term != 2 {
-			t.Errorf("term %v begun, claim %+v", l.term, l.current())
+		if owned := l.ownTerm(); owned != nil || l.current().Term != 2 {
+			t.Errorf("a term was begun: %v, claim %+v", owned != nil, l.current())
 		}
 	})
 }
