--- a/internal/cellleader/confirmations.go
+++ b/internal/cellleader/confirmations.go
@@ -29,8 +29,8 @@
 
 func noSuspensions() time.Duration { return 0 }
 
-// measureSuspensions sets the source of the durations of suspensions, which are measured from now
-// on.
+// measureSuspensions sets the source of the total duration of suspensions. Those before the call do
+// not count.
 func (c *confirmations) measureSuspensions(total func() time.Duration) {
 	c.suspensions, c.suspended = total, total()
 }
