--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -90,6 +90,7 @@
 		a.confirmedAt = now
 	}
 	if a.elapsed(now) > c.settings.StopGrace+expiryMargin {
+		// A stop that a previous owner ordered would have ended the run by now.
 		a.mayBeStopping = false
 	}
 	c.recordSurvival(a, now)
--- a/internal/cellowner/maintenance_controller.go
+++ b/internal/cellowner/maintenance_controller.go
@@ -80,7 +80,7 @@
 	}
 	listed, ok := c.listMachines(ctx)
 	if !ok || !c.owner.deps.Leadership.Confirmed() {
-		// A slow listing can outlast the ownership. The next owner counts on no further orders.
+		// A slow listing can outlast the ownership, and the next owner relies on no orders being sent.
 		return
 	}
 	var empty []string
