cell: log why a new owner takes the steps after an ended run as new

Nothing in the logs told from what a new owner knew the run that ended: a stored entry, a report, or its own order. next_steps_taken_as_new says so, with the time after the takeover at which the run was last listed as running, and whether the previous owner could still act. At most one line a run, only while the owner recovers, and only for jobs that an earlier owner may have started.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -34,6 +34,8 @@
 	mayBeStopping bool
 	// confirmedAt is when the worker answered the start or first reported the run.
 	confirmedAt time.Time
+	// seenRunningAt is when the last poll was sent whose answer listed the run as running.
+	seenRunningAt time.Time
 	// survived is set once the run has worked for survivedAfter without crashing its worker.
 	survived bool
 	// percent is the last reported progress, and progressedAt is when it last changed.
@@ -63,3 +65,14 @@
 
 // elapsed returns the time since the run was ordered.
 func (a *attempt) elapsed(now time.Time) time.Duration { return now.Sub(a.orderedAt) }
+
+// source returns how the cell learned of the run.
+func (a *attempt) source() string {
+	switch {
+	case !a.adopted:
+		return "order"
+	case a.inherited:
+		return "store"
+	}
+	return "report"
+}
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -55,6 +55,7 @@
 func (c *Cell) runDone(t *task, a *attempt, w *worker, now time.Time) {
 	c.clearCrashes(t)
 	if a != nil {
+		c.logNewSteps(a)
 		t.stage.markSuccessorsFresh()
 		c.recordDuration(a, now)
 	}
@@ -88,6 +89,18 @@
 	}
 }
 
+// logNewSteps logs why the steps after an ended run are taken as not started by a previous owner.
+func (c *Cell) logNewSteps(a *attempt) {
+	if !c.recovering || !a.task.stage.job.inherited {
+		return
+	}
+	fields := logrus.Fields{"known_from": a.source(), "previous_owner_fenced": c.previousOwnerFenced}
+	if !a.seenRunningAt.IsZero() {
+		fields["seen_running_ms"] = a.seenRunningAt.Sub(c.startedAt).Milliseconds()
+	}
+	c.log.WithFields(attemptFields(a)).WithFields(fields).Info("next_steps_taken_as_new")
+}
+
 // taskDone handles a success. In a gang, the end of one member counts for all.
 func (c *Cell) taskDone(t *task, w *worker, now time.Time) {
 	members := []*task{t}
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -126,6 +126,7 @@
 		}
 		if a := c.findOrAdopt(w, r, now); a != nil {
 			present[a] = true
+			a.seenRunningAt = sentAt
 			a.reportedAfterStop = !a.stopAnsweredAt.IsZero() && a.stopAnsweredAt.Before(sentAt)
 			c.recordProgress(a, r, now)
 		}
