cell: hold a step back if the previous owner may have seen the step before it end

What callers saw: after a takeover, tasks of a job's second step ran twice.

Cause: while it recovers, a new owner holds back the steps that the previous one may have started. It excepted a step as soon as a run of the step before it ended under its eyes, if that run was on its books. But a run gets there from the store, as of the last commit of the previous owner, or from a report of a time at which that owner could still act. The previous owner can have seen the same end and started the next step on a worker that the new one has not reached.

Now the exception asks for a run that existed after the previous owner's last order: listed in the answer to a poll that was sent after the previous owner had stopped or must have stopped, or ordered by this owner after that. Of two concurrent runs of a task one proves nothing, as the other may have ended before. A stored run that was never reported proves nothing, whether or not the previous owner has stopped.

TestStageAfterAVisibleRunIsNotHeldBack demanded it of an owner whose predecessor may still act, which is the fault; it now says that the previous owner has stopped, and demands the same.

The log line next_steps_taken_as_new becomes next_stage_after_takeover: one line for each step that follows a completed one during a recovery.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -66,13 +66,22 @@
 // elapsed returns the time since the run was ordered.
 func (a *attempt) elapsed(now time.Time) time.Duration { return now.Sub(a.orderedAt) }
 
-// source returns how the cell learned of the run.
+// lastSeenAt returns the latest time after which the run is known to have existed. It is zero for
+// a run that is known only from the store.
+func (a *attempt) lastSeenAt() time.Time {
+	if !a.adopted && a.orderedAt.After(a.seenRunningAt) {
+		return a.orderedAt
+	}
+	return a.seenRunningAt
+}
+
+// source returns how the cell last learned of the run, for the log.
 func (a *attempt) source() string {
 	switch {
-	case !a.adopted:
-		return "order"
-	case a.inherited:
+	case !a.seenRunningAt.IsZero():
+		return "report"
+	case a.adopted:
 		return "store"
 	}
-	return "report"
+	return "order"
 }
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -55,8 +54,9 @@
 func (c *Cell) runDone(t *task, a *attempt, w *worker, now time.Time) {
 	c.clearCrashes(t)
 	if a != nil {
-		c.logNewSteps(a)
-		t.stage.markSuccessorsFresh()
+		if c.outlastedPreviousOwner(a) {
+			t.stage.markSuccessorsFresh()
+		}
 		c.recordDuration(a, now)
 	}
 	if a == nil || !a.blamed {
@@ -64,6 +64,7 @@
 	}
 	if !t.stage.step.LongRunning {
 		c.taskDone(t, w, now)
+		c.logSuccessors(t.stage, a)
 	}
 }
 
@@ -79,26 +80,27 @@
 	}
 }
 
-// markSuccessorsFresh marks the stages after s as not started by any previous owner: a run of
-// s was seen under this owner and has only now ended.
+// markSuccessorsFresh marks the stages after s as not started by any previous owner.
 func (s *stage) markSuccessorsFresh() {
-	for _, next := range s.job.stages {
-		if slices.Contains(next.predecessors, s) {
-			next.noEarlierRuns = true
-		}
+	for _, next := range s.successors() {
+		next.noEarlierRuns = true
 	}
 }
 
-// logNewSteps logs why the steps after an ended run are taken as not started by a previous owner.
-func (c *Cell) logNewSteps(a *attempt) {
-	if !c.recovering || !a.task.stage.job.inherited {
+// logSuccessors logs, during a recovery, whether the stages after a completed one are held back, and
+// how its last run was known. That run is nil if it was not accounted for.
+func (c *Cell) logSuccessors(s *stage, last *attempt) {
+	if !c.recovering || !s.job.inherited || !s.isDone() {
 		return
 	}
-	fields := logrus.Fields{"known_from": a.source(), "previous_owner_fenced": c.previousOwnerFenced}
-	if !a.seenRunningAt.IsZero() {
-		fields["seen_running_ms"] = a.seenRunningAt.Sub(c.startedAt).Milliseconds()
+	for _, next := range s.successors() {
+		fields := logrus.Fields{"stage": next.id.String(), "held_back": c.heldBack(next), "previous_owner_fenced": c.previousOwnerFenced}
+		if last != nil {
+			fields["run_known_from"] = last.source()
+			fields["run_seen_ms"] = last.lastSeenAt().Sub(c.startedAt).Milliseconds()
+		}
+		c.log.WithFields(fields).Info("next_stage_after_takeover")
 	}
-	c.log.WithFields(attemptFields(a)).WithFields(fields).Info("next_steps_taken_as_new")
 }
 
 // taskDone handles a success. In a gang, the end of one member counts for all.
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -42,6 +42,13 @@
 	return limit
 }
 
+// outlastedPreviousOwner reports whether a run existed after the previous owner had given its last
+// order, so that the previous owner cannot have started the stages after the run's stage. If a task
+// may run twice at once, one of its runs does not show that: the other may have ended before.
+func (c *Cell) outlastedPreviousOwner(a *attempt) bool {
+	return !a.task.stage.step.AllowDuplicates && !a.lastSeenAt().Before(c.previousOwnerStopsBy())
+}
+
 // JobsRead records that all jobs are known that were stored before a read of the store began.
 func (c *Cell) JobsRead(began time.Time) {
 	c.mu.Lock()
@@ -92,8 +99,9 @@
 }
 
 // heldBack reports whether a stage's tasks must wait because a previous owner's runs of them
-// may continue unreported. That is not so for jobs accepted under this owner, for stages whose
-// predecessors were seen to end under this owner, and for stages that allow duplicates.
+// may continue unreported. That is not so for jobs accepted under this owner, for stages with a
+// predecessor that was not done when the previous owner stopped, and for stages that allow
+// duplicates.
 func (c *Cell) heldBack(s *stage) bool {
 	return c.recovering && s.job.inherited && !s.noEarlierRuns && !s.step.AllowDuplicates
 }
--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -88,6 +88,7 @@
 // lease although most of them have running tasks.
 func TestStageAfterAVisibleRunIsNotHeldBack(t *testing.T) {
 	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	s.cell.settings.PreviousOwnerStopped = true
 	second := step(1)
 	second.DependsOn = []int{0}
 	r := s.record(1, step(1), second)
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -76,6 +77,17 @@
 	return true
 }
 
+// successors returns the stages that depend on this one directly.
+func (s *stage) successors() []*stage {
+	var list []*stage
+	for _, other := range s.job.stages {
+		if slices.Contains(other.predecessors, s) {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
 // due reports whether the stage's occurrence may start.
 func (s *stage) due(now time.Time, early time.Duration) bool {
 	at := s.job.record.DueAt(s.id.Occurrence)
