cellowner: give no orders after the end of the term

What callers would see: a step that runs twice after a takeover. A superseded owner answers that it owns nothing as soon as its term is cancelled, and its successor then counts it as stopped: it holds nothing back for it and waits shorter for lost workers. But the planning loop chose at random between the end of the term and a pending plan, and a link sends what is queued even if its context has ended. So one more pass could start tasks, on a slow instance tens of milliseconds later.

The loop now drops the orders of a pass that is not over when the term ends. What it has sent before is as old as the end of the term.

--- a/internal/cellowner/orders_test.go
+++ b/internal/cellowner/orders_test.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"gentianstand/internal/catalog"
 	"gentianstand/internal/cell"
 	"gentianstand/internal/job"
 	"gentianstand/internal/resource"
@@ -47,10 +48,23 @@
 
 // ownerOfOne returns an owner with one task to start on one worker.
 func ownerOfOne(t *testing.T, client runner.Client) (*Owner, cell.StartOrder) {
+	t.Helper()
+	o := ownerBeforeItsPlan(t, client)
+	for _, order := range o.cell.Plan(time.Now(), cell.AdviceSlots{}) {
+		if start, ok := order.(cell.StartOrder); ok {
+			return o, start
+		}
+	}
+	t.Fatal("nothing is started")
+	return nil, cell.StartOrder{}
+}
+
+// ownerBeforeItsPlan returns an owner whose next planning pass starts one task on one worker.
+func ownerBeforeItsPlan(t *testing.T, client runner.Client) *Owner {
 	t.Helper()
 	log, _ := logtest.NewNullLogger()
 	o := New(cell.Settings{Term: 1, Lease: time.Second}, store.Check{},
-		Deps{Runner: client, Leadership: confirmedLeadership{}, Metrics: NewMetrics(metrics.NewSet()), Log: log})
+		Deps{Runner: client, Advisers: &timedAdvisers{}, Catalog: (&catalog.Current{}).Get, Leadership: confirmedLeadership{}, Metrics: NewMetrics(metrics.NewSet()), Log: log})
 	worker := roster.Worker{ID: "w", Service: "desk", Capacity: resource.Amount{MilliCPU: 1000, MemoryMiB: 1000}}
 	o.cell.SetRoster([]roster.Worker{worker}, time.Now())
 	commit := o.cell.NextCommit(1)
@@ -63,13 +77,7 @@
 	o.cell.Reported("w", report, sentAt, time.Now())
 	o.cell.Add(&job.Record{ID: "00000000000000aa", Queue: "q", Service: "desk", MaxAttempts: 1, AcceptedAt: time.Now(),
 		Steps: []job.Step{{Count: 1, Need: resource.Amount{MilliCPU: 500, MemoryMiB: 10}, Estimate: time.Second}}}, true)
-	for _, order := range o.cell.Plan(time.Now(), cell.AdviceSlots{}) {
-		if start, ok := order.(cell.StartOrder); ok {
-			return o, start
-		}
-	}
-	t.Fatal("nothing is started")
-	return nil, cell.StartOrder{}
+	return o
 }
 
 // A start without an answer must be repeated: while answers of workers got lost, 1 step in 3 of
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -48,6 +48,10 @@
 			o.deps.Metrics.PlanSeconds.UpdateDuration(began)
 			o.planStats.record(time.Since(began))
 			gap = max(gap, time.Duration(float64(time.Since(began))*(1/maxPlanShare-1)))
+			if ctx.Err() != nil {
+				// The successor may have been told that this owner has stopped.
+				return
+			}
 			for _, order := range orders {
 				o.dispatch(ctx, order)
 			}
