cellleader: the answer to the announcement tells that the previous holder stopped

What callers saw: nothing wrong, but waits.

Its answer to the announcement says the same as such a ping: it knows the term and owns nothing. It now counts.

Before, answers were only counted.

--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/store"
 )
@@ -143,7 +144,8 @@
 
 // announce sends this instance's claim to the other instances. An instance reports the jobs that
 // it accepts to the owner that it knows. Until it reads the claim itself, 0.5 s later, the new
-// owner finds these jobs only with its next read of the store.
+// owner finds these jobs only with its next read of the store. The previous holder stops acting
+// when it receives the claim.
 func (l *Leader) announce(c claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
@@ -152,7 +154,17 @@
 	for answer := range l.clients.PingAll(ctx, l.directory.Others(), ping) {
 		if answer.Reply != nil {
 			acknowledged++
+			l.announcementAnswered(c, answer)
 		}
 	}
 	l.log.WithFields(logrus.Fields{"term": c.Term, "heard": acknowledged}).Info("ownership_announced")
 }
+
+// announcementAnswered handles an instance's answer to the announcement of this instance's claim.
+func (l *Leader) announcementAnswered(c claim, answer cellpeer.PingResult) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != nil && l.term.number == c.Term && answer.Reply.Term == c.Term && !answer.Reply.Owner {
+		l.term.termKnownBy(answer.Instance.Name, time.Now())
+	}
+}
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -64,19 +64,24 @@
 	t.owner.Flush(ctx)
 }
 
-// pingReceived handles a ping of another instance that knows no later term. If that instance is
-// the previous holder and knows this term, it owns nothing any more: its process was replaced, or
-// it knows that it was superseded.
+// pingReceived handles a ping of another instance that knows no later term.
 func (t *term) pingReceived(r *cellpb.PingRequest, now time.Time) {
 	if r.Term != t.number {
 		return
 	}
 	t.confirmations.pingReceived(r.From, now)
-	if t.onlyPredecessor != "" && r.From == t.onlyPredecessor {
-		t.onlyPredecessor = ""
-		t.leader.log.WithFields(logrus.Fields{"term": t.number, "holder": r.From}).Info("earlier_owner_stopped")
-		t.owner.PreviousOwnerStopped(now)
+	t.termKnownBy(r.From, now)
+}
+
+// termKnownBy records that an instance knows this term and no later one. If it is the previous
+// holder, it owns nothing any more: its process was replaced, or it knows that it was superseded.
+func (t *term) termKnownBy(instance string, now time.Time) {
+	if t.onlyPredecessor == "" || instance != t.onlyPredecessor {
+		return
 	}
+	t.onlyPredecessor = ""
+	t.leader.log.WithFields(logrus.Fields{"term": t.number, "holder": instance}).Info("earlier_owner_stopped")
+	t.owner.PreviousOwnerStopped(now)
 }
 
 // Confirmed implements cellowner.Leadership. An owner that is cut off from all other instances
