--- a/internal/cell/next_steps_test.go
+++ b/internal/cell/next_steps_test.go
@@ -99,6 +99,32 @@
 	}
 }
 
+// Guards against a step that runs twice after a takeover: the new owner, which holds back no task that
+// may run twice, runs the step before it again, although the previous owner had seen that one done.
+func TestStepAfterAnOwnSpeculativeRunWaitsForUnresponsiveWorkers(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	s.cell.settings.PreviousOwnerStopped = true
+	r, first, second := s.twoSteps()
+	r.Steps[0].AllowDuplicates = true
+	s.cell.Load(r, nil)
+	s.report("a")
+	own, ok := s.plan()[first]
+	if !ok {
+		t.Fatal("the first step was held back")
+	}
+	s.confirm(own)
+	s.report("a")
+	s.endAndReport("a", first, own.Start.Run)
+	if again, ok := s.plan()[second]; ok {
+		t.Fatalf("run %d was started although the previous owner may have started the step on b", again.Start.Run)
+	}
+	s.advance(s.cell.earlierLeaseLimit())
+	s.report("a")
+	if _, ok := s.plan()[second]; !ok {
+		t.Error("the step was not started although no lease can be left on b")
+	}
+}
+
 // Guards against steps that wait for a lost worker after a takeover although the previous owner had
 // stopped while a run of the step before was at work.
 func TestStepAfterARunThatOutlastsThePreviousOwnerIsNotHeldBack(t *testing.T) {
