cell: an answer to a stop does not end the lease of the previous owner

What callers would see: a task that runs twice after a takeover.

The test failed before: owner_changes_test.go:246: run 33 was started on b while run 1 may continue on a

Cause: a new owner adopts the runs on a cordoned worker from the store, and may stop one of them before the worker has reported to it: the job was cancelled or failed, or the worker drains. The answer to the stop carries the worker's clock, and the cell recorded it. A worker with a known clock counts with the lease that this owner has granted, which was none. So the lease counted as over at once, all runs there were dropped, and their tasks were started elsewhere, although the lease of the previous owner goes on. That needs a first poll that is lost or late while the stop is answered.

The clock of an answer now counts only once a report has set the clock, together with the longest lease that the previous owner can have granted. Before that, the limit for workers without a report applies. This owner starts runs only on workers that have reported, so that answers to its starts count as before.

--- a/internal/cell/owner_changes_test.go
+++ b/internal/cell/owner_changes_test.go
@@ -216,3 +216,36 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice after a takeover: a worker that has not reported yet answers
+// the stop of another task, and the lease that the previous owner granted counts as expired.
+func TestAnswerToAStopDoesNotEndTheLeaseOfThePreviousOwner(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	cancelled, other := s.record(1, step(1)), s.record(2, step(1))
+	s.cell.Load(cancelled, nil)
+	s.cell.Load(other, nil)
+	task := other.ID + ".0.0.0"
+	s.cell.LoadWorkers([]KnownWorker{{ID: "a", Address: "a:1", Cordoned: true, Runs: []KnownRun{{Task: cancelled.ID + ".0.0.0", Run: 1}, {Task: task, Run: 1}}},
+		{ID: "b", Address: "b:1"}}, s.now)
+	s.cell.WorkersLoaded()
+	s.cell.Cancel(cancelled.ID, s.now)
+	s.report("b")
+	s.plan()
+	stops := 0
+	for _, o := range s.orders {
+		if stop, ok := o.(StopOrder); ok {
+			stops++
+			s.cell.StopAnswered(stop, runner.Answer{Clock: time.Hour}, nil, s.now)
+		}
+	}
+	if stops != 1 {
+		t.Fatalf("%d stops, want 1", stops)
+	}
+	lease := s.now.Add(s.cell.settings.Lease)
+	if again, ok := s.advanceUnresponsive("a", lease.Sub(s.now), "b")[task]; ok {
+		t.Errorf("run %d was started on %s while run 1 may continue on a", again.Start.Run, again.Worker.ID)
+	}
+	if _, ok := s.advanceUnresponsive("a", s.cell.earlierLeaseLimit(), "b")[task]; !ok {
+		t.Error("the task was not started although no lease can be left on a")
+	}
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -156,9 +156,11 @@
 	}
 }
 
-// updateClockFromAnswer is updateClock for the answer to an order, which may lack a clock.
+// updateClockFromAnswer is updateClock for the answer to an order, which may lack a clock. Before the
+// first report, the lease that a previous owner granted is not known, so that the clock would tell
+// nothing.
 func (w *worker) updateClockFromAnswer(answer runner.Answer, now time.Time) {
-	if answer.Clock > 0 {
+	if answer.Clock > 0 && !w.clockAt.IsZero() {
 		w.updateClock(answer.Clock, now)
 	}
 }
