upkeep: a worker has ended when its machine is listed in maintenance

What callers would see: tasks that run twice during a maintenance wave after a takeover, and a worker that gets nothing any more until it restarts.

The test failed before: maintenance_test.go:202: 0 runs are accounted on the worker, want 1

Cause: the previous owner may have ordered the maintenance of a machine, and lost the store or its process before it stored that this had begun. The machine may be up again when the new owner reads its wave. That owner evacuates the worker once more and orders the maintenance, and the fleet answers with success, because it took place. The owner took the answer for the end of the worker that it knows: it dropped the runs that were left there after the evacuation timeout, started their tasks elsewhere, and ignored the incarnation from then on.

Now the answer ends nothing. A worker counts as ended when a list of machines that was read after the order shows its machine in maintenance or with another worker. Until then it stays evacuated. An incarnation that became known after the first order is kept, as before. Runs that a maintenance ends are started elsewhere up to 0.3 s later than before, with the next list of machines.

TestWorkersEndWhenTheirMachinesAreListedInMaintenance (new) tells the cases apart.

--- a/internal/cellowner/maintenance_controller.go
+++ b/internal/cellowner/maintenance_controller.go
@@ -89,6 +89,9 @@
 	for number, t := range c.trackers {
 		plan := t.Plan(time.Now(), listed, c.owner.cell.WorkerLoad)
 		empty = append(empty, plan.Evacuate...)
+		for _, w := range plan.Terminated {
+			c.owner.cell.WorkerTerminated(w.Worker, w.OrderedAt, time.Now())
+		}
 		if plan.Completed {
 			completed = append(completed, t)
 		}
@@ -166,10 +169,7 @@
 	log := c.owner.deps.Log.WithFields(logrus.Fields{"wave": a.order.Wave, "machine": a.order.Machine})
 	switch {
 	case a.err == nil:
-		now := time.Now()
-		worker, orderedAt := t.MarkBegun(a.order.Machine, now)
-		c.owner.cell.WorkerTerminated(worker, orderedAt, now)
-		log.WithField("worker", worker).Info("upkeep_begun")
+		log.WithField("worker", t.MarkBegun(a.order.Machine, time.Now())).Info("upkeep_begun")
 		return true
 	case errors.Is(a.err, upkeep.ErrNotInWave):
 		t.MarkNotInWave(a.order.Machine)
--- a/internal/cellowner/maintenance_test.go
+++ b/internal/cellowner/maintenance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gentianstand/internal/cell"
@@ -171,4 +172,36 @@
 	}
 }
 
+// maintainedFleet answers that the maintenance has begun, although it was over before the order.
+type maintainedFleet struct{ smallFleet }
+
+func (f *maintainedFleet) Begin(_ context.Context, o upkeep.Order) error {
+	f.orders = append(f.orders, o)
+	return nil
+}
+
+// Guards against tasks that run twice after a takeover: the previous owner could not store that the
+// maintenance of a machine had begun, and the answer to the new owner's order refers to that one.
+func TestAnswerAboutAnEarlierMaintenanceEndsNoRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &maintainedFleet{}
+		c, _ := controllerOfOneMachine(t, &f.smallFleet, &lastRowStore{}, confirmedLeadership{}, time.Hour)
+		c.Fleet, f.machines[0].Worker = f, "w"
+		report := runner.Report{Clock: time.Hour, Running: []runner.RunState{{Task: "00000000000000aa.0.0.0", Run: 1, Percent: 1}}}
+		c.readWaves(t.Context())
+		for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(reconcileInterval) {
+			c.owner.cell.NextPoll("w", time.Now())
+			report.Clock += reconcileInterval
+			c.owner.cell.Reported("w", report, time.Now(), time.Now())
+			c.reconcile(t.Context())
+		}
+		if len(f.orders) != 1 {
+			t.Fatalf("%d orders, want 1", len(f.orders))
+		}
+		if load := c.owner.cell.WorkerLoad("w"); load.Runs != 1 {
+			t.Errorf("%d runs are accounted on the worker, want 1", load.Runs)
+		}
+	})
+}
+
 var _ runner.Client = &lossyWorker{}
--- a/internal/upkeep/stage.go
+++ b/internal/upkeep/stage.go
@@ -26,6 +26,8 @@
 	// orderedAt is when the maintenance was first ordered, begunAt when its start was
 	// confirmed.
 	orderedAt, begunAt time.Time
+	// terminated is set once the worker was reported in Plan.Terminated.
+	terminated bool
 	// seenDown is set once the machine was listed as down for maintenance.
 	seenDown bool
 	// evacuatingSince is when the evacuation of the worker began.
--- a/internal/upkeep/tracker.go
+++ b/internal/upkeep/tracker.go
@@ -53,9 +53,9 @@
 // returns the runs that remain on a worker. Evacuated workers offer no capacity, so Plan
 // evacuates no more of them at once than the wave's target duration requires.
 func (t *Tracker) Plan(now time.Time, listed map[string]Machine, load func(worker string) Load) Plan {
+	plan := Plan{Terminated: t.newlyTerminated(listed)}
 	t.observe(now, listed)
 	t.startEvacuations(now, listed, load)
-	var plan Plan
 	free := t.wave.MaxConcurrent - t.count((*progress).down)
 	for _, name := range t.wave.Machines {
 		p := t.machines[name]
@@ -71,6 +71,8 @@
 			if !p.inFlight && !now.Before(p.retryAt) {
 				plan.Begin = append(plan.Begin, name)
 			}
+		case p.stage == begun && !p.terminated:
+			plan.Evacuate = append(plan.Evacuate, p.worker)
 		}
 	}
 	plan.Completed = t.count(func(p *progress) bool { return p.stage < begun }) == 0
@@ -100,6 +102,24 @@
 	}
 }
 
+// newlyTerminated returns the workers that have ended with the maintenance of their machines and were
+// not returned before. The answer to an order does not show that: if a previous owner could not store
+// that the maintenance had begun, it may have been over long before.
+func (t *Tracker) newlyTerminated(listed map[string]Machine) []Termination {
+	var list []Termination
+	for name, p := range t.machines {
+		m, exists := listed[name]
+		if !p.down() || p.terminated || p.orderedAt.IsZero() || !exists {
+			continue
+		}
+		if m.InMaintenance || m.Worker != "" && m.Worker != p.worker {
+			p.terminated = true
+			list = append(list, Termination{Worker: p.worker, OrderedAt: p.orderedAt})
+		}
+	}
+	return list
+}
+
 // startEvacuations starts as many evacuations as the wave's target duration requires, on the
 // machines with the fewest runs first.
 func (t *Tracker) startEvacuations(now time.Time, listed map[string]Machine, load func(worker string) Load) {
@@ -161,12 +181,12 @@
 	}
 }
 
-// MarkBegun records that the maintenance of a machine has begun. It returns the worker that
-// ended with it and the time of the first order.
-func (t *Tracker) MarkBegun(machine string, now time.Time) (worker string, orderedAt time.Time) {
+// MarkBegun records that the maintenance of a machine has begun, and returns the worker for which
+// it was ordered.
+func (t *Tracker) MarkBegun(machine string, now time.Time) (worker string) {
 	p := t.machines[machine]
 	p.stage, p.inFlight, p.begunAt = begun, false, now
-	return p.worker, p.orderedAt
+	return p.worker
 }
 
 // MarkUnanswered records that an order may have been carried out or may still be. The order
--- a/internal/upkeep/tracker_test.go
+++ b/internal/upkeep/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,6 +93,41 @@
 	}
 }
 
+// Guards against runs that count as ended although their worker goes on: only a worker whose machine
+// is listed in maintenance, or with another worker, has ended. It is kept empty until then.
+func TestWorkersEndWhenTheirMachinesAreListedInMaintenance(t *testing.T) {
+	for name, c := range map[string]struct {
+		worker string
+		up     bool
+		want   []Termination
+	}{
+		"still up":          {"w-m-0", true, nil},
+		"in maintenance":    {"w-m-0", false, []Termination{{"w-m-0", start.Add(time.Second)}}},
+		"no worker":         {"", false, []Termination{{"w-m-0", start.Add(time.Second)}}},
+		"with its next one": {"next", true, []Termination{{"w-m-0", start.Add(time.Second)}}},
+	} {
+		f := newFleet(1)
+		tracker := f.tracker(1, 10*time.Second)
+		tracker.Plan(start, f.listed, f.load)
+		now := start.Add(time.Second)
+		tracker.Plan(now, f.listed, f.load)
+		tracker.MarkOrdered("m-0", now)
+		tracker.MarkBegun("m-0", now)
+		f.set("m-0", c.worker, c.up)
+		now = now.Add(300 * time.Millisecond)
+		plan := tracker.Plan(now, f.listed, f.load)
+		if !slices.Equal(plan.Terminated, c.want) {
+			t.Errorf("%s: ended %v, want %v", name, plan.Terminated, c.want)
+		}
+		if kept := len(plan.Evacuate) > 0; kept == (len(c.want) > 0) {
+			t.Errorf("%s: evacuated %v", name, plan.Evacuate)
+		}
+		if again := tracker.Plan(now, f.listed, f.load).Terminated; len(again) > 0 {
+			t.Errorf("%s: ended again: %v", name, again)
+		}
+	}
+}
+
 // Guards against a wave that never completes because one of its machines no longer exists.
 func TestMachineThatIsGoneNeedsNoUpkeep(t *testing.T) {
 	f := newFleet(1)
