cell: log how long the steps of older jobs wait after a takeover, and why

Holding back steps that a previous owner may have started costs time, and no log line said how much: next_stage_after_takeover tells whether a step is held back when its predecessor ends, but not when it starts.

inherited_stage_started is one line for the first start of each stage of an older job that a new owner orders, in its first 10 s and for every stage that was held back. after_takeover_ms is what the caller sees, ready_ms the part in which the stage waited while it was due, and held_back_ms the part in which it waited for runs of a previous owner. ready_ms without held_back_ms is a wait for advice, capacity or a quota. The histogram gentianstand_cell_held_back_seconds counts held_back_ms of the stages that were held back. No decision changes.

A stage all of whose tasks were found running has not waited: a retry in it counts from its failure.

Tests: the line of a stage that was held back, with its three times, once; other stages only shortly after the takeover; the retry; no line for jobs of this owner.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -32,6 +32,8 @@
 	// waiting holds the stages with tasks to place, in no order.
 	waiting map[*stage]struct{}
 	orders  []Order
+	// placings counts the passes over the waiting stages, also those in which none waited.
+	placings uint64
 	// pass counts planning passes. usableBuf is reused by each pass.
 	pass      uint64
 	usableBuf []*worker
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -204,6 +204,7 @@
 	t.stage.removeIdle(t.index)
 	target.w.addAttempt(a)
 	c.isolate(a)
+	c.logInheritedStart(t.stage, now)
 	if r := target.w.reserved; r != nil && r.stage == t.stage {
 		target.w.reserved = nil
 	} else if r != nil {
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -30,6 +30,7 @@
 
 // placeAll handles the waiting stages in order of urgency.
 func (c *Cell) placeAll(now time.Time, slots AdviceSlots) {
+	c.placings++
 	expiring := c.expiring(now)
 	if len(c.waiting) == 0 && !expiring.any() {
 		return
@@ -46,7 +47,7 @@
 	for _, s := range stages {
 		switch {
 		case !c.checkDue(s, now):
-		case c.heldBack(s):
+		case c.waitsHeldBack(s, now):
 			c.askHeldBack(s, view, now)
 		case c.mayPlace(s, now):
 			c.placeStage(s, view, now)
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -27,6 +27,9 @@
 	// ObserveWait, if not nil, is called with a task's wait for its first start and the
 	// priority of its queue. The cell's lock is held during the call.
 	ObserveWait func(priority int, wait time.Duration)
+	// ObserveHeldBack, if not nil, is called at the first start of a stage that was held back for
+	// runs of a previous owner, with how long it was. The cell's lock is held during the call.
+	ObserveHeldBack func(time.Duration)
 }
 
 const (
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -21,6 +21,8 @@
 	done int
 	// readyAt is when its tasks could first have started.
 	readyAt time.Time
+	// inheritedWait is its wait for the first start under this owner, if its job is inherited.
+	inheritedWait inheritedWait
 	// remainingPath is the ideal time from the stage's start to the end of the job.
 	remainingPath time.Duration
 	// remainingDepth is the number of stages on the longest chain to the end of the job.
--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -21,6 +21,9 @@
 	// the others, waited for their first start.
 	UrgentWaitSeconds *metrics.Histogram
 	WaitSeconds       *metrics.Histogram
+	// HeldBackSeconds records how long stages were held back after a takeover because a previous
+	// owner may have started them.
+	HeldBackSeconds *metrics.Histogram
 	// FreeShare and WaitingTasks are the values of the last summary.
 	FreeShare    *metrics.Gauge
 	WaitingTasks *metrics.Gauge
@@ -55,6 +58,7 @@
 
 		UrgentWaitSeconds:    set.NewHistogram(`gentianstand_cell_wait_seconds{urgent="true"}`),
 		WaitSeconds:          set.NewHistogram(`gentianstand_cell_wait_seconds{urgent="false"}`),
+		HeldBackSeconds:      set.NewHistogram("gentianstand_cell_held_back_seconds"),
 		FreeShare:            set.NewGauge("gentianstand_cell_free_share", nil),
 		WaitingTasks:         set.NewGauge("gentianstand_cell_waiting_tasks", nil),
 		ImpossibleTasks:      set.NewGauge("gentianstand_cell_impossible_tasks", nil),
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -57,6 +57,7 @@
 func New(s cell.Settings, claim store.Check, deps Deps) *Owner {
 	waits := newWaitStats(deps.Metrics)
 	s.ObserveWait = waits.record
+	s.ObserveHeldBack = func(d time.Duration) { deps.Metrics.HeldBackSeconds.Update(d.Seconds()) }
 	return &Owner{
 		waitStats: waits,
 		deps:      deps, claim: claim, term: s.Term, lease: s.Lease, cell: cell.New(s, time.Now(), deps.Log),
