cell: keep a run in the entry of its worker until its end is stored

What callers would see: a task that runs again after its success.

The test failed before, with a worker that drains before the end and after it: owner_changes_test.go:312: run 33 was started although run 1 has succeeded

Cause: the stored entry of a cordoned worker lists all runs that may still be there, so that the next owner holds back only their tasks. The cell left a run out as soon as it had seen its end, and a commit takes the entries of workers first, then as many jobs as fit. With more changed jobs than fit, as in a slow store, the entry was stored before the job. If the owner was lost in between, the next one read a cordoned worker without the run, and a job without the end: it started the task again once the other workers had reported, while the draining worker, which still listed the end, was late or cut off.

An entry of a cordoned worker now also lists the runs whose end is not acknowledged yet and whose job is neither stored nor part of the same commit. It is stored again with one of the next commits. The order and the number of jobs in a commit are as before.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -13,7 +13,8 @@
 }
 
 // NextCommit returns the next batch to store, with at most limit jobs and chunks, or nil if
-// everything is stored. Only one commit may be in progress at a time.
+// everything is stored. There must be room for some jobs beside all chunks. Only one commit may be in
+// progress at a time.
 func (c *Cell) NextCommit(limit int) *Commit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -21,9 +22,11 @@
 		c.acknowledgeAll()
 		return nil
 	}
-	commit := &Commit{Chunks: c.takeChunks(), acks: map[*incarnationState]uint64{}}
-	c.takeDirty(commit, limit, true)
-	c.takeDirty(commit, limit, false)
+	commit := &Commit{acks: map[*incarnationState]uint64{}}
+	jobLimit := limit - len(c.dirtyChunks.numbers)
+	c.takeDirty(commit, jobLimit, true)
+	c.takeDirty(commit, jobLimit, false)
+	commit.Chunks = c.takeChunks()
 	if len(c.dirtyJobs) > 0 || !c.previousOwnerFenced {
 		return commit
 	}
@@ -34,11 +37,11 @@
 	return commit
 }
 
-// takeDirty moves dirty jobs into a commit: those that have ended, or the others. With a slow
-// store all jobs are dirty all the time, and final states should become visible first.
+// takeDirty moves dirty jobs into a commit, up to limit: those that have ended, or the others. With a
+// slow store all jobs are dirty all the time, and final states should become visible first.
 func (c *Cell) takeDirty(commit *Commit, limit int, ended bool) {
 	for j := range c.dirtyJobs {
-		if len(commit.Items)+len(commit.Chunks) >= limit {
+		if len(commit.Items) >= limit {
 			return
 		}
 		if (j.final != "") != ended {
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -28,6 +28,7 @@
 		}
 	}
 	t.lastRun = max(t.lastRun, e.Run)
+	w.addUnstoredEnd(unstoredEnd{sequence: e.Sequence, task: t, run: e.Run})
 	if e.Kind != runner.Done && e.Kind != runner.Stopped {
 		c.log.WithFields(logrus.Fields{"task": e.Task, "run": e.Run, "worker": w.ID, "how": e.Kind, "failures": t.failures()}).Info("run_ended")
 	}
--- a/internal/cell/incarnation_state.go
+++ b/internal/cell/incarnation_state.go
@@ -32,6 +32,8 @@
 	// is stored.
 	seenEnd  uint64
 	ackedEnd uint64
+	// unstoredEnds are the recorded ends that are not acknowledged, oldest first.
+	unstoredEnds []unstoredEnd
 	// drainingSince is when the worker was first reported as draining.
 	drainingSince time.Time
 	health        health
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// takeChunks returns the chunks to store. The caller holds c.mu.
+// takeChunks returns the chunks to store with the jobs that are not dirty any more. The caller holds
+// c.mu.
 func (c *Cell) takeChunks() []WorkerChunk {
 	if len(c.dirtyChunks.numbers) == 0 {
 		return nil
@@ -96,9 +97,11 @@
 	for n := range c.dirtyChunks.numbers {
 		byNumber[n] = &WorkerChunk{Number: n, Workers: []KnownWorker{}}
 	}
+	c.dirtyChunks.numbers = map[int]struct{}{}
 	for id, w := range c.workers {
 		if chunk := byNumber[chunkOf(id)]; chunk != nil && !w.parked {
 			k := w.knownWorker()
+			c.addUnstoredEnds(&k, w)
 			c.addRemainingLease(&k, w)
 			if lost := c.lostWorkers[id]; lost != nil {
 				k.Suspects = lost.knownRuns()
@@ -111,7 +114,6 @@
 		chunks = append(chunks, *chunk)
 	}
 	sort.Slice(chunks, func(a, b int) bool { return chunks[a].Number < chunks[b].Number })
-	c.dirtyChunks.numbers = map[int]struct{}{}
 	return chunks
 }
 
--- a/internal/cell/owner_changes_test.go
+++ b/internal/cell/owner_changes_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -249,3 +250,66 @@
 		t.Error("the task was not started although no lease can be left on a")
 	}
 }
+
+// drain has a worker register as draining, so that it is cordoned.
+func (s *site) drain(id string) {
+	s.t.Helper()
+	draining := usualWorker(id)
+	draining.Draining, draining.Remaining = true, time.Minute
+	s.register(draining)
+	s.advance(watchPeriod)
+	s.plan()
+}
+
+// commitOnce stores one commit with room for limit jobs and chunks.
+func (s *site) commitOnce(limit int) *Commit {
+	commit := s.cell.NextCommit(limit)
+	for _, chunk := range commit.Chunks {
+		s.chunks[chunk.Number] = chunk.Workers
+	}
+	s.cell.Committed(commit)
+	return commit
+}
+
+// Guards against a task that runs again after its success: the end of its run on a draining worker is
+// seen, the worker's entry is stored without the run, and the owner is lost before the job is stored.
+func TestRunWithAnEndThatIsNotStoredStaysInTheEntryOfItsWorker(t *testing.T) {
+	for _, drainsFirst := range []bool{true, false} {
+		s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+		s.report("a")
+		r, task, _ := s.twoSteps()
+		other := s.record(2, step(1))
+		other.Service = "another"
+		s.cell.Add(r, true)
+		s.cell.Add(other, true)
+		first := s.plan()[task]
+		s.confirm(first)
+		s.report("a")
+		s.commit()
+		if drainsFirst {
+			s.drain("a")
+			s.commit()
+		}
+		s.endAndReport("a", task, first.Start.Run)
+		if !drainsFirst {
+			s.drain("a")
+		}
+		s.cell.Cancel(other.ID, s.now)
+		if commit := s.commitOnce(2); len(commit.Items) != 1 || commit.Items[0].Job != other.ID || len(commit.Chunks) != 1 {
+			t.Fatalf("stored %+v, want the other job and the entry of the worker", commit)
+		}
+		stored := maps.Clone(s.chunks)
+		s.commit()
+		if runs := s.chunks[chunkOf("a")][0].Runs; len(runs) > 0 {
+			t.Errorf("the entry lists %v although the end is stored", runs)
+		}
+		s.chunks = stored
+		s.takeOver(r, "a", "b")
+		s.report("b")
+		s.commit()
+		s.report("b")
+		if again, ok := s.plan()[task]; ok {
+			t.Errorf("run %d was started although run %d has succeeded", again.Start.Run, first.Start.Run)
+		}
+	}
+}
