cellowner: a superseded owner loads no missing jobs

What callers would see: a task runs twice after a takeover, in any step of a job that only the new owner was told of.

Cause: a worker answers a poll that it has accepted before the new owner's first one. The answer shows the superseded owner a run that the new owner has started. If it does not know the job, it reads the job and its progress from the store and plans the tasks that are not on its books: it starts them on workers that the new owner has not reached. The new owner holds nothing back, as the job was accepted in its own term. followJobs drops changed rows if the claim has changed, but went on to read the missing jobs all the same.

Now such a job is loaded only if the claim is unchanged after it was read. If not, the term ends, as for changed rows. It costs one read for each job that a worker reports and the owner does not know.

TestSupersededOwnerDoesNotLoadTheJobsOfItsSuccessor failed before: missing_jobs_test.go:51: superseded: job loaded true, want false; ownership ended: []

--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -97,6 +97,10 @@
 		case row.Version == 0:
 			o.deps.Log.WithField("job", id).Warn("reported_job_is_nobodys")
 			o.cell.MarkAbsent(id)
+		case !o.verifyClaim(ctx):
+			// The answer to a poll from before a takeover can show a run of the successor, and the
+			// job may be unknown to this owner because only the successor was told of it.
+			return
 		default:
 			o.deps.Log.WithField("job", id).Info("missing_job_loaded")
 			o.loadJob(id, row, kept)
