cell: ask about more workers after adviser calls without a usable ticket

What callers saw: a long-running task was down although workers were free, while one adviser call after the other returned no ticket that it could use.

Cause: a call names at least 8 workers, and the next one 8 others. About a third are allowed, so 6 of 100 calls return no ticket at all, and others only tickets for workers that are full by then. A call takes 560 ms and 8 ms for each worker. With 48 free workers of which the adviser allows the last one, that is 6 calls.

The least size now doubles with each call for a long-running task, about free workers, that returned no usable ticket: 8, 16, 32, so 3 calls for 48 workers.

Why safe: only the number of workers in a question changes. Starts, stops and leases are as before, and a ticket is used by the same rules. Calls for tasks that end, and first calls, are as large as before.

The longest absences, of takeovers while the store is down, are not changed by this.

--- a/internal/cell/advice_state.go
+++ b/internal/cell/advice_state.go
@@ -19,6 +19,9 @@
 	pending  bool
 	// retryAt is the earliest time for the next call after a failure.
 	retryAt time.Time
+	// unusable is the number of consecutive calls for a long-running task, about workers with
+	// free capacity, that returned no ticket for such a worker.
+	unusable int
 }
 
 // verdictFor returns the verdict on a worker's current incarnation.
@@ -30,6 +33,26 @@
 	return v, true
 }
 
+// countUnusable records whether a call returned a ticket for a worker with free capacity.
+func (s *adviceState) countUnusable(usable bool) {
+	if usable {
+		s.unusable = 0
+		return
+	}
+	s.unusable++
+}
+
+// leastAsked returns the least size of the next call. Most of a call's duration does not depend
+// on its size. If all calls were small, a task could be down for as many calls in series as there
+// are groups of workers to ask about.
+func (s *adviceState) leastAsked() int {
+	least := minAskedWorkers
+	for range s.unusable {
+		least = min(2*least, maxAskedWorkers)
+	}
+	return least
+}
+
 // allows reports whether the stage holds a ticket for a worker, and the ticket expires after
 // until.
 func (s *adviceState) allows(w *worker, until time.Time) bool {
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -15,7 +15,8 @@
 	// maxAskedWorkers bounds the workers in one call. The adviser accepts at most 100.
 	maxAskedWorkers = 60
 	// minAskedWorkers is the least size of a first call. About a third of the workers are
-	// allowed, so a smaller call often returns no ticket at all.
+	// allowed, so a smaller call often returns no ticket at all. The least size doubles with
+	// each call for a long-running task that returned no usable ticket.
 	minAskedWorkers = 8
 	// assumedAllowedShare is the assumed share of workers that the adviser allows for a stage.
 	// Too low a value costs a few more workers in a call; too high a value costs a second
@@ -132,6 +133,7 @@
 	}
 	renew = c.topAskCandidates(renew, s)
 	unknown = c.topAskCandidates(unknown, s)
+	least := s.advice.leastAsked()
 	if c.anyHasCapacity(s, unknown) && !c.anyHasCapacity(s, renew) {
 		// Tickets for many full workers expire as fast as they are renewed.
 		renew = nil
@@ -145,7 +147,7 @@
 		wanted -= c.capacityFor(s, w)
 	}
 	for _, w := range unknown {
-		if len(ids) == maxAskedWorkers || (wanted <= 0 && len(ids) >= minAskedWorkers) {
+		if len(ids) == maxAskedWorkers || (wanted <= 0 && len(ids) >= least) {
 			return ids
 		}
 		ids = append(ids, w.ID)
@@ -173,7 +175,7 @@
 func (c *Cell) AdviceAnswered(stage job.StageID, asked []string, tickets []advice.Ticket, err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	askedAt := c.adviceCalls[stage].askedAt
+	call := c.adviceCalls[stage]
 	delete(c.adviceCalls, stage)
 	j := c.jobs[stage.Job]
 	if j == nil {
@@ -193,13 +195,19 @@
 	until := now.Add(j.record.Advice.TicketTTL - ticketMargin)
 	// Verdicts on a previous incarnation do not apply to a worker that has restarted since.
 	for _, id := range asked {
-		if w := c.workers[id]; w != nil && !w.knownSince.After(askedAt) {
+		if w := c.workers[id]; w != nil && !w.knownSince.After(call.askedAt) {
 			s.advice.verdicts[w] = verdict{incarnation: w.incarnationState}
 		}
 	}
 	for _, t := range tickets {
-		if w := c.workers[t.Worker]; w != nil && !w.knownSince.After(askedAt) {
+		if w := c.workers[t.Worker]; w != nil && !w.knownSince.After(call.askedAt) {
 			s.advice.verdicts[w] = verdict{incarnation: w.incarnationState, approved: true, ticket: t.Text, expiresAt: until}
 		}
 	}
+	if s.step.LongRunning && !call.prefetch {
+		s.advice.countUnusable(slices.ContainsFunc(tickets, func(t advice.Ticket) bool {
+			w := c.workers[t.Worker]
+			return w != nil && c.eligible(s, w) && s.step.Occupied().Fits(w.free())
+		}))
+	}
 }
