--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -62,13 +62,15 @@
 	lateOrders []func()
 	running    map[string]string
 	done       map[string]bool
+	// succeeded holds the tasks of which a run has ended successfully.
+	succeeded map[string]bool
 	// crashes counts, by task, the workers that crashed under it.
 	crashes map[string]int
 	quotas  modelQuotas
 }
 
 func newModel(rt *rapid.T) *model {
-	m := &model{rt: rt, now: siteStart, stored: map[string]*job.Progress{}, chunks: map[int]WorkerChunk{}, running: map[string]string{}, done: map[string]bool{}, crashes: map[string]int{}}
+	m := &model{rt: rt, now: siteStart, stored: map[string]*job.Progress{}, chunks: map[int]WorkerChunk{}, running: map[string]string{}, done: map[string]bool{}, succeeded: map[string]bool{}, crashes: map[string]int{}}
 	for range 3 {
 		m.addWorker()
 	}
@@ -85,10 +87,11 @@
 }
 
 func (m *model) runStarted(w *modelWorker, task string) {
-	if other, ok := m.running[task]; ok {
+	m.checkPredecessors(task)
+	if other, ok := m.running[task]; ok && !m.allowsDuplicates(task) {
 		m.rt.Fatalf("%s runs on %s and %s", task, other, w.roster.ID)
 	}
-	if m.done[task] {
+	if m.done[task] && !m.allowsDuplicates(task) {
 		m.rt.Fatalf("%s was started after its success was acknowledged", task)
 	}
 	m.running[task] = w.roster.ID
--- a/internal/cell/model_worker_test.go
+++ b/internal/cell/model_worker_test.go
@@ -57,6 +57,9 @@
 	w.sequence++
 	w.ends = append(w.ends, runner.End{Sequence: w.sequence, Task: task, Run: run, Kind: kind})
 	w.model.runEnded(w, task)
+	if kind == runner.Done {
+		w.model.succeeded[task] = true
+	}
 }
 
 // poll answers a poll that is addressed to one incarnation.
