cell: do not forget a worker before its ends are stored

What callers would see: a task that runs again after its success.

The test failed before: owner_changes_test.go:353: run 33 was started although run 1 has succeeded

A worker that has left the roster, does not answer and has no run left was forgotten at once, also if the end of its last run was not stored. The commit that removes it from the store takes the lists of workers before the jobs. If the owner was lost before it had stored the job, the next one knew neither the worker nor the end, and started the task again at once. A worker that is only cut off then comes back and lists the end.

--- a/internal/cell/owner_changes_test.go
+++ b/internal/cell/owner_changes_test.go
@@ -313,3 +313,43 @@
 		}
 	}
 }
+
+// Guards against a task that runs again after its success: the end of its run is seen, the worker
+// leaves the roster and is cut off, and the owner is lost before the job is stored.
+func TestWorkerIsNotForgottenBeforeItsEndsAreStored(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	s.report("b")
+	r, task, _ := s.twoSteps()
+	s.cell.Add(r, true)
+	first := s.plan()[task]
+	s.confirm(first)
+	s.report("a")
+	s.commit()
+	s.endAndReport("a", task, first.Start.Run)
+	s.cell.UpdateRoster(roster.Change{Removed: []string{"a"}}, s.now)
+	s.cell.PollFailed("a", runner.ErrNoAnswer, s.now)
+	s.advance(watchPeriod)
+	s.plan()
+	commit := s.cell.NextCommit(1)
+	if len(commit.Chunks) > 0 {
+		s.chunks[chunkOf("a")] = commit.Chunks[0].Workers
+	}
+	stored := maps.Clone(s.chunks)
+	s.cell.CommitFailed(commit)
+	s.commit()
+	s.advance(watchPeriod)
+	s.plan()
+	s.commit()
+	if left := s.chunks[chunkOf("a")]; len(left) > 0 {
+		t.Errorf("%v is still stored although all ends are", left)
+	}
+	s.chunks = stored
+	s.takeOver(r, "b")
+	s.report("b")
+	s.commit()
+	s.report("b")
+	if again, ok := s.plan()[task]; ok {
+		t.Errorf("run %d was started although run %d has succeeded", again.Start.Run, first.Start.Run)
+	}
+}
--- a/internal/cell/unstored_end.go
+++ b/internal/cell/unstored_end.go
@@ -15,6 +15,9 @@
 	w.unstoredEnds = append(w.unstoredEnds, e)
 }
 
+// endsStored reports whether all recorded ends of a worker are stored.
+func (w *worker) endsStored() bool { return w.ackedEnd == w.seenEnd }
+
 // addUnstoredEnds adds to a worker's stored entry the ended runs whose jobs will not be stored with
 // it. The next owner would not know that they have ended, and start their tasks again.
 func (c *Cell) addUnstoredEnds(k *KnownWorker, w *worker) {
