cell: a gang outlasts the previous owner only if all its members do

What callers would see: a step that runs twice after a takeover.

The test failed before: next_steps_test.go:124: the step was started: true, want false

Cause: while it recovers, a new owner takes the step after an ended run as new if that run existed after the previous owner's last order. The success of one member of a gang counts for all. The previous owner may have seen that of another member and started the next step, while the member that the new owner has seen at work was still reported.

For a gang, the exception now asks for a run of each member, under the run's number, that existed after the previous owner's last order. After a calm takeover all members are reported, and the step starts at once, as before (second case of the test).

--- a/internal/cell/next_steps_test.go
+++ b/internal/cell/next_steps_test.go
@@ -99,6 +99,34 @@
 	}
 }
 
+// Guards against a step that runs twice after a takeover: the previous owner saw the success of a
+// member of a gang, which counts for all, and the new owner knows another member.
+func TestStepAfterAGangWaitsUnlessAllMembersOutlastedThePreviousOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		known []string
+		want  bool
+	}{
+		"one member": {[]string{"a"}, false}, "all members": {[]string{"a", "b"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2, usualWorker("a"), usualWorker("b"), usualWorker("c"))
+			s.cell.settings.PreviousOwnerStopped = true
+			gang, last := step(2), step(1)
+			gang.Gang, last.DependsOn = true, []int{0}
+			r := s.record(1, gang, last)
+			s.cell.Load(r, nil)
+			for i, id := range c.known {
+				s.runs[id] = []runner.RunState{{Task: job.TaskID{Job: r.ID, Index: i}.String(), Run: 1, Percent: 10}}
+				s.report(id)
+			}
+			s.endAndReport("a", r.ID+".0.0.0", 1)
+			if _, ok := s.plan()[r.ID+".0.1.0"]; ok != c.want {
+				t.Errorf("the step was started: %v, want %v", ok, c.want)
+			}
+		})
+	}
+}
+
 // Guards against steps that wait for a lost worker after a takeover although the previous owner had
 // stopped while a run of the step before was at work.
 func TestStepAfterARunThatOutlastsThePreviousOwnerIsNotHeldBack(t *testing.T) {
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxUnreportedLogged bounds the log lines about workers that delayed a recovery.
 const maxUnreportedLogged = 5
@@ -44,9 +47,28 @@
 
 // outlastedPreviousOwner reports whether a run existed after the previous owner had given its last
 // order, so that the previous owner cannot have started the stages after the run's stage. If a task
-// may run twice at once, one of its runs does not show that: the other may have ended before.
+// may run twice at once, one of its runs does not show that: the other may have ended before. The
+// success of one member of a gang counts for all, so that all members must have existed.
 func (c *Cell) outlastedPreviousOwner(a *attempt) bool {
-	return !a.task.stage.step.AllowDuplicates && !a.lastSeenAt().Before(c.previousOwnerStopsBy())
+	s := a.task.stage
+	if s.step.AllowDuplicates {
+		return false
+	}
+	if !s.step.Gang {
+		return c.seenAfterPreviousOwner(a)
+	}
+	for _, member := range s.tasks {
+		if !slices.ContainsFunc(member.attempts, func(other *attempt) bool { return other.run == a.run && c.seenAfterPreviousOwner(other) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// seenAfterPreviousOwner reports whether a run is known to have existed after the previous owner had
+// given its last order.
+func (c *Cell) seenAfterPreviousOwner(a *attempt) bool {
+	return !a.lastSeenAt().Before(c.previousOwnerStopsBy())
 }
 
 // JobsRead records that all jobs are known that were stored before a read of the store began.
