cell: a new owner knows which workers were lost together

What callers would see: a healthy job that fails for good after a takeover, because it is taken for one that crashes its workers.

The test failed before: crash_blame_test.go:229: state "failed", want "" (three lost; three lost, registered already)

Cause: several workers that become unresponsive within 0.3 s have a common cause, and the second crash under a task does not fail its job then. The owner that saw this knew the times; the store held only the suspects of each worker. The next owner counted each crash as one that came alone. If it found from the roster that a worker had restarted, it counted the crash before it had read the other workers.

The entry of a lost worker now holds the time of the loss. The next owner restores the times, with the limits of the stored backoff for clocks that differ, and handles crashes that it finds while loading once all workers are loaded.

TestNewOwnerCountsTheCrashOfAnEarlierIncarnation now calls WorkersLoaded, as each owner does after the last chunk; it demands the same crash.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -73,6 +73,9 @@
 	// to one of the isolatedRuns.
 	lostWorkers    map[string]*lostWorker
 	unresponsiveAt unresponsiveTimes
+	// restoredCrashes are the workers that have crashed according to what was loaded. They are
+	// handled once all workers are loaded.
+	restoredCrashes []string
 	// ownerIsolated is set while this owner reaches few workers, so that an unresponsive
 	// worker is no sign of a crash.
 	ownerIsolated bool
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -149,15 +149,19 @@
 	}
 }
 
-// restoreSuspects loads the suspects that a previous owner stored for an unresponsive worker.
-func (c *Cell) restoreSuspects(w *worker, runs []KnownRun) {
-	lost := &lostWorker{address: w.Address}
-	for _, r := range runs {
+// restoreSuspects loads what a previous owner stored about a worker that it had lost: when that was,
+// and the suspects.
+func (c *Cell) restoreSuspects(w *worker, k KnownWorker, now time.Time) {
+	lost := &lostWorker{address: w.Address, unresponsiveSince: lostAtFrom(k.LostAtMillis, now)}
+	if k.LostAtMillis != 0 {
+		c.unresponsiveAt.add(lost.unresponsiveSince, now)
+	}
+	for _, r := range k.Suspects {
 		if t := c.taskByName(r.Task); t != nil {
 			lost.suspects = append(lost.suspects, suspectRun{task: t, run: r.Run, confirmed: true})
 		}
 	}
-	if len(lost.suspects) > 0 {
+	if len(lost.suspects) > 0 || k.LostAtMillis != 0 {
 		c.lostWorkers[w.ID] = lost
 	}
 }
--- a/internal/cell/crash_blame_test.go
+++ b/internal/cell/crash_blame_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -183,3 +184,76 @@
 		w.checkState(id, job.Completed)
 	}
 }
+
+// Guards against a healthy job that fails because the owner changes after several workers were lost
+// together: the next owner counts each crash as if it had come alone.
+func TestCrashesThatThePreviousOwnerSawTogetherFailNoJob(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost       int
+		registered bool
+		want       job.State
+	}{
+		"three lost":                     {3, false, ""},
+		"three lost, registered already": {3, true, ""},
+		"one lost":                       {1, false, job.Failed},
+		"one lost, registered already":   {1, true, job.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ids := []string{"a", "b", "c", "d", "e", "f", "g"}
+			s := newSite(t, 1)
+			for _, id := range ids {
+				s.register(usualWorker(id))
+			}
+			s.commit()
+			for _, id := range ids {
+				s.report(id)
+			}
+			r := s.record(1, step(1))
+			s.cell.Add(r, true)
+			crashed := s.cell.jobs[r.ID].stages[0].tasks[0]
+			crashed.crashes.crashed, crashed.lastRun, crashed.stage.lostWorkers = []uint64{1}, 1, true
+			o := s.plan()[r.ID+".0.0.0"]
+			s.confirm(o)
+			s.report(o.Worker.ID)
+			lost := append([]string{o.Worker.ID}, slices.DeleteFunc(ids, func(id string) bool { return id == o.Worker.ID })...)[:c.lost]
+			for range suspectAfterFailedPolls {
+				for _, id := range lost {
+					s.cell.PollFailed(id, runner.ErrNoAnswer, s.now)
+				}
+				s.advance(unresponsiveAfter)
+			}
+			s.plan()
+			s.commit()
+			s.nextOwnerOf(r, encodeAndDecode(t, s.cell.jobs[r.ID].progress()), o.Worker.ID, c.registered)
+			if got := s.cell.jobs[r.ID].final; got != c.want {
+				t.Errorf("state %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// nextOwnerOf has a new owner load a job and the workers, of which one has restarted. It finds that in
+// the roster or in the worker's report.
+func (s *site) nextOwnerOf(r *job.Record, p *job.Progress, restarted string, registered bool) {
+	s.t.Helper()
+	settings := s.cell.settings
+	settings.Term++
+	s.cell = New(settings, s.now, quietLog())
+	s.cell.Load(r, p)
+	next := s.restart(restarted)
+	for _, known := range s.chunks {
+		for _, k := range known {
+			switch {
+			case k.ID != restarted || !registered:
+				s.register(usualWorker(k.ID))
+			default:
+				s.register(next)
+			}
+		}
+	}
+	for _, known := range s.chunks {
+		s.cell.LoadWorkers(known, s.now)
+	}
+	s.cell.WorkersLoaded()
+	s.report(restarted)
+}
--- a/internal/cell/known_worker.go
+++ b/internal/cell/known_worker.go
@@ -19,4 +19,8 @@
 	// entry was stored. The owner of Term sets it at the end of its term; otherwise it is 0.
 	LeaseRemainingMillis int64  `cbor:"7,keyasint,omitempty"`
 	Term                 uint64 `cbor:"8,keyasint,omitempty"`
+	// LostAtMillis is the wall-clock time at which the worker became unresponsive, if its fate was
+	// not known when the entry was stored. The next owner finds out from it which workers were lost
+	// together.
+	LostAtMillis int64 `cbor:"9,keyasint,omitempty"`
 }
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -61,16 +61,17 @@
 		if k.Cordoned {
 			c.restoreRuns(w, k.Runs, now)
 		}
-		c.restoreSuspects(w, k.Suspects)
+		c.restoreSuspects(w, k, now)
 	}
 }
 
 // restoreCrash handles the stored entry of an incarnation that has probably ended. Its runs are not
 // restored, but the recovery waits for the worker: if its wall clock was set back, the roster entry
-// may be the outdated one.
+// may be the outdated one. The crash is counted once all workers are loaded that may have been lost
+// with it.
 func (c *Cell) restoreCrash(w *worker, k KnownWorker, now time.Time) {
-	c.restoreSuspects(w, k.Suspects)
-	c.workerCrashed(w.ID, now)
+	c.restoreSuspects(w, k, now)
+	c.restoredCrashes = append(c.restoredCrashes, w.ID)
 	c.dirtyChunks.mark(w.ID)
 }
 
@@ -82,6 +83,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.workersLoaded = true
+	for _, id := range c.restoredCrashes {
+		c.workerCrashed(id, c.startedAt)
+	}
+	c.restoredCrashes = nil
 	for _, w := range c.workers {
 		w.accounted = w.accounted || !w.storedByPreviousOwner
 	}
@@ -104,7 +109,7 @@
 			c.addUnstoredEnds(&k, w)
 			c.addRemainingLease(&k, w)
 			if lost := c.lostWorkers[id]; lost != nil {
-				k.Suspects = lost.knownRuns()
+				k.Suspects, k.LostAtMillis = lost.knownRuns(), lost.unresponsiveSince.UnixMilli()
 			}
 			chunk.Workers = append(chunk.Workers, k)
 		}
--- a/internal/cell/restart_site_test.go
+++ b/internal/cell/restart_site_test.go
@@ -262,6 +262,7 @@
 	task := job.TaskID{Job: record.ID}
 	s.cell.LoadWorkers([]KnownWorker{{ID: "a", Incarnation: before.Incarnation, Address: before.Address, Cordoned: true,
 		Suspects: []KnownRun{{Task: task.String(), Run: 1}}}}, s.now)
+	s.cell.WorkersLoaded()
 	if crashed := s.cell.taskByID(task).crashes.crashed; len(crashed) != 1 {
 		t.Errorf("crashes %v, want the one of run 1", crashed)
 	}
