--- a/internal/cell/next_steps_test.go
+++ b/internal/cell/next_steps_test.go
@@ -122,6 +122,31 @@
 	s.report("a")
 	if _, ok := s.plan()[second]; !ok {
 		t.Error("the step was not started although no lease can be left on b")
+// Guards against a step that runs twice after a takeover: the previous owner saw the success of a
+// member of a gang, which counts for all, and the new owner knows another member.
+func TestStepAfterAGangWaitsUnlessAllMembersOutlastedThePreviousOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		known []string
+		want  bool
+	}{
+		"one member": {[]string{"a"}, false}, "all members": {[]string{"a", "b"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2, usualWorker("a"), usualWorker("b"), usualWorker("c"))
+			s.cell.settings.PreviousOwnerStopped = true
+			gang, last := step(2), step(1)
+			gang.Gang, last.DependsOn = true, []int{0}
+			r := s.record(1, gang, last)
+			s.cell.Load(r, nil)
+			for i, id := range c.known {
+				s.runs[id] = []runner.RunState{{Task: job.TaskID{Job: r.ID, Index: i}.String(), Run: 1, Percent: 10}}
+				s.report(id)
+			}
+			s.endAndReport("a", r.ID+".0.0.0", 1)
+			if _, ok := s.plan()[r.ID+".0.1.0"]; ok != c.want {
+				t.Errorf("the step was started: %v, want %v", ok, c.want)
+			}
+		})
 	}
 }
 
