cellleader: a stopping owner reads the list of instances before it chooses a successor

All 16 instances (0.12 core) are stopped in turn, 0.7 s apart (a trial; the log is kept):

8.14 s a-4 stops and hands the cell to c-1; loaded after 1.3 s 13.37 s c-1 stops and hands it to a-3, which has not been restarted yet; loaded after 1.7 s, recovered at 16.4 s; its adviser calls go through instances that stop 17.83 s a-3 stops: c-5, not restarted yet either, stops 0.7 s later 18.77 s a-6; loaded after 1.9 s, recovered at 21.5 s, the task starts at 24.0 s

Cause: among equally strong instances the youngest is to get the cell, since a rolling restart does not stop it again. But the owner reads the list of instances every 5 s, so it did not know who had restarted: at 13.37 s four instances had restarted 1 to 3 s before. Each hand-over costs small instances 2 to 3 s.

A stopping owner now reads the list first, within 250 ms, while its term goes on.

--- a/internal/cellleader/hand_over_test.go
+++ b/internal/cellleader/hand_over_test.go
@@ -26,6 +26,24 @@
 	}
 }
 
+// Guards against a rolling restart in which the cell goes from one instance to the next that restarts:
+// the owner does not know yet which instances have restarted.
+func TestStoppingOwnerHandsOverToTheYoungestInstance(t *testing.T) {
+	backing := httptest.NewServer(standin.NewStore())
+	t.Cleanup(backing.Close)
+	before := time.Now().Add(-time.Minute)
+	members := []*member{joinStarted(t, "edge-0", backing.Listener.Addr().String(), 1, before), joinStarted(t, "edge-1", backing.Listener.Addr().String(), 1, before)}
+	first := owner(t, members)
+	youngest := join(t, "edge-2", backing.Listener.Addr().String())
+	for end := time.Now().Add(30 * time.Second); !youngest.registered() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	first.leader.HandOver(t.Context())
+	if next := owner(t, append(without(members, first), youngest)); next != youngest {
+		t.Error("the cell went to an older instance")
+	}
+}
+
 // Guards against a hand-over in a slow store that stalls all work until other instances find the
 // owner unresponsive.
 func TestStoppingOwnerHandsOverInASlowStore(t *testing.T) {
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,6 +35,14 @@
 	stopped         bool
 	term            atomic.Uint64
 	previousStopped atomic.Bool
+	store           *store.Monitored
+	name            string
+}
+
+// registered reports whether the store lists the member.
+func (m *member) registered() bool {
+	rows, _, err := store.ReadAll(context.Background(), m.store, "instances", "")
+	return err == nil && slices.ContainsFunc(rows, func(r store.Row) bool { return r.Key == m.name })
 }
 
 func (m *member) owns() bool { return m.leader.LocalOwner() != nil }
@@ -70,6 +79,12 @@
 
 // joinWith starts a member with the given number of cores.
 func joinWith(t *testing.T, name, storeAddress string, cores float64) *member {
+	t.Helper()
+	return joinStarted(t, name, storeAddress, cores, time.Now())
+}
+
+// joinStarted starts a member that says that it started at the given time.
+func joinStarted(t *testing.T, name, storeAddress string, cores float64, startedAt time.Time) *member {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(t.Output())
@@ -82,14 +97,14 @@
 	t.Cleanup(proxy.Close)
 	watched := store.NewMonitored(platform.NewStore(proxy.Address()))
 	jobs := celljobs.New(watched, "cell-0")
-	m := &member{proxy: proxy, done: make(chan struct{})}
+	m := &member{proxy: proxy, done: make(chan struct{}), store: watched, name: name}
 	server := httptest.NewUnstartedServer(nil)
 	front, err := standin.NewProxy("127.0.0.1:0", server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	m.front = front
-	self := cellpeer.Instance{Name: name, Address: front.Address(), Incarnation: name, StartedAt: time.Now(), Cores: cores}
+	self := cellpeer.Instance{Name: name, Address: front.Address(), Incarnation: name, StartedAt: startedAt, Cores: cores}
 	directory := cellpeer.NewDirectory(self, watched, log)
 	clients := cellpeer.NewClients()
 	ownerMetrics := cellowner.NewMetrics(metrics.NewSet())
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -95,6 +95,8 @@
 	// flushTimeout bounds the last writes of a stopping owner. No task starts until a successor
 	// has taken over, and leases expire meanwhile.
 	flushTimeout = 300 * time.Millisecond
+	// directoryRefreshTimeout bounds the read of the list of instances before a hand-over.
+	directoryRefreshTimeout = 250 * time.Millisecond
 	// handOverTimeout bounds the calls to successors after the flush.
 	handOverTimeout = 1500 * time.Millisecond
 )
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -21,6 +21,8 @@
 		return
 	}
 	t.awaitSoleOwnership(ctx)
+	// An instance that has just restarted is the best successor in a rolling restart.
+	l.directory.Refresh(ctx, directoryRefreshTimeout)
 	l.handOverTo(ctx, t, known, l.successors(ctx, known))
 }
 
--- a/internal/cellpeer/directory.go
+++ b/internal/cellpeer/directory.go
@@ -49,6 +49,8 @@
 	store store.Store
 	log   logrus.FieldLogger
 
+	// readMu serializes the reads, so that an older one does not overwrite a newer one.
+	readMu  sync.Mutex
 	mu      sync.RWMutex
 	others  map[string]instanceRow
 	version uint64
@@ -197,8 +199,26 @@
 	}
 }
 
+// Refresh reads the list of instances now. It returns after limit at the latest, with the list as
+// it is then.
+func (d *Directory) Refresh(ctx context.Context, limit time.Duration) {
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		d.follow(ctx)
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-read:
+	case <-timer.C:
+	}
+}
+
 // follow reads the changes of the list, or the whole list if the changes are not available.
 func (d *Directory) follow(ctx context.Context) {
+	d.readMu.Lock()
+	defer d.readMu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
 	var rows []store.Row
