cell: keep runs that are not accounted in the entry of their worker

What callers would see: a workspace with more running than its quota after two takeovers within the time of a lease.

The test failed before: owner_changes_test.go:385: 3 starts beside a run that may continue under a quota of 3, want 2

Cause: a new owner does not adopt a stored run on a cordoned worker if its job has ended or its task may run twice. It counts the capacity of the worker for the quota instead, and knows that from a flag. But it stores the worker again at once, as cordoned, with its accounted runs only. The owner after it read that nothing else can run there.

--- a/internal/cell/cordon.go
+++ b/internal/cell/cordon.go
@@ -43,10 +43,20 @@
 	for a := range w.attempts {
 		k.Runs = append(k.Runs, KnownRun{Task: a.task.id().String(), Run: a.run})
 	}
+	k.Runs = append(k.Runs, w.uncountedRuns...)
 	sort.Slice(k.Runs, func(a, b int) bool { return k.Runs[a].Task < k.Runs[b].Task })
 	return k
 }
 
+// clearUncountedRuns handles the end of a worker's uncounted runs: the worker has reported, or its
+// lease must have expired.
+func (c *Cell) clearUncountedRuns(w *worker) {
+	if len(w.uncountedRuns) > 0 {
+		w.uncountedRuns = nil
+		c.dirtyChunks.mark(w.ID)
+	}
+}
+
 // restoreRuns accounts for the runs that may be on a cordoned worker, as if it had reported
 // them. They are dropped when the worker's report does not contain them or its lease must have
 // expired.
@@ -55,7 +65,7 @@
 	for _, r := range runs {
 		t := c.taskByName(r.Task)
 		if t == nil || t.stage.job.final != "" || t.stage.step.AllowDuplicates {
-			w.hasUncountedRuns = true
+			w.uncountedRuns = append(w.uncountedRuns, r)
 			continue
 		}
 		if t.done {
--- a/internal/cell/incarnation_state.go
+++ b/internal/cell/incarnation_state.go
@@ -34,6 +34,9 @@
 	ackedEnd uint64
 	// unstoredEnds are the recorded ends that are not acknowledged, oldest first.
 	unstoredEnds []unstoredEnd
+	// uncountedRuns are the runs that a previous owner stored and that the accounting omits, because
+	// no task waits for their end. They stay in the worker's entry until they must have ended.
+	uncountedRuns []KnownRun
 	// drainingSince is when the worker was first reported as draining.
 	drainingSince time.Time
 	health        health
--- a/internal/cell/owner_changes_test.go
+++ b/internal/cell/owner_changes_test.go
@@ -353,3 +353,40 @@
 		t.Errorf("run %d was started although run %d has succeeded", again.Start.Run, first.Start.Run)
 	}
 }
+
+// Guards against a workspace that exceeds its quota after two takeovers: the first new owner does not
+// account for a run that a cordoned worker may have, and stores the worker without it.
+func TestUncountedRunsStayInTheEntryOfTheirWorker(t *testing.T) {
+	s := newSiteWith(t, Settings{Term: 2, Lease: 3500 * time.Millisecond, PreviousOwnerStopped: true}, usualWorker("a"), usualWorker("b"))
+	s.configure(1, "north", cores(3))
+	cancelled := s.recordOf("north", 1, step(1))
+	run := KnownRun{Task: cancelled.ID + ".0.0.0", Run: 1}
+	clear(s.chunks)
+	for _, k := range []KnownWorker{{ID: "a", Address: "a:1", Cordoned: true, Runs: []KnownRun{run}}, {ID: "b", Address: "b:1"}} {
+		s.chunks[chunkOf(k.ID)] = append(s.chunks[chunkOf(k.ID)], k)
+	}
+	for range 2 {
+		settings := s.cell.settings
+		settings.Term++
+		s.cell = New(settings, s.now, quietLog())
+		s.cell.Load(cancelled, &job.Progress{Final: job.Cancelled, EndedAtMillis: s.now.UnixMilli()})
+		s.cell.SetRoster([]roster.Worker{usualWorker("a"), usualWorker("b")}, s.now)
+		for _, known := range s.chunks {
+			s.cell.LoadWorkers(known, s.now)
+		}
+		s.cell.WorkersLoaded()
+		s.configure(1, "north", cores(3))
+		s.report("b")
+		s.plan()
+		s.commit()
+	}
+	s.cell.Add(s.recordOf("north", 2, step(3)), true)
+	if starts := s.plan(); len(starts) != 2 {
+		t.Errorf("%d starts beside a run that may continue under a quota of 3, want 2", len(starts))
+	}
+	s.report("a")
+	s.advance(watchPeriod)
+	if starts := s.plan(); len(starts) != 1 {
+		t.Errorf("%d starts once the worker has reported that nothing runs there, want 1", len(starts))
+	}
+}
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -101,6 +101,7 @@
 	}
 	if complete && !w.reported {
 		w.reported, w.accounted = true, true
+		c.clearUncountedRuns(w)
 		c.log.WithFields(workerFields(w)).WithField("runs", len(w.attempts)).Debug("worker_reported")
 	}
 }
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -105,7 +105,7 @@
 
 // mayHaveUncountedRuns reports whether runs may exist on a worker that no quota counts.
 func (w *worker) mayHaveUncountedRuns() bool {
-	return w.mayHaveEarlierRuns() || !w.reported && w.hasUncountedRuns
+	return w.mayHaveEarlierRuns() || !w.reported && len(w.uncountedRuns) > 0
 }
 
 func (c *Cell) allWorkersAccounted() bool {
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -99,6 +99,7 @@
 		return false
 	}
 	w.accounted = true
+	c.clearUncountedRuns(w)
 	if len(w.attempts) > 0 {
 		c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"runs": len(w.attempts),
 			"report_age_ms": now.Sub(w.lastReport).Milliseconds()}).Warn("lease_over")
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -33,9 +33,6 @@
 	// accounted is set if all runs that a previous owner can have left here are accounted for,
 	// even if the worker has not reported.
 	accounted bool
-	// hasUncountedRuns is set if the store lists runs here that the accounting omits, because no
-	// task waits for their end.
-	hasUncountedRuns bool
 	// earlierLeaseUntil is when every lease granted before this ownership must have expired,
 	// according to the previous owner. It is zero if unknown.
 	earlierLeaseUntil time.Time
