cell: count what earlier owners may run for a new workspace at once

What callers would see: a workspace with more running than its quota after a takeover.

The test failed before: superseded_jobs_test.go:41: 3 starts while the superseded owner may use the quota, want none

Cause: what may run unreported is counted for all known workspaces every 40 ms. A workspace that became known in between, with a new configuration or its first job, had a count of zero until the next time, and a planning pass in between started its tasks under the whole quota. A superseded owner that was notified of other jobs of the workspace may do the same.

A pass that finds another number of workspaces now counts again.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,6 +55,8 @@
 	durations  durations
 	// quotas accounts for the running tasks of each workspace.
 	quotas *quota.Ledger
+	// accountsCounted is the number of workspaces at the last countUnconfirmed.
+	accountsCounted int
 	// unmeteredJobs are the jobs not yet measured against the share of their workspace.
 	unmeteredJobs []*jobState
 	rosterUpdates rosterUpdates
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -21,6 +21,8 @@
 		}
 		c.park(now)
 		c.countUnconfirmed(now)
+	} else if len(c.quotas.Accounts()) != c.accountsCounted {
+		c.countUnconfirmed(now)
 	}
 	c.placeAll(now, slots)
 	orders := c.orders
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -85,6 +85,7 @@
 // that a previous owner can have started, their tasks.
 func (c *Cell) countUnconfirmed(now time.Time) {
 	accounts := c.quotas.Accounts()
+	c.accountsCounted = len(accounts)
 	for _, account := range accounts {
 		account.Unconfirmed = resource.Amount{}
 	}
--- a/internal/cell/superseded_jobs_test.go
+++ b/internal/cell/superseded_jobs_test.go
@@ -29,6 +29,19 @@
 	}
 }
 
+// Guards against a workspace that exceeds its quota because its first job arrives between two counts
+// of what a superseded owner may have started.
+func TestQuotaOfANewWorkspaceCountsWhatASupersededOwnerMayUse(t *testing.T) {
+	s := newTakenOverSite(t, Settings{Term: 2, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond})
+	s.plan()
+	s.configure(2, "south", cores(3))
+	s.cell.Add(s.recordOf("south", 1, step(3)), true)
+	s.advance(watchPeriod / 4)
+	if starts := s.plan(); len(starts) != 0 {
+		t.Errorf("%d starts while the superseded owner may use the quota, want none", len(starts))
+	}
+}
+
 // Guards against a workspace that waits for a superseded owner although that has stopped.
 func TestQuotaIsFreeOnceThePreviousOwnerHasStopped(t *testing.T) {
 	s := newTakenOverSite(t, Settings{Term: 2, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, PreviousOwnerStopped: true})
