cell: compact no job of a previous owner while its runs may continue

What callers would see: a workspace with more running than its quota after a takeover.

The test failed before: compact_test.go:99: 3 starts beside a run that may continue under a quota of 3, want 2

Cause: the quotas count the tasks of ended jobs of a previous owner as well, as a worker without a report may still run them. A compacted job has no tasks to count. It is compacted a lease and a second after its end, by when its runs should be over. But the end is a time of the previous owner's clock, which may be behind, and that owner may have extended leases for 1.5 s more.

Inherited jobs are now compacted after the recovery only, which ends within the time of a lease and 1.5 s. Jobs accepted under this owner are compacted as before.

--- a/internal/cell/compact.go
+++ b/internal/cell/compact.go
@@ -15,7 +15,9 @@
 
 // Compact reduces jobs that ended at least after ago and have no run left, and returns at most
 // limit of them to be stored. Their text, steps and tasks are dropped from memory. Ended jobs
-// are kept for minutes, and a new owner reads all of them over a possibly narrow link.
+// are kept for minutes, and a new owner reads all of them over a possibly narrow link. While runs of a
+// previous owner may continue unreported, its jobs are not reduced: the quotas count their tasks even
+// if they have ended, and the time of their end comes from the clock of that owner.
 func (c *Cell) Compact(after time.Duration, now time.Time, limit int) []CompactedJob {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -24,6 +26,9 @@
 		if len(list) == limit {
 			break
 		}
+		if c.recovering && j.inherited {
+			continue
+		}
 		if j.storedState == "" || j.compacted || now.Sub(j.endedAt) < after || !j.idle() {
 			continue
 		}
--- a/internal/cell/compact_test.go
+++ b/internal/cell/compact_test.go
@@ -84,3 +84,23 @@
 		t.Errorf("read without progress, the job is shown as %q", state)
 	}
 }
+
+// Guards against a workspace that exceeds its quota: a job that ended under the previous owner, whose
+// clock is behind, is compacted although a worker that has not reported may still run its task.
+func TestNoJobIsCompactedWhileItsRunsMayContinueUnreported(t *testing.T) {
+	s := newTakenOverSite(t, Settings{Term: 2, Lease: 3500 * time.Millisecond, PreviousOwnerStopped: true})
+	ended := s.recordOf("north", 1, step(1))
+	s.cell.Load(ended, &job.Progress{Final: job.Cancelled, EndedAtMillis: s.now.Add(-time.Minute).UnixMilli()})
+	s.plan()
+	s.cell.Compact(4500*time.Millisecond, s.now, 10)
+	s.cell.Add(s.recordOf("north", 2, step(3)), true)
+	s.advance(watchPeriod)
+	if starts := s.plan(); len(starts) != 2 {
+		t.Errorf("%d starts beside a run that may continue under a quota of 3, want 2", len(starts))
+	}
+	s.advance(s.cell.earlierLeaseLimit())
+	s.plan()
+	if list := s.cell.Compact(4500*time.Millisecond, s.now, 10); len(list) != 1 {
+		t.Errorf("%d jobs are compacted after the recovery, want 1", len(list))
+	}
+}
