cell: 2^20 run numbers for the task of each owner

What callers would see: a task that is tried once more often than its attempts allow, or a task that crashes its workers and is started once more.

The test failed before: recover_test.go:231: the next owner uses run 41, the previous one has used up to 41

Cause: a new owner continues with numbers that no earlier owner can have used without being noticed: 32 for each term. A start alone stores nothing. In a long term a task can be started more often than that: long-running tasks, and tasks that are preempted or moved. Then the new owner used the number of the last run of the previous one again. Failures and crashes are counted once for each number. A run is identified by worker and number, so that no task ran twice because of it.

Run numbers are 64 bits wide, also in the orders to workers. They take up to four bytes more in a job's row.

--- a/internal/cell/recover_test.go
+++ b/internal/cell/recover_test.go
@@ -207,3 +207,27 @@
 		t.Errorf("waited %v, and %v when the stop of the previous owner became known late", unknown, late)
 	}
 }
+
+// Guards against two runs of a task with the same number, of which one failure or crash is not counted:
+// the previous owner has started the task many times, the last time after its last commit.
+func TestRunNumbersOfOwnersDiffer(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	r := s.record(1, step(1))
+	s.cell.Add(r, true)
+	task := r.ID + ".0.0.0"
+	for range 40 {
+		o := s.plan()[task]
+		s.confirm(o)
+		s.finish(o, runner.Stopped)
+		s.report("a")
+	}
+	s.commit()
+	stored := encodeAndDecode(t, s.cell.jobs[r.ID].progress())
+	last := s.plan()[task].Start.Run
+	next := New(Settings{Term: 2}, s.now, quietLog())
+	next.Load(r, stored)
+	if run := next.taskByName(task).nextRun(2); run <= last {
+		t.Errorf("the next owner uses run %d, the previous one has used up to %d", run, last)
+	}
+}
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -59,6 +59,7 @@
 	// ticketMargin is subtracted from a ticket's validity for the transfer to the worker.
 	ticketMargin = 250 * time.Millisecond
 	// runsPerTerm separates the run numbers of successive owners, so that a new owner's run
-	// numbers exceed any that a previous owner used without being noticed.
-	runsPerTerm = 32
+	// numbers exceed any that a previous owner used without being noticed. A task that is started
+	// once per second uses as many in 12 days.
+	runsPerTerm = 1 << 20
 )
