cell: know an expired job until its record is removed

It needs no change of owners.

Cause: an owner dropped expired jobs from memory and then removed their rows. If a removal failed, as in an outage of the store, the record stayed. If the store then no longer had the changes that the owner asks for, the owner read all jobs and took the record for that of a new job. Only a compacted record tells that its job has ended, and not every store has the transactions for that.

The job is now dropped once its record is removed. A removal that has failed is tried again with the next expired jobs.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -93,9 +93,10 @@
 	}
 }
 
-// RemoveExpired removes from memory at most limit jobs that ended more than keep ago. It
-// returns their ids, so that the caller can delete their rows.
-func (c *Cell) RemoveExpired(keep time.Duration, now time.Time, limit int) []string {
+// Expired returns the ids of at most limit jobs that ended more than keep ago, whose rows can be
+// removed. Each must be passed to Remove once its record is removed; until then a read of all jobs
+// would take it for a new job.
+func (c *Cell) Expired(keep time.Duration, now time.Time, limit int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var ids []string
@@ -105,12 +106,18 @@
 		}
 		if j.storedState != "" && now.Sub(j.endedAt) > keep && j.idle() {
 			ids = append(ids, id)
-			delete(c.jobs, id)
 		}
 	}
 	return ids
 }
 
+// Remove removes from memory an expired job whose record was removed from the store.
+func (c *Cell) Remove(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.jobs, id)
+}
+
 // idle reports whether the job has no run left.
 func (j *jobState) idle() bool {
 	for _, s := range j.stages {
--- a/internal/cellowner/commit_loop.go
+++ b/internal/cellowner/commit_loop.go
@@ -153,7 +153,7 @@
 
 // removeExpired removes jobs from the store that ended more than endedJobRetention ago.
 func (o *Owner) removeExpired(ctx context.Context) {
-	ids := o.cell.RemoveExpired(endedJobRetention, time.Now(), expireBatchSize)
+	ids := o.cell.Expired(endedJobRetention, time.Now(), expireBatchSize)
 	if len(ids) == 0 {
 		return
 	}
@@ -168,12 +168,13 @@
 			{Table: celljobs.TableJobs, Key: celljobs.JobKey(id)}, {Table: celljobs.TableJobs, Key: celljobs.CancelKey(id)}}}) {
 			return
 		}
+		o.cell.Remove(id)
 	}
 	o.commitRemoval(ctx, progress)
 }
 
-// commitRemoval commits a removal. Rows that it fails to remove are read and removed by the next
-// owner.
+// commitRemoval commits a removal. Records that it fails to remove are removed later, by this owner or
+// the next one.
 func (o *Owner) commitRemoval(ctx context.Context, tx store.Tx) bool {
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
