--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -98,6 +98,8 @@
 		fields := logrus.Fields{"stage": next.id.String(), "held_back": c.heldBack(next), "previous_owner_fenced": c.previousOwnerFenced}
 		if last != nil {
 			fields["run_known_from"] = last.source()
+		}
+		if last != nil && !last.lastSeenAt().IsZero() {
 			fields["run_seen_ms"] = last.lastSeenAt().Sub(c.startedAt).Milliseconds()
 		}
 		c.log.WithFields(fields).Info("next_stage_after_takeover")
