upkeep: a wave is completed once its last worker is known to have ended

What callers would see: tasks of a worker that its maintenance has ended wait for its lease. If the list right after the last order was still the old one, the wave counted as completed, and its tracker was dropped with what it still had to report.

A machine whose maintenance is confirmed and not listed yet now keeps the wave open, for the duration of a maintenance at most.

The test failed before: "completed before the listing shows the maintenance: {Evacuate:[w-m-0] Terminated:[] Begin:[] Completed:true}".

--- a/internal/upkeep/tracker.go
+++ b/internal/upkeep/tracker.go
@@ -75,7 +75,7 @@
 			plan.Evacuate = append(plan.Evacuate, p.worker)
 		}
 	}
-	plan.Completed = t.count(func(p *progress) bool { return p.stage < begun }) == 0
+	plan.Completed = t.count(func(p *progress) bool { return p.stage < begun || t.awaitsListing(p, now) }) == 0
 	return plan
 }
 
@@ -102,6 +102,11 @@
 	}
 }
 
+// awaitsListing reports whether the fleet has confirmed a maintenance and may not have listed it yet.
+func (t *Tracker) awaitsListing(p *progress, now time.Time) bool {
+	return p.stage == begun && !p.terminated && now.Sub(p.begunAt) < t.duration
+}
+
 // newlyTerminated returns the workers that have ended with the maintenance of their machines and were
 // not returned before. The answer to an order does not show that: if a previous owner could not store
 // that the maintenance had begun, it may have been over long before.
--- a/internal/upkeep/tracker_test.go
+++ b/internal/upkeep/tracker_test.go
@@ -251,3 +251,22 @@
 	}
 	t.Error("the wave is not completed")
 }
+
+// Guards against a worker that ends with its maintenance and is not known to have ended: the listing right
+// after the order is still the old one, the wave counts as completed, and its tracker is dropped.
+func TestWaveIsNotCompletedBeforeItsLastWorkerIsKnownToHaveEnded(t *testing.T) {
+	f := newFleet(1)
+	tracker := f.tracker(1, 10*time.Second)
+	tracker.Plan(start, f.listed, f.load)
+	ordered := start.Add(time.Second)
+	tracker.Plan(ordered, f.listed, f.load)
+	tracker.MarkOrdered("m-0", ordered)
+	tracker.MarkBegun("m-0", ordered)
+	if plan := tracker.Plan(ordered.Add(300*time.Millisecond), f.listed, f.load); plan.Completed {
+		t.Errorf("completed before the listing shows the maintenance: %+v", plan)
+	}
+	f.set("m-0", "", false)
+	if plan := tracker.Plan(ordered.Add(600*time.Millisecond), f.listed, f.load); !plan.Completed {
+		t.Errorf("not completed although the listing shows the maintenance: %+v", plan)
+	}
+}
