cell: remove a loss from the store when the worker answers

What callers would see: at worst a job that fails although its workers were lost together. Found by the review of: the stored time of a loss stayed if the worker had no suspects, so that a later owner skipped the worker's next loss and counted one fewer that was lost with others.

The test failed before: a time before and after the answer, want 0 after.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -78,10 +78,10 @@
 		return
 	}
 	delete(c.lostWorkers, id)
+	c.dirtyChunks.mark(id)
 	for _, r := range lost.suspects {
 		r.task.crashes.removeUnresponsive(r.run)
 		c.dirtyJobs[r.task.stage.job] = struct{}{}
-		c.dirtyChunks.mark(id)
 	}
 }
 
--- a/internal/cell/crash_blame_test.go
+++ b/internal/cell/crash_blame_test.go
@@ -257,3 +257,33 @@
 	s.cell.WorkersLoaded()
 	s.report(restarted)
 }
+
+// Guards against a stored loss that is over: the next owner would count the worker's next loss at that
+// time.
+func TestLossIsRemovedFromTheStoreWhenTheWorkerAnswers(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"), usualWorker("c"))
+	for _, id := range ids {
+		s.report(id)
+	}
+	s.commit()
+	s.plan()
+	for range suspectAfterFailedPolls {
+		s.cell.PollFailed("a", runner.ErrNoAnswer, s.now)
+	}
+	s.advance(100 * time.Millisecond)
+	s.plan()
+	s.cell.dirtyChunks.mark("a") // as by a worker of the same chunk
+	s.commit()
+	stored := func() int64 {
+		at := slices.IndexFunc(s.chunks[chunkOf("a")], func(k KnownWorker) bool { return k.ID == "a" })
+		return s.chunks[chunkOf("a")][at].LostAtMillis
+	}
+	before := stored()
+	s.report("a")
+	s.plan()
+	s.commit()
+	if after := stored(); before == 0 || after != 0 {
+		t.Errorf("lost at %d, and at %d after it has answered, want a time and 0", before, after)
+	}
+}
