--- a/internal/cell/next_steps_test.go
+++ b/internal/cell/next_steps_test.go
@@ -176,3 +176,27 @@
 		})
 	}
 }
+
+// Guards against a step that waits for a silent worker although no previous owner can have started the
+// step before it, whose tasks may run twice.
+func TestStepAfterANewStepOfDuplicatesIsNotHeldBack(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	s.cell.settings.PreviousOwnerStopped = true
+	second, third := step(1), step(1)
+	second.DependsOn, second.AllowDuplicates, third.DependsOn = []int{0}, true, []int{1}
+	r := s.record(1, step(1), second, third)
+	s.cell.Load(r, nil)
+	s.runs["a"] = []runner.RunState{{Task: r.ID + ".0.0.0", Run: 1, Percent: 10}}
+	s.report("a")
+	s.endAndReport("a", r.ID+".0.0.0", 1)
+	own, ok := s.plan()[r.ID+".0.1.0"]
+	if !ok {
+		t.Fatal("the second step was held back")
+	}
+	s.confirm(own)
+	s.report("a")
+	s.endAndReport("a", own.Start.Task, own.Start.Run)
+	if _, ok := s.plan()[r.ID+".0.2.0"]; !ok {
+		t.Error("the third step waits for a worker that cannot run it")
+	}
+}
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -48,9 +48,13 @@
 // outlastedPreviousOwner reports whether a run existed after the previous owner had given its last
 // order, so that the previous owner cannot have started the stages after the run's stage. If a task
 // may run twice at once, one of its runs does not show that: the other may have ended before. The
-// success of one member of a gang counts for all, so that all members must have existed.
+// success of one member of a gang counts for all, so that all members must have existed. A stage that
+// no previous owner can have started has only runs of this one.
 func (c *Cell) outlastedPreviousOwner(a *attempt) bool {
 	s := a.task.stage
+	if s.noEarlierRuns {
+		return true
+	}
 	if s.step.AllowDuplicates {
 		return false
 	}
