cellowner: send no orders that were decided after the ownership may have ended

What callers would see: a step that runs twice after a takeover. The planning loop asked whether the ownership is confirmed before it planned. An owner that was frozen or waited for the cell in between decided on what it learned later, up to any time after the 1.5 s from which its successor counts it as stopped, and sent the orders.

It now asks once more after the pass. If the ownership is not confirmed any more, the pass sends nothing: its starts count as unanswered, so that the cell revokes them, and the cell repeats its stops. Orders of a pass that is confirmed afterwards were decided in time, however late they are sent.

--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstand/internal/cell"
+	"gentianstand/internal/runner"
 )
 
 const (
@@ -52,9 +53,7 @@
 				// The successor may have been told that this owner has stopped.
 				return
 			}
-			for _, order := range orders {
-				o.dispatch(ctx, order)
-			}
+			o.dispatchAll(ctx, orders)
 			if slices.ContainsFunc(orders, isPoll) {
 				o.startPolling(ctx)
 				o.wakeCommitter()
@@ -88,6 +87,33 @@
 	o.deps.Metrics.WorkersUpdateAge.Set(workersAge.Seconds())
 }
 
+// dispatchAll sends the orders of a planning pass. If the ownership is not confirmed any more, the pass
+// may have been decided when a successor already counted this owner as stopped: its starts are treated
+// as unanswered, so that they are revoked later, and stops are repeated by the cell.
+func (o *Owner) dispatchAll(ctx context.Context, orders []cell.Order) {
+	confirmed := o.deps.Leadership.Confirmed()
+	for _, order := range orders {
+		if confirmed {
+			o.dispatch(ctx, order)
+			continue
+		}
+		o.discard(order)
+	}
+}
+
+// discard handles an order that is not sent.
+func (o *Owner) discard(order cell.Order) {
+	now := time.Now()
+	switch order := order.(type) {
+	case cell.StartOrder:
+		o.cell.StartAnswered(order, runner.Answer{}, runner.ErrNoAnswer, now)
+	case cell.ThrottleOrder:
+		o.cell.ThrottleAnswered(order, runner.ErrNoAnswer, now)
+	case cell.AdviceOrder:
+		o.cell.AdviceAnswered(order.Stage, order.Workers, nil, runner.ErrNoAnswer, now)
+	}
+}
+
 // dispatch sends an order without waiting for its answer.
 func (o *Owner) dispatch(ctx context.Context, order cell.Order) {
 	switch order := order.(type) {
