--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -42,6 +42,7 @@
 	t.lastRun = max(t.lastRun, run)
 	t.attempts = append(t.attempts, a)
 	t.stage.removeIdle(t.index)
+	t.stage.noEarlierRuns = false
 	w.addAttempt(a)
 	c.isolate(a)
 	t.stage.job.started = true
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -81,10 +81,11 @@
 	}
 }
 
-// markSuccessorsFresh marks the stages after s as not started by any previous owner.
+// markSuccessorsFresh marks the stages after s as not started by any previous owner. A stage with a
+// run of another owner was started, whatever is known of s.
 func (s *stage) markSuccessorsFresh() {
 	for _, next := range s.successors() {
-		next.noEarlierRuns = true
+		next.noEarlierRuns = next.noEarlierRuns || !next.hasAdoptedRuns()
 	}
 }
 
--- a/internal/cell/next_steps_test.go
+++ b/internal/cell/next_steps_test.go
@@ -200,3 +200,28 @@
 		t.Error("the third step waits for a worker that cannot run it")
 	}
 }
+
+// Guards against a step that runs twice although one of its runs shows that another owner has started it.
+func TestStepWithARunOfAnotherOwnerIsHeldBack(t *testing.T) {
+	for name, before := range map[string]bool{"known before the end of the step before": true, "known after it": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2, usualWorker("a"), usualWorker("b"), usualWorker("c"))
+			s.cell.settings.PreviousOwnerStopped = true
+			last := step(2)
+			last.DependsOn = []int{0}
+			r := s.record(1, step(1), last)
+			s.cell.Load(r, nil)
+			s.runs["a"] = []runner.RunState{{Task: r.ID + ".0.0.0", Run: 1, Percent: 10}}
+			s.report("a")
+			s.runs["b"] = []runner.RunState{{Task: r.ID + ".0.1.0", Run: 1, Percent: 10}}
+			if before {
+				s.report("b")
+			}
+			s.endAndReport("a", r.ID+".0.0.0", 1)
+			s.report("b")
+			if again, ok := s.plan()[r.ID+".0.1.1"]; ok {
+				t.Errorf("run %d was started although the step has a run of another owner", again.Start.Run)
+			}
+		})
+	}
+}
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -138,6 +138,11 @@
 	return true
 }
 
+// hasAdoptedRuns reports whether another owner has started a run of the stage that still exists.
+func (s *stage) hasAdoptedRuns() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.adoptedRuns() > 0 })
+}
+
 // runCount returns the number of runs of the stage.
 func (s *stage) runCount() int {
 	n := 0
