--- a/internal/cell/earlier_owners_test.go
+++ b/internal/cell/earlier_owners_test.go
@@ -27,9 +27,8 @@
 	}
 }
 
-// Guards against a step that runs twice after two takeovers: the first owner saw the end of the step
-// before and started the step; the worker of that end was lost, and the second owner ran the step
-// before again.
+// Guards against a step that runs twice after two takeovers: the first owner started it, and the second
+// ran the step before it again, as the worker that listed its end was lost.
 func TestStepAfterARepeatedRunWaitsForUnresponsiveWorkers(t *testing.T) {
 	s := newSite(t, 3, usualWorker("a"), usualWorker("b"))
 	s.cell.settings.PreviousOwnerStopped = true
