instance: log the connections that are left when a stop ends

A stop that failed at its very end left only "context deadline exceeded". The new event tells requests that were cut from connections that have carried none, for each server. The two servers are shut down at the same time: before, the server for instances had only what the other one left of the 2 s.

--- /dev/null
+++ b/internal/instance/server.go
@@ -0,0 +1,55 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+)
+
+// server is an HTTP server on one address.
+type server struct {
+	name        string
+	address     string
+	http        *http.Server
+	connections *connections
+	log         *logrus.Entry
+}
+
+func newServer(name, address string, handler http.Handler, log *logrus.Entry) *server {
+	open := newConnections()
+	return &server{name: name, address: address, connections: open, log: log, http: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: open.stateChanged,
+	}}
+}
+
+// listen opens the address and serves it in the background.
+func (s *server) listen() (net.Addr, error) {
+	listener, err := listen(s.address)
+	if err != nil {
+		return nil, err
+	}
+	go s.serve(listener)
+	return listener.Addr(), nil
+}
+
+func (s *server) serve(l net.Listener) {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		s.log.WithField("server", s.name).WithError(err).Error("server_failed")
+	}
+}
+
+// shutdown finishes the requests in progress until ctx ends, and then cuts the rest.
+func (s *server) shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	cut, unused := s.connections.count(http.StateActive), s.connections.count(http.StateNew)
+	_ = s.http.Close() // what remains is cut in any case
+	s.log.WithFields(logrus.Fields{"server": s.name, "requests": cut, "unused": unused}).Warn("connections_cut_at_stop")
+	return fmt.Errorf("shut down the server for %s: %w", s.name, err)
+}
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,34 +25,31 @@
 // servers are the HTTP servers of an instance: one for callers and operators, one for other
 // instances.
 type servers struct {
-	settings Settings
-	caller   *http.Server
-	peer     *http.Server
-	log      *logrus.Entry
+	caller *server
+	peer   *server
+	log    *logrus.Entry
 }
 
 func newServers(s Settings, e *entry.Server, p *peer.Server, log *logrus.Entry) *servers {
 	return &servers{
-		settings: s, log: log,
-		caller: &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes},
-		peer:   &http.Server{Handler: peerpb.NewPeerServer(p), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes},
+		caller: newServer("callers", s.Listen, e.Handler(), log),
+		peer:   newServer("peers", s.PeerListen, peerpb.NewPeerServer(p), log),
+		log:    log,
 	}
 }
 
 // listen opens both addresses and serves them in the background.
 func (s *servers) listen() error {
-	caller, err := listen(s.settings.Listen)
+	caller, err := s.caller.listen()
 	if err != nil {
 		return err
 	}
-	peerListener, err := listen(s.settings.PeerListen)
+	peerAddress, err := s.peer.listen()
 	if err != nil {
-		_ = caller.Close()
+		_ = s.caller.http.Close()
 		return err
 	}
-	go s.serve(s.caller, caller)
-	go s.serve(s.peer, peerListener)
-	s.log.WithFields(logrus.Fields{"listen": caller.Addr(), "peer_listen": peerListener.Addr()}).Info("listening")
+	s.log.WithFields(logrus.Fields{"listen": caller, "peer_listen": peerAddress}).Info("listening")
 	return nil
 }
 
@@ -68,16 +64,12 @@
 	return l, nil
 }
 
-func (s *servers) serve(server *http.Server, l net.Listener) {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		s.log.WithError(err).Error("server_failed")
-	}
-}
-
-// close stops both servers. Requests in progress get closeTimeout to finish.
+// close stops both servers at the same time. Requests in progress get closeTimeout to finish.
 func (s *servers) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	err := s.caller.Shutdown(ctx)
-	return errors.Join(err, s.peer.Shutdown(ctx))
+	peers := make(chan error, 1)
+	go func() { peers <- s.peer.shutdown(ctx) }()
+	err := s.caller.shutdown(ctx)
+	return errors.Join(err, <-peers)
 }
