cellleader: links confirm an ownership each time they are asked

What callers would see: in an outage of the store, work that starts late or not at all on sites whose instances serve as relays. A confirmation over a link was recorded as a ping that expires at once. The next question found the record, so that the link was not asked again, and removed it: the links confirmed the ownership only each second time. The planning loop asks before and after each pass, and discards the orders of a pass that is not confirmed afterwards. Pings hide the fault where most instances ping; the instances late in the order of succession do not while they receive frames.

The links are now asked each time, and what they confirm is not recorded.

The test fails before: "not valid when asked for the 2. time", and for the 4.

--- a/internal/cellleader/confirmations.go
+++ b/internal/cellleader/confirmations.go
@@ -76,19 +76,16 @@
 	if since.Before(c.resumedAt) {
 		since = c.resumedAt
 	}
+	recent := map[string]struct{}{}
 	for _, name := range linked(since) {
-		if _, pinged := c.pingedAt[name]; !pinged {
-			// The oldest time that still counts, so that the link is asked again next time.
-			c.pingedAt[name] = now.Add(-confirmationTTL + 1)
-		}
+		recent[name] = struct{}{}
 	}
-	recent := 0
 	for name, at := range c.pingedAt {
 		if now.Sub(at) >= confirmationTTL {
 			delete(c.pingedAt, name)
 			continue
 		}
-		recent++
+		recent[name] = struct{}{}
 	}
-	return recent > 0 && 2*(recent+1) > others()+1
+	return len(recent) > 0 && 2*(len(recent)+1) > others()+1
 }
--- a/internal/cellleader/confirmations_test.go
+++ b/internal/cellleader/confirmations_test.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// Guards against an owner that loses every second pass of orders in an outage of the store: its
+// links confirmed it only each second time.
+func TestLinksConfirmAnOwnershipEachTime(t *testing.T) {
+	others := func() int { return 8 }
+	began := time.Now()
+	c := newConfirmations(began)
+	linked := func(time.Time) []string { return []string{"edge-1", "edge-2", "edge-3", "edge-4"} }
+	for n := range 4 {
+		now := began.Add(confirmationTTL + time.Duration(n)*time.Millisecond)
+		if !c.valid(others, linked, now) {
+			t.Errorf("not valid when asked for the %d. time", n+1)
+		}
+	}
+}
+
 // Guards against a superseded owner that acts after its machine was suspended: its confirmations
 // appear recent, because the clock stopped.
 func TestConfirmationsFromBeforeASuspensionDoNotCount(t *testing.T) {
