cellleader: an owner that is not confirmed goes on reading its claim

What callers would see: nothing is planned after an outage of the store. An owner without confirmations asked the other instances for a later term instead of reading its claim. If too few instances answer to confirm it (one of two is gone), it stays without confirmations although it reaches the store again: it answers as the owner, and gives no orders.

It now does both. A read that finds its own claim confirms it from the start of the read, as always.

The test fails before: "the owner is not confirmed although it reaches the store". It runs a group of instances with one store and a network of function calls under the clock of testing/synctest, so that it depends on no machine's load; Clients can reach addresses by given calls for that.

--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -115,9 +115,10 @@
 	t, stopping := l.term, l.stopping
 	l.mu.Unlock()
 	switch {
-	case t != nil && !t.Confirmed():
-		l.checkLaterTerm(ctx, t)
 	case t != nil:
+		if !t.Confirmed() {
+			l.checkLaterTerm(ctx, t)
+		}
 		l.verify(ctx, t)
 	case stopping:
 	case l.pingDue(time.Now()):
--- a/internal/cellpeer/client.go
+++ b/internal/cellpeer/client.go
@@ -20,6 +20,7 @@
 // Clients caches a client per instance address, each with its own connections. It is safe
 // for concurrent use.
 type Clients struct {
+	newClient func(address string) *client
 	mu        sync.Mutex
 	byAddress map[string]*client
 }
@@ -27,11 +28,27 @@
 // client is the client for one address.
 type client struct {
 	cellpb.Cells
-	transport *http.Transport
+	closeIdle func()
 }
 
 // NewClients returns an empty set of clients.
-func NewClients() *Clients { return &Clients{byAddress: map[string]*client{}} }
+func NewClients() *Clients {
+	return &Clients{newClient: newHTTPClient, byAddress: map[string]*client{}}
+}
+
+// NewClientsOver returns an empty set of clients that reach an address by the calls that to returns.
+func NewClientsOver(to func(address string) cellpb.Cells) *Clients {
+	newClient := func(address string) *client { return &client{Cells: to(address), closeIdle: func() {}} }
+	return &Clients{newClient: newClient, byAddress: map[string]*client{}}
+}
+
+func newHTTPClient(address string) *client {
+	transport := httpclient.NewTransport(traffic.Peers, dialTimeout, idleConnections)
+	return &client{
+		Cells:     cellpb.NewCellsProtobufClient("http://"+address, &http.Client{Transport: transport}),
+		closeIdle: transport.CloseIdleConnections,
+	}
+}
 
 // To returns the client for an address.
 func (c *Clients) To(address string) cellpb.Cells { return c.get(address) }
@@ -39,7 +56,7 @@
 // CloseIdle closes the idle connections to an address. A connection can become permanently
 // unresponsive while new ones work. After a call without an answer, the other idle
 // connections may be unresponsive, too, and each would cost a timeout.
-func (c *Clients) CloseIdle(address string) { c.get(address).transport.CloseIdleConnections() }
+func (c *Clients) CloseIdle(address string) { c.get(address).closeIdle() }
 
 // get returns the client for an address, and creates it if necessary.
 func (c *Clients) get(address string) *client {
@@ -48,11 +65,7 @@
 	if found := c.byAddress[address]; found != nil {
 		return found
 	}
-	transport := httpclient.NewTransport(traffic.Peers, dialTimeout, idleConnections)
-	made := &client{
-		Cells:     cellpb.NewCellsProtobufClient("http://"+address, &http.Client{Transport: transport}),
-		transport: transport,
-	}
+	made := c.newClient(address)
 	c.byAddress[address] = made
 	return made
 }
