cellleader: instances confirm an owner only by their answers to its questions

What callers would see: a step that runs twice after a takeover. An owner that has lost the store is confirmed by the pings of most other instances, and a ping counted from its arrival. Pings that were sent before a takeover and arrive after it (a network that delays, an owner that was frozen while its connections filled) confirmed a superseded owner for 1.5 s from then, at a time when its successor has long counted it as stopped.

An owner whose last read of its claim is more than 1.125 s old now asks the instances itself, every 0.4 to 0.5 s, and an answer counts from when it asked, like a confirmation over a link. Pings confirm nothing any more. An instance that knows of the successor says so in its answer, which ends the term: one that the superseded owner reaches is enough, also if the announcement did not arrive. Before, only an owner without confirmations asked. Relays that have confirmed within 0.4 s are not asked; the round trips to the others are as many as their pings.

Weighed: a stamp of the owner that pings return (no calls more, but a field of the protocol, and instances of an earlier build would confirm nothing); the age of the claim that an instance has read (in an outage for all nobody can read it).

--- a/internal/cellleader/confirmations.go
+++ b/internal/cellleader/confirmations.go
@@ -13,8 +13,9 @@
 	mu sync.Mutex
 	// claimVerifiedAt is the start of the last read of the store that found the claim unchanged.
 	claimVerifiedAt time.Time
-	// pingedAt holds the time of the last ping of each instance that knows of no later owner.
-	pingedAt map[string]time.Time
+	// askedAt holds, for each instance that answered that it knows of no later owner, when it was
+	// asked last. A ping of an instance confirms nothing, because it may arrive late.
+	askedAt map[string]time.Time
 	// suspensions returns the total duration for which the machine was suspended, and suspended is
 	// its last value. Confirmations from before resumedAt do not count: they appear recent, because
 	// the clock stops during a suspension.
@@ -24,7 +25,7 @@
 }
 
 func newConfirmations(now time.Time) *confirmations {
-	return &confirmations{claimVerifiedAt: now, pingedAt: map[string]time.Time{}, suspensions: noSuspensions}
+	return &confirmations{claimVerifiedAt: now, askedAt: map[string]time.Time{}, suspensions: noSuspensions}
 }
 
 func noSuspensions() time.Duration { return 0 }
@@ -44,7 +45,7 @@
 	}
 	c.suspended, c.resumedAt = total, now
 	c.claimVerifiedAt = time.Time{}
-	clear(c.pingedAt)
+	clear(c.askedAt)
 }
 
 // claimVerified records that a read of the store that began at startedAt found this ownership.
@@ -56,11 +57,21 @@
 	}
 }
 
-// pingReceived records a ping of an instance that knows this ownership.
-func (c *confirmations) pingReceived(instance string, now time.Time) {
+// answered records that an instance, asked at a given time, knows this ownership and no later one.
+func (c *confirmations) answered(instance string, askedAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pingedAt[instance] = now
+	if askedAt.After(c.askedAt[instance]) && !askedAt.Before(c.resumedAt) {
+		c.askedAt[instance] = askedAt
+	}
+}
+
+// needAnswers reports whether the last read of the claim was so long ago that the ownership will
+// soon depend on the answers of other instances.
+func (c *confirmations) needAnswers(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.claimVerifiedAt) >= askAfter
 }
 
 // valid reports whether the ownership is confirmed. others returns the number of other instances,
@@ -80,9 +91,9 @@
 	for _, name := range linked(since) {
 		recent[name] = struct{}{}
 	}
-	for name, at := range c.pingedAt {
+	for name, at := range c.askedAt {
 		if now.Sub(at) >= confirmationTTL {
-			delete(c.pingedAt, name)
+			delete(c.askedAt, name)
 			continue
 		}
 		recent[name] = struct{}{}
--- a/internal/cellleader/confirmations_test.go
+++ b/internal/cellleader/confirmations_test.go
@@ -21,7 +21,7 @@
 		c := newConfirmations(began)
 		now := began.Add(confirmationTTL)
 		for i := range test.pinged {
-			c.pingReceived(fmt.Sprint(i), now.Add(-time.Millisecond))
+			c.answered(fmt.Sprint(i), now.Add(-time.Millisecond))
 		}
 		if got := c.valid(others, noLinked, now); got != test.want {
 			t.Errorf("%d others, of which %d ping: valid %v", test.others, test.pinged, got)
@@ -57,7 +57,7 @@
 	}{{4, 0, true}, {3, 0, false}, {2, 2, true}, {2, 1, false}} {
 		c := newConfirmations(began)
 		for i := range test.pinged {
-			c.pingReceived(fmt.Sprint("pinged-", i), now)
+			c.answered(fmt.Sprint("pinged-", i), now)
 		}
 		linked := func(since time.Time) []string {
 			if !since.Equal(now.Add(-confirmationTTL)) {
@@ -104,7 +104,7 @@
 	var suspended time.Duration
 	c := newConfirmations(began)
 	c.measureSuspensions(func() time.Duration { return suspended })
-	c.pingReceived("edge-2", began)
+	c.answered("edge-2", began)
 	if !c.valid(others, linked, resumed) {
 		t.Fatal("not valid without a suspension")
 	}
--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,9 +117,7 @@
 	l.mu.Unlock()
 	switch {
 	case t != nil:
-		if !t.Confirmed() {
-			l.checkLaterTerm(ctx, t)
-		}
+		l.askInstances(ctx, t, time.Now())
 		l.verify(ctx, t)
 	case stopping:
 	case l.pingDue(time.Now()):
@@ -148,18 +147,23 @@
 	l.yield(ctx, t)
 }
 
-// checkLaterTerm asks the other instances for a later term. An owner that cannot reach the store
-// and that no instance pings any more has probably been replaced: the others ping its successor
-// instead, and the store cannot be asked.
-func (l *Leader) checkLaterTerm(ctx context.Context, t *term) {
-	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	for answer := range l.pingAll(callCtx, l.directory.Others(), t.number) {
-		if answer.Reply.GetTerm() > t.number {
-			t.Superseded("another instance knows a later term")
-			return
-		}
+// askInstances asks the other instances, in the background, whether they know of a later term. An
+// owner that has not read its claim for some time depends on their answers. Each counts from when
+// the owner asked, however long it takes. Links ask the same of their relays.
+func (l *Leader) askInstances(ctx context.Context, t *term, now time.Time) {
+	if now.Sub(t.askedAt) < askInterval || !t.confirmations.needAnswers(now) {
+		return
 	}
+	t.askedAt = now
+	linked := l.links.ConfirmedBy(t.number, now.Add(-askInterval))
+	instances := slices.DeleteFunc(l.directory.Others(), func(i cellpeer.Instance) bool { return slices.Contains(linked, i.Name) })
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, confirmationTTL)
+		defer cancel()
+		for answer := range l.pingAll(callCtx, instances, t.number) {
+			t.instanceAnswered(answer, now)
+		}
+	}()
 }
 
 // pingAll pings instances at the same time.
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -87,6 +87,11 @@
 	minSuspension = 50 * time.Millisecond
 	// verifyInterval is how often the owner reads its own claim.
 	verifyInterval = time.Second
+	// askAfter is how long after the start of the last read of its claim an owner asks the other
+	// instances, every askInterval, whether they know of a later one: when the next read has taken
+	// pingInterval, and before the last one has expired.
+	askAfter    = verifyInterval + pingInterval
+	askInterval = 400 * time.Millisecond
 	// storeTimeout bounds one call to the store about the ownership.
 	storeTimeout = time.Second
 	// minOwnership is how long an owner keeps the cell at least before it hands the cell over to
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstand/internal/cellowner"
+	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/store"
 )
@@ -27,8 +28,9 @@
 	// onlyPredecessor is the previous holder, if it may still act and no other one may.
 	onlyPredecessor string
 	confirmations   *confirmations
-	verifiedAt      time.Time
-	supersededOnce  sync.Once
+	// verifiedAt is when the claim was last read, and askedAt when the instances were last asked.
+	verifiedAt, askedAt time.Time
+	supersededOnce      sync.Once
 }
 
 // newTerm creates and starts the owner for a claim that a request sent at sentAt has confirmed.
@@ -69,10 +71,19 @@
 	if r.Term != t.number {
 		return
 	}
-	t.confirmations.pingReceived(r.From, now)
 	t.termKnownBy(r.From, now)
 }
 
+// instanceAnswered handles the answer of an instance that was asked for a later term.
+func (t *term) instanceAnswered(answer cellpeer.PingResult, askedAt time.Time) {
+	switch known := answer.Reply.GetTerm(); {
+	case known > t.number:
+		t.Superseded("another instance knows a later term")
+	case known == t.number:
+		t.confirmations.answered(answer.Instance.Name, askedAt)
+	}
+}
+
 // termKnownBy records that an instance knows this term and no later one. If it is the previous
 // holder, it owns nothing any more: its process was replaced, or it knows that it was superseded.
 func (t *term) termKnownBy(instance string, now time.Time) {
