cellleader: a claim is announced until every instance has answered

What callers would see: a step that runs twice after a takeover. A new owner announced its claim once, within 350 ms. Instances that did not get it, because they were slow or cut off for a moment, went on confirming the previous owner: they do not read the claim while that one answers, and cannot if they lack the store. Relays confirmed it over their links. The previous owner stopped with its first order to a worker that the new owner had polled, and not at all where they share no worker: it started steps and extended leases long after the 1.5 s.

The announcement is now repeated, 0.125 to 1 s after the last attempt, to the instances that have neither answered nor pinged with the new term, until none is left, the instance is not listed any more, or a later claim is known; over new connections, as the old one may be dead. It goes on after the end of the term, because the claim has superseded the previous owner all the same.

--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -56,8 +56,10 @@
 	// claiming is the term for which this instance is writing a claim, or 0.
 	claiming uint64
 	stopping bool
-	// ended is true once Run has stopped. announcing tracks the announcements in progress.
+	// ended is true, and finished closed, once Run has stopped. announcing tracks the announcements in
+	// progress.
 	ended      bool
+	finished   chan struct{}
 	announcing sync.WaitGroup
 	// wake triggers the next step at once.
 	wake chan struct{}
@@ -69,7 +71,7 @@
 		links = noLinks{}
 	}
 	return &Leader{partition: partition, directory: d, clients: c, store: s, newOwner: n, links: links, log: log, suspensions: boottime.NewSuspensionMeter().Total,
-		vacantSince: time.Now(), wake: make(chan struct{}, 1)}
+		vacantSince: time.Now(), finished: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Run takes part in the election until ctx ends.
@@ -90,6 +92,7 @@
 			t := l.term
 			l.ended = true
 			l.mu.Unlock()
+			close(l.finished)
 			if t != nil {
 				t.end()
 			}
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -92,6 +92,11 @@
 	// pingInterval, and before the last one has expired.
 	askAfter    = verifyInterval + pingInterval
 	askInterval = 400 * time.Millisecond
+	// minAnnouncePause is the pause after the first announcement of a claim that not all instances have
+	// answered. It doubles with each further one up to maxAnnouncePause, as an instance that is gone may
+	// be listed for a minute.
+	minAnnouncePause = 125 * time.Millisecond
+	maxAnnouncePause = time.Second
 	// storeTimeout bounds one call to the store about the ownership.
 	storeTimeout = time.Second
 	// minOwnership is how long an owner keeps the cell at least before it hands the cell over to
--- a/internal/cellleader/superseded_test.go
+++ b/internal/cellleader/superseded_test.go
@@ -56,3 +56,45 @@
 		})
 	})
 }
+
+// testLostAnnouncement has a member take over whose announcement arrives nowhere for some time, and
+// never at the first owner, which does not reach it either. The first owner lacks the store; the
+// others lack it if othersLost is set, and are its relays if linked is set.
+func testLostAnnouncement(t *testing.T, othersLost, linked bool, check func(t *testing.T, first *simulatedMember, next *term)) {
+	synctest.Test(t, func(t *testing.T) {
+		simulate(t, 9, func(t *testing.T, g *simulatedGroup) {
+			first := g.owner()
+			g.linked.Store(linked)
+			successor := g.nextInOrder(first)
+			for _, m := range g.others(successor) {
+				m.access.lose(othersLost || m == first)
+			}
+			var announced time.Time
+			g.setFault(func(from, to *simulatedMember, r *cellpb.PingRequest) simulatedFault {
+				if r.Claim != nil && announced.IsZero() {
+					announced = time.Now()
+				}
+				early := time.Since(announced) < pingTimeout
+				return simulatedFault{lost: (from == first && to == successor) || (r.Claim != nil && (early || to == first))}
+			})
+			check(t, first, awaitSuccessor(t, g, first))
+		})
+	})
+}
+
+// Guards against a superseded owner that most instances confirm for any length of time because they
+// have not received the announcement of its successor.
+func TestLostAnnouncementIsRepeated(t *testing.T) {
+	for name, test := range map[string]struct{ othersLost, linked bool }{
+		"others reach the store":            {},
+		"others lack the store":             {othersLost: true},
+		"others reach the store, and relay": {linked: true},
+		"others lack the store, and relay":  {othersLost: true, linked: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testLostAnnouncement(t, test.othersLost, test.linked, func(t *testing.T, first *simulatedMember, next *term) {
+				mustNotActAfter(t, first, next.began.Add(2*confirmationTTL))
+			})
+		})
+	}
+}
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -7,8 +7,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
-	"gentianstand/internal/cellpeer"
-	"gentianstand/internal/cellpeer/cellpb"
 	"gentianstand/internal/store"
 )
 
@@ -139,32 +137,6 @@
 	l.vacantSince = time.Time{}
 	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why.reason}).Info("ownership_taken")
 	l.term = l.newTerm(c, why, sentAt)
-	l.announcing.Go(func() { l.announce(c) })
-}
-
-// announce sends this instance's claim to the other instances. An instance reports the jobs that
-// it accepts to the owner that it knows. Until it reads the claim itself, 0.5 s later, the new
-// owner finds these jobs only with its next read of the store. The previous holder stops acting
-// when it receives the claim.
-func (l *Leader) announce(c claim) {
-	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
-	defer cancel()
-	ping := &cellpb.PingRequest{From: l.directory.Self().Name, Term: c.Term, Claim: c.message()}
-	acknowledged := 0
-	for answer := range l.clients.PingAll(ctx, l.directory.Others(), ping) {
-		if answer.Reply != nil {
-			acknowledged++
-			l.announcementAnswered(c, answer)
-		}
-	}
-	l.log.WithFields(logrus.Fields{"term": c.Term, "heard": acknowledged}).Info("ownership_announced")
-}
-
-// announcementAnswered handles an instance's answer to the announcement of this instance's claim.
-func (l *Leader) announcementAnswered(c claim, answer cellpeer.PingResult) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.term != nil && l.term.number == c.Term && answer.Reply.Term == c.Term && !answer.Reply.Owner {
-		l.term.termKnownBy(answer.Instance.Name, time.Now())
-	}
+	t := l.term
+	l.announcing.Go(func() { l.announce(t, c) })
 }
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -28,6 +28,8 @@
 	// onlyPredecessor is the previous holder, if it may still act and no other one may.
 	onlyPredecessor string
 	confirmations   *confirmations
+	// informed holds the instances that know of this term.
+	informed informed
 	// verifiedAt is when the claim was last read, and askedAt when the instances were last asked.
 	verifiedAt, askedAt time.Time
 	supersededOnce      sync.Once
@@ -71,6 +73,7 @@
 	if r.Term != t.number {
 		return
 	}
+	t.informed.add(r.From)
 	t.termKnownBy(r.From, now)
 }
 
--- a/internal/cellleader/term_test.go
+++ b/internal/cellleader/term_test.go
@@ -56,7 +56,7 @@
 		"another instance": {"edge-2", &cellpb.PingReply{Term: 5}, false},
 	} {
 		term, hook := termAfter("edge-1")
-		term.leader.announcementAnswered(claim{Term: 5}, cellpeer.PingResult{Instance: cellpeer.Instance{Name: c.from}, Reply: c.reply})
+		term.leader.announcementAnswered(term, cellpeer.PingResult{Instance: cellpeer.Instance{Name: c.from}, Reply: c.reply}, time.Now())
 		if stopped := len(hook.AllEntries()) > 0; stopped != c.stopped {
 			t.Errorf("%s: counts as stopped: %v, want %v", name, stopped, c.stopped)
 		}
