cellleader, cell: count a previous owner as stopped when most instances know of the takeover

What callers would see: a step that runs twice after a takeover. A new owner counted the previous one as stopped 1.5 s after its own claim. A previous owner without the store stops 1.5 s after most instances have ceased to confirm it, and these cease when they learn of the claim. If the announcement takes long to reach them, the previous owner still starts steps and extends leases when its successor acknowledges ends, takes steps as not started and counts leases as over.

The limit of 1.5 s now begins when so many instances have answered the announcement, or have pinged with the new term, that the others and the previous owner are no majority. What they confirmed before expires within 1.5 s, as it counts from the owner's question. Usually that is one round trip after the takeover, and at once where there are only two instances. Instances that have not answered for 1 s count as gone, so that the limit is 2.5 s at most. Nothing changes if the previous owner is known to have stopped. An owner that stops or yields waits for the same time before it hands the cell over, and a takeover counts the owner before the last one as possibly active for 2.5 s, not 1.5 s.

Cost: if half of the instances or more are lost together with the owner, tasks of unresponsive workers wait for 1 s longer, and ends are acknowledged as much later while some worker has not reported.

What remains: a new owner that reaches less than half of the instances for more than 1 s, while these lack the store and reach the previous owner.

TestSupersededOwnerStopsWhenItsSuccessorCountsItAsStopped, with the limit of 1.5 s before, fails: "acts 1.501s after the takeover, and counts as stopped after 1.5s", where the announcement is lost for 1.2 s. TestOwnerBeforeTheLastOneMayStillAct expects the longer time.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -48,6 +48,9 @@
 	// previousOwnerStoppedAt is when this owner learned that the previous owner sends no more
 	// orders. It is zero if that is unknown, or was known from Settings.
 	previousOwnerStoppedAt time.Time
+	// previousOwnerLimit is when the previous owner gives its last order at the latest, if this owner
+	// has learned that after the takeover.
+	previousOwnerLimit time.Time
 	// endedAt is when this owner stopped sending orders, or zero.
 	endedAt time.Time
 	// previousOwnerFenced is set once the previous owner can no longer start anything.
--- a/internal/cell/model_steps_polls_test.go
+++ b/internal/cell/model_steps_polls_test.go
@@ -68,7 +68,7 @@
 	if o == m.current() {
 		return true
 	}
-	return o == m.owners[len(m.owners)-2] && !o.stopped && m.now.Sub(m.current().since) < supersededOwnerLimit
+	return o == m.owners[len(m.owners)-2] && !o.stopped && m.now.Before(m.current().previousEnd)
 }
 
 // answer has a worker answer a poll with its present state. The answer may be lost.
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -34,7 +34,8 @@
 type modelOwner struct {
 	cell    *Cell
 	stopped bool
-	since   time.Time
+	// previousEnd is until when the previous owner may act.
+	previousEnd time.Time
 	// config is the configuration version that the owner has.
 	config int
 }
@@ -113,6 +114,9 @@
 	}
 }
 
+// confirmedFor is how much longer a previous owner may act if instances confirm it after a takeover.
+const confirmedFor = time.Second
+
 // takeOver begins a term. Unless its process has ended, the previous owner continues until it is
 // notified.
 func (m *model) takeOver(previousStopped bool) {
@@ -125,11 +129,15 @@
 	m.unstoredEnds = nil
 	term := uint64(len(m.owners) + 1)
 	m.rt.Logf("%v term %d taken, previous owner stopped %v", m.now.Sub(siteStart), term, previousStopped)
-	c := New(Settings{Term: term, PreviousOwnerStopped: previousStopped, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, SpareWorkers: 1}, m.now, quietLog())
+	limit := supersededOwnerLimit
+	if !previousStopped && rapid.Bool().Draw(m.rt, "instances confirm the previous owner") {
+		limit += confirmedFor
+	}
+	c := New(Settings{Term: term, PreviousOwnerStopped: previousStopped, PreviousOwnerLimit: limit, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, SpareWorkers: 1}, m.now, quietLog())
 	for _, r := range m.records {
 		c.Load(r, m.stored[r.ID])
 	}
-	o := &modelOwner{cell: c, since: m.now}
+	o := &modelOwner{cell: c, previousEnd: m.now.Add(limit)}
 	for _, w := range m.workers {
 		if w.alive && rapid.IntRange(0, 4).Draw(m.rt, "registered") > 0 {
 			c.register(w.roster, m.now)
@@ -156,7 +164,7 @@
 func (m *model) anyOwner() *modelOwner {
 	if n := len(m.owners); n > 1 {
 		before := m.owners[n-2]
-		if !before.stopped && m.now.Sub(m.current().since) < supersededOwnerLimit && rapid.Bool().Draw(m.rt, "superseded acts") {
+		if !before.stopped && m.now.Before(m.current().previousEnd) && rapid.Bool().Draw(m.rt, "superseded acts") {
 			return before
 		}
 	}
@@ -194,7 +202,9 @@
 }
 
 func (m *model) rareFault() {
-	switch rapid.IntRange(0, 8).Draw(m.rt, "rare fault") {
+	switch rapid.IntRange(0, 9).Draw(m.rt, "rare fault") {
+	case 9:
+		m.outvotePreviousOwner()
 	case 8:
 		m.changeQuota()
 	case 0:
@@ -233,6 +243,16 @@
 	}
 }
 
+// outvotePreviousOwner has so many instances learn of the current owner that the previous one is no
+// longer confirmed, and the current one know of it.
+func (m *model) outvotePreviousOwner() {
+	o, end := m.current(), m.now.Add(supersededOwnerLimit)
+	if end.Before(o.previousEnd) {
+		o.previousEnd = end
+		o.cell.PreviousOwnerStopsBy(end)
+	}
+}
+
 func (m *model) poll(o *modelOwner, w *modelWorker, lost bool) {
 	sentAt := m.now
 	target, poll, ok := o.cell.NextPoll(w.roster.ID, sentAt)
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -15,7 +16,7 @@
 	if !c.recovering {
 		return
 	}
-	c.previousOwnerFenced = c.settings.PreviousOwnerStopped || !c.previousOwnerStoppedAt.IsZero() || now.Sub(c.startedAt) >= supersededOwnerLimit
+	c.previousOwnerFenced = c.settings.PreviousOwnerStopped || !c.previousOwnerStoppedAt.IsZero() || !now.Before(c.previousOwnerStopsBy())
 	if now.Sub(c.startedAt) >= c.earlierLeaseLimit() || c.allWorkersAccounted() {
 		c.logUnreported()
 		c.recovering = false
@@ -26,8 +27,8 @@
 
 // earlierLeaseLimit returns how long runs of a previous owner may continue without being
 // reported to this one. Every owner grants the same lease, the worker's clock may be slow, and
-// a previous owner that is still alive may extend leases for supersededOwnerLimit after it lost
-// its ownership.
+// a previous owner that is still alive may extend leases for some time after it lost its
+// ownership.
 func (c *Cell) earlierLeaseLimit() time.Duration {
 	limit := time.Duration(float64(c.settings.Lease)*(1+maxClockDrift)) + clockEstimateError + expiryMargin
 	return limit + c.previousOwnerStopsBy().Sub(c.startedAt)
@@ -38,9 +39,11 @@
 	if c.settings.PreviousOwnerStopped {
 		return c.startedAt
 	}
-	limit := c.startedAt.Add(supersededOwnerLimit)
-	if stopped := c.previousOwnerStoppedAt; !stopped.IsZero() && stopped.Before(limit) {
-		return stopped
+	limit := c.startedAt.Add(cmp.Or(c.settings.PreviousOwnerLimit, supersededOwnerLimit))
+	for _, at := range []time.Time{c.previousOwnerStoppedAt, c.previousOwnerLimit} {
+		if !at.IsZero() && at.Before(limit) {
+			limit = at
+		}
 	}
 	return limit
 }
@@ -92,6 +95,15 @@
 	}
 }
 
+// PreviousOwnerStopsBy records that the previous owner sends no more orders after the given time.
+func (c *Cell) PreviousOwnerStopsBy(limit time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.previousOwnerLimit.IsZero() || limit.Before(c.previousOwnerLimit) {
+		c.previousOwnerLimit = limit
+	}
+}
+
 // logUnreported logs the workers that delayed the recovery.
 func (c *Cell) logUnreported() {
 	logged := 0
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -12,6 +12,9 @@
 	// PreviousOwnerStopped is set if the previous owner is known to extend no more leases,
 	// because its process ended or it handed the cell over.
 	PreviousOwnerStopped bool
+	// PreviousOwnerLimit is how long after the takeover the previous owner may give orders at most, if
+	// that is not supersededOwnerLimit. It is longer while other instances may confirm that owner.
+	PreviousOwnerLimit time.Duration
 	// StopGrace is the longest time a worker takes to stop a run.
 	StopGrace time.Duration
 	// SpareWorkers is the minimum number of idle workers to keep in use. Further idle workers
@@ -42,8 +45,8 @@
 	// clockEstimateError is how much later than intended a lease can end because a previous
 	// owner estimated the worker's clock from an old report.
 	clockEstimateError = 150 * time.Millisecond
-	// supersededOwnerLimit is how long a superseded owner may continue to extend leases. It
-	// stops when its ownership was not confirmed for this long.
+	// supersededOwnerLimit is how long a superseded owner may continue to extend leases if nothing
+	// confirms it any more. It stops when its ownership was not confirmed for this long.
 	supersededOwnerLimit = 1500 * time.Millisecond
 	// maxReportAge is the maximum age of a worker's last report for new starts. Reports arrive
 	// at least every maxPollWait, so an older one indicates a problem.
--- a/internal/cellleader/announce.go
+++ b/internal/cellleader/announce.go
@@ -67,7 +67,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t.informed.add(answer.Instance.Name)
+	t.instanceInformed(answer.Instance.Name, now)
 	if l.term == t && answer.Reply.Term == t.number && !answer.Reply.Owner {
 		t.termKnownBy(answer.Instance.Name, now)
 	}
--- a/internal/cellleader/informed.go
+++ b/internal/cellleader/informed.go
@@ -22,6 +22,13 @@
 	i.names[instance] = struct{}{}
 }
 
+// outvote reports whether so many instances know of the term that no earlier owner is confirmed by most
+// of them. listed are all instances but this one, and the earlier owner is one of them.
+func (i *informed) outvote(listed []cellpeer.Instance) bool {
+	all := len(listed) + 1
+	return 2*len(i.missing(listed)) <= all
+}
+
 // missing returns those of a list that may not know of the term.
 func (i *informed) missing(list []cellpeer.Instance) []cellpeer.Instance {
 	i.mu.Lock()
--- a/internal/cellleader/leader_test.go
+++ b/internal/cellleader/leader_test.go
@@ -110,10 +110,10 @@
 	directory := cellpeer.NewDirectory(self, watched, log)
 	clients := cellpeer.NewClients()
 	ownerMetrics := cellowner.NewMetrics(metrics.NewSet())
-	newOwner := func(term uint64, previousStopped bool, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
+	newOwner := func(term uint64, previous cellleader.PreviousOwner, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
 		m.takenAt.Store(time.Now().UnixNano())
 		m.term.Store(term)
-		m.previousStopped.Store(previousStopped)
+		m.previousStopped.Store(previous.Stopped)
 		return cellowner.New(cell.Settings{Term: term, Lease: time.Second}, claim, cellowner.Deps{
 			Store: watched, Jobs: jobs, Roster: platform.NewRoster(watched, log), Runner: platform.NewWorkers(),
 			Advisers: cellpeer.NewAdvicePool(directory, clients, nil, nil), Catalog: (&catalog.Current{}).Get, Leadership: l, Metrics: ownerMetrics, Log: log,
--- /dev/null
+++ b/internal/cellleader/previous_owner.go
@@ -0,0 +1,24 @@
+package cellleader
+
+import "time"
+
+// PreviousOwner is what a new owner knows about the owners before it at its takeover.
+type PreviousOwner struct {
+	// Stopped is true if none of them sends orders any more.
+	Stopped bool
+	// Limit is how long after the takeover one may send orders, if Stopped is false.
+	Limit time.Duration
+}
+
+// previousOwner returns what is known about the previous owners when a term begins. One that was
+// confirmed just before may act for confirmationTTL. While it can have the votes of most instances, it
+// may act for longer; those that have not learned of the term after unreachedLimit count as gone.
+func previousOwner(stopped, outvoted bool) PreviousOwner {
+	switch {
+	case stopped:
+		return PreviousOwner{Stopped: true}
+	case outvoted:
+		return PreviousOwner{Limit: confirmationTTL}
+	}
+	return PreviousOwner{Limit: predecessorLimit}
+}
--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -82,6 +82,13 @@
 	// confirmationTTL is how long a confirmation of the ownership is valid. Package cell relies
 	// on it: see supersededOwnerLimit there.
 	confirmationTTL = 1500 * time.Millisecond
+	// unreachedLimit is how long after a takeover other instances count as possible supporters of the
+	// previous owner if they have not learned of the takeover. It allows for two announcements.
+	// If half of the instances are gone, tasks of unresponsive workers wait for that much longer, and
+	// long-running ones must run again within 7 s.
+	unreachedLimit = time.Second
+	// predecessorLimit is how long after a takeover a previous owner may act at most.
+	predecessorLimit = unreachedLimit + confirmationTTL
 	// minSuspension is the shortest suspension that voids the confirmations. It covers the error of
 	// the measurement, and is short beside confirmationTTL.
 	minSuspension = 50 * time.Millisecond
@@ -95,12 +102,12 @@
 	// minAnnouncePause is the pause after the first announcement of a claim that not all instances have
 	// answered. It doubles with each further one up to maxAnnouncePause, as an instance that is gone may
 	// be listed for a minute.
-	minAnnouncePause = 125 * time.Millisecond
+	minAnnouncePause = 100 * time.Millisecond
 	maxAnnouncePause = time.Second
 	// storeTimeout bounds one call to the store about the ownership.
 	storeTimeout = time.Second
 	// minOwnership is how long an owner keeps the cell at least before it hands the cell over to
-	// a stronger instance: until no previous owner can act any more.
+	// a stronger instance, and in any case until no previous owner can act any more.
 	minOwnership = confirmationTTL
 	// flushTimeout bounds the last writes of a stopping owner. No task starts until a successor
 	// has taken over, and leases expire meanwhile.
--- a/internal/cellleader/simulated_group_test.go
+++ b/internal/cellleader/simulated_group_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"gentianstand/internal/catalog"
 	"gentianstand/internal/cell"
@@ -49,6 +50,7 @@
 	leader *Leader
 	access *memoryAccess
 	links  *simulatedLinks
+	logged *logtest.Hook
 }
 
 // simulate calls check with a running group of n members.
@@ -78,14 +80,15 @@
 	m := &simulatedMember{name: name, access: &memoryAccess{memoryStore: shared}, links: &simulatedLinks{group: g, member: name}}
 	logger := logrus.New()
 	logger.SetOutput(g.t.Output())
+	m.logged = logtest.NewLocal(logger)
 	log := logger.WithField("member", name)
 	s := store.NewMonitored(m.access)
 	self := cellpeer.Instance{Name: name, Address: name, Incarnation: name, StartedAt: time.Now(), Cores: 1}
 	ownerMetrics := cellowner.NewMetrics(metrics.NewSet())
 	clients := cellpeer.NewClientsOver(func(address string) cellpb.Cells { return &simulatedCalls{group: g, from: m, to: address} })
 	directory := cellpeer.NewDirectory(self, s, log)
-	newOwner := func(term uint64, previousStopped bool, c store.Check, leadership cellowner.Leadership) *cellowner.Owner {
-		return cellowner.New(cell.Settings{Term: term, PreviousOwnerStopped: previousStopped, Lease: time.Second}, c, cellowner.Deps{Store: s, Jobs: celljobs.New(s, "cell"),
+	newOwner := func(term uint64, previous PreviousOwner, c store.Check, leadership cellowner.Leadership) *cellowner.Owner {
+		return cellowner.New(cell.Settings{Term: term, PreviousOwnerStopped: previous.Stopped, PreviousOwnerLimit: previous.Limit, Lease: time.Second}, c, cellowner.Deps{Store: s, Jobs: celljobs.New(s, "cell"),
 			Roster: noWorkers{}, Advisers: cellpeer.NewAdvicePool(directory, clients, nil, nil), Catalog: (&catalog.Current{}).Get, Log: log, Metrics: ownerMetrics, Leadership: leadership})
 	}
 	m.leader = New("cell", directory, clients, s, newOwner, m.links, log)
@@ -145,6 +148,17 @@
 	return g.fault(from, to, r)
 }
 
+// recoveredAfter returns how long the last recovery of a member took, or 0.
+func (m *simulatedMember) recoveredAfter() time.Duration {
+	took := time.Duration(0)
+	for _, entry := range m.logged.AllEntries() {
+		if ms, ok := entry.Data["took_ms"].(int64); ok && entry.Message == "recovered" {
+			took = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return took
+}
+
 // mayAct reports whether a member gives orders.
 func (m *simulatedMember) mayAct() bool {
 	owned := m.leader.ownTerm()
--- a/internal/cellleader/slow_claim_test.go
+++ b/internal/cellleader/slow_claim_test.go
@@ -58,7 +58,7 @@
 		log, _ := logtest.NewNullLogger()
 		s := store.NewMonitored(slowClaimStore{})
 		self := cellpeer.Instance{Name: "edge-1", Incarnation: "first"}
-		newOwner := func(term uint64, _ bool, c store.Check, leadership cellowner.Leadership) *cellowner.Owner {
+		newOwner := func(term uint64, _ PreviousOwner, c store.Check, leadership cellowner.Leadership) *cellowner.Owner {
 			return cellowner.New(cell.Settings{Term: term}, c, cellowner.Deps{Store: s, Jobs: celljobs.New(s, "cell"),
 				Roster: unreadableRoster{}, Log: log, Metrics: cellowner.NewMetrics(metrics.NewSet()), Leadership: leadership})
 		}
--- a/internal/cellleader/stop.go
+++ b/internal/cellleader/stop.go
@@ -29,12 +29,9 @@
 // awaitSoleOwnership waits until no previous owner can act any more, so that a successor does not
 // have to consider any of them.
 func (t *term) awaitSoleOwnership(ctx context.Context) {
-	if t.previousStopped {
-		return
-	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(time.Until(t.began.Add(confirmationTTL))):
+	case <-time.After(time.Until(t.previousActsUntil())):
 	}
 }
 
--- a/internal/cellleader/superseded_test.go
+++ b/internal/cellleader/superseded_test.go
@@ -1,6 +1,7 @@
 package cellleader
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,10 +58,10 @@
 	})
 }
 
-// testLostAnnouncement has a member take over whose announcement arrives nowhere for some time, and
+// testLostAnnouncement has a member take over whose announcement arrives nowhere for the given time, and
 // never at the first owner, which does not reach it either. The first owner lacks the store; the
 // others lack it if othersLost is set, and are its relays if linked is set.
-func testLostAnnouncement(t *testing.T, othersLost, linked bool, check func(t *testing.T, first *simulatedMember, next *term)) {
+func testLostAnnouncement(t *testing.T, lostFor time.Duration, othersLost, linked bool, check func(t *testing.T, first, successor *simulatedMember, next *term)) {
 	synctest.Test(t, func(t *testing.T) {
 		simulate(t, 9, func(t *testing.T, g *simulatedGroup) {
 			first := g.owner()
@@ -74,10 +75,10 @@
 				if r.Claim != nil && announced.IsZero() {
 					announced = time.Now()
 				}
-				early := time.Since(announced) < pingTimeout
+				early := time.Since(announced) < lostFor
 				return simulatedFault{lost: (from == first && to == successor) || (r.Claim != nil && (early || to == first))}
 			})
-			check(t, first, awaitSuccessor(t, g, first))
+			check(t, first, successor, awaitSuccessor(t, g, first))
 		})
 	})
 }
@@ -92,9 +93,54 @@
 		"others lack the store, and relay":  {othersLost: true, linked: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			testLostAnnouncement(t, test.othersLost, test.linked, func(t *testing.T, first *simulatedMember, next *term) {
+			testLostAnnouncement(t, pingTimeout, test.othersLost, test.linked, func(t *testing.T, first, _ *simulatedMember, next *term) {
 				mustNotActAfter(t, first, next.began.Add(2*confirmationTTL))
 			})
 		})
 	}
 }
+
+// Guards against a new owner that counts the previous one as stopped while most instances do not know
+// of the takeover.
+func TestSupersededOwnerStopsWhenItsSuccessorCountsItAsStopped(t *testing.T) {
+	for _, lostFor := range []time.Duration{0, pingTimeout, unreachedLimit / 2, unreachedLimit * 4 / 5} {
+		for _, linked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("lost for %v, linked %v", lostFor, linked), func(t *testing.T) {
+				testLostAnnouncement(t, lostFor, true, linked, func(t *testing.T, first, _ *simulatedMember, next *term) {
+					for time.Since(next.began) < 2*predecessorLimit {
+						if end := next.previousActsUntil(); first.mayAct() && time.Now().After(end) {
+							t.Fatalf("acts %v after the takeover, and counts as stopped after %v", time.Since(next.began), end.Sub(next.began))
+						}
+						time.Sleep(supersededCheckPeriod)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a new owner that waits for longer than before although most instances know of its
+// takeover at once, or is right to count those that do not answer as gone.
+func TestPreviousOwnerLimitDependsOnWhatInstancesKnow(t *testing.T) {
+	for name, test := range map[string]struct {
+		lostFor, from, to time.Duration
+	}{
+		"known at once":      {0, confirmationTTL, confirmationTTL + 50*time.Millisecond},
+		"known late":         {pingTimeout, confirmationTTL + pingTimeout, predecessorLimit},
+		"not known for long": {predecessorLimit, predecessorLimit, predecessorLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			testLostAnnouncement(t, test.lostFor, true, false, func(t *testing.T, _, successor *simulatedMember, next *term) {
+				time.Sleep(unreachedLimit)
+				if limit := next.previousActsUntil().Sub(next.began); limit < test.from || limit > test.to {
+					t.Errorf("%v, want %v to %v", limit, test.from, test.to)
+				}
+				time.Sleep(2 * predecessorLimit)
+				// The recovery waits for a lease of 1 s from then.
+				if rest := successor.recoveredAfter() - next.previousActsUntil().Sub(next.began); rest < time.Second || rest > 1500*time.Millisecond {
+					t.Errorf("recovered %v after the previous owner had stopped", rest)
+				}
+			})
+		})
+	}
+}
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -30,9 +30,9 @@
 // whether any owner up to that one may still act and, if just one may, which. If the last owner
 // has stopped, the one before it may still act.
 func (t takeOver) withClaim(c claim, known time.Duration) takeOver {
-	// An owner that was alive when the claim was made was superseded by it, and may act until its
-	// confirmations expire.
-	mayAct := c.PredecessorMayAct && !t.handedOver && known < confirmationTTL
+	// An owner that was alive when the claim was made was superseded by it, and may act until it is
+	// no longer confirmed.
+	mayAct := c.PredecessorMayAct && !t.handedOver && known < predecessorLimit
 	t.previousStopped = t.previousStopped && !mayAct
 	if !t.previousStopped && !mayAct {
 		t.onlyPredecessor = c.Holder
--- a/internal/cellleader/take_over_test.go
+++ b/internal/cellleader/take_over_test.go
@@ -20,10 +20,10 @@
 	}{
 		{"unresponsive owner", takeOver{}, sure, 0, false, "edge-2"},
 		{"unresponsive owner after another one", takeOver{}, afterUnresponsive, 0, false, ""},
-		{"unresponsive owner, long after the one before it", takeOver{}, afterUnresponsive, confirmationTTL, false, "edge-2"},
+		{"unresponsive owner, long after the one before it", takeOver{}, afterUnresponsive, predecessorLimit, false, "edge-2"},
 		{"process replaced", takeOver{previousStopped: true}, sure, 0, true, ""},
-		{"process replaced, just after a take-over from an unresponsive one", takeOver{previousStopped: true}, afterUnresponsive, confirmationTTL - 1, false, ""},
-		{"process replaced, long after it", takeOver{previousStopped: true}, afterUnresponsive, confirmationTTL, true, ""},
+		{"process replaced, just after a take-over from an unresponsive one", takeOver{previousStopped: true}, afterUnresponsive, predecessorLimit - 1, false, ""},
+		{"process replaced, long after it", takeOver{previousStopped: true}, afterUnresponsive, predecessorLimit, true, ""},
 		{"handed over, which waits until the unresponsive one cannot act", takeOver{previousStopped: true, handedOver: true}, afterUnresponsive, 0, true, ""},
 	} {
 		got := test.why.withClaim(test.claim, test.known)
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -23,8 +23,9 @@
 	done   chan struct{}
 	loaded atomic.Bool
 	began  time.Time
-	// previousStopped is true if no previous owner can act any more.
-	previousStopped bool
+	// previousEnd is when no previous owner can act any more, as far as known. previousMu guards it.
+	previousMu  sync.Mutex
+	previousEnd time.Time
 	// onlyPredecessor is the previous holder, if it may still act and no other one may.
 	onlyPredecessor string
 	confirmations   *confirmations
@@ -39,9 +40,11 @@
 func (l *Leader) newTerm(c claim, why takeOver, sentAt time.Time) *term {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: sentAt,
-		confirmations: newConfirmations(sentAt), previousStopped: why.previousStopped, onlyPredecessor: why.onlyPredecessor}
+		confirmations: newConfirmations(sentAt), onlyPredecessor: why.onlyPredecessor}
 	t.confirmations.measureSuspensions(l.suspensions)
-	t.owner = l.newOwner(c.Term, why.previousStopped, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
+	previous := previousOwner(why.previousStopped, t.outvotesPrevious())
+	t.previousEnd = t.began.Add(previous.Limit)
+	t.owner = l.newOwner(c.Term, previous, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
 	go t.run(ctx)
 	return t
 }
@@ -73,7 +76,7 @@
 	if r.Term != t.number {
 		return
 	}
-	t.informed.add(r.From)
+	t.instanceInformed(r.From, now)
 	t.termKnownBy(r.From, now)
 }
 
@@ -87,6 +90,40 @@
 	}
 }
 
+// instanceInformed records that an instance knows this term, so that it confirms no earlier owner any
+// more. Its earlier confirmations expire.
+func (t *term) instanceInformed(instance string, now time.Time) {
+	t.informed.add(instance)
+	if t.outvotesPrevious() && t.previousStopsBy(now.Add(confirmationTTL)) {
+		t.leader.log.WithFields(logrus.Fields{"term": t.number, "after_ms": now.Sub(t.began).Milliseconds()}).Info("earlier_owner_outvoted")
+		t.owner.PreviousOwnerStopsBy(now.Add(confirmationTTL))
+	}
+}
+
+// outvotesPrevious reports whether no earlier owner is confirmed by most instances any more.
+func (t *term) outvotesPrevious() bool {
+	return t.leader.directory.Loaded() && t.informed.outvote(t.leader.directory.Others())
+}
+
+// previousStopsBy records by when no previous owner can act any more, and reports whether that is
+// earlier than was known.
+func (t *term) previousStopsBy(end time.Time) bool {
+	t.previousMu.Lock()
+	defer t.previousMu.Unlock()
+	if !end.Before(t.previousEnd) {
+		return false
+	}
+	t.previousEnd = end
+	return true
+}
+
+// previousActsUntil returns when no previous owner can act any more, as far as known.
+func (t *term) previousActsUntil() time.Time {
+	t.previousMu.Lock()
+	defer t.previousMu.Unlock()
+	return t.previousEnd
+}
+
 // termKnownBy records that an instance knows this term and no later one. If it is the previous
 // holder, it owns nothing any more: its process was replaced, or it knows that it was superseded.
 func (t *term) termKnownBy(instance string, now time.Time) {
@@ -95,6 +132,7 @@
 	}
 	t.onlyPredecessor = ""
 	t.leader.log.WithFields(logrus.Fields{"term": t.number, "holder": instance}).Info("earlier_owner_stopped")
+	t.previousStopsBy(now)
 	t.owner.PreviousOwnerStopped(now)
 }
 
--- a/internal/cellleader/term_test.go
+++ b/internal/cellleader/term_test.go
@@ -18,7 +18,7 @@
 func termAfter(holder string) (*term, *logtest.Hook) {
 	log, hook := logtest.NewNullLogger()
 	owner := cellowner.New(cell.Settings{Term: 5}, store.Check{}, cellowner.Deps{Log: log, Metrics: cellowner.NewMetrics(metrics.NewSet())})
-	t := &term{leader: &Leader{log: log}, number: 5, owner: owner, onlyPredecessor: holder, confirmations: newConfirmations(time.Now())}
+	t := &term{leader: &Leader{log: log, directory: cellpeer.NewDirectory(cellpeer.Instance{Name: "edge-0"}, nil, log)}, number: 5, owner: owner, onlyPredecessor: holder, confirmations: newConfirmations(time.Now())}
 	t.leader.term = t
 	return t, hook
 }
--- a/internal/cellleader/yield.go
+++ b/internal/cellleader/yield.go
@@ -14,7 +14,7 @@
 // still loading the cell. A weak instance needs seconds where strong ones need tenths of a
 // second, and it is slow under load.
 func (l *Leader) yield(ctx context.Context, t *term) {
-	if time.Since(t.began) < minOwnership || !slices.ContainsFunc(l.directory.Others(), l.stronger) {
+	if time.Since(t.began) < minOwnership || time.Now().Before(t.previousActsUntil()) || !slices.ContainsFunc(l.directory.Others(), l.stronger) {
 		return
 	}
 	known := l.current()
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -201,6 +201,12 @@
 	o.wakePlanner()
 }
 
+// PreviousOwnerStopsBy records that the previous owner sends no more orders after the given time.
+func (o *Owner) PreviousOwnerStopsBy(limit time.Time) {
+	o.cell.PreviousOwnerStopsBy(limit)
+	o.wakePlanner()
+}
+
 // Flush stores all progress that is not stored yet, for a planned hand-over. It must be called
 // after Run has returned.
 func (o *Owner) Flush(ctx context.Context) {
