cell, celljobs: a job that was shown as cancelled is never shown as completed

What callers would see: a job shown as cancelled, and later as completed, or the other way round.

Cause: three places answered with a final state that nobody had decided. - An owner showed a job as cancelled as soon as it was told of the cancellation. It may be superseded: its successor has not read the cancellation yet and stores that the job is completed, or has done so before. - An instance whose question to the owner failed showed a job as cancelled if the store had a cancellation and no final state. The owner that was not told of the cancellation could still store that the job is completed, until it read the feed. - The same while the owner's write of the end was under way. The owner then ignored the cancellation, as the job had ended in its memory.

Now an owner shows only final states that it has stored or loaded. A reader that finds a cancellation and no final state stores a mark beside the progress, reads the progress once more, and shows the job as cancelled if that is still without a final state. Writes that complete or fail a job require that it has no mark, so after the mark no final state but cancelled can be stored. On a conflict the owner reads the progress of the job: an attempt without an answer may have stored the end before the mark. After the conflict none of the attempts can take effect, as their checks fail. A new owner takes a mark for a cancellation.

What it costs: one precondition for each job that ends, no call. A transaction has 100 entries, so a write takes 48 completed or failed jobs at most, instead of 97. A mark is one write, and two reads, for a question about a cancelled job in the time before the owner has stored it and only where the owner does not answer. After an acknowledged cancellation the owner shows queued or running until its next write.

Weighed: the cancellation itself in the partition of the progress, with the same check. Each cancellation would then be a write there, and a store that is 60 times slower does five a second in one partition, which the owner's writes and the claim need.

TestCommitOfManyEndsFitsOneTransaction fails without the limit of entries (197).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -160,7 +160,8 @@
 }
 
 // Cancel ends a job at its caller's request and reports whether the job is known. The stop
-// orders for its tasks are returned by the next Plan.
+// orders for its tasks are returned by the next Plan. The job is shown as cancelled only once that is
+// stored: this owner may be superseded, and the next one may have stored that the job is completed.
 func (c *Cell) Cancel(id string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -170,8 +171,6 @@
 	}
 	if j.final == "" {
 		c.endJob(j, job.Cancelled, now)
-		// The cancellation was stored before this call, so it may be shown.
-		j.storedState = job.Cancelled
 	}
 	return true
 }
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -1,12 +1,21 @@
 package cell
 
-import "time"
+import (
+	"cmp"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/job"
+)
 
 // Commit is a batch of job progress and worker chunks to store in one transaction.
 type Commit struct {
 	Items []CommitItem
 	// Chunks are those chunks of the list of known workers whose content has changed.
 	Chunks []WorkerChunk
+	// entries is the number of entries of the transaction, as MaxCommitEntries counts them.
+	entries int
 	// acks holds, for each worker incarnation, the highest sequence number of the ends that may
 	// be acknowledged once the transaction is stored.
 	acks map[*incarnationState]uint64
@@ -24,6 +33,7 @@
 	}
 	commit := &Commit{acks: map[*incarnationState]uint64{}}
 	jobLimit := limit - len(c.dirtyChunks.numbers)
+	commit.entries = len(c.dirtyChunks.numbers)
 	c.takeDirty(commit, jobLimit, true)
 	c.takeDirty(commit, jobLimit, false)
 	commit.Chunks = c.takeChunks()
@@ -47,11 +57,29 @@
 		if (j.final != "") != ended {
 			continue
 		}
+		item := CommitItem{Job: j.record.ID, Progress: j.progress(), FirstEnd: j.endsFirst(), jobState: j}
+		if limit := c.settings.MaxCommitEntries; limit > 0 && commit.entries+item.entries() > limit {
+			return
+		}
+		commit.entries += item.entries()
 		delete(c.dirtyJobs, j)
-		commit.Items = append(commit.Items, CommitItem{Job: j.record.ID, Progress: j.progress(), jobState: j})
+		commit.Items = append(commit.Items, item)
 	}
 }
 
+// endsFirst reports whether the job is completed or failed and not known to be stored as ended.
+func (j *jobState) endsFirst() bool {
+	return j.final != "" && j.final != job.Cancelled && j.storedState == ""
+}
+
+// entries returns the number of entries of the transaction that the item takes.
+func (i CommitItem) entries() int {
+	if i.FirstEnd {
+		return 2
+	}
+	return 1
+}
+
 // acknowledgeAll acknowledges all ends seen so far, as all of them are stored. It does nothing
 // while a superseded owner may still act. Otherwise, if a worker crashed after the
 // acknowledgement of an end, the superseded owner could treat the run as lost and restart a
@@ -93,6 +121,20 @@
 	}
 }
 
+// ResolveEnd sets the final state of a job whose end could not be stored because the job has a mark.
+// stored is the final state that the store has, or empty if it has none: the job is then cancelled.
+func (c *Cell) ResolveEnd(id string, stored job.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil || !j.endsFirst() {
+		return
+	}
+	j.final = cmp.Or(stored, job.Cancelled)
+	j.storedState = stored
+	c.log.WithFields(logrus.Fields{"job": id, "state": j.final, "stored": stored != ""}).Info("job_end_resolved")
+}
+
 // Expired returns the ids of at most limit jobs that ended more than keep ago, whose rows can be
 // removed. Each must be passed to Remove once its record is removed; until then a read of all jobs
 // would take it for a new job.
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -22,6 +22,9 @@
 	RemoteDataFactor float64
 	// EarlyStart is how long before its due time an occurrence may start.
 	EarlyStart time.Duration
+	// MaxCommitEntries is the maximum number of entries of one transaction for jobs and chunks of known
+	// workers. A job that ends takes two: its progress, and the check of its mark. 0 is no limit.
+	MaxCommitEntries int
 	// Disabled is the set of disabled mechanisms.
 	Disabled MechanismSet
 	// ObserveWait, if not nil, is called with a task's wait for its first start and the
--- a/internal/celljobs/doc.go
+++ b/internal/celljobs/doc.go
@@ -6,6 +6,11 @@
 // Each of its writes also replaces the sequence row; otherwise a write without an answer that
 // takes effect after a later one would restore old progress. Records have many writers and are
 // spread over jobPartitions other partitions.
+//
+// A final state never changes once a caller has seen it. It is shown only from the progress, or as
+// cancelled once a mark is stored beside the progress. Every write of the owner that completes or fails
+// a job requires that the mark is absent. Marks are rare: only readers store them that find a
+// cancellation of which the progress does not show anything yet.
 package celljobs
 
 import (
@@ -28,6 +33,7 @@
 	jobPrefix     = "job/"
 	cancelPrefix  = "cancel/"
 	workersPrefix = "workers/"
+	markPrefix    = "cancelled/"
 	// SequenceKey is the key, in the progress table, of the row that every write of the owner
 	// replaces.
 	SequenceKey = "sequence"
@@ -57,6 +63,13 @@
 	return chunk, err == nil
 }
 
+// MarkKey returns the key, in the progress table, of the mark of a job that is shown as cancelled.
+func MarkKey(id string) string { return markPrefix + id }
+
+// ParseMarkKey returns the job id in a key of the progress table. ok is false if the key is not that of
+// a mark.
+func ParseMarkKey(key string) (id string, ok bool) { return strings.CutPrefix(key, markPrefix) }
+
 // JobKey returns the key of a job's record.
 func JobKey(id string) string { return jobPrefix + id }
 
--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -168,30 +168,62 @@
 	if err != nil {
 		return job.Status{}, false, err
 	}
-	row, err := j.store.Get(ctx, TableProgress, j.cell, id)
+	state, err := j.state(ctx, id, cancel.Version > 0)
+	return job.Status{State: state, Workspace: r.Workspace}, err == nil, err
+}
+
+// state returns the state of a job that exists.
+func (j *Jobs) state(ctx context.Context, id string, cancelled bool) (job.State, error) {
+	if cancelled {
+		return j.cancelledState(ctx, id)
+	}
+	return j.progressState(ctx, id)
+}
+
+// cancelledState returns the state of a job that has a cancellation. The owner may not know of the
+// cancellation yet, and may store that the job is completed. The job is cancelled only if it has a mark
+// and no final state was stored before the mark.
+func (j *Jobs) cancelledState(ctx context.Context, id string) (job.State, error) {
+	mark, err := j.store.Get(ctx, TableProgress, j.cell, MarkKey(id))
 	if err != nil {
-		return job.Status{}, false, err
+		return "", err
+	}
+	state, err := j.progressState(ctx, id)
+	if err != nil || state.Final() {
+		return state, err
 	}
-	state, ok, err := stateOf(row, cancel.Version > 0)
-	return job.Status{State: state, Workspace: r.Workspace}, ok, err
+	if mark.Version > 0 {
+		return job.Cancelled, nil
+	}
+	if err := j.putMark(ctx, id); err != nil {
+		return "", err
+	}
+	if state, err = j.progressState(ctx, id); err != nil || state.Final() {
+		return state, err
+	}
+	return job.Cancelled, nil
 }
 
-// stateOf returns the state of a job that exists.
-func stateOf(progress store.Row, cancelled bool) (job.State, bool, error) {
-	if progress.Version == 0 {
-		if cancelled {
-			return job.Cancelled, true, nil
-		}
-		return job.Queued, true, nil
+// putMark stores the mark of a job that is shown as cancelled.
+func (j *Jobs) putMark(ctx context.Context, id string) error {
+	return j.commitWithRetry(ctx, store.Tx{
+		Partition: j.ProgressPartition(),
+		Puts:      []store.Put{{Table: TableProgress, Key: MarkKey(id), Value: []byte{1}}},
+	})
+}
+
+// progressState returns the state of a job according to its progress.
+func (j *Jobs) progressState(ctx context.Context, id string) (job.State, error) {
+	row, err := j.store.Get(ctx, TableProgress, j.cell, id)
+	if err != nil || row.Version == 0 {
+		return job.Queued, err
 	}
-	p, err := job.DecodeProgress(progress.Value)
+	p, err := job.DecodeProgress(row.Value)
 	switch {
 	case err != nil:
-		return "", false, fmt.Errorf("progress of job %s: %w", progress.Key, err)
+		return "", fmt.Errorf("progress of job %s: %w", id, err)
 	case p.Final != "":
-		return p.Final, true, nil
-	case cancelled:
-		return job.Cancelled, true, nil
+		return p.Final, nil
 	}
-	return job.Running, true, nil
+	return job.Running, nil
 }
--- a/internal/cellowner/commit_loop.go
+++ b/internal/cellowner/commit_loop.go
@@ -20,9 +20,9 @@
 	commitRetryDelay = 200 * time.Millisecond
 	// commitTimeout bounds one commit with all its attempts, in a slow store too.
 	commitTimeout = 1500 * time.Millisecond
-	// maxCommitPuts is the maximum number of jobs and chunks of known workers in one transaction.
-	// The other 3 entries are the checks of the claim and of the sequence row, and the put of the
-	// sequence row.
+	// maxCommitPuts is the maximum number of jobs and chunks of known workers in one transaction,
+	// together with the checks of marks. The other 3 entries are the checks of the claim and of the
+	// sequence row, and the put of the sequence row.
 	maxCommitPuts = store.MaxEntries - 3
 	// endedJobRetention is how long ended jobs are kept: callers may ask about them for 120 s,
 	// and a delayed retry of a submission has to find its job.
@@ -103,7 +103,7 @@
 }
 
 // commitTx builds the transaction of a commit. It requires that the claim and the sequence row
-// are unchanged.
+// are unchanged, and that the jobs that it completes or fails have no mark.
 func (o *Owner) commitTx(commit *cell.Commit) (store.Tx, error) {
 	sequence := store.Check{Table: celljobs.TableProgress, Key: celljobs.SequenceKey, Version: o.sequence}
 	tx := store.Tx{Partition: o.deps.Jobs.ProgressPartition(), Checks: []store.Check{o.claim, sequence},
@@ -114,6 +114,9 @@
 			return tx, fmt.Errorf("job %s: %w", item.Job, err)
 		}
 		tx.Puts = append(tx.Puts, store.Put{Table: celljobs.TableProgress, Key: item.Job, Value: value})
+		if item.FirstEnd {
+			tx.Checks = append(tx.Checks, store.Check{Table: celljobs.TableProgress, Key: celljobs.MarkKey(item.Job)})
+		}
 	}
 	for _, chunk := range commit.Chunks {
 		value, err := celljobs.EncodeWorkers(chunk.Workers)
@@ -148,6 +151,9 @@
 			o.sequence = row.Version
 		}
 	}
+	if !o.resolveEnds(ctx, conflict.Rows) {
+		return notCommitted
+	}
 	return committed
 }
 
@@ -159,7 +165,8 @@
 	}
 	progress := store.Tx{Partition: o.deps.Jobs.ProgressPartition(), Checks: []store.Check{o.claim}}
 	for _, id := range ids {
-		progress.Removals = append(progress.Removals, store.RowKey{Table: celljobs.TableProgress, Key: id})
+		progress.Removals = append(progress.Removals, store.RowKey{Table: celljobs.TableProgress, Key: id},
+			store.RowKey{Table: celljobs.TableProgress, Key: celljobs.MarkKey(id)})
 	}
 	for _, id := range ids {
 		// The record is removed first: progress without a record is harmless, but a record
--- a/internal/cellowner/commit_test.go
+++ b/internal/cellowner/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,11 @@
 	return row, exists
 }
 
+func (s *delayingStore) Get(_ context.Context, _, _, key string) (store.Row, error) {
+	row, _ := s.row(key)
+	return row, nil
+}
+
 func (s *delayingStore) apply(tx store.Tx) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,3 +126,29 @@
 	}
 	o.cell.Reported("w", report, sentAt, time.Now())
 }
+
+// Guards against commits that the store refuses because they have too many entries: each job that ends
+// takes two.
+func TestCommitOfManyEndsFitsOneTransaction(t *testing.T) {
+	o := ownerBeforeItsPlan(t, &lossyWorker{})
+	o.deps.Jobs = celljobs.New(store.NewMonitored(&delayingStore{}), "cell-0")
+	var ends []runner.End
+	for n := range uint64(2 * store.MaxEntries) {
+		id := fmt.Sprintf("%016x", n)
+		o.cell.Add(&job.Record{ID: id, Queue: "q", Service: "desk", MaxAttempts: 1, Steps: []job.Step{{Count: 1}}}, true)
+		ends = append(ends, runner.End{Sequence: n + 1, Task: id + ".0.0.0", Run: 1, Kind: runner.Done})
+	}
+	o.cell.Reported("w", runner.Report{Clock: 2 * time.Minute, Ended: ends}, time.Now(), time.Now())
+	stored := 0
+	for commit := o.cell.NextCommit(maxCommitPuts); commit != nil; commit = o.cell.NextCommit(maxCommitPuts) {
+		tx, err := o.commitTx(commit)
+		if entries := len(tx.Checks) + len(tx.Puts); err != nil || entries > store.MaxEntries {
+			t.Fatalf("%d entries, error %v", entries, err)
+		}
+		stored += len(commit.Items)
+		o.cell.Committed(commit)
+	}
+	if stored != len(ends) {
+		t.Errorf("%d jobs stored, want %d", stored, len(ends))
+	}
+}
--- a/internal/cellowner/owner.go
+++ b/internal/cellowner/owner.go
@@ -56,6 +56,7 @@
 // New returns an owner. Its writes require that claim, the row of its ownership, is unchanged.
 func New(s cell.Settings, claim store.Check, deps Deps) *Owner {
 	waits := newWaitStats(deps.Metrics)
+	s.MaxCommitEntries = maxCommitPuts
 	s.ObserveWait = waits.record
 	s.ObserveHeldBack = func(d time.Duration) { deps.Metrics.HeldBackSeconds.Update(d.Seconds()) }
 	return &Owner{
@@ -143,10 +144,13 @@
 // loadJobs fills the cell with the stored jobs, their progress and their cancellations.
 func (o *Owner) loadJobs(rows, progress []store.Row) {
 	kept := make(map[string]store.Row, len(progress))
+	var cancelled []string
 	for _, row := range progress {
 		kept[row.Key] = row
+		if id, ok := celljobs.ParseMarkKey(row.Key); ok {
+			cancelled = append(cancelled, id)
+		}
 	}
-	var cancelled []string
 	for _, row := range rows {
 		id, cancel, ok := celljobs.ParseKey(row.Key)
 		if !ok {
