cellowner: apply the cancellations in a read of all jobs after the records

What callers would see: a job runs to its end although its cancellation was acknowledged.

Cause: an owner whose feed cannot resume reads all jobs. A partition is listed in the order of the keys, cancellations before records, and the cell ignores the cancellation of a job that it does not know. The feed goes on after both. A job that was accepted and cancelled in the gap ran until the next takeover, whose load has always applied cancellations last. The pages of the feed are ordered by version, so a record comes before its cancellation there.

Now cancellations are applied after all records of what was read.

Test, red on the code before: missing_jobs_test.go:86: run 1 of the cancelled job was started missing_jobs_test.go:90: 2 jobs wait, want the other one only

--- a/internal/cellowner/follow.go
+++ b/internal/cellowner/follow.go
@@ -129,15 +129,17 @@
 	o.cell.JobsRead(began)
 }
 
-// applyJobRows applies changed rows of the jobs table to the cell.
+// applyJobRows applies changed rows of the jobs table to the cell. Cancellations come last, because a read
+// of a partition lists them before the records and the cell ignores those of jobs that it does not know.
 func (o *Owner) applyJobRows(rows []store.Row) {
+	var cancelled []string
 	for _, row := range rows {
 		id, cancel, ok := celljobs.ParseKey(row.Key)
 		if !ok || row.Removed || !o.deps.Jobs.Owns(row.Partition) {
 			continue
 		}
 		if cancel {
-			o.Cancelled(id)
+			cancelled = append(cancelled, id)
 			continue
 		}
 		r, err := job.DecodeRecord(row.Value)
@@ -147,6 +149,9 @@
 		}
 		o.cell.Add(r, false)
 	}
+	for _, id := range cancelled {
+		o.Cancelled(id)
+	}
 	o.wakePlanner()
 }
 
--- a/internal/cellowner/missing_jobs_test.go
+++ b/internal/cellowner/missing_jobs_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
+	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
 	"gentianstand/internal/job"
 	"gentianstand/internal/runner"
@@ -16,6 +18,8 @@
 	store.Store
 	claim  uint64
 	record []byte
+	// cancelled is set if the job has a cancellation.
+	cancelled bool
 }
 
 func (s *claimAndJobStore) Get(_ context.Context, table, _, key string) (store.Row, error) {
@@ -33,7 +37,11 @@
 	if partition != celljobs.New(store.NewMonitored(s), "cell").RecordPartition(id) {
 		return store.Page{Version: 7}, nil
 	}
-	return store.Page{Rows: []store.Row{{Partition: partition, Key: celljobs.JobKey(id), Value: s.record, Version: 7}}, Version: 7}, nil
+	page := store.Page{Rows: []store.Row{{Partition: partition, Key: celljobs.JobKey(id), Value: s.record, Version: 7}}, Version: 7}
+	if s.cancelled {
+		page.Rows = slices.Insert(page.Rows, 0, store.Row{Partition: partition, Key: celljobs.CancelKey(id), Version: 7})
+	}
+	return page, nil
 }
 
 // ownerOfAnUnknownJob returns an owner with a claim of version 1 and a worker that reports a run of a
@@ -67,3 +75,18 @@
 		}
 	}
 }
+
+// Guards against a cancelled job that runs: a read of all jobs lists the cancellation before the record.
+func TestCancellationInAReadOfAllJobsIsApplied(t *testing.T) {
+	o, _ := ownerOfAnUnknownJob(t, 1)
+	o.deps.Store.(*claimAndJobStore).cancelled = true
+	o.reloadJobs(t.Context())
+	for _, order := range o.cell.Plan(time.Now(), cell.AdviceSlots{}) {
+		if start, ok := order.(cell.StartOrder); ok && start.Start.Task == "00000000000000bb.0.0.0" {
+			t.Errorf("run %d of the cancelled job was started", start.Start.Run)
+		}
+	}
+	if n := o.cell.Waiting("q"); n != 1 {
+		t.Errorf("%d jobs wait, want the other one only", n)
+	}
+}
