cell: a step before one that was started is done

What callers would see: a step that runs again although it had succeeded, and, after a second takeover, a next step that runs twice.

An owner sees a step end, starts the next one on worker b, and loses the store. The worker that lists the end is lost. The next owner finds the run on b, and repeats the step before it. While it runs, a third owner takes the cell over, without reaching b. It sees the repeated run at work and end, takes the next step for new, and starts it beside the run on b. This can last as long as the run on b, whose lease the second owner extends: waiting for the first owner's leases does not prevent it.

Cause: the second owner repeats a step of which it could know that it was done: an owner starts a step only when all steps before it are done. It now concludes that from any run or end of the next step that is reported, and from the runs that are stored with a cordoned worker.

--- a/internal/cell/adopt.go
+++ b/internal/cell/adopt.go
@@ -47,6 +47,7 @@
 	c.isolate(a)
 	t.stage.job.started = true
 	c.updateWaiting(t.stage)
+	c.inferPredecessorsDone(t.stage, now)
 	return a
 }
 
--- a/internal/cell/cordon.go
+++ b/internal/cell/cordon.go
@@ -66,6 +66,9 @@
 		t := c.taskByName(r.Task)
 		if t == nil || t.stage.job.final != "" || t.stage.step.AllowDuplicates {
 			w.uncountedRuns = append(w.uncountedRuns, r)
+			if t != nil {
+				c.inferPredecessorsDone(t.stage, now)
+			}
 			continue
 		}
 		if t.done {
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -20,6 +20,7 @@
 		c.log.WithFields(workerFields(w)).WithField("task", e.Task).Warn("end_of_unknown_task")
 		return true
 	}
+	c.inferPredecessorsDone(t.stage, now)
 	a := t.find(w, e.Run)
 	if e.Checkpoint != "" {
 		t.saveCheckpoint(e.Checkpoint)
@@ -107,7 +108,8 @@
 	}
 }
 
-// taskDone handles a success. In a gang, the end of one member counts for all.
+// taskDone handles a success on a worker, which is nil if it is not known. In a gang, the end of one
+// member counts for all.
 func (c *Cell) taskDone(t *task, w *worker, now time.Time) {
 	members := []*task{t}
 	if t.stage.step.Gang {
