cell: a run that may be a repetition does not show that the next step is new

What callers would see: a step that runs twice after two takeovers.

Cause: while it recovers, a new owner takes the step after an ended run as new if that run existed after the previous owner's last order. This tells nothing of the owners before the one that started the run: the run may be a repetition.

A run now shows that only if its own owner, or one after that, had accounted for all runs of the owners before: its recovery had ended, and no worker had uncounted runs. The run number tells the owner's term. An owner that has accounted for all stores its term with a worker, in one more commit per takeover. Runs of the first owner of a cell need no such entry.

Ordinary takeovers do not wait longer: an owner accounts for all runs after the first reports, at the latest when the leases before it are over, and stores it with its next commit. TestStepAfterARunOfAnOwnerThatAccountedForAllRunsIsNotHeldBack shows it for an owner that was alone with a silent worker for longer than a lease.

Ruled out: the age of the claim. An instance knows it only since its own start, and the first owner's runs outlast their lease where the second one extends it.

--- /dev/null
+++ b/internal/cell/accounted_term.go
@@ -0,0 +1,47 @@
+package cell
+
+// firstTerm is the term of the first owner of a cell.
+const firstTerm = 1
+
+// termOf returns the term of the owner that used a run number.
+func termOf(run uint64) uint64 { return (max(run, 1)-1)/runsPerTerm + firstTerm }
+
+// recordAccounted records that this owner has accounted for all runs of the owners before it, once
+// that is so. The store tells the next owners.
+func (c *Cell) recordAccounted() {
+	if c.recovering || c.accountedTerm >= c.settings.Term || !c.allRunsAccounted() {
+		return
+	}
+	c.accountedTerm = c.settings.Term
+	for id, w := range c.workers {
+		if !w.parked {
+			// One entry is enough.
+			c.dirtyChunks.mark(id)
+			return
+		}
+	}
+}
+
+// allRunsAccounted reports whether no run of a previous owner is left beyond those that this owner
+// accounts for, and no task has more runs than one owner starts.
+func (c *Cell) allRunsAccounted() bool {
+	for _, w := range c.workers {
+		if len(w.uncountedRuns) > 0 {
+			return false
+		}
+		for a := range w.attempts {
+			if len(a.task.attempts) > maxConcurrentRuns {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// repeatsNoRun reports whether the run cannot be a repetition of one that an owner before its own has
+// seen succeed, and whose successors that one has started unnoticed: its own owner, or one after
+// that, has accounted for all runs of the owners before.
+func (c *Cell) repeatsNoRun(a *attempt) bool {
+	term := termOf(a.run)
+	return term == c.settings.Term || term <= c.accountedTerm
+}
--- /dev/null
+++ b/internal/cell/accounted_term_test.go
@@ -0,0 +1,59 @@
+package cell
+
+import (
+	"testing"
+
+	"gentianstand/internal/runner"
+)
+
+// Guards against a step that waits for a silent worker after each takeover, although the previous owner
+// had stopped and had accounted for all runs of the owners before it.
+func TestStepAfterARunOfAnOwnerThatAccountedForAllRunsIsNotHeldBack(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	s.cell.settings.PreviousOwnerStopped = true
+	r, first, second := s.twoSteps()
+	s.cell.Load(r, nil)
+	s.report("a")
+	own, ok := s.advanceUnresponsive("b", s.cell.earlierLeaseLimit()+watchPeriod, "a")[first]
+	if !ok {
+		t.Fatal("the first step was not started although no lease can be left on b")
+	}
+	s.takeOver(r, "a", "b")
+	s.report("a")
+	s.endAndReport("a", first, own.Start.Run)
+	if _, ok := s.plan()[second]; !ok {
+		t.Error("the second step waits for a worker that cannot run it")
+	}
+}
+
+// Guards against a third owner that takes a run of the second for no repetition, although the second
+// had uncounted runs or more runs of a task than one owner starts.
+func TestOwnerHasNotAccountedForAllRunsWhileItHasUncountedOnes(t *testing.T) {
+	twice := step(1)
+	twice.AllowDuplicates = true
+	for name, know := range map[string]func(s *site, task string){
+		"three runs of a task": func(s *site, task string) {
+			for n, id := range []string{"a", "b", "c"} {
+				s.runs[id] = []runner.RunState{{Task: task, Run: uint64(n + 1), Percent: 10}}
+			}
+		},
+		"run that is stored with its cordoned worker": func(s *site, task string) {
+			s.cell.LoadWorkers([]KnownWorker{{ID: "d", Address: "d:1", Cordoned: true, Runs: []KnownRun{{Task: task, Run: 1}}}}, s.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 3, usualWorker("a"), usualWorker("b"), usualWorker("c"))
+			s.cell.settings.PreviousOwnerStopped = true
+			r := s.record(1, twice)
+			s.cell.Load(r, nil)
+			know(s, r.ID+".0.0.0")
+			for _, id := range []string{"a", "b", "c"} {
+				s.report(id)
+			}
+			s.plan()
+			if s.cell.recovering || s.cell.accountedTerm == 3 {
+				t.Errorf("recovering %v, accounted term %d", s.cell.recovering, s.cell.accountedTerm)
+			}
+		})
+	}
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -48,6 +48,9 @@
 	// previousOwnerStoppedAt is when this owner learned that the previous owner sends no more
 	// orders. It is zero if that is unknown, or was known from Settings.
 	previousOwnerStoppedAt time.Time
+	// accountedTerm is the latest term, as far as is known, of an owner that had accounted for all runs
+	// of the owners before it. The first owner had none before it.
+	accountedTerm uint64
 	// endedAt is when this owner stopped sending orders, or zero.
 	endedAt time.Time
 	// previousOwnerFenced is set once the previous owner can no longer start anything.
@@ -93,7 +96,7 @@
 // New returns an empty cell whose ownership starts at now.
 func New(s Settings, now time.Time, log logrus.FieldLogger) *Cell {
 	return &Cell{
-		settings: s, log: log, startedAt: now, recovering: true,
+		settings: s, log: log, startedAt: now, recovering: true, accountedTerm: firstTerm,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
 		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirtyJobs: map[*jobState]struct{}{},
 		dirtyChunks: newDirtyChunks(), adviceCalls: adviceCalls{}, endedIncarnations: map[string]runner.Incarnation{}, unknownJobs: map[string]struct{}{}, absentJobs: map[string]struct{}{},
--- a/internal/cell/known_worker.go
+++ b/internal/cell/known_worker.go
@@ -23,4 +23,7 @@
 	// not known when the entry was stored. The next owner finds out from it which workers were lost
 	// together.
 	LostAtMillis int64 `cbor:"9,keyasint,omitempty"`
+	// AccountedTerm is the latest term of an owner that had accounted for all runs of the owners before
+	// it when the entry was stored, or 0 if that is not known.
+	AccountedTerm uint64 `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -35,6 +35,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, k := range workers {
+		c.accountedTerm = max(c.accountedTerm, k.AccountedTerm)
 		w := c.workers[k.ID]
 		if w == nil {
 			w = newWorker(roster.Worker{ID: k.ID, Incarnation: k.Incarnation, Address: k.Address}, now)
@@ -106,6 +107,7 @@
 	for id, w := range c.workers {
 		if chunk := byNumber[chunkOf(id)]; chunk != nil && !w.parked {
 			k := w.knownWorker()
+			k.AccountedTerm = c.accountedTerm
 			c.addUnstoredEnds(&k, w)
 			c.addRemainingLease(&k, w)
 			if lost := c.lostWorkers[id]; lost != nil {
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -12,6 +12,7 @@
 // when every known worker has reported or its runs are known from the store, or when the
 // longest lease that the previous owner can have granted must have expired.
 func (c *Cell) recover(now time.Time) {
+	defer c.recordAccounted()
 	if !c.recovering {
 		return
 	}
@@ -48,14 +49,15 @@
 // outlastedPreviousOwner reports whether a run existed after the previous owner had given its last
 // order, so that the previous owner cannot have started the stages after the run's stage. If a task
 // may run twice at once, one of its runs does not show that: the other may have ended before. The
-// success of one member of a gang counts for all, so that all members must have existed. A stage that
-// no previous owner can have started has only runs of this one.
+// success of one member of a gang counts for all, so that all members must have existed. A run that may
+// be a repetition tells nothing of the owners before its own. A stage that no previous owner can have
+// started has only runs of this one.
 func (c *Cell) outlastedPreviousOwner(a *attempt) bool {
 	s := a.task.stage
 	if s.noEarlierRuns {
 		return true
 	}
-	if s.step.AllowDuplicates {
+	if s.step.AllowDuplicates || !c.repeatsNoRun(a) {
 		return false
 	}
 	if !s.step.Gang {
