cell: count copies of all earlier owners against a quota

What callers would see: a workspace with more running than its quota.

Cause: a new owner counted at most two earlier runs of a task that may run twice. Each owner starts at most two. But an owner that does not reach the workers of the one before knows nothing of its runs, and starts two more.

A new owner now counts two runs for each earlier owner from the last one on that had accounted for all runs of the owners before it: when it did, no task had more than two. The stored term of the commit before tells which one that is.

No more is counted than before after an owner that had accounted for all runs before its own, which it has after the leases of the owners before at the latest: TestQuotaCountsOneOwnersCopiesIfThatOneAccountedForTheOthers. On the first takeover from an earlier build, two for each earlier term are counted, at most the capacity of the workers that have not reported, and until these have.

--- a/internal/cell/accounted_term.go
+++ b/internal/cell/accounted_term.go
@@ -45,3 +45,9 @@
 	term := termOf(a.run)
 	return term == c.settings.Term || term <= c.accountedTerm
 }
+
+// earlierOwners returns the number of owners before this one that may have left runs which no other
+// of them has accounted for: the last one that had accounted for all, and those after it.
+func (c *Cell) earlierOwners() int {
+	return max(1, int(c.settings.Term)-int(min(c.accountedTerm, c.settings.Term)))
+}
--- a/internal/cell/accounted_term_test.go
+++ b/internal/cell/accounted_term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gentianstand/internal/runner"
 )
@@ -57,3 +58,23 @@
 		})
 	}
 }
+
+// Guards against a workspace that cannot use its quota after a takeover: the previous owner was alone
+// for longer than a lease, and no owner before it can have left a run.
+func TestQuotaCountsOneOwnersCopiesIfThatOneAccountedForTheOthers(t *testing.T) {
+	s := newSiteWith(t, Settings{Term: 3, Lease: 3500 * time.Millisecond, PreviousOwnerStopped: true}, usualWorker("w1"), usualWorker("w2"))
+	s.configure(1, "north", cores(3))
+	twice := step(1)
+	twice.AllowDuplicates = true
+	inherited := s.recordOf("north", 1, twice)
+	s.cell.Load(inherited, nil)
+	s.cell.LoadWorkers([]KnownWorker{{ID: "w1", Address: "w1:1", AccountedTerm: 2}, {ID: "w2", Address: "w2:1"}}, s.now)
+	s.cell.WorkersLoaded()
+	task, first := inherited.ID+".0.0.0", uint64(runsPerTerm+1)
+	s.runs["w1"] = []runner.RunState{{Task: task, Run: first, Percent: 10}, {Task: task, Run: first + 1, Percent: 10}}
+	s.report("w1")
+	s.cell.Add(s.recordOf("north", 2, step(3)), true)
+	if starts := s.plan(); len(starts) != 1 {
+		t.Errorf("%d starts beside two runs under a quota of 3, want 1", len(starts))
+	}
+}
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -104,7 +104,7 @@
 	}
 	for _, j := range c.jobs {
 		if j.account != nil && j.inherited && !j.compacted {
-			j.account.Unconfirmed = j.account.Unconfirmed.Add(j.unaccounted())
+			j.account.Unconfirmed = j.account.Unconfirmed.Add(c.unaccounted(j))
 		}
 	}
 	for _, account := range accounts {
@@ -140,11 +140,11 @@
 
 // unaccounted returns the need of the runs of a job that a previous owner can have started and
 // that are not accounted.
-func (j *jobState) unaccounted() resource.Amount {
+func (c *Cell) unaccounted(j *jobState) resource.Amount {
 	var sum resource.Amount
 	for _, s := range j.stages {
 		if !s.noEarlierRuns {
-			sum = sum.Add(s.step.Need.Times(int64(s.unaccountedRuns())))
+			sum = sum.Add(s.step.Need.Times(int64(c.unaccountedRuns(s))))
 		}
 	}
 	return sum
@@ -152,13 +152,13 @@
 
 // unaccountedRuns returns how many runs of a stage a previous owner can have started that are not
 // accounted. If tasks may run twice, that includes copies of tasks that run or are done.
-func (s *stage) unaccountedRuns() int {
+func (c *Cell) unaccountedRuns(s *stage) int {
 	if !s.step.AllowDuplicates {
 		return len(s.idle)
 	}
 	runs := 0
 	for _, t := range s.tasks {
-		runs += max(0, maxConcurrentRuns-t.adoptedRuns())
+		runs += max(0, maxConcurrentRuns*c.earlierOwners()-t.adoptedRuns())
 	}
 	return runs
 }
