cell: a read that overlaps a removal does not bring the job back

What callers would see: a job that runs again minutes after its end. It takes a read of all jobs, which happens if the store has dropped the changes since the last read, and a store without transactions over several partitions: elsewhere ended jobs are compacted long before, and their records say so.

Cause: the read lists the record, another loop removes it and the job from memory, and then the read is applied: the job is unknown and has no progress, so it is new.

The cell now keeps the id of a removed job until a read has been applied that began after the removal, and ignores its record meanwhile.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,6 +55,8 @@
 	endedAt time.Time
 	// previousOwnerFenced is set once the previous owner can no longer start anything.
 	previousOwnerFenced bool
+	// removedAt is when expired jobs were removed, for those that a read of the store may still list.
+	removedAt map[string]time.Time
 	// jobsReadAt is when the last completed read of the stored jobs began.
 	jobsReadAt time.Time
 	durations  durations
@@ -98,7 +100,7 @@
 	return &Cell{
 		settings: s, log: log, startedAt: now, recovering: true, accountedTerm: firstTerm,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
-		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirtyJobs: map[*jobState]struct{}{},
+		removedAt: map[string]time.Time{}, workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirtyJobs: map[*jobState]struct{}{},
 		dirtyChunks: newDirtyChunks(), adviceCalls: adviceCalls{}, endedIncarnations: map[string]runner.Incarnation{}, unknownJobs: map[string]struct{}{}, absentJobs: map[string]struct{}{},
 		lostWorkers: map[string]*lostWorker{}, isolatedRuns: map[*attempt]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}}, quotas: quota.NewLedger(),
@@ -109,7 +111,7 @@
 func (c *Cell) Load(r *job.Record, p *job.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Withdrawn || c.jobs[r.ID] != nil || r.Ended && (p == nil || p.Final == "") {
+	if r.Withdrawn || c.jobs[r.ID] != nil || c.wasRemoved(r.ID) || r.Ended && (p == nil || p.Final == "") {
 		return
 	}
 	j := c.newJobState(r)
@@ -127,7 +129,7 @@
 func (c *Cell) Add(r *job.Record, direct bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Withdrawn || r.Ended || c.jobs[r.ID] != nil {
+	if r.Withdrawn || r.Ended || c.jobs[r.ID] != nil || c.wasRemoved(r.ID) {
 		return
 	}
 	c.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "workspace": r.Workspace, "steps": len(r.Steps)}).Info("job_added")
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -111,11 +111,29 @@
 	return ids
 }
 
-// Remove removes from memory an expired job whose record was removed from the store.
-func (c *Cell) Remove(id string) {
+// Remove removes from memory an expired job whose record was removed from the store by now. A read of
+// the store that began before may still list the job, which is ignored until JobsRead is called for a
+// later one.
+func (c *Cell) Remove(id string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.jobs, id)
+	c.removedAt[id] = now
+}
+
+// wasRemoved reports whether a job was removed and may still be listed by a read of the store.
+func (c *Cell) wasRemoved(id string) bool {
+	_, ok := c.removedAt[id]
+	return ok
+}
+
+// forgetRemoved forgets the removals before a read of the store began.
+func (c *Cell) forgetRemoved(began time.Time) {
+	for id, at := range c.removedAt {
+		if at.Before(began) {
+			delete(c.removedAt, id)
+		}
+	}
 }
 
 // idle reports whether the job has no run left.
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -82,6 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.jobsReadAt = began
+	c.forgetRemoved(began)
 }
 
 // PreviousOwnerStopped records that the previous owner sends no more orders from now on, if
--- a/internal/cellowner/commit_loop.go
+++ b/internal/cellowner/commit_loop.go
@@ -168,7 +168,7 @@
 			{Table: celljobs.TableJobs, Key: celljobs.JobKey(id)}, {Table: celljobs.TableJobs, Key: celljobs.CancelKey(id)}}}) {
 			return
 		}
-		o.cell.Remove(id)
+		o.cell.Remove(id, time.Now())
 	}
 	o.commitRemoval(ctx, progress)
 }
