cell: the next owner reverts the loss of a start without an answer

What callers would see: a task that waits 5 to 10 s before its next start, and a job that fails at the fifth such loss, although the workers are alive.

Cause: a worker that becomes silent while a run is starting counts as lost under its task, until it answers. The count is stored with the job. The run was stored with the worker only if its start was confirmed, as only such runs may be blamed for a crash. So the next owner did not know which losses the answer of a worker reverts.

The unconfirmed ones are now stored in a field of their own, which earlier builds ignore. The next owner treats them as the previous one did: they are blamed only when three workers were lost under the task.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -156,16 +156,21 @@
 	if k.LostAtMillis != 0 {
 		c.unresponsiveAt.add(lost.unresponsiveSince, now)
 	}
-	for _, r := range k.Suspects {
-		if t := c.taskByName(r.Task); t != nil {
-			lost.suspects = append(lost.suspects, suspectRun{task: t, run: r.Run, confirmed: true})
-		}
-	}
+	c.restoreSuspectRuns(lost, k.Suspects, true)
+	c.restoreSuspectRuns(lost, k.UnconfirmedSuspects, false)
 	if len(lost.suspects) > 0 || k.LostAtMillis != 0 {
 		c.lostWorkers[w.ID] = lost
 	}
 }
 
+func (c *Cell) restoreSuspectRuns(lost *lostWorker, runs []KnownRun, confirmed bool) {
+	for _, r := range runs {
+		if t := c.taskByName(r.Task); t != nil {
+			lost.suspects = append(lost.suspects, suspectRun{task: t, run: r.Run, confirmed: confirmed})
+		}
+	}
+}
+
 // pruneLostWorkers drops lost workers that are no longer known and whose suspects are all
 // settled.
 func (c *Cell) pruneLostWorkers() {
--- a/internal/cell/known_worker.go
+++ b/internal/cell/known_worker.go
@@ -26,4 +26,7 @@
 	// AccountedTerm is the latest term of an owner that had accounted for all runs of the owners before
 	// it when the entry was stored, or 0 if that is not known.
 	AccountedTerm uint64 `cbor:"10,keyasint,omitempty"`
+	// UnconfirmedSuspects are runs that are counted as lost with the worker, and of which it is not
+	// known whether they had begun.
+	UnconfirmedSuspects []KnownRun `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -111,7 +111,7 @@
 			c.addUnstoredEnds(&k, w)
 			c.addRemainingLease(&k, w)
 			if lost := c.lostWorkers[id]; lost != nil {
-				k.Suspects, k.LostAtMillis = lost.knownRuns(), lost.unresponsiveSince.UnixMilli()
+				k.Suspects, k.UnconfirmedSuspects, k.LostAtMillis = lost.knownRuns(true), lost.knownRuns(false), lost.unresponsiveSince.UnixMilli()
 			}
 			chunk.Workers = append(chunk.Workers, k)
 		}
--- a/internal/cell/lost_worker.go
+++ b/internal/cell/lost_worker.go
@@ -17,11 +17,11 @@
 		immediate: confirmed && l.unresponsiveSince.Sub(a.confirmedAt) <= immediateCrashWindow})
 }
 
-// knownRuns returns the confirmed suspects in their stored form.
-func (l *lostWorker) knownRuns() []KnownRun {
+// knownRuns returns the suspects in their stored form: the confirmed ones or the others.
+func (l *lostWorker) knownRuns(confirmed bool) []KnownRun {
 	var runs []KnownRun
 	for _, r := range l.suspects {
-		if r.confirmed {
+		if r.confirmed == confirmed {
 			runs = append(runs, KnownRun{Task: r.task.id().String(), Run: r.run})
 		}
 	}
