cell: start a step only when no run of the steps before it is left

What callers would see: a step that runs twice after a takeover.

A worker is silent beyond its lease, and its task is started again. It comes back with the end of the first run, which had succeeded. The owner orders the end of the second run, starts the next step on worker b, and is lost. The new owner sees the second run still at work after the previous owner's last order, sees it end as done, and takes the next step for new, without having reached b. One takeover is enough.

A step now waits until no run of the steps before it is left, except of tasks that may run twice: from these a new owner concludes nothing. So a run that exists after an owner's last order again shows that this owner has not started the next step. The wait is that for a stop of a run which is not needed any more; a step whose tasks have each had one end does not wait.

Not covered: gangs. When one member succeeds the others' runs are left for a moment in the usual course, and waiting for them would delay each step after a gang.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -139,7 +139,7 @@
 // idle reports whether the job has no run left.
 func (j *jobState) idle() bool {
 	for _, s := range j.stages {
-		if s.runCount() > 0 {
+		if s.runs > 0 {
 			return false
 		}
 	}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -72,7 +72,7 @@
 // mayPlace reports whether tasks of a due stage may start now if there is free capacity. It
 // fails the job of a stage with a task that has reached the limit of lost workers.
 func (c *Cell) mayPlace(s *stage, now time.Time) bool {
-	return !c.heldBack(s) && s.job.final == "" && !c.failAtLossLimit(s, now) && !s.backsOff(now) && c.startable(s) > 0
+	return !c.heldBack(s) && !s.waitsForRunsBefore() && s.job.final == "" && !c.failAtLossLimit(s, now) && !s.backsOff(now) && c.startable(s) > 0
 }
 
 // sortedWaiting returns the waiting stages in order of urgency. Queues with a lower priority
--- a/internal/cell/stage.go
+++ b/internal/cell/stage.go
@@ -29,7 +29,9 @@
 	remainingDepth int
 	// runsPerWorker counts the stage's runs on each worker, for MaxPerWorker.
 	runsPerWorker map[*worker]int
-	advice        adviceState
+	// runs is the number of its runs.
+	runs   int
+	advice adviceState
 	// expiring is the number of its runs that are about to be lost. It is set only while an
 	// adviser call for them is considered.
 	expiring int
@@ -143,11 +145,9 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.adoptedRuns() > 0 })
 }
 
-// runCount returns the number of runs of the stage.
-func (s *stage) runCount() int {
-	n := 0
-	for _, t := range s.tasks {
-		n += len(t.attempts)
-	}
-	return n
+// waitsForRunsBefore reports whether runs of the stages before are left although these are done: a late
+// end was reported after a task had been started again. A later owner that saw such a run would take
+// the stage for new. It does not conclude that from tasks that may run twice.
+func (s *stage) waitsForRunsBefore() bool {
+	return slices.ContainsFunc(s.predecessors, func(b *stage) bool { return b.runs > 0 && !b.step.AllowDuplicates && !b.step.Gang })
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -82,6 +82,7 @@
 		account.Allocate(step.Need)
 	}
 	a.task.stage.runsPerWorker[w]++
+	a.task.stage.runs++
 	if step.BestEffort {
 		w.bestEffort++
 	}
@@ -102,6 +103,7 @@
 		account.Release(step.Need)
 	}
 	a.task.stage.runsPerWorker[w]--
+	a.task.stage.runs--
 	if step.BestEffort {
 		w.bestEffort--
 	}
