--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -51,10 +51,15 @@
 	// previousOwnerLimit is when the previous owner gives its last order at the latest, if this owner
 	// has learned that after the takeover.
 	previousOwnerLimit time.Time
+	// accountedTerm is the latest term, as far as is known, of an owner that had accounted for all runs
+	// of the owners before it. The first owner had none before it.
+	accountedTerm uint64
 	// endedAt is when this owner stopped sending orders, or zero.
 	endedAt time.Time
 	// previousOwnerFenced is set once the previous owner can no longer start anything.
 	previousOwnerFenced bool
+	// removedAt is when expired jobs were removed, for those that a read of the store may still list.
+	removedAt map[string]time.Time
 	// jobsReadAt is when the last completed read of the stored jobs began.
 	jobsReadAt time.Time
 	durations  durations
@@ -96,9 +101,9 @@
 // New returns an empty cell whose ownership starts at now.
 func New(s Settings, now time.Time, log logrus.FieldLogger) *Cell {
 	return &Cell{
-		settings: s, log: log, startedAt: now, recovering: true,
+		settings: s, log: log, startedAt: now, recovering: true, accountedTerm: firstTerm,
 		jobs: map[string]*jobState{}, active: map[string]*jobState{},
-		workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirtyJobs: map[*jobState]struct{}{},
+		removedAt: map[string]time.Time{}, workers: map[string]*worker{}, waiting: map[*stage]struct{}{}, dirtyJobs: map[*jobState]struct{}{},
 		dirtyChunks: newDirtyChunks(), adviceCalls: adviceCalls{}, endedIncarnations: map[string]runner.Incarnation{}, unknownJobs: map[string]struct{}{}, absentJobs: map[string]struct{}{},
 		lostWorkers: map[string]*lostWorker{}, isolatedRuns: map[*attempt]struct{}{},
 		durations: durations{mean: map[string]time.Duration{}}, quotas: quota.NewLedger(),
@@ -109,7 +114,7 @@
 func (c *Cell) Load(r *job.Record, p *job.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Withdrawn || c.jobs[r.ID] != nil || r.Ended && (p == nil || p.Final == "") {
+	if r.Withdrawn || c.jobs[r.ID] != nil || c.wasRemoved(r.ID) || r.Ended && (p == nil || p.Final == "") {
 		return
 	}
 	j := c.newJobState(r)
@@ -127,7 +132,7 @@
 func (c *Cell) Add(r *job.Record, direct bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.Withdrawn || r.Ended || c.jobs[r.ID] != nil {
+	if r.Withdrawn || r.Ended || c.jobs[r.ID] != nil || c.wasRemoved(r.ID) {
 		return
 	}
 	c.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "workspace": r.Workspace, "steps": len(r.Steps)}).Info("job_added")
