cell: tell a start without an answer from a run that starts up

What callers saw: operators read `why=run_starting` of lasting_task_away as a start that the worker does not answer.

The reason of a start without an answer is now `run_ordered`; `run_starting` is left for runs that their worker has confirmed or reported. Two rows of TestDownLongRunningTasksHaveAReason describe a start without an answer and expect the new reason: they check more than before, as the two states differ now.

TestConfirmedRunIsNotReportedAsOrdered failed before: "run_starting before the start was answered and run_starting after it, want run_ordered and run_starting".

--- a/internal/cell/down_reason.go
+++ b/internal/cell/down_reason.go
@@ -9,7 +9,10 @@
 	// RunUnconfirmed means that a run from before this ownership may still exist on a worker
 	// that has not reported.
 	RunUnconfirmed DownReason = "run_unseen"
-	// RunStarting means that a run was ordered or has begun.
+	// RunOrdered means that a start was sent and has no answer yet.
+	RunOrdered DownReason = "run_ordered"
+	// RunStarting means that the worker answered the start or reported the run, which is not
+	// working yet.
 	RunStarting DownReason = "run_starting"
 	// RunStopping means that the task's run is being stopped.
 	RunStopping DownReason = "run_stopping"
--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -156,6 +156,8 @@
 		return RunStopping
 	case !a.worker.unresponsiveSince.IsZero():
 		return WorkerUnresponsive
+	case a.phase == ordered:
+		return RunOrdered
 	}
 	return RunStarting
 }
--- a/internal/cell/down_task_test.go
+++ b/internal/cell/down_task_test.go
@@ -20,9 +20,9 @@
 		want    DownReason
 	}{
 		{"no free capacity", wide, false, func(s *site, _ string) { s.cell.Add(s.record(9, step(16)), true) }, CapacityExhausted},
-		{"its start within the urgent reserve is not answered", wide, false, nil, RunStarting},
+		{"its start within the urgent reserve is not answered", wide, false, nil, RunOrdered},
 		{"a request for advice is pending", longRunning(1, 0), true, nil, AdvicePending},
-		{"its start is not answered", longRunning(1, 0), false, nil, RunStarting},
+		{"its start is not answered", longRunning(1, 0), false, nil, RunOrdered},
 		{"its workers were lost", longRunning(1, 0), false, func(s *site, task string) {
 			s.cell.taskByName(task).crashes = crashHistory{unresponsive: []uint64{1, 2, 3}, lostAt: s.now}
 		}, CrashBackoff},
@@ -66,3 +66,21 @@
 		}
 	}
 }
+
+// Guards against a log in which a run that its worker confirmed looks like a start without an answer.
+func TestConfirmedRunIsNotReportedAsOrdered(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	r := s.record(1, longRunning(1, 0))
+	s.cell.Add(r, true)
+	start := s.plan()[r.ID+".0.0.0"]
+	s.advance(downAfter)
+	s.report("a")
+	before, _ := s.cell.DownTasks(4, s.now)
+	s.confirm(start)
+	s.report("a")
+	after, _ := s.cell.DownTasks(4, s.now)
+	if before[0].Reason != RunOrdered || after[0].Reason != RunStarting {
+		t.Errorf("%s before the start was answered and %s after it, want %s and %s", before[0].Reason, after[0].Reason, RunOrdered, RunStarting)
+	}
+}
