cell: leave draining workers out of the free capacity in the log

It looked like a task that is kept from free workers.

Workers that drain no longer count, so that the reason is `room_taken` if there are no others. Workers that are being evacuated still count: the system itself keeps tasks from them.

TestDrainingWorkersCountAsNoFreeCapacity failed before: workers_avoided and 2 workers with capacity when one and when both drained, want 1, and 0 with room_taken.

--- a/internal/cell/down_reason.go
+++ b/internal/cell/down_reason.go
@@ -25,12 +25,12 @@
 	// NoTicket means that workers have free capacity, but none with a valid ticket.
 	NoTicket DownReason = "no_ticket"
 	// WorkersUnavailable means that the workers with free capacity are not used at present:
-	// they are unresponsive, draining, not stored yet, or have refused or failed runs.
+	// they are unresponsive, evacuated, not stored yet, or have refused or failed runs.
 	WorkersUnavailable DownReason = "workers_avoided"
 	// ReservedForOthers means that the workers with free capacity are isolated or reserved.
 	ReservedForOthers DownReason = "kept_for_others"
 	// CapacityAvailable means that a worker could run the task now.
 	CapacityAvailable DownReason = "room_free"
-	// CapacityExhausted means that no worker that may run the task has free capacity.
+	// CapacityExhausted means that no worker that may run the task and stays has free capacity.
 	CapacityExhausted DownReason = "room_taken"
 )
--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -20,7 +20,8 @@
 	// Run and Worker identify the task's run, if it has one.
 	Run    uint64
 	Worker string
-	// WorkersWithCapacity is the number of workers with enough free capacity for the task.
+	// WorkersWithCapacity is the number of workers with enough free capacity for the task that
+	// are not draining.
 	WorkersWithCapacity int
 }
 
@@ -135,12 +136,12 @@
 	return NoTicket
 }
 
-// workersWithCapacity counts the workers that may run a stage and have free capacity for one
-// of its tasks.
+// workersWithCapacity counts the workers that may run a stage, have free capacity for one of
+// its tasks, and are not draining.
 func (c *Cell) workersWithCapacity(s *stage) int {
 	n := 0
 	for _, w := range c.workers {
-		if s.step.Occupied().Fits(w.free()) && c.mayRunWhenFree(s, w) {
+		if !w.Draining && s.step.Occupied().Fits(w.free()) && c.mayRunWhenFree(s, w) {
 			n++
 		}
 	}
--- a/internal/cell/down_task_test.go
+++ b/internal/cell/down_task_test.go
@@ -84,3 +84,21 @@
 		t.Errorf("%s before the start was answered and %s after it, want %s and %s", before[0].Reason, after[0].Reason, RunOrdered, RunStarting)
 	}
 }
+
+// Guards against a log that counts capacity which is about to leave as free.
+func TestDrainingWorkersCountAsNoFreeCapacity(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	s.report("b")
+	r := s.record(1, longRunning(1, 0))
+	s.cell.Add(r, true)
+	s.advance(downAfter)
+	for left, id := range []string{"b", "a"} {
+		want := 1 - left
+		s.cell.workers[id].Draining = true
+		down, _ := s.cell.DownTasks(4, s.now)
+		if down[0].WorkersWithCapacity != want || want == 0 && down[0].Reason != CapacityExhausted {
+			t.Errorf("%+v when %s drains, want %d workers with capacity", down[0], id, want)
+		}
+	}
+}
