cell: say in the log how long this owner has owned the cell

Both events now have owner_ms, the time since the takeover. If it equals away_ms, this owner has not seen the task at work. The store has no time of a task's last work; storing one would cost further writes, so that the time is not carried over.

TestDowntimeSinceATakeoverIsRecognisable does not build on the code before, which lacks the field.

--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianstand/internal/job"
 )
 
@@ -17,6 +19,9 @@
 	Task    job.TaskID
 	Reason  DownReason
 	DownFor time.Duration
+	// OwnerAge is the time since this owner took over. A task with the same DownFor has not worked
+	// under this owner, and may be down for longer.
+	OwnerAge time.Duration
 	// Run and Worker identify the task's run, if it has one.
 	Run    uint64
 	Worker string
@@ -60,7 +65,7 @@
 }
 
 func (c *Cell) describeDown(t *task, view *planView, now time.Time) DownTask {
-	d := DownTask{Task: t.id(), Reason: c.downReason(t, view, now), DownFor: now.Sub(c.lastWorking(t)), WorkersWithCapacity: c.workersWithCapacity(t.stage)}
+	d := DownTask{Task: t.id(), Reason: c.downReason(t, view, now), DownFor: now.Sub(c.lastWorking(t)), OwnerAge: now.Sub(c.startedAt), WorkersWithCapacity: c.workersWithCapacity(t.stage)}
 	if len(t.attempts) > 0 {
 		d.Run, d.Worker = t.attempts[0].run, t.attempts[0].worker.ID
 	}
@@ -86,7 +91,8 @@
 		return
 	}
 	if downFor := now.Sub(c.lastWorking(t)); downFor >= downAfter && a.percent < workingPercent {
-		c.log.WithFields(attemptFields(a)).WithField("away_ms", downFor.Milliseconds()).Info("lasting_task_back")
+		c.log.WithFields(attemptFields(a)).WithFields(logrus.Fields{"away_ms": downFor.Milliseconds(),
+			"owner_ms": now.Sub(c.startedAt).Milliseconds()}).Info("lasting_task_back")
 	}
 	t.lastWorkingAt = now
 }
--- a/internal/cell/down_task_test.go
+++ b/internal/cell/down_task_test.go
@@ -102,3 +102,29 @@
 		}
 	}
 }
+
+// Guards against a log in which a task looks as if it had gone down with the latest takeover.
+func TestDowntimeSinceATakeoverIsRecognisable(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	r := s.record(1, longRunning(1, 0))
+	s.cell.Add(r, true)
+	s.plan()
+	s.advance(downAfter)
+	s.takeOver(r, "a")
+	s.advance(downAfter)
+	down, _ := s.cell.DownTasks(4, s.now)
+	if down[0].OwnerAge != downAfter || down[0].DownFor != down[0].OwnerAge {
+		t.Errorf("down before the takeover: %+v, want both times to be %v", down[0], downAfter)
+	}
+	s.report("a")
+	s.commit()
+	s.confirm(s.plan()[r.ID+".0.0.0"])
+	s.runs["a"][0].Percent = workingPercent
+	s.report("a")
+	s.advance(downAfter)
+	down, _ = s.cell.DownTasks(4, s.now)
+	if down[0].OwnerAge <= down[0].DownFor {
+		t.Errorf("down since this owner saw it at work: %+v, want a longer time since the takeover", down[0])
+	}
+}
--- a/internal/cellowner/down_tasks.go
+++ b/internal/cellowner/down_tasks.go
@@ -14,7 +14,7 @@
 	down, total := o.cell.DownTasks(maxDownTasksLogged, now)
 	for _, a := range down {
 		o.deps.Log.WithFields(logrus.Fields{"task": a.Task.String(), "why": a.Reason, "away_ms": a.DownFor.Milliseconds(),
-			"run": a.Run, "worker": a.Worker, "roomy": a.WorkersWithCapacity}).Warn("lasting_task_away")
+			"owner_ms": a.OwnerAge.Milliseconds(), "run": a.Run, "worker": a.Worker, "roomy": a.WorkersWithCapacity}).Warn("lasting_task_away")
 	}
 	o.deps.Metrics.LongRunningTasksDown.Set(float64(total))
 }
