cell: extend a lease again only after late starts are revoked

What callers would see: a task that runs twice. A worker does not answer a start and becomes silent. When its lease must have expired, the task starts elsewhere and the start is forgotten. The worker answers again and its lease is extended; the start, which may be carried out seconds later, arrives only then.

The specification does not say whether a worker judges a late start by the deadline that it carries or by the present end of the lease. By the first such a start is refused; by the second it is accepted. The stand-in of the platform does the second, the model of this package did the first.

Starts that were not answered are now kept when their run is dropped with the lease. Until the worker has answered a stop for each, which revokes them for good, its lease is not extended, it gets no starts (they carry a lease, too) and it is not parked. While the lease is over, both readings refuse the start. The next owner needs none of this: its fencing token is higher.

TestLeaseOfAReturnedWorkerIsNotExtendedBeforeItsStartsAreRevoked failed before: "the lease of a was extended although a late start may arrive". TestModelLateStartsByLease plays the model with the second reading.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -87,6 +87,9 @@
 	defer c.mu.Unlock()
 	a := c.findAttempt(o.Task, o.Worker.ID, o.Stop.Run)
 	if a == nil {
+		if w := c.workers[o.Worker.ID]; w != nil && err == nil {
+			delete(w.unrevoked, runKey{o.Stop.Task, o.Stop.Run})
+		}
 		return
 	}
 	a.worker.updateClockFromAnswer(answer, now)
--- a/internal/cell/incarnation_state.go
+++ b/internal/cell/incarnation_state.go
@@ -37,6 +37,10 @@
 	// uncountedRuns are the runs that a previous owner stored and that the accounting omits, because
 	// no task waits for their end. They stay in the worker's entry until they must have ended.
 	uncountedRuns []KnownRun
+	// unrevoked are the starts of dropped runs that may still arrive. Until the worker has answered
+	// their stops, its lease is not extended and it gets no new runs: it might accept such a start
+	// under a later lease.
+	unrevoked map[runKey]*unrevokedStart
 	// drainingSince is when the worker was first reported as draining.
 	drainingSince time.Time
 	health        health
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -67,6 +67,9 @@
 	// crashes counts, by task, the workers that crashed under it.
 	crashes map[string]int
 	quotas  modelQuotas
+	// lateByLease is set if workers judge late starts by the end of their lease instead of the one
+	// that the start carries. The platform's specification allows both.
+	lateByLease bool
 }
 
 func newModel(rt *rapid.T) *model {
--- a/internal/cell/model_worker_test.go
+++ b/internal/cell/model_worker_test.go
@@ -108,7 +108,7 @@
 		return &runner.Refusal{Reason: runner.RunTooOld}
 	}
 	w.leaseEnd = max(w.leaseEnd, min(s.LeaseUntil, w.clock()+6*time.Second))
-	if s.LeaseUntil <= w.clock() {
+	if w.leaseEnd <= w.clock() || s.LeaseUntil <= w.clock() && !w.model.lateByLease {
 		return &runner.Refusal{Reason: runner.OrderExpired}
 	}
 	w.highest[s.Task] = s.Run
--- a/internal/cell/parking.go
+++ b/internal/cell/parking.go
@@ -79,7 +79,7 @@
 // canPark reports whether an idle worker can have no run of any owner and has no
 // unacknowledged end.
 func (w *worker) canPark(now time.Time) bool {
-	return w.reported && w.stored && !w.cordoned && w.unlistedAt.IsZero() && w.endsStored() && now.Sub(w.idleSince) >= parkAfter
+	return w.reported && w.stored && !w.cordoned && len(w.unrevoked) == 0 && w.unlistedAt.IsZero() && w.endsStored() && now.Sub(w.idleSince) >= parkAfter
 }
 
 // unpark requests a poll of a parked worker. It is used as soon as the store lists it and it
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -25,6 +25,10 @@
 		// accounted for because their jobs are unknown; the recovery relies on their end.
 		return w.target, poll, true
 	}
+	if w.leaseWithheld() {
+		poll.Wait = minPollWait
+		return w.target, poll, true
+	}
 	end := w.extendLease(c.settings.Lease, now)
 	poll.LeaseUntil = &end
 	if !w.awaitsStopReport() {
