cell: bound the wait for a stop that a responsive worker does not answer

What callers would see: a long-running task that isn't at work although there is capacity for it, without a bound. A worker answers polls, but neither a start nor the stop that revokes it, and never lists the run. The stop was repeated for ever: each poll extended the lease, so that no end of the run ever became certain.

After 0.5 s such a worker gets no new runs. If it has no others, its lease is not extended any more; when the lease must have expired on the worker's clock, the run is dropped and the task starts elsewhere. The wait is then 0.5 s and the lease, 4.1 s with its margins. A worker with other runs keeps its lease: they would be killed. There the wait ends with the last of them, which is no bound beside another long-running task.

TestUnansweredStopOnAnIdleWorkerIsBoundedByItsLease failed before: "not started on b within 4.281428571s"; TestLeaseIsNotExtendedBeforeAnUnansweredStartIsRevoked: "the lease of a was extended although a late start may arrive".

Ruled out: an earlier end by the deadline of the start itself, as the specification does not say that a late start is judged by it; a higher run on the same worker, as it refuses lower ones only after that run has ended; a higher fencing token within a term, as a previous build that takes over would be refused by the worker.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -48,7 +48,9 @@
 	// speedPercent is the share of its full speed that the run is allowed.
 	speedPercent int
 	throttledAt  time.Time
-	// stopSentAt and stopAnsweredAt are zero until a stop is sent or answered.
+	// firstStopAt, stopSentAt and stopAnsweredAt are zero until a stop is sent first, sent last, or
+	// answered.
+	firstStopAt    time.Time
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
 	// reportedAfterStop is set if a poll that was sent after the stop's answer still returned
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -223,6 +223,7 @@
 		return
 	}
 	a.phase = stopping
+	a.firstStopAt = now
 	c.stats.Stops++
 	c.log.WithFields(attemptFields(a)).WithField("why", reason).Debug("run_stopped")
 	c.sendStop(a, now)
--- a/internal/cell/incarnation_state.go
+++ b/internal/cell/incarnation_state.go
@@ -18,8 +18,10 @@
 	// reported is set once the worker has answered a poll under this ownership, and cleared
 	// when its lease expires or it is parked. The accounting of its runs is complete only
 	// while it is set.
-	reported          bool
-	lastReport        time.Time
+	reported   bool
+	lastReport time.Time
+	// reportSentAt is when the poll was sent that the last report answers.
+	reportSentAt      time.Time
 	unresponsiveSince time.Time
 	// failedPolls counts the unanswered polls since the last report.
 	failedPolls int
@@ -41,6 +43,10 @@
 	// their stops, its lease is not extended and it gets no new runs: it might accept such a start
 	// under a later lease.
 	unrevoked map[runKey]*unrevokedStart
+	// stopOverdue is set while the worker has not answered the stop of a run that it does not list.
+	// lapsing is set while it has no other runs: its lease is not extended, so that the end of the
+	// run is certain when the lease has expired.
+	stopOverdue, lapsing bool
 	// drainingSince is when the worker was first reported as draining.
 	drainingSince time.Time
 	health        health
--- a/internal/cell/unanswered_stop_test.go
+++ b/internal/cell/unanswered_stop_test.go
@@ -62,6 +62,61 @@
 
 func (s *stopsUnansweredSite) clockOfA() time.Duration { return s.now.Sub(siteStart) + time.Hour }
 
+// roundsUntilStart returns the next start of the task, or false if there is none within limit.
+func (s *stopsUnansweredSite) roundsUntilStart(limit time.Duration) (start StartOrder, ok bool) {
+	for end := s.now.Add(limit); s.now.Before(end) && !ok; {
+		start, ok = s.round()[s.task]
+	}
+	return start, ok
+}
+
+// Guards against a long-running task that is down without a bound because the worker that did not
+// answer its start does not answer the stop either, but answers polls.
+func TestUnansweredStopOnAnIdleWorkerIsBoundedByItsLease(t *testing.T) {
+	s := newStopsUnansweredSite(t)
+	limit := stopOverdueAfter + time.Duration(float64(s.cell.settings.Lease)/(1-maxClockDrift)) + expiryMargin + 4*watchPeriod
+	start, ok := s.roundsUntilStart(limit)
+	if !ok || start.Worker.ID != "b" {
+		t.Fatalf("not started on b within %v: %+v", limit, start)
+	}
+	if s.clockOfA() < s.leaseEnd {
+		t.Errorf("started although the lease of a lasts for %v", s.leaseEnd-s.clockOfA())
+	}
+}
+
+// Guards against a second run: a late start must find no lease on its worker before it is revoked.
+func TestLeaseIsNotExtendedBeforeAnUnansweredStartIsRevoked(t *testing.T) {
+	s := newStopsUnansweredSite(t)
+	start, _ := s.roundsUntilStart(10 * time.Second)
+	s.confirm(start)
+	before := s.leaseEnd
+	another := s.record(9, wide(1))
+	s.cell.Add(another, true)
+	for range 100 {
+		for task, o := range s.round() {
+			s.confirm(o)
+			if o.Worker.ID == "a" {
+				t.Fatalf("%s was started on a", task)
+			}
+		}
+	}
+	if s.leaseEnd != before {
+		t.Fatal("the lease of a was extended although a late start may arrive")
+	}
+	s.cell.StopAnswered(s.stops[len(s.stops)-1], runner.Answer{}, nil, s.now)
+	if _, ok := s.round()[another.ID+".0.0.0"]; !ok || s.leaseEnd == before {
+		t.Errorf("the worker is not used again after it has answered the stop: %v", s.cell.workers["a"].unrevoked)
+	}
+}
+
+// Guards against a lease that expires under other runs.
+func TestUnansweredStopDoesNotEndOtherRuns(t *testing.T) {
+	s := newStopsUnansweredSite(t, step(1))
+	if _, ok := s.roundsUntilStart(10 * time.Second); ok || s.clockOfA() >= s.leaseEnd {
+		t.Errorf("started %v, lease of a until %v at %v", ok, s.leaseEnd, s.clockOfA())
+	}
+}
+
 // Guards against a second run: a start that a silent worker did not answer may arrive after the
 // worker's lease has expired and before it is extended again.
 func TestLeaseOfAReturnedWorkerIsNotExtendedBeforeItsStartsAreRevoked(t *testing.T) {
--- a/internal/cell/unrevoked_start.go
+++ b/internal/cell/unrevoked_start.go
@@ -15,7 +15,7 @@
 }
 
 // leaseWithheld reports whether the worker's lease must not be extended.
-func (w *worker) leaseWithheld() bool { return len(w.unrevoked) > 0 }
+func (w *worker) leaseWithheld() bool { return w.lapsing || len(w.unrevoked) > 0 }
 
 // keepUnrevoked records which of a worker's runs may have a start that can still arrive, before they
 // are dropped because the lease must have expired. A run that the worker has confirmed has ended
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -49,7 +49,7 @@
 	}
 	c.updateCordon(w, now)
 	c.watchUnresponsive(w, now)
-	c.revokeStarts(w, now)
+	c.watchStops(w, now)
 	if c.watchLease(w, now) {
 		return
 	}
@@ -96,7 +96,7 @@
 	if w.clockAt.IsZero() {
 		expired = !now.Before(c.earlierRunsUntil(w))
 	}
-	if !expired || now.Sub(w.lastReport) < maxReportAge {
+	if !expired || !w.lapsing && now.Sub(w.lastReport) < maxReportAge {
 		return false
 	}
 	w.accounted = true
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -115,7 +115,7 @@
 
 // isReady reports whether the worker can carry out new runs, regardless of its health.
 func (w *worker) isReady(now time.Time) bool {
-	if !w.reported || !w.entryIsCurrent() || !w.stored || w.cordoned || w.Draining || w.evacuating || w.leaseWithheld() || now.Sub(w.lastReport) > maxReportAge {
+	if !w.reported || !w.entryIsCurrent() || !w.stored || w.cordoned || w.Draining || w.evacuating || w.stopOverdue || w.leaseWithheld() || now.Sub(w.lastReport) > maxReportAge {
 		return false
 	}
 	return w.unlistedAt.IsZero() || w.expiredInOutage && now.Sub(w.unlistedAt) <= unlistedGrace
