--- a/internal/cell/ask_held_test.go
+++ b/internal/cell/ask_held_test.go
@@ -65,6 +65,39 @@
 	}
 }
 
+// Guards against a task that waits for the adviser only after a recovery that ends early, and against
+// calls for tasks of which the owner knows no end: in a calm takeover their runs are found.
+func TestTicketsOfAnEndedTaskAreReadyWhenARecoveryEndsEarly(t *testing.T) {
+	const heldFor = time.Second
+	for name, test := range map[string]struct {
+		ended    bool
+		requests int
+	}{"ended": {true, 1}, "not reported": {false, 0}} {
+		s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+		r := s.record(1, longRunning(1, 0))
+		r.Advice = &job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, TicketTTL: 2 * time.Second}
+		s.cell.Load(r, nil)
+		if test.ended {
+			s.end("b", r.ID+".0.0.0", 1, runner.Failed)
+		}
+		adviser := &fakeAdviser{site: s}
+		for end := s.now.Add(heldFor); s.now.Before(end); s.advance(10 * time.Millisecond) {
+			s.report("b")
+			if len(s.plan()) > 0 {
+				t.Fatalf("%s: started although a may run the task", name)
+			}
+			adviser.answerDue()
+		}
+		if adviser.requests != test.requests {
+			t.Errorf("%s: %d requests for advice while held back, want %d", name, adviser.requests, test.requests)
+		}
+		s.report("a")
+		if starts := s.plan(); test.ended && len(starts) == 0 {
+			t.Errorf("%s: not started when the recovery ended", name)
+		}
+	}
+}
+
 // timeToStart advances the time, with worker a unresponsive, until the next start and returns how
 // long that took.
 func (a *fakeAdviser) timeToStart() time.Duration {
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -21,6 +21,7 @@
 		return true
 	}
 	a := t.find(w, e.Run)
+	t.ended = true
 	if e.Checkpoint != "" {
 		t.saveCheckpoint(e.Checkpoint)
 		if a != nil {
@@ -197,6 +198,7 @@
 			break
 		}
 	}
+	t.ended = true
 	a.worker.removeAttempt(a)
 	delete(c.isolatedRuns, a)
 	if a.worker.cordoned {
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -23,6 +23,8 @@
 	checkpoint string
 	// checkpointPercent is the last known progress of the run that wrote the checkpoint.
 	checkpointPercent int
+	// ended is set if this owner has learned of the end of a run of the task.
+	ended bool
 	// crashes records the workers that were lost while the task was starting.
 	crashes crashHistory
 	// lastWorkingAt is when a long-running task was last reported as working.
