--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -22,6 +22,7 @@
 	}
 	c.inferPredecessorsDone(t.stage, now)
 	a := t.find(w, e.Run)
+	t.ended = true
 	if e.Checkpoint != "" {
 		t.saveCheckpoint(e.Checkpoint)
 		if a != nil {
@@ -199,6 +200,7 @@
 			break
 		}
 	}
+	t.ended = true
 	a.worker.removeAttempt(a)
 	delete(c.isolatedRuns, a)
 	if a.worker.cordoned {
@@ -225,6 +227,7 @@
 		return
 	}
 	a.phase = stopping
+	a.firstStopAt = now
 	c.stats.Stops++
 	c.log.WithFields(attemptFields(a)).WithField("why", reason).Debug("run_stopped")
 	c.sendStop(a, now)
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -25,6 +25,10 @@
 		// accounted for because their jobs are unknown; the recovery relies on their end.
 		return w.target, poll, true
 	}
+	if w.leaseWithheld() {
+		poll.Wait = minPollWait
+		return w.target, poll, true
+	}
 	end := w.extendLease(c.settings.Lease, now)
 	poll.LeaseUntil = &end
 	if !w.awaitsStopReport() {
@@ -79,7 +83,7 @@
 	}
 	c.clearSuspects(w.ID)
 	w.failedPolls = 0
-	w.lastReport = now
+	w.lastReport, w.reportSentAt = now, sentAt
 	ended := map[runKey]bool{}
 	// complete is set if the accounting of this worker is correct after the report.
 	complete := !endListFull(report)
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -49,6 +49,7 @@
 	}
 	c.updateCordon(w, now)
 	c.watchUnresponsive(w, now)
+	c.watchStops(w, now)
 	if c.watchLease(w, now) {
 		return
 	}
@@ -95,7 +96,7 @@
 	if w.clockAt.IsZero() {
 		expired = !now.Before(c.earlierRunsUntil(w))
 	}
-	if !expired || now.Sub(w.lastReport) < maxReportAge {
+	if !expired || !w.lapsing && now.Sub(w.lastReport) < maxReportAge {
 		return false
 	}
 	w.accounted = true
@@ -103,6 +104,7 @@
 	if len(w.attempts) > 0 {
 		c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"runs": len(w.attempts),
 			"report_age_ms": now.Sub(w.lastReport).Milliseconds()}).Warn("lease_over")
+		w.keepUnrevoked()
 		c.dropAllRuns(w, "lease_over", now)
 	}
 	w.reported = false
