cell: a recovery does not wait for an owner that the last one had outlasted

An owner that was slow was replaced nine seconds before; its successor knew soon that it had stopped, and had accounted for all runs. When that one's process was replaced, the next owner counted with the first one again: the claim says that it may act, and a process that has just started cannot tell the claim's age.

The last owner stores its term once it has accounted for all runs of the owners before it: from then on none of them could use any worker. A new owner that knows that the last one has stopped, and finds that term, takes all of them for stopped. The claim itself is unchanged, so that a hand-over waits as before.

TestRecoveryWaitsForOwnersBeforeTheLastOneUntilThatHadAccountedForAllRuns does not build on the code before, which lacks the setting; it also holds the cases in which the wait must stay. Ruled out: to rewrite the claim once the previous owner has stopped; each write of the owner checks its version.

--- a/internal/cell/accounted_term.go
+++ b/internal/cell/accounted_term.go
@@ -22,6 +22,14 @@
 	}
 }
 
+// disregardOwnersBeforePredecessor takes all previous owners for stopped if the last one has stopped
+// and had accounted for all runs of the owners before it: since then, none of those could use any worker.
+func (c *Cell) disregardOwnersBeforePredecessor() {
+	if c.settings.PredecessorStopped && c.accountedTerm+1 >= c.settings.Term {
+		c.settings.PreviousOwnerStopped = true
+	}
+}
+
 // allRunsAccounted reports whether no run of a previous owner is left beyond those that this owner
 // accounts for, and no task has more runs than one owner starts.
 func (c *Cell) allRunsAccounted() bool {
--- a/internal/cell/accounted_term_test.go
+++ b/internal/cell/accounted_term_test.go
@@ -78,3 +78,30 @@
 		t.Errorf("%d starts beside two runs under a quota of 3, want 1", len(starts))
 	}
 }
+
+// Guards against a recovery that waits for an owner before the last one although the last one had
+// outlasted it, and against one that does not wait although it had not.
+func TestRecoveryWaitsForOwnersBeforeTheLastOneUntilThatHadAccountedForAllRuns(t *testing.T) {
+	for name, test := range map[string]struct {
+		predecessorStopped bool
+		accountedTerm      uint64
+		waits              bool
+	}{
+		"last one stopped, had accounted":       {true, 2, false},
+		"last one stopped, had not accounted":   {true, 1, true},
+		"last one may act, had accounted":       {false, 2, true},
+		"no entry of an owner that accounted":   {true, 0, true},
+		"last one may act, had not accounted":   {false, 1, true},
+		"entry of this term, last one may act":  {false, 3, true},
+		"last one stopped, entry of this owner": {true, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSiteWith(t, Settings{Term: 3, Lease: 3500 * time.Millisecond, PredecessorStopped: test.predecessorStopped}, usualWorker("a"), usualWorker("b"))
+			s.cell.LoadWorkers([]KnownWorker{{ID: "a", Address: "a:1", AccountedTerm: test.accountedTerm}, {ID: "b", Address: "b:1"}}, s.now)
+			s.cell.WorkersLoaded()
+			if waits := s.cell.previousOwnerStopsBy().After(s.now); waits != test.waits {
+				t.Errorf("waits for previous owners: %v, want %v", waits, test.waits)
+			}
+		})
+	}
+}
--- a/internal/cell/known_workers.go
+++ b/internal/cell/known_workers.go
@@ -84,6 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.workersLoaded = true
+	c.disregardOwnersBeforePredecessor()
 	for _, id := range c.restoredCrashes {
 		c.workerCrashed(id, c.startedAt)
 	}
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -12,6 +12,9 @@
 	// PreviousOwnerStopped is set if the previous owner is known to extend no more leases,
 	// because its process ended or it handed the cell over.
 	PreviousOwnerStopped bool
+	// PredecessorStopped is set if that is known of the last owner only. An owner before it may be
+	// alive, which matters until the last owner had accounted for all runs.
+	PredecessorStopped bool
 	// PreviousOwnerLimit is how long after the takeover the previous owner may give orders at most, if
 	// that is not supersededOwnerLimit. It is longer while other instances may confirm that owner.
 	PreviousOwnerLimit time.Duration
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -16,6 +16,9 @@
 	// previousStopped is true if the previous owner sends no more orders: its process ended, or
 	// it reported that it does not own the cell.
 	previousStopped bool
+	// predecessorStopped is true if the previous owner sends no more orders, while the ones before it
+	// may.
+	predecessorStopped bool
 	// handedOver is true if the previous owner gave up the cell at a time when no owner before it
 	// could act any more.
 	handedOver bool
@@ -33,6 +36,7 @@
 	// An owner that was alive when the claim was made was superseded by it, and may act until it is
 	// no longer confirmed.
 	mayAct := c.PredecessorMayAct && !t.handedOver && known < predecessorLimit
+	t.predecessorStopped = t.previousStopped
 	t.previousStopped = t.previousStopped && !mayAct
 	if !t.previousStopped && !mayAct {
 		t.onlyPredecessor = c.Holder
--- a/internal/cellleader/term.go
+++ b/internal/cellleader/term.go
@@ -42,7 +42,7 @@
 	t := &term{leader: l, number: c.Term, cancel: cancel, done: make(chan struct{}), began: time.Now(), verifiedAt: sentAt,
 		confirmations: newConfirmations(sentAt), onlyPredecessor: why.onlyPredecessor}
 	t.confirmations.measureSuspensions(l.suspensions)
-	previous := previousOwner(why.previousStopped, t.outvotesPrevious())
+	previous := previousOwner(why, t.outvotesPrevious())
 	t.previousEnd = t.began.Add(previous.Limit)
 	t.owner = l.newOwner(c.Term, previous, store.Check{Table: tableCells, Key: claimKey, Version: c.version}, t)
 	go t.run(ctx)
