cell: long-running tasks that are down for long use all slow adviser slots

After a loss of all instances and most workers some 25 stages needed tickets at once, with a call of 0.6 to 0.9 s each. Calls for long-running tasks left one slot to others, and began only one call's time before the recovery ended.

A stage with a task that has been down for 2 s now leaves no slow slot to others. If more stages are held back than there are slots, the first calls start as early as their tickets outlast the recovery.

--- a/internal/cell/advice_calls.go
+++ b/internal/cell/advice_calls.go
@@ -51,8 +51,11 @@
 
 // mayAskLongRunning reports whether a call for long-running tasks may start ahead of all
 // others. One slot is left to other calls: after a restart of the whole system there are more
-// such calls than slots for many seconds.
-func (c adviceCalls) mayAskLongRunning(free AdviceSlots) bool {
+// such calls than slots for many seconds. Tasks that have been down for long use that one, too.
+func (c adviceCalls) mayAskLongRunning(free AdviceSlots, downForLong bool) bool {
+	if downForLong {
+		return true
+	}
 	longRunning, slots := c.slowPending(free, func(asked adviceCall) bool { return asked.longRunning })
 	return longRunning+1 <= max(1, slots-1)
 }
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -49,7 +49,7 @@
 }
 
 // askForLongRunning requests tickets for long-running tasks before all other calls, with all
-// concurrency slots but one. Otherwise other calls could hold all slots for as long as new
+// concurrency slots, or all but one for tasks that have just ended. Otherwise other calls could hold all slots for as long as new
 // work arrives, while the users of a long-running task are affected as soon as it is down.
 func (c *Cell) askForLongRunning(stages []*stage, view *planView, now time.Time) {
 	for _, s := range stages {
@@ -63,7 +63,7 @@
 // once the stage is no longer held back.
 func (c *Cell) askIfCapacityFree(s *stage, view *planView, now time.Time) {
 	cost := s.job.record.Advice
-	if cost == nil || isSlowCall(cost) && !c.adviceCalls.mayAskLongRunning(view.slots) {
+	if cost == nil || isSlowCall(cost) && !c.adviceCalls.mayAskLongRunning(view.slots, c.takesPrecedence(s, view, now)) {
 		return
 	}
 	switch {
@@ -78,6 +78,15 @@
 	}
 }
 
+// takesPrecedence reports whether a call for a long-running stage may use every slot: a task has been
+// down for long, and can be started as soon as the call is answered.
+func (c *Cell) takesPrecedence(s *stage, view *planView, now time.Time) bool {
+	if !c.downForLong(s, now) {
+		return false
+	}
+	return !c.heldBack(s) || !now.Add(view.adviceLead(s)).Before(view.recoveryDeadline)
+}
+
 // mayAsk reports whether an adviser call for a stage may start now.
 func (c *Cell) mayAsk(s *stage, view *planView, now time.Time) bool {
 	cost := s.job.record.Advice
--- a/internal/cell/ask_held_test.go
+++ b/internal/cell/ask_held_test.go
@@ -65,6 +65,31 @@
 	}
 }
 
+// Guards against long-running tasks that wait for one another at the adviser only after a recovery: if
+// there are fewer slots than stages, the tickets of the first ones must be there when it ends.
+func TestTicketsOfSeveralHeldBackStagesAreReadyWithOneSlot(t *testing.T) {
+	s := newSite(t, 2, usualWorker("a"), usualWorker("b"))
+	const stages = 2
+	for number := range stages {
+		r := s.record(number+1, longRunning(1, 0))
+		r.Advice = &job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, TicketTTL: 2 * time.Second}
+		s.cell.Load(r, nil)
+	}
+	released := s.now.Add(s.cell.earlierLeaseLimit())
+	adviser := &fakeAdviser{site: s}
+	started := 0
+	for s.now.Before(released.Add(100 * time.Millisecond)) {
+		s.slots = AdviceSlots{Any: 1 - len(adviser.pending)}
+		started += len(s.plan())
+		adviser.answerDue()
+		s.advance(10 * time.Millisecond)
+		s.report("b")
+	}
+	if started != stages || adviser.requests != stages {
+		t.Errorf("%d tasks started after %d requests when the recovery had ended, want %d and %d", started, adviser.requests, stages, stages)
+	}
+}
+
 // Guards against a task that waits for the adviser only after a recovery that ends early, and against
 // calls for tasks of which the owner knows no end: in a calm takeover their runs are found.
 func TestTicketsOfAnEndedTaskAreReadyWhenARecoveryEndsEarly(t *testing.T) {
--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -14,6 +14,10 @@
 // start, including an adviser call, takes less.
 const downAfter = 3 * time.Second
 
+// longDownAfter is how long a long-running task must be down to take precedence over all other
+// work at the adviser.
+const longDownAfter = 2 * time.Second
+
 // DownTask describes a long-running task that is not working.
 type DownTask struct {
 	Task    job.TaskID
@@ -72,6 +76,11 @@
 	return d
 }
 
+// downForLong reports whether a task of a stage that has no run has been down for longDownAfter.
+func (c *Cell) downForLong(s *stage, now time.Time) bool {
+	return slices.ContainsFunc(s.idle, func(index int) bool { return now.Sub(c.lastWorking(s.tasks[index])) >= longDownAfter })
+}
+
 // lastWorking returns when a long-running task last worked, or the earliest time at which it
 // could have worked.
 func (c *Cell) lastWorking(t *task) time.Time {
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -44,6 +44,9 @@
 	}
 	c.renewReservations(view, now)
 	stages := c.sortedWaiting(now)
+	if c.recovering {
+		view.heldCallsInSeries = c.heldCallsInSeries(stages, view, now)
+	}
 	c.askForLongRunning(stages, view, now)
 	c.askExpiring(expiring.longRunning, view, now)
 	for _, s := range stages {
--- a/internal/cell/plan_view.go
+++ b/internal/cell/plan_view.go
@@ -38,6 +38,9 @@
 	reserved map[*stage]int
 	// recoveryDeadline is the latest time at which the recovery ends; see recover.
 	recoveryDeadline time.Time
+	// heldCallsInSeries is the number of adviser calls that follow one another for the long-running
+	// stages that are held back.
+	heldCallsInSeries int
 	// unparkingStages counts the stages for which this pass considered unparking.
 	unparkingStages int
 }
