cell, cellpeer: tasks that are down for very long use the instances for quick calls

A third of the instances carries quick calls only, here one of three, so that 25 stages waited for two slots, three calls a second.

A call for a long-running task that has been down for 5 s may now use an instance for quick calls that has none in progress, if no other slot is free. Quick calls that come meanwhile are next there, as the adviser serves the calls of an instance in turn: they wait for one slow call, 0.6 to 0.9 s.

Failed before: TestManyLostLongRunningTasksRestartBesideOtherWork with two slots and such an instance, "23 tasks were down although there was free capacity for two".

--- a/internal/cell/advice_order.go
+++ b/internal/cell/advice_order.go
@@ -14,6 +14,8 @@
 	// Slow marks a call that must not share an adviser instance with quick calls, which would
 	// wait behind it.
 	Slow bool
+	// MayUseQuick allows a slow call at an instance that carries quick calls only.
+	MayUseQuick bool
 }
 
 func (AdviceOrder) isOrder() {}
--- a/internal/cell/advice_slots.go
+++ b/internal/cell/advice_slots.go
@@ -16,19 +16,28 @@
 	Quick int
 	// Any slots accept quick and slow calls.
 	Any int
+	// IdleQuick slots are at instances without a call that carry quick calls only. They accept slow calls for
+	// long-running tasks that are down for very long.
+	IdleQuick int
 }
 
 // available reports whether a call can start immediately. The adviser serves a queued call
 // even after its caller has timed out, so retrying early only delays later calls.
 func (s *AdviceSlots) available(slow bool) bool { return s.Any > 0 || (!slow && s.Quick > 0) }
 
+// onlyIdleQuick reports whether a slow call can start immediately in an IdleQuick slot only.
+func (s *AdviceSlots) onlyIdleQuick() bool { return s.Any <= 0 && s.IdleQuick > 0 }
+
 // acquire takes a slot for a call.
 func (s *AdviceSlots) acquire(slow bool) {
-	if !slow && s.Quick > 0 {
+	switch {
+	case !slow && s.Quick > 0:
 		s.Quick--
-		return
+	case s.Any > 0:
+		s.Any--
+	default:
+		s.IdleQuick--
 	}
-	s.Any--
 }
 
 func isSlowCall(c *job.AdviceCost) bool { return c.Duration(typicalCallSize) >= slowCallFrom }
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -81,7 +81,7 @@
 // takesPrecedence reports whether a call for a long-running stage may use every slot: a task has been
 // down for long, and can be started as soon as the call is answered.
 func (c *Cell) takesPrecedence(s *stage, view *planView, now time.Time) bool {
-	if !c.downForLong(s, now) {
+	if !c.downFor(s, precedenceDownAfter, now) {
 		return false
 	}
 	return !c.heldBack(s) || !now.Add(view.adviceLead(s)).Before(view.recoveryDeadline)
@@ -90,18 +90,27 @@
 // mayAsk reports whether an adviser call for a stage may start now.
 func (c *Cell) mayAsk(s *stage, view *planView, now time.Time) bool {
 	cost := s.job.record.Advice
-	return cost != nil && !s.advice.pending && !now.Before(s.advice.retryAt) && view.slots.available(isSlowCall(cost))
+	if cost == nil || s.advice.pending || now.Before(s.advice.retryAt) {
+		return false
+	}
+	return view.slots.available(isSlowCall(cost)) || view.slots.onlyIdleQuick() && c.mayUseQuick(s, now)
+}
+
+// mayUseQuick reports whether a call for a stage may use an IdleQuick slot.
+func (c *Cell) mayUseQuick(s *stage, now time.Time) bool {
+	return s.step.LongRunning && !c.heldBack(s) && c.downFor(s, quickDownAfter, now)
 }
 
 // ask starts an adviser call for a stage.
 func (c *Cell) ask(s *stage, workers []string, prefetch bool, view *planView, now time.Time) {
 	cost := s.job.record.Advice
 	slow := isSlowCall(cost)
+	quick := slow && view.slots.onlyIdleQuick()
 	view.slots.acquire(slow)
 	s.advice.pending = true
 	c.adviceCalls[s.id] = adviceCall{prefetch: prefetch, slow: slow, longRunning: s.step.LongRunning, askedAt: now}
 	c.stats.AdviceCalls++
-	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Term: c.settings.Term, Cost: *cost, Workers: workers, Slow: slow})
+	c.orders = append(c.orders, AdviceOrder{Stage: s.id, Term: c.settings.Term, Cost: *cost, Workers: workers, Slow: slow, MayUseQuick: quick})
 }
 
 // anyHasCapacityByID reports whether any of the given workers has free capacity for a task of
--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -14,9 +14,12 @@
 // start, including an adviser call, takes less.
 const downAfter = 3 * time.Second
 
-// longDownAfter is how long a long-running task must be down to take precedence over all other
-// work at the adviser.
-const longDownAfter = 2 * time.Second
+const (
+	// precedenceDownAfter is how long a long-running task must be down to take precedence over all
+	// other slow calls to the adviser, and quickDownAfter over quick ones.
+	precedenceDownAfter = 2 * time.Second
+	quickDownAfter      = 5 * time.Second
+)
 
 // DownTask describes a long-running task that is not working.
 type DownTask struct {
@@ -76,9 +79,9 @@
 	return d
 }
 
-// downForLong reports whether a task of a stage that has no run has been down for longDownAfter.
-func (c *Cell) downForLong(s *stage, now time.Time) bool {
-	return slices.ContainsFunc(s.idle, func(index int) bool { return now.Sub(c.lastWorking(s.tasks[index])) >= longDownAfter })
+// downFor reports whether a long-running task of a stage has no run and has been down for some time.
+func (c *Cell) downFor(s *stage, d time.Duration, now time.Time) bool {
+	return slices.ContainsFunc(s.idle, func(index int) bool { return now.Sub(c.lastWorking(s.tasks[index])) >= d })
 }
 
 // lastWorking returns when a long-running task last worked, or the earliest time at which it
--- a/internal/cell/load_advice_call_test.go
+++ b/internal/cell/load_advice_call_test.go
@@ -5,7 +5,7 @@
 // loadAdviceCall is a request for advice in progress.
 type loadAdviceCall struct {
 	order AdviceOrder
-	// quick is set if it occupies a slot for quick calls.
-	quick    bool
+	// slot is the slot that it occupies.
+	slot     AdviceSlots
 	answerAt time.Time
 }
--- a/internal/cell/load_adviser_test.go
+++ b/internal/cell/load_adviser_test.go
@@ -19,10 +19,12 @@
 
 // ask starts a request for advice.
 func (l *load) ask(order AdviceOrder) {
-	quick := l.adviser.slots.Quick
+	before := l.adviser.slots
 	l.adviser.slots.acquire(order.Slow)
+	after := l.adviser.slots
 	l.adviser.pending = append(l.adviser.pending, loadAdviceCall{
-		order: order, quick: l.adviser.slots.Quick < quick, answerAt: l.now.Add(order.Cost.Duration(len(order.Workers))),
+		order: order, answerAt: l.now.Add(order.Cost.Duration(len(order.Workers))),
+		slot: AdviceSlots{Quick: before.Quick - after.Quick, Any: before.Any - after.Any, IdleQuick: before.IdleQuick - after.IdleQuick},
 	})
 }
 
@@ -35,11 +37,9 @@
 			l.adviser.pending = append(l.adviser.pending, q)
 			continue
 		}
-		if q.quick {
-			l.adviser.slots.Quick++
-		} else {
-			l.adviser.slots.Any++
-		}
+		l.adviser.slots.Quick += q.slot.Quick
+		l.adviser.slots.Any += q.slot.Any
+		l.adviser.slots.IdleQuick += q.slot.IdleQuick
 		l.cell.AdviceAnswered(q.order.Stage, q.order.Workers, l.adviser.ticketsFor(q.order.Stage, q.order.Workers), nil, l.now)
 	}
 }
--- a/internal/cellpeer/advice_pool.go
+++ b/internal/cellpeer/advice_pool.go
@@ -70,6 +70,9 @@
 		case now.Before(l.avoidUntil):
 		case i.quickOnly:
 			s.Quick += max(0, quickConcurrency-l.calls)
+			if l.calls == 0 {
+				s.IdleQuick++
+			}
 		case l.calls == 0:
 			s.Any++
 		}
@@ -86,7 +89,7 @@
 	best := -1
 	for i, instance := range all {
 		l := p.state(instance.Name)
-		if now.Before(l.avoidUntil) || (o.Slow && instance.quickOnly) {
+		if now.Before(l.avoidUntil) || (o.Slow && instance.quickOnly && !o.MayUseQuick) {
 			continue
 		}
 		if best < 0 || p.preferred(instance, all[best], o.Slow) {
