cellleader: a stopped instance has no read of its claim in progress

What callers would see: nothing; a line after the end of an instance. The owner reads its claim, and asks other instances, in the background, and Run returned before these had ended. One of three runs of the package's tests with -race -count=7, on a machine at a load of about 40, ended with "panic: Write called after TestOwnerStaysInAnOutageForAll has completed": the read logged when its test was over. An owner reads its claim also while it is not confirmed now, so that this is more frequent than before.

Run waits for them as for the announcements. Their calls end with its context.

--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -56,11 +56,11 @@
 	// claiming is the term for which this instance is writing a claim, or 0.
 	claiming uint64
 	stopping bool
-	// ended is true, and finished closed, once Run has stopped. announcing tracks the announcements in
-	// progress.
+	// ended is true, and finished closed, once Run has stopped. background tracks the announcements, reads
+	// and questions in progress.
 	ended      bool
 	finished   chan struct{}
-	announcing sync.WaitGroup
+	background sync.WaitGroup
 	// wake triggers the next step at once.
 	wake chan struct{}
 }
@@ -96,7 +96,7 @@
 			if t != nil {
 				t.end()
 			}
-			l.announcing.Wait()
+			l.background.Wait()
 			return
 		case <-ticker.C:
 		case <-l.wake:
@@ -136,7 +136,7 @@
 	}
 	startedAt := time.Now()
 	t.verifiedAt = startedAt
-	go func() {
+	l.background.Go(func() {
 		c, err := l.readClaim(ctx)
 		if err != nil {
 			l.log.WithError(err).Debug("claim_not_read")
@@ -146,7 +146,7 @@
 		if c.Term == t.number && c.Incarnation == l.directory.Self().Incarnation {
 			t.confirmations.claimVerified(startedAt)
 		}
-	}()
+	})
 	l.yield(ctx, t)
 }
 
@@ -160,13 +160,13 @@
 	t.askedAt = now
 	linked := l.links.ConfirmedBy(t.number, now.Add(-askInterval))
 	instances := slices.DeleteFunc(l.directory.Others(), func(i cellpeer.Instance) bool { return slices.Contains(linked, i.Name) })
-	go func() {
+	l.background.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, confirmationTTL)
 		defer cancel()
 		for answer := range l.pingAll(callCtx, instances, t.number) {
 			t.instanceAnswered(answer, now)
 		}
-	}()
+	})
 }
 
 // pingAll pings instances at the same time.
--- a/internal/cellleader/take_over.go
+++ b/internal/cellleader/take_over.go
@@ -138,5 +138,5 @@
 	l.log.WithFields(logrus.Fields{"term": c.Term, "why": why.reason}).Info("ownership_taken")
 	l.term = l.newTerm(c, why, sentAt)
 	t := l.term
-	l.announcing.Go(func() { l.announce(t, c) })
+	l.background.Go(func() { l.announce(t, c) })
 }
