--- a/internal/cellleader/superseded_test.go
+++ b/internal/cellleader/superseded_test.go
@@ -119,8 +119,8 @@
 	}
 }
 
-// Guards against a new owner that waits for longer than before although most instances know of its
-// takeover at once, or is right to count those that do not answer as gone.
+// Guards against a new owner that waits for the previous one for longer, or for less long, than the
+// other instances may confirm that one.
 func TestPreviousOwnerLimitDependsOnWhatInstancesKnow(t *testing.T) {
 	for name, test := range map[string]struct {
 		lostFor, from, to time.Duration
