cellleader: the test of a stopped instance that announces has no third instance

TestStoppedInstanceAnnouncesNothing failed once in a run with -race -count=7 beside two others. It looks for an announcement in the stacks of the whole process. While the owner was being stopped it refused connections, and the third instance took the cell over ("the owner is silent"), rightly, and announced its claim, which the test took for the stopped one's. An announcement in 350 ms was seldom seen there; one that is repeated is.

The group has two instances now, of which the other one has handed the cell over and takes nothing. It is as strict: without the wait for what is in progress at the end of Run it fails.

--- a/internal/cellleader/announce_test.go
+++ b/internal/cellleader/announce_test.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// An instance must not announce its claim after it has stopped.
+// An instance must not announce its claim after it has stopped. There is no third instance that could
+// take over and announce its own claim.
 func TestStoppedInstanceAnnouncesNothing(t *testing.T) {
-	members := group(t, 3)
+	members := group(t, 2)
 	first := owner(t, members)
 	rest := without(members, first)
 	for _, m := range members {
