cell: the model knows which ends the present owner has seen

This was a fault of the model. A worker had reported an end to an owner that stored nothing, and crashed under the next owner before it reported to that one. For that owner the run was lost with the worker, and it was the second such loss of the task. The model counted the end as reported.

It now forgets at a takeover which ends were reported, except for those that are stored, and reports to a superseded owner do not count as reports to the present one. Nor does it count any more as a possible crash that an end which is stored was lost with its worker, so that this check allows fewer failed jobs than before in that case.

--- a/internal/cell/model_restart_test.go
+++ b/internal/cell/model_restart_test.go
@@ -20,7 +20,7 @@
 		// Its end was not reported: for the owner the run was lost with the worker.
 		m.crashes[e.Task]++
 	}
-	for _, e := range w.ends[:w.reportedEnds] {
+	for _, e := range w.ends[w.storedEnds:w.reportedEnds] {
 		m.unstoredEnds = append(m.unstoredEnds, e.Task)
 	}
 	for task := range w.runs {
--- a/internal/cell/model_steps_polls_test.go
+++ b/internal/cell/model_steps_polls_test.go
@@ -81,7 +81,7 @@
 	}
 	report, err := p.worker.poll(p.worker.roster.Incarnation, runner.Poll{Token: p.worker.token})
 	m.rt.Logf("%v term %d: poll of %s, sent at %v, is answered: %v %v", m.now.Sub(siteStart), p.owner.cell.settings.Term, id, p.sentAt.Sub(siteStart), report, err)
-	p.worker.reportedEnds = len(report.Ended)
+	m.endsReported(p.owner, p.worker, len(report.Ended))
 	p.owner.cell.Reported(id, report, p.sentAt, m.now)
 	m.lookUpJobs(p.owner)
 }
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -123,6 +123,9 @@
 		m.crashes[task]++
 	}
 	m.unstoredEnds = nil
+	for _, w := range m.workers {
+		w.reportedEnds = w.storedEnds
+	}
 	term := uint64(len(m.owners) + 1)
 	m.rt.Logf("%v term %d taken, previous owner stopped %v", m.now.Sub(siteStart), term, previousStopped)
 	c := New(Settings{Term: term, PreviousOwnerStopped: previousStopped, Lease: 3500 * time.Millisecond, StopGrace: 900 * time.Millisecond, SpareWorkers: 1}, m.now, quietLog())
@@ -252,13 +255,20 @@
 		o.cell.PollFailed(w.roster.ID, err, m.now)
 		return
 	}
-	w.reportedEnds = len(report.Ended)
+	m.endsReported(o, w, len(report.Ended))
 	o.cell.Reported(w.roster.ID, report, sentAt, m.now)
 	for _, id := range o.cell.UnknownJobs() {
 		m.lookUpJob(o, id)
 	}
 }
 
+// endsReported records that a report with n ends was delivered to an owner.
+func (m *model) endsReported(o *modelOwner, w *modelWorker, n int) {
+	if o == m.current() {
+		w.reportedEnds = n
+	}
+}
+
 // lookUpJob answers an owner's request to the store for a job.
 func (m *model) lookUpJob(o *modelOwner, id string) {
 	for _, r := range m.records {
@@ -287,6 +297,9 @@
 		}
 		if len(o.cell.dirtyJobs) == 0 && len(o.cell.dirtyChunks.numbers) == 0 {
 			m.unstoredEnds = nil
+			for _, w := range m.workers {
+				w.storedEnds = w.reportedEnds
+			}
 		}
 	}
 	if !stored || !answers {
--- a/internal/cell/model_worker_test.go
+++ b/internal/cell/model_worker_test.go
@@ -23,9 +23,10 @@
 	runs        map[string]*modelRun
 	highest     map[string]uint64
 	ends        []runner.End
-	// reportedEnds is the number of ends that a delivered report has listed.
-	reportedEnds int
-	sequence     uint64
+	// reportedEnds is the number of ends that the present owner knows from a report or from the store,
+	// and storedEnds of those that are stored.
+	reportedEnds, storedEnds int
+	sequence                 uint64
 	// expiredThrough is the sequence number of the last end before the lease expired. The platform
 	// does not count such ends as acknowledged: the task may have been started again.
 	expiredThrough uint64
@@ -84,6 +85,7 @@
 		}
 		w.ends = w.ends[1:]
 		w.reportedEnds = max(0, w.reportedEnds-1)
+		w.storedEnds = max(0, w.storedEnds-1)
 	}
 	report := runner.Report{Incarnation: w.roster.Incarnation, Clock: w.clock(), Ended: append([]runner.End(nil), w.ends...)}
 	for task, r := range w.runs {
