cell: the models draw two takeovers in a row

TestModelStepsAfterTakeovers now also draws two takeovers within a lease: the first and the last of the three owners store nothing beyond what they store when they take over, a worker is lost in between, and each owner reaches some workers only. TestModelCopiesAfterTakeovers has two to four owners start copies of one task, each without reaching busy workers, and then a new job of the same workspace. The check of the quota counts runs now and no longer tasks, so that it sees copies.

--- a/internal/cell/model_quotas_test.go
+++ b/internal/cell/model_quotas_test.go
@@ -55,8 +55,8 @@
 	return oldest
 }
 
-// checkQuota fails the test if a task that has just started brings its workspace over the highest
-// quota that may be in force.
+// checkQuota fails the test if a run that has just started brings its workspace over the highest
+// quota that may be in force. Each run of a task that may run twice counts.
 func (m *model) checkQuota(task string) {
 	if m.workspaceOf(task) != quotaWorkspace {
 		return
@@ -70,13 +70,15 @@
 		most = max(most, limit)
 	}
 	running := 0
-	for open := range m.running {
-		if m.workspaceOf(open) == quotaWorkspace {
-			running++
+	for _, w := range m.workers {
+		for open := range w.runs {
+			if m.workspaceOf(open) == quotaWorkspace {
+				running++
+			}
 		}
 	}
 	if running > most {
-		m.rt.Fatalf("%s: its workspace has %d tasks, with a quota of %d", task, running, most)
+		m.rt.Fatalf("%s: its workspace has %d runs, with a quota of %d", task, running, most)
 	}
 }
 
--- a/internal/cell/model_steps_test.go
+++ b/internal/cell/model_steps_test.go
@@ -26,11 +26,18 @@
 	unreached map[string]bool
 	// duplicates is set if some steps allow duplicates.
 	duplicates bool
+	// copies is set if all jobs are of the workspace with a quota and all steps allow duplicates.
+	copies bool
+	// endless is set while no run ends by itself.
+	endless bool
+	// storeDown is set while the store refuses all commits of a round.
+	storeDown bool
 }
 
 // newStepsModel returns a stepsModel with one worker in each of the racks r1, r2 and r3.
 func newStepsModel(rt *rapid.T) *stepsModel {
 	m := &stepsModel{model: newModel(rt), unreached: map[string]bool{}, duplicates: rapid.IntRange(0, 2).Draw(rt, "duplicates") == 0}
+	m.copies = m.duplicates && rapid.Bool().Draw(rt, "copies")
 	for i, w := range m.workers {
 		w.roster.Rack = fmt.Sprintf("r%d", i+1)
 	}
@@ -56,7 +63,7 @@
 
 func (m *stepsModel) step() {
 	o := m.anyOwner()
-	switch rapid.IntRange(0, 15).Draw(m.rt, "action") {
+	switch rapid.IntRange(0, 17).Draw(m.rt, "action") {
 	case 0, 1:
 		m.advance(time.Duration(rapid.IntRange(5, 400).Draw(m.rt, "advance")) * time.Millisecond)
 	case 2, 3:
@@ -66,13 +73,15 @@
 	case 8, 9, 10, 11:
 		m.endSomeRun()
 	case 12:
-		m.takeOver()
+		m.takeOver(rapid.IntRange(0, 3).Draw(m.rt, "previous owner stopped") == 0)
 	case 13:
 		m.changeConnection()
 	case 14:
 		m.deliverLateOrder()
 	case 15:
 		m.rareEvent()
+	case 16, 17:
+		m.takeOversInARow()
 	}
 }
 
@@ -82,7 +91,9 @@
 		m.poll(o, w)
 	}
 	m.plan(o, rapid.IntRange(0, 3).Draw(m.rt, "faults") == 0)
-	m.commit(o, rapid.IntRange(0, 2).Draw(m.rt, "store answers") > 0)
+	if !m.storeDown {
+		m.commit(o, rapid.IntRange(0, 2).Draw(m.rt, "store answers") > 0)
+	}
 }
 
 // rareEvent submits a job, ends the superseded owner or injects a fault of the embedded model.
@@ -109,8 +120,8 @@
 }
 
 // takeOver begins a term of an owner that cannot reach some of the workers.
-func (m *stepsModel) takeOver() {
-	m.model.takeOver(rapid.IntRange(0, 3).Draw(m.rt, "previous owner stopped") == 0)
+func (m *stepsModel) takeOver(previousStopped bool) {
+	m.model.takeOver(previousStopped)
 	for _, w := range m.workers {
 		m.unreached[w.roster.ID] = rapid.Bool().Draw(m.rt, "unreached")
 	}
@@ -153,6 +164,9 @@
 	}
 	r := &job.Record{ID: fmt.Sprintf("%016x", len(m.records)+1), Queue: "q", Service: "desk", MaxAttempts: 100, Stretch: 2, AcceptedAt: m.now,
 		Workspace: rapid.SampledFrom([]string{"", "", quotaWorkspace}).Draw(m.rt, "workspace"), CatalogVersion: uint64(len(m.quotas.caps))}
+	if m.copies {
+		r.Workspace = quotaWorkspace
+	}
 	for i := range rapid.IntRange(2, 3).Draw(m.rt, "chain") {
 		r.Steps = append(r.Steps, m.drawStep(i))
 	}
@@ -172,7 +186,7 @@
 		s.MaxPerWorker = 1
 	}
 	s.DataRack = rapid.SampledFrom([]string{"", "r1", "r2", "r3"}).Draw(m.rt, "data")
-	s.AllowDuplicates = m.duplicates && rapid.IntRange(0, 2).Draw(m.rt, "allows duplicates") == 0
+	s.AllowDuplicates = m.copies || m.duplicates && rapid.IntRange(0, 2).Draw(m.rt, "allows duplicates") == 0
 	return s
 }
 
