cell: model of long-running tasks over takeovers in a row

The account of the long-running tasks says that the sum of their waits has no bound over several owners. The model of long-running tasks has takeovers, but few in a row, no adviser, and no worker that answers polls and no orders.

The new test draws one to five takeovers with lost and late orders, failing runs and workers, workers that answer polls only, and adviser calls that fail. From the last of these on a task with enough free capacity must be back within the longest of the parts (the lease of the previous owner and its 1.5 s, or the backoff) and one adviser call, 6.5 s; 4.1 s more if one worker goes on answering polls only. So the sum over the owners ends with the last one: its hold contains the leases of all before it. Time in which the store is down or the cell is loaded is not modelled.

--- a/internal/cell/model_long_running_test.go
+++ b/internal/cell/model_long_running_test.go
@@ -29,13 +29,15 @@
 	// downSince is the time since when a task has been down although workers have enough free
 	// capacity.
 	downSince map[string]time.Time
+	// limit is how long a task may be down after the last fault.
+	limit time.Duration
 }
 
 // Guards against a long-running task that stays down after faults of any kind, including permanent
 // crashes of workers, although workers have enough free capacity.
 func TestModelLongRunningTasksRestart(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		m := &longRunningModel{model: newModel(rt), downSince: map[string]time.Time{}}
+		m := &longRunningModel{model: newModel(rt), downSince: map[string]time.Time{}, limit: maxDowntime}
 		m.submit()
 		m.submit()
 		steps := rapid.IntRange(20, 150).Draw(rt, "steps")
@@ -58,6 +60,9 @@
 	}
 	r := &job.Record{ID: fmt.Sprintf("%016x", len(m.records)+1), Queue: "q", Service: "desk", MaxAttempts: 3, Stretch: 2, Priority: 1,
 		AcceptedAt: m.now, CatalogVersion: uint64(len(m.quotas.caps)), Steps: []job.Step{watch}}
+	if m.adviser != nil {
+		r.Advice = &modelAdvice
+	}
 	m.records = append(m.records, r)
 	m.current().cell.Add(r, true)
 }
@@ -120,7 +125,7 @@
 		if w.repliesLost && rapid.Bool().Draw(m.rt, "crashed") {
 			m.crash(w)
 		}
-		w.repliesLost = false
+		w.repliesLost, w.ordersLost = false, false
 		if w.alive {
 			m.current().cell.register(w.roster, m.now)
 		}
@@ -178,7 +183,7 @@
 	if m.downSince[task].IsZero() {
 		m.downSince[task] = m.now
 	}
-	if down := m.now.Sub(m.downSince[task]); down > maxDowntime {
+	if down := m.now.Sub(m.downSince[task]); down > m.limit {
 		list, _ := m.current().cell.DownTasks(len(m.records), m.now)
 		m.rt.Fatalf("%s was down for %v: %+v", task, down, list)
 	}
@@ -188,7 +193,11 @@
 func (m *longRunningModel) freeCores() int {
 	free := 0
 	for _, w := range m.workers {
-		if w.alive {
+		if w.ordersLost && len(w.runs) > 0 {
+			// A stop that it does not answer has no bound beside other runs.
+			return 0
+		}
+		if w.alive && !w.ordersLost {
 			free += int(w.roster.Capacity.MilliCPU/1000) - len(w.runs)
 		}
 	}
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -70,6 +70,8 @@
 	// lateByLease is set if workers judge late starts by the end of their lease instead of the one
 	// that the start carries. The platform's specification allows both.
 	lateByLease bool
+	// adviser is nil if no job needs tickets.
+	adviser *modelAdviser
 }
 
 func newModel(rt *rapid.T) *model {
--- a/internal/cell/model_worker_test.go
+++ b/internal/cell/model_worker_test.go
@@ -18,11 +18,13 @@
 	startedAt time.Time
 	// repliesLost is set while its answers are lost.
 	repliesLost bool
-	token       uint64
-	leaseEnd    time.Duration
-	runs        map[string]*modelRun
-	highest     map[string]uint64
-	ends        []runner.End
+	// ordersLost is set while it receives no starts and stops, but polls.
+	ordersLost bool
+	token      uint64
+	leaseEnd   time.Duration
+	runs       map[string]*modelRun
+	highest    map[string]uint64
+	ends       []runner.End
 	// reportedEnds is the number of ends that a delivered report has listed.
 	reportedEnds int
 	sequence     uint64
@@ -111,6 +113,9 @@
 	if w.leaseEnd <= w.clock() || s.LeaseUntil <= w.clock() && !w.model.lateByLease {
 		return &runner.Refusal{Reason: runner.OrderExpired}
 	}
+	if w.ticketExpired(s) {
+		return &runner.Refusal{Reason: runner.BadTicket}
+	}
 	w.highest[s.Task] = s.Run
 	w.runs[s.Task] = &modelRun{run: s.Run}
 	w.model.runStarted(w, s.Task)
