cell: long-running tasks that never work take no precedence at the adviser

Callers would see: with as many long-running tasks as the adviser serves in their retries, each of which fails before it works, other work that needs slow advice is not started any more.

Cause: such a task counts as down from its acceptance on, however often it is started. Now a task that this owner has started since it last worked takes no precedence until it works again.

TestManyLostLongRunningTasksRestartBesideOtherWork is about tasks that worked before they were lost, but its runs never reported that they work. They do now, after 0.5 s; what it demands is unchanged.

Ruled out: a limit on the number of such calls (a loss of all workers needs all slots); the failures that are kept with a task (a task that has failed once and worked since has them, too).

--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -80,8 +80,13 @@
 }
 
 // downFor reports whether a long-running task of a stage has no run and has been down for some time.
+// A task that was started in vain since it last worked does not count: tasks that never work would
+// keep other work from the adviser for good.
 func (c *Cell) downFor(s *stage, d time.Duration, now time.Time) bool {
-	return slices.ContainsFunc(s.idle, func(index int) bool { return now.Sub(c.lastWorking(s.tasks[index])) >= d })
+	return slices.ContainsFunc(s.idle, func(index int) bool {
+		worked := c.lastWorking(s.tasks[index])
+		return now.Sub(worked) >= d && !s.tasks[index].lastStartAt.After(worked)
+	})
 }
 
 // lastWorking returns when a long-running task last worked, or the earliest time at which it
--- a/internal/cell/long_running_many_failures_test.go
+++ b/internal/cell/long_running_many_failures_test.go
@@ -20,6 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			l := newAdvisedLoad(t, slots.Any, 1)
 			l.adviser.slots = slots
+			l.workingAfter = 500 * time.Millisecond
 			var jobs []string
 			for range stages {
 				s := longRunning(6, 0)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -199,7 +199,7 @@
 // start accounts for a run and orders its start.
 func (c *Cell) start(t *task, target candidate, run uint64, now time.Time) {
 	a := &attempt{task: t, run: run, worker: target.w, phase: ordered, orderedAt: now, speedPercent: 100, fromScratch: t.checkpoint == ""}
-	t.lastRun = run
+	t.lastRun, t.lastStartAt = run, now
 	t.attempts = append(t.attempts, a)
 	t.stage.removeIdle(t.index)
 	target.w.addAttempt(a)
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -29,6 +29,8 @@
 	crashes crashHistory
 	// lastWorkingAt is when a long-running task was last reported as working.
 	lastWorkingAt time.Time
+	// lastStartAt is when this owner last started a run of the task.
+	lastStartAt time.Time
 	// failedOn are the workers of failed runs. The next runs avoid them.
 	failedOn []string
 }
