--- a/internal/cell/model_takeovers_in_a_row_test.go
+++ b/internal/cell/model_takeovers_in_a_row_test.go
@@ -11,7 +11,7 @@
 
 // restartBound is how long a long-running task may be down after the last disruption, if workers
 // have enough free capacity. After a takeover it waits for the leases that the previous owner may
-// have extended, or for the backoff after lost workers, whichever is longer. The adviser's answer may
+// have extended (for longer than here while other instances confirm that owner), or for the backoff after lost workers, whichever is longer. The adviser's answer may
 // come only then. The rest is for the calls and the planning passes between the parts.
 var restartBound = max(
 	time.Duration(float64(modelLease)*(1+maxClockDrift))+clockEstimateError+expiryMargin+supersededOwnerLimit,
@@ -48,6 +48,7 @@
 			m.takeOver(previousStopped)
 		}
 		m.endFaults()
+		m.limit += max(0, m.current().previousEnd.Sub(m.current().cell.startedAt)-supersededOwnerLimit)
 		if rapid.Bool().Draw(rt, "orders of one worker stay lost") {
 			m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(rt, "worker")].ordersLost = true
 			m.limit += unansweredStopBound
