cellowner: the test of a removal beside a read is free of a race

TestExpiredJobIsNotReadAgainWhileItsRecordIsRemoved failed under -race: "race detected during execution of test". The partitions are read concurrently, and each read called the test's hook, which set a variable. It runs once now, and the reads wait for it. Without the fix of the test still fails as before: "the job is queued although its record was removed".

--- a/internal/cellowner/expired_jobs_test.go
+++ b/internal/cellowner/expired_jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +21,8 @@
 	store.Store
 	row      store.Row
 	readOnly bool
-	// whileRead is called, if set, after the record was read and before the read returns.
+	// whileRead is called, if set, after the record was read and before the read returns. Partitions
+	// are read concurrently.
 	whileRead func()
 }
 
@@ -70,12 +72,13 @@
 // were read.
 func TestExpiredJobIsNotReadAgainWhileItsRecordIsRemoved(t *testing.T) {
 	o, s, id := newOwnerOfExpiredJob(t)
+	var once sync.Once
 	removed := false
 	s.whileRead = func() {
-		if !removed {
-			removed = true
+		once.Do(func() {
 			o.removeExpired(t.Context())
-		}
+			removed = true
+		})
 	}
 	o.reloadJobs(t.Context())
 	if o.jobsVersion != 9 || !removed {
