cellleader: a stopped instance has no refresh of its claim in progress

What callers would see: nothing; a data race in tests of the package (one of three runs with -race -count=7).

--- a/internal/cellleader/leader.go
+++ b/internal/cellleader/leader.go
@@ -209,10 +209,10 @@
 	if !l.refreshing.CompareAndSwap(false, true) {
 		return
 	}
-	go func() {
+	l.background.Go(func() {
 		defer l.refreshing.Store(false)
 		l.refresh(ctx)
-	}()
+	})
 }
 
 // current returns the newest claim seen.
