cell: the last owner records that it had accounted for all runs only when no owner before it gives orders

What callers would see: a task that runs twice after two takeovers within 2.5 s. An owner that lost the store can start nothing once its successor has recovered, but it still extends the lease of a worker that the successor knows from the entry of a cordoned worker only. With the record of that successor the third owner took everybody for stopped, and waited too short by up to 1.8 s.

The record is now made when the previous owners' time is over as well.

--- a/internal/cell/accounted_term.go
+++ b/internal/cell/accounted_term.go
@@ -1,15 +1,18 @@
 package cell
 
+import "time"
+
 // firstTerm is the term of the first owner of a cell.
 const firstTerm = 1
 
 // termOf returns the term of the owner that used a run number.
 func termOf(run uint64) uint64 { return (max(run, 1)-1)/runsPerTerm + firstTerm }
 
-// recordAccounted records that this owner has accounted for all runs of the owners before it, once
-// that is so. The store tells the next owners.
-func (c *Cell) recordAccounted() {
-	if c.recovering || c.accountedTerm >= c.settings.Term || !c.allRunsAccounted() {
+// recordAccounted records that this owner has accounted for all runs of the owners before it, and that
+// none of those gives orders any more, once that is so. The store tells the next owners. The recovery can
+// end earlier: an owner that lost the store can start nothing then, but still extend leases.
+func (c *Cell) recordAccounted(now time.Time) {
+	if c.recovering || now.Before(c.previousOwnerStopsBy()) || c.accountedTerm >= c.settings.Term || !c.allRunsAccounted() {
 		return
 	}
 	c.accountedTerm = c.settings.Term
@@ -23,7 +26,7 @@
 }
 
 // disregardOwnersBeforePredecessor takes all previous owners for stopped if the last one has stopped
-// and had accounted for all runs of the owners before it: since then, none of those could use any worker.
+// and had recorded that none of the owners before it gives orders any more.
 func (c *Cell) disregardOwnersBeforePredecessor() {
 	if c.settings.PredecessorStopped && c.accountedTerm+1 >= c.settings.Term {
 		c.settings.PreviousOwnerStopped = true
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -13,7 +13,7 @@
 // when every known worker has reported or its runs are known from the store, or when the
 // longest lease that the previous owner can have granted must have expired.
 func (c *Cell) recover(now time.Time) {
-	defer c.recordAccounted()
+	defer c.recordAccounted(now)
 	if !c.recovering {
 		return
 	}
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -12,8 +12,8 @@
 	// PreviousOwnerStopped is set if the previous owner is known to extend no more leases,
 	// because its process ended or it handed the cell over.
 	PreviousOwnerStopped bool
-	// PredecessorStopped is set if that is known of the last owner only. An owner before it may be
-	// alive, which matters until the last owner had accounted for all runs.
+	// PredecessorStopped is set if the last owner is known to have stopped. An owner before it may still
+	// give orders, unless the last one had recorded that none does.
 	PredecessorStopped bool
 	// PreviousOwnerLimit is how long after the takeover the previous owner may give orders at most, if
 	// that is not supersededOwnerLimit. It is longer while other instances may confirm that owner.
