cell: a worker that left the roster is not forgotten while a start may still arrive there

What callers would see: a task that runs twice. A worker that had not answered a start left the roster for 4 s and was forgotten with the start. When it was listed again, its lease was extended at once, and the start could still arrive.

Failed before: TestLeaseOfARelistedWorkerIsNotExtendedBeforeItsStartsAreRevoked, "the lease of a was extended 4.93s after the unanswered start". Such a worker is now known for 30 s after it left the list.

--- a/internal/cell/unrevoked_start.go
+++ b/internal/cell/unrevoked_start.go
@@ -14,6 +14,16 @@
 	stopSentAt time.Time
 }
 
+// lateStartLimit is how long after it left the roster a worker may still carry out a start. It bounds how
+// long a worker that is gone stays known.
+const lateStartLimit = 30 * time.Second
+
+// mayStartLate reports whether a worker that has left the roster may still carry out a start, if it comes
+// back.
+func (w *worker) mayStartLate(now time.Time) bool {
+	return len(w.unrevoked) > 0 && now.Sub(w.unlistedAt) < lateStartLimit
+}
+
 // leaseWithheld reports whether the worker's lease must not be extended.
 func (w *worker) leaseWithheld() bool { return w.lapsing || len(w.unrevoked) > 0 }
 
@@ -22,7 +32,7 @@
 // there, so that no start of it is accepted any more.
 func (w *worker) keepUnrevoked() {
 	for a := range w.attempts {
-		if a.confirmedAt.IsZero() || a.phase == stopping && a.stopAnsweredAt.IsZero() && !a.adopted {
+		if a.mayStartLate() {
 			if w.unrevoked == nil {
 				w.unrevoked = map[runKey]*unrevokedStart{}
 			}
@@ -31,6 +41,12 @@
 	}
 }
 
+// mayStartLate reports whether a start of a run may still arrive: no answer has confirmed the run, or it
+// is being stopped without an answer.
+func (a *attempt) mayStartLate() bool {
+	return a.confirmedAt.IsZero() || (a.phase == stopping && a.stopAnsweredAt.IsZero() && !a.adopted)
+}
+
 // revokeStarts sends the stops of a responsive worker's unrevoked starts.
 func (c *Cell) revokeStarts(w *worker, now time.Time) {
 	if !w.unresponsiveSince.IsZero() {
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -86,7 +86,7 @@
 // that have left and whose ends are stored. A new owner that did not know such a worker would start
 // tasks again that have succeeded. It returns true if the worker needs no further checks.
 func (c *Cell) watchLease(w *worker, now time.Time) bool {
-	if w.reported && !w.unlistedAt.IsZero() && !w.unresponsiveSince.IsZero() && len(w.attempts) == 0 && w.endsStored() {
+	if w.reported && !w.unlistedAt.IsZero() && !w.unresponsiveSince.IsZero() && len(w.attempts) == 0 && w.endsStored() && !w.mayStartLate(now) {
 		// The worker has left: its accounting is complete, and no run can exist there. If it
 		// stayed in the store, it would delay a new owner's recovery.
 		c.forgetWorker(w)
@@ -108,7 +108,7 @@
 		c.dropAllRuns(w, "lease_over", now)
 	}
 	w.reported = false
-	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace && w.endsStored() {
+	if !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unlistedGrace && w.endsStored() && !w.mayStartLate(now) {
 		c.forgetWorker(w)
 	}
 	return true
