cell: only long-running tasks that worked before take precedence at the adviser, and none for full workers

What callers would see: urgent jobs that start late beside a burst of new long-running jobs, and quick calls that wait behind slow ones about full workers. A task that was never started counted as down from its acceptance, and the leave to use an instance for quick calls also held for calls about full workers.

--- a/internal/cell/advice_slots.go
+++ b/internal/cell/advice_slots.go
@@ -16,8 +16,8 @@
 	Quick int
 	// Any slots accept quick and slow calls.
 	Any int
-	// IdleQuick slots are at instances without a call that carry quick calls only. They accept slow calls for
-	// long-running tasks that are down for very long.
+	// IdleQuick slots are at instances that carry quick calls only and have none in progress; they are
+	// counted in Quick, too. They accept slow calls for long-running tasks that have been down for long.
 	IdleQuick int
 }
 
--- a/internal/cell/advice_state.go
+++ b/internal/cell/advice_state.go
@@ -33,6 +33,9 @@
 	return v, true
 }
 
+// waits reports whether a call is pending or was answered with an error just now.
+func (s *adviceState) waits(now time.Time) bool { return s.pending || now.Before(s.retryAt) }
+
 // countUnusable records whether a call returned a ticket for a worker with free capacity.
 func (s *adviceState) countUnusable(usable bool) {
 	if usable {
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -48,9 +48,10 @@
 	c.ask(s, workers, prefetch, view, now)
 }
 
-// askForLongRunning requests tickets for long-running tasks before all other calls, with all
-// concurrency slots, or all but one for tasks that have just ended. Otherwise other calls could hold all slots for as long as new
-// work arrives, while the users of a long-running task are affected as soon as it is down.
+// askForLongRunning requests tickets for long-running tasks before all other calls, with all slots for
+// tasks that have been down for some time, else with all but one. Otherwise other calls could hold all
+// slots for as long as new work arrives, while the users of a long-running task are affected as soon as
+// it is down.
 func (c *Cell) askForLongRunning(stages []*stage, view *planView, now time.Time) {
 	for _, s := range stages {
 		if s.step.LongRunning && c.checkDue(s, now) {
@@ -70,7 +71,9 @@
 	case c.heldBack(s):
 		c.askHeldBack(s, view, now)
 		return
-	case !s.step.Occupied().Fits(view.maxFree) || !c.mayPlace(s, now) || !c.mayAsk(s, view, now) || len(c.fitting(s, view, now)) > 0:
+	case !s.step.Occupied().Fits(view.maxFree) || !c.mayPlace(s, now) || len(c.fitting(s, view, now)) > 0:
+		return
+	case !c.mayAsk(s, view, now) && !c.mayUseQuick(s, view, now):
 		return
 	}
 	if workers := c.workersToAsk(s, view, now); c.anyHasCapacityByID(s, workers) {
@@ -81,7 +84,7 @@
 // takesPrecedence reports whether a call for a long-running stage may use every slot: a task has been
 // down for long, and can be started as soon as the call is answered.
 func (c *Cell) takesPrecedence(s *stage, view *planView, now time.Time) bool {
-	if !c.downFor(s, precedenceDownAfter, now) {
+	if !c.hasTaskDownFor(s, allSlowSlotsAfter, now) {
 		return false
 	}
 	return !c.heldBack(s) || !now.Add(view.adviceLead(s)).Before(view.recoveryDeadline)
@@ -90,15 +93,12 @@
 // mayAsk reports whether an adviser call for a stage may start now.
 func (c *Cell) mayAsk(s *stage, view *planView, now time.Time) bool {
 	cost := s.job.record.Advice
-	if cost == nil || s.advice.pending || now.Before(s.advice.retryAt) {
-		return false
-	}
-	return view.slots.available(isSlowCall(cost)) || view.slots.onlyIdleQuick() && c.mayUseQuick(s, now)
+	return cost != nil && !s.advice.waits(now) && view.slots.available(isSlowCall(cost))
 }
 
-// mayUseQuick reports whether a call for a stage may use an IdleQuick slot.
-func (c *Cell) mayUseQuick(s *stage, now time.Time) bool {
-	return s.step.LongRunning && !c.heldBack(s) && c.downFor(s, quickDownAfter, now)
+// mayUseQuick reports whether a call for a long-running stage may start now in an IdleQuick slot.
+func (c *Cell) mayUseQuick(s *stage, view *planView, now time.Time) bool {
+	return !s.advice.waits(now) && view.slots.onlyIdleQuick() && c.hasTaskDownFor(s, quickSlotsAfter, now)
 }
 
 // ask starts an adviser call for a stage.
--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -15,10 +15,10 @@
 const downAfter = 3 * time.Second
 
 const (
-	// precedenceDownAfter is how long a long-running task must be down to take precedence over all
-	// other slow calls to the adviser, and quickDownAfter over quick ones.
-	precedenceDownAfter = 2 * time.Second
-	quickDownAfter      = 5 * time.Second
+	// allSlowSlotsAfter is how long a long-running task must be down to use all slots for slow calls to
+	// the adviser, and quickSlotsAfter those of idle instances for quick calls, too.
+	allSlowSlotsAfter = 2 * time.Second
+	quickSlotsAfter   = 5 * time.Second
 )
 
 // DownTask describes a long-running task that is not working.
@@ -79,16 +79,20 @@
 	return d
 }
 
-// downFor reports whether a long-running task of a stage has no run and has been down for some time.
-// A task that was started in vain since it last worked does not count: tasks that never work would
-// keep other work from the adviser for good.
-func (c *Cell) downFor(s *stage, d time.Duration, now time.Time) bool {
+// hasTaskDownFor reports whether a long-running task of a stage that worked before has no run and has been
+// down for some time. New tasks, and those that were started in vain since they last worked, do not count:
+// a burst of new jobs, or tasks that never work, would keep other work from the adviser.
+func (c *Cell) hasTaskDownFor(s *stage, d time.Duration, now time.Time) bool {
 	return slices.ContainsFunc(s.idle, func(index int) bool {
-		worked := c.lastWorking(s.tasks[index])
-		return now.Sub(worked) >= d && !s.tasks[index].lastStartAt.After(worked)
+		t := s.tasks[index]
+		worked := c.lastWorking(t)
+		return t.mayHaveWorked() && now.Sub(worked) >= d && !t.lastStartAt.After(worked)
 	})
 }
 
+// mayHaveWorked reports whether a long-running task has worked, under this owner or maybe an earlier one.
+func (t *task) mayHaveWorked() bool { return t.stage.job.inherited || !t.lastWorkingAt.IsZero() }
+
 // lastWorking returns when a long-running task last worked, or the earliest time at which it
 // could have worked.
 func (c *Cell) lastWorking(t *task) time.Time {
