planner: assignments go to the owner that reports the worker with the latest epoch

From the log and the status of the instances: a shard changed hands as the outage began. Two instances list the new owner with epoch 2, the planner's own still lists itself with epoch 1. It sent the assignments of these workers to itself, refused each time: assign_failed not_owner, "3 of 3 workers are not owned here".

Cause, by reading: the owner was taken from the table alone, though reports with the epoch of the new owner are accepted. A report now carries its owner, and the one with the later epoch counts.

--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -8,8 +8,10 @@
 // Report is an owner's report on one worker.
 type Report struct {
 	Worker string
-	Shard  string
-	Epoch  uint64
+	// Owner is the instance that made the report.
+	Owner string
+	Shard string
+	Epoch uint64
 	// Sequence increases with each report of one epoch. A report that arrives
 	// after a later one is outdated. Before such reports were dropped, one made
 	// a restarted worker appear to have restarted again, so that its tasks were
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -117,6 +117,7 @@
 	err := p.do(ctx, func(c *Core) {
 		now := time.Now()
 		for _, r := range reports {
+			r.Owner = owner
 			c.Report(r, now)
 		}
 		if full {
--- a/internal/planner/term_send.go
+++ b/internal/planner/term_send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianstand/internal/fleet"
+	"gentianstand/internal/live"
 )
 
 // send sends the outbox to the owners, each in its own goroutine so that an
@@ -17,8 +18,7 @@
 	view := t.planner.env.View()
 	byOwner := map[string][]fleet.Assignment{}
 	for _, a := range assignments {
-		shard := t.core.workerView(a.Worker).report.Shard
-		owner := view.Shards[shard].Owner.Instance
+		owner := currentOwner(view, t.core.workerView(a.Worker).report)
 		byOwner[owner] = append(byOwner[owner], a)
 	}
 	for owner, list := range byOwner {
@@ -28,6 +28,16 @@
 	}
 }
 
+// currentOwner returns the instance that owns a worker: the one in the table, or the one that reported it
+// with a later epoch. A change of owners just before the table fails is not seen there until it is back.
+func currentOwner(view live.View, r fleet.Report) string {
+	shard := view.Shards[r.Shard]
+	if r.Owner != "" && r.Epoch > shard.Epoch {
+		return r.Owner
+	}
+	return shard.Owner.Instance
+}
+
 // assign makes one call. After a failure the Core decides again what has to be
 // sent. Repeating the message itself could start a task that has completed in
 // the meantime.
