cellleader: an owner whose store answers asks no other instances

An owner asks all instances that are not its relays when the last read of its claim is older than 1.125 s.

The claim is read every 0.75 s, and the instances are asked 1.15 s after the start of the last read: early enough for their answers. One third of a read a second more for the owner.

--- a/internal/cellleader/settings.go
+++ b/internal/cellleader/settings.go
@@ -93,11 +93,11 @@
 	// the measurement, and is short beside confirmationTTL.
 	minSuspension = 50 * time.Millisecond
 	// verifyInterval is how often the owner reads its own claim.
-	verifyInterval = time.Second
+	verifyInterval = 750 * time.Millisecond
 	// askAfter is how long after the start of the last read of its claim an owner asks the other
 	// instances, every askInterval, whether they know of a later one: when the next read has taken
-	// pingInterval, and before the last one has expired.
-	askAfter    = verifyInterval + pingInterval
+	// long, and so early that their answers arrive before that read counts no longer.
+	askAfter    = confirmationTTL - pingTimeout
 	askInterval = 400 * time.Millisecond
 	// minAnnouncePause is the pause after the first announcement of a claim that not all instances have
 	// answered. It doubles with each further one up to maxAnnouncePause, as an instance that is gone may
