--- a/internal/cell/ask_held.go
+++ b/internal/cell/ask_held.go
@@ -7,8 +7,8 @@
 
 // askHeldBack requests tickets for a stage that is held back. Tickets are valid for a few seconds,
 // so the call starts only if its answer is due when the recovery ends. The recovery often ends
-// earlier. For a long-running task that has ended, tickets are therefore held all the time: its
-// users are affected, and such tasks are few.
+// earlier. For a long-running task that is known to have ended, tickets are therefore held all the
+// time, as its users are affected.
 func (c *Cell) askHeldBack(s *stage, view *planView, now time.Time) {
 	cost := s.job.record.Advice
 	if cost == nil {
