--- a/internal/cell/model_takeovers_in_a_row_test.go
+++ b/internal/cell/model_takeovers_in_a_row_test.go
@@ -27,9 +27,8 @@
 	modelAdvice = job.AdviceCost{PerCall: 560 * time.Millisecond, PerWorker: 8 * time.Millisecond, TicketTTL: 2 * time.Second}
 )
 
-// Guards against waits of a long-running task that add up over several owners: takeovers in a row,
-// each while the next is not complete, with starts and stops that get no answer, runs and workers
-// that fail, and adviser calls that fail. The bound counts from the last of these.
+// Guards against waits of a long-running task that add up over takeovers in a row, beside lost orders,
+// failing workers and failing adviser calls.
 func TestModelLongRunningTasksRestartAfterTakeoversInARow(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &longRunningModel{model: newModel(rt), downSince: map[string]time.Time{}, limit: restartBound}
