--- a/review/harness/clients.go
+++ b/review/harness/clients.go
@@ -25,12 +25,12 @@
 	mu       sync.Mutex
 	accepted []string
 	refused  int
-	// scheduled holds the accepted jobs with a schedule.
-	scheduled map[string]bool
+	// jobs holds the accepted jobs.
+	jobs map[string]Job
 }
 
 func newClients(w *World) *Clients {
-	return &Clients{world: w, scheduled: map[string]bool{}, http: &http.Client{Timeout: deadline, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	return &Clients{world: w, jobs: map[string]Job{}, http: &http.Client{Timeout: deadline, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 }
 
 // Step is a step of a job.
@@ -68,7 +68,7 @@
 		if status == http.StatusOK {
 			c.mu.Lock()
 			c.accepted = append(c.accepted, id)
-			c.scheduled[id] = j.RepeatCount > 0
+			c.jobs[id] = j
 			c.mu.Unlock()
 			return true
 		}
@@ -134,11 +134,11 @@
 	return append([]string(nil), c.accepted...), c.refused
 }
 
-// IsScheduled reports whether an accepted job has a schedule.
-func (c *Clients) IsScheduled(id string) bool {
+// Job returns an accepted job.
+func (c *Clients) Job(id string) Job {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.scheduled[id]
+	return c.jobs[id]
 }
 
 // Traffic hands in one job at each interval until end, and waits for the answers.
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -26,6 +26,8 @@
 type Worker struct {
 	ID     string
 	record *Record
+	// onDone is called for each run that ends done.
+	onDone func(task string)
 
 	mu       sync.Mutex
 	began    time.Time
@@ -66,9 +68,9 @@
 }
 
 // NewWorker returns a worker that runs nothing.
-func NewWorker(id string, r *Record) *Worker {
+func NewWorker(id string, r *Record, onDone func(task string)) *Worker {
 	now := time.Now()
-	return &Worker{ID: id, record: r, began: now, leaseEnd: now, runs: map[string]*run{}, highest: map[string]uint64{},
+	return &Worker{ID: id, record: r, onDone: onDone, began: now, leaseEnd: now, runs: map[string]*run{}, highest: map[string]uint64{},
 		changed: make(chan struct{}), lastRunOf: map[string]time.Time{}, listedAt: map[uint64]time.Time{}}
 }
 
@@ -203,6 +205,9 @@
 	}
 	w.ends = append(w.ends, end{w.sequence, r.task, r.number, how, saved})
 	w.lastRunOf[jobOf(r.task)] = time.Now()
+	if how == "done" {
+		w.onDone(r.task)
+	}
 	w.record.Add("%s lists the end %d of %s run %d: %s", w.ID, w.sequence, r.task, r.number, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -280,11 +285,15 @@
 	}
 }
 
-// Running returns the number of runs.
-func (w *Worker) Running() int {
+// Use returns what all runs use, in thousandths of a core. cpu returns the need of a task of a job.
+func (w *Worker) Use(cpu func(job string) int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.runs)
+	use := 0
+	for task := range w.runs {
+		use += cpu(jobOf(task))
+	}
+	return use
 }
 
 // RanSince reports whether a run of a job existed here after the given time.
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -18,6 +18,8 @@
 	Instances, Workers int
 	// CPU is the capacity of a worker in thousandths of a core.
 	CPU int
+	// Special is how many workers, the last ones, are of kind b; the others are of kind a.
+	Special int
 	// Fleet, if set, serves the interface for machines.
 	Fleet http.Handler
 }
@@ -36,6 +38,10 @@
 	mu      sync.Mutex
 	workers []*Worker
 	lives   int
+
+	doneMu sync.Mutex
+	// done holds the tasks that have ended done, by job.
+	done map[string]map[string]bool
 }
 
 // Host is the host of the only queue, and Queue the prefix of its path.
@@ -50,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &World{Record: r, Store: NewStore(r), options: o, dir: dir}
+	w := &World{Record: r, Store: NewStore(r), options: o, dir: dir, done: map[string]map[string]bool{}}
 	storeServer := w.serve(w.Store)
 	adviser := w.serve(http.NotFoundHandler())
 	a := Addresses{Store: storeServer, Adviser: adviser}
@@ -116,13 +122,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lives++
-	worker := NewWorker(fmt.Sprintf("i-%d-%d", n, w.lives), w.Record)
+	kind := "a"
+	if n >= w.options.Workers-w.options.Special {
+		kind = "b"
+	}
+	worker := NewWorker(fmt.Sprintf("i-%d-%d", n, w.lives), w.Record, w.taskDone)
 	server := httptest.NewServer(worker)
 	w.servers = append(w.servers, server)
 	w.workers[n] = worker
 	w.Store.Put("servers", worker.ID, map[string]any{
 		"service": "desk", "address": server.Listener.Addr().String(), "zone": fmt.Sprintf("zone-%d", n%3), "state": "ready", "version": "1", "slots": 8,
-		"capacity": map[string]int{"cpu": w.options.CPU, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", fmt.Sprintf("r%d", n)}, "cold_left_ms": 0, "sequence": 1,
+		"capacity": map[string]int{"cpu": w.options.CPU, "mem_mb": 65536, "gpu": 0}, "labels": []string{kind, fmt.Sprintf("r%d", n)}, "cold_left_ms": 0, "sequence": 1,
 	})
 	w.Record.Add("%s registers", worker.ID)
 	return worker
@@ -149,6 +159,41 @@
 	return append([]*Worker(nil), w.workers...)
 }
 
+// taskDone records that a task has ended done.
+func (w *World) taskDone(task string) {
+	w.doneMu.Lock()
+	defer w.doneMu.Unlock()
+	job := jobOf(task)
+	if w.done[job] == nil {
+		w.done[job] = map[string]bool{}
+	}
+	w.done[job][task] = true
+}
+
+// tasksLeft returns how many tasks of a job without a schedule have not ended done.
+func (w *World) tasksLeft(job string) int {
+	left := 0
+	for _, s := range w.Clients.Job(job).Steps {
+		left += s.Count
+	}
+	w.doneMu.Lock()
+	defer w.doneMu.Unlock()
+	return left - len(w.done[job])
+}
+
+// Starves reports whether a job of one step has tasks left and no run of it has existed since a time, though
+// under half of the capacity of the workers is in use.
+func (w *World) Starves(job string, since time.Time) bool {
+	use := 0
+	for _, worker := range w.Workers() {
+		if worker.RanSince(job, since) {
+			return false
+		}
+		use += worker.Use(func(id string) int { return w.Clients.Job(id).Steps[0].CPU })
+	}
+	return w.tasksLeft(job) > 0 && 2*use < w.options.Workers*w.options.CPU
+}
+
 // Close ends all processes and removes the temporary folder, unless REVIEW_KEEP is set.
 func (w *World) Close() {
 	for _, i := range w.Instances {
