relay, cell: the log tells silent links from workers that fail runs

The error of a call that a relay did not answer names the relay. lasting_task_away says workers_silent if none of the workers with free capacity answers; workers_avoided stood for these as well as for workers that failed runs.

--- a/internal/cell/down_reason.go
+++ b/internal/cell/down_reason.go
@@ -24,8 +24,10 @@
 	AdvicePending DownReason = "adviser_asked"
 	// NoTicket means that workers have free capacity, but none with a valid ticket.
 	NoTicket DownReason = "no_ticket"
+	// WorkersUnresponsive means that the workers with free capacity do not answer.
+	WorkersUnresponsive DownReason = "workers_silent"
 	// WorkersUnavailable means that the workers with free capacity are not used at present:
-	// they are unresponsive, evacuated, not stored yet, or have refused or failed runs.
+	// some answer, but are evacuated, not stored yet, or have refused or failed runs.
 	WorkersUnavailable DownReason = "workers_avoided"
 	// ReservedForOthers means that the workers with free capacity are isolated or reserved.
 	ReservedForOthers DownReason = "kept_for_others"
--- a/internal/cell/down_task.go
+++ b/internal/cell/down_task.go
@@ -155,6 +155,8 @@
 		}
 	}
 	switch {
+	case usable == 0 && c.allUnresponsive(s):
+		return WorkersUnresponsive
 	case usable == 0:
 		return WorkersUnavailable
 	case accepting == 0:
@@ -163,18 +165,33 @@
 	return NoTicket
 }
 
+// allUnresponsive reports whether none of the workers with free capacity for a stage answers.
+func (c *Cell) allUnresponsive(s *stage) bool {
+	for _, w := range c.workers {
+		if w.hasCapacityFor(s) && c.mayRunWhenFree(s, w) && w.unresponsiveSince.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // workersWithCapacity counts the workers that may run a stage, have free capacity for one of
 // its tasks, and are not draining.
 func (c *Cell) workersWithCapacity(s *stage) int {
 	n := 0
 	for _, w := range c.workers {
-		if !w.Draining && s.step.Occupied().Fits(w.free()) && c.mayRunWhenFree(s, w) {
+		if w.hasCapacityFor(s) && c.mayRunWhenFree(s, w) {
 			n++
 		}
 	}
 	return n
 }
 
+// hasCapacityFor reports whether a worker that stays has free capacity for a task of a stage.
+func (w *worker) hasCapacityFor(s *stage) bool {
+	return !w.Draining && s.step.Occupied().Fits(w.free())
+}
+
 // downReason determines why a task with a run is not working.
 func (a *attempt) downReason() DownReason {
 	switch {
--- a/internal/cell/down_task_test.go
+++ b/internal/cell/down_task_test.go
@@ -128,3 +128,28 @@
 		t.Errorf("down since this owner saw it at work: %+v, want a longer time since the takeover", down[0])
 	}
 }
+
+// Guards against a log in which workers that nobody reaches look like workers that failed runs.
+func TestTaskBesideUnresponsiveWorkersHasItsOwnReason(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"), usualWorker("b"))
+	s.report("a")
+	s.report("b")
+	s.cell.Add(s.record(1, longRunning(1, 0)), true)
+	for _, test := range []struct {
+		answers bool
+		want    DownReason
+	}{{false, WorkersUnresponsive}, {true, WorkersUnavailable}} {
+		s.advance(downAfter)
+		s.cell.PollFailed("a", runner.ErrNoAnswer, s.now)
+		s.cell.PollFailed("b", runner.ErrNoAnswer, s.now)
+		if test.answers {
+			s.report("b")
+			for _, job := range []string{"x", "y", "z"} {
+				s.cell.workers["b"].health.failed(job, s.now)
+			}
+		}
+		if down, _ := s.cell.DownTasks(1, s.now); down[0].Reason != test.want {
+			t.Errorf("a worker answers: %v: %+v, want %s", test.answers, down, test.want)
+		}
+	}
+}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -39,6 +39,8 @@
 	confirmedAt   time.Time
 	// lastFrameAt is when the last frame arrived, lastUsedAt when the last call was made.
 	lastFrameAt, lastUsedAt time.Time
+	// silenceLogged reports that the current silence has been logged.
+	silenceLogged bool
 }
 
 // dialFunc opens a connection to a relay.
@@ -193,6 +195,17 @@
 	return l.opened && now.Sub(l.lastFrameAt) > unresponsiveAfter
 }
 
+// logSilence logs that the link has become unresponsive, as one of several.
+func (l *Link) logSilence(silentLinks, links int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.silenceLogged || l.ended {
+		return
+	}
+	l.silenceLogged = true
+	l.log.WithFields(logrus.Fields{"silent_links": silentLinks, "links": links}).Warn("relay_link_silent")
+}
+
 // idle reports whether the link has not been used for idleAfter.
 func (l *Link) idle(now time.Time) bool {
 	l.mu.Lock()
--- a/internal/relay/link_frames.go
+++ b/internal/relay/link_frames.go
@@ -98,7 +98,7 @@
 	if l.ended {
 		return nil // end has already failed the pending calls
 	}
-	l.lastFrameAt = time.Now()
+	l.lastFrameAt, l.silenceLogged = time.Now(), false
 	if r.Leaving {
 		l.leaving = true
 		l.log.Info("relay_leaving")
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -71,6 +72,9 @@
 func (p *Pool) scan(now time.Time) {
 	all := p.allLinks()
 	unresponsive := slices.DeleteFunc(slices.Clone(all), func(l *Link) bool { return !l.unresponsive(now) })
+	for _, l := range unresponsive {
+		l.logSilence(len(unresponsive), len(all))
+	}
 	if 2*len(unresponsive) <= len(all) {
 		for _, l := range unresponsive {
 			l.end("silent", nil)
@@ -150,6 +154,7 @@
 			continue
 		case errors.Is(got.err, runner.ErrNoAnswer):
 			p.addDetour(w, l)
+			got.err = fmt.Errorf("%w (through %s)", got.err, l.peer.Name)
 		}
 		return got, true
 	}
