relay: each silent link is replaced, however many others are silent

What callers saw: jobs with nothing running and long-running tasks down for good, beside free workers, after all open connections of the instances had gone silent.

Cause: the owner ended a silent link only if at most half of its links were silent, and started no backoff for a link that did not open if at least half were not open. If more were, it took its own network for the cause. After a disruption of all links they were kept for good, and calls went to them because they were open. The evidence was that of other links; none of it says whether this relay can be reached.

Change: a link without a frame for a second is replaced by a new connection to the same relay. The old one is kept until the new one is open, so that frames which are merely late, on a saturated network, keep it. Calls avoid silent links and relays whose link was lost and is not open again. If a worker has no other relay, calls go to it directly: eight at a time until one is answered, which shows that the owner's network is not the cause, then without a limit.

Tests: TestLinksAreKeptWhenMostAreUnresponsive asserted the decision by majority itself: two of three silent links are kept, one is ended at once. In TestWorkerThatDoesNotAnswerIsTriedThroughItsNextRelay frames now arrive in the second that the test skips; it checks the same. standin.Proxy silences open connections without passing their ends on.

--- a/internal/relay/backoff.go
+++ b/internal/relay/backoff.go
@@ -7,6 +7,8 @@
 	until time.Time
 	// losses is the number of consecutive losses of its link.
 	losses int
+	// lost is set from a loss until a link has been opened again.
+	lost bool
 }
 
 // next returns the backoff after another loss of the link. lasted reports that the link was
@@ -19,5 +21,5 @@
 	if b.losses < maxLosses {
 		pause = min(minBackoff<<b.losses, maxBackoff)
 	}
-	return backoff{until: now.Add(pause), losses: b.losses + 1}
+	return backoff{until: now.Add(pause), losses: b.losses + 1, lost: true}
 }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -33,11 +34,14 @@
 	// after the link has ended.
 	openedAt  time.Time
 	noBackoff bool
+	// refused reports that the relay's machine answered, but accepted no link.
+	refused bool
 	// confirmedTerm is the highest term of which the relay has accepted a request, and
 	// confirmedAt is when the latest such request was made.
 	confirmedTerm uint64
 	confirmedAt   time.Time
-	// lastFrameAt is when the last frame arrived, lastUsedAt when the last call was made.
+	// lastFrameAt is when the last frame arrived or the first call was written, from when on the
+	// relay sends heartbeats. lastUsedAt is when the last call was made.
 	lastFrameAt, lastUsedAt time.Time
 	// silenceLogged reports that the current silence has been logged.
 	silenceLogged bool
@@ -46,24 +50,29 @@
 // dialFunc opens a connection to a relay.
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// openLink returns a link and opens it in the background. It calls ended when the link has
-// ended.
-func openLink(peer cellpeer.Instance, d dialFunc, ended func(*Link), log logrus.FieldLogger) *Link {
+// linkEvents are called when a link has been opened, and when it has ended. opened may be nil.
+type linkEvents struct {
+	opened, ended func(*Link)
+}
+
+// openLink returns a link and opens it in the background.
+func openLink(peer cellpeer.Instance, d dialFunc, events linkEvents, log logrus.FieldLogger) *Link {
 	l := &Link{peer: peer, log: log.WithField("relay", peer.Name), wake: make(chan struct{}, 1), done: make(chan struct{}),
 		pending: map[uint32]*call{}, lastUsedAt: time.Now()}
-	go l.run(d, ended)
+	go l.run(d, events)
 	return l
 }
 
 // run opens the link and reads replies until the link ends.
-func (l *Link) run(d dialFunc, ended func(*Link)) {
-	defer ended(l)
+func (l *Link) run(d dialFunc, events linkEvents) {
+	defer events.ended(l)
 	slow := time.AfterFunc(openWait, l.divertQueue)
 	defer slow.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	conn, err := d(ctx, l.peer.Address)
 	cancel()
 	if err != nil {
+		l.markRefused(err)
 		l.end("not opened", err)
 		return
 	}
@@ -71,6 +80,9 @@
 		_ = conn.Close() // the link ended during the dial
 		return
 	}
+	if events.opened != nil {
+		events.opened(l)
+	}
 	go l.write(conn)
 	l.end("reading ended", l.read(conn))
 }
@@ -102,18 +114,19 @@
 	l.queue = nil
 }
 
-// slowToOpen reports whether the link is still not open after openWait.
-func (l *Link) slowToOpen() bool {
+// markRefused records an error in opening that came from the relay's machine.
+func (l *Link) markRefused(err error) {
+	var timeout net.Error
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.slow && !l.opened
+	l.refused = !errors.Is(err, context.DeadlineExceeded) && !(errors.As(err, &timeout) && timeout.Timeout())
 }
 
-// neverOpened reports whether the link has not been opened.
-func (l *Link) neverOpened() bool {
+// wasRefused reports whether the relay's machine answered, but accepted no link.
+func (l *Link) wasRefused() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.opened
+	return l.refused
 }
 
 // end closes the link and fails all its calls. Calls that were not written can be made on
@@ -161,13 +174,6 @@
 	return l.opened && time.Since(l.openedAt) > maxBackoff
 }
 
-// usable reports whether the link accepts calls.
-func (l *Link) usable() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.ended && !l.leaving
-}
-
 // confirmTerm records that the relay accepted a call, and so knew of no later term at some
 // time after the call was made. l.mu must be held.
 func (l *Link) confirmTerm(c *call) {
@@ -187,12 +193,36 @@
 	return l.confirmedTerm == term && !l.confirmedAt.Before(since)
 }
 
-// unresponsive reports whether an open link has received no frame, not even a heartbeat,
-// for unresponsiveAfter.
-func (l *Link) unresponsive(now time.Time) bool {
+// linkState is whether a link can carry calls.
+type linkState int
+
+const (
+	// linkClosed means that the link has ended or its relay is about to stop.
+	linkClosed linkState = iota
+	// linkOpening means that the link is not open yet, and linkSlow that it was not after openWait.
+	linkOpening
+	linkSlow
+	// linkReady means that the link is open and frames arrive.
+	linkReady
+	// linkSilent means that no frame, not even a heartbeat, has arrived for unresponsiveAfter.
+	linkSilent
+)
+
+// state returns the state of the link.
+func (l *Link) state(now time.Time) linkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.opened && now.Sub(l.lastFrameAt) > unresponsiveAfter
+	switch {
+	case l.ended || l.leaving:
+		return linkClosed
+	case !l.opened && l.slow:
+		return linkSlow
+	case !l.opened:
+		return linkOpening
+	case l.number > 0 && now.Sub(l.lastFrameAt) > unresponsiveAfter:
+		return linkSilent
+	}
+	return linkReady
 }
 
 // logSilence logs that the link has become unresponsive, as one of several.
--- a/internal/relay/link_frames.go
+++ b/internal/relay/link_frames.go
@@ -53,6 +53,9 @@
 		if c.deadline.IsZero() {
 			continue
 		}
+		if l.number == 0 {
+			l.lastFrameAt = time.Now()
+		}
 		l.number++
 		c.Number, c.written = l.number, true
 		l.pending[c.Number] = c
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,10 +31,14 @@
 	// routes holds the ranked relays of each worker.
 	routes map[string][]cellpeer.Instance
 	links  map[string]*Link
-	// backoffs holds, by instance, the relays that are temporarily unused, and detours, by
-	// worker, the relay that is temporarily unused for this worker.
+	// replacements holds, by instance, the links that are being opened in place of silent ones.
+	replacements map[string]*Link
+	// backoffs holds, by instance, the relays to which no link is opened at present, and detours,
+	// by worker, the relay that is temporarily unused for this worker.
 	backoffs map[string]backoff
 	detours  map[string]detour
+	// direct limits the calls that this instance makes because it reaches no relay.
+	direct *directCalls
 }
 
 // detour is a relay through which one worker is temporarily not reached.
@@ -46,19 +51,17 @@
 // workers directly from this instance.
 func NewPool(d Directory, workers runner.Client, log logrus.FieldLogger) *Pool {
 	return &Pool{directory: d, workers: workers, dial: dialRelay, log: log, routes: map[string][]cellpeer.Instance{},
-		links: map[string]*Link{}, backoffs: map[string]backoff{}, detours: map[string]detour{}}
+		links: map[string]*Link{}, replacements: map[string]*Link{}, backoffs: map[string]backoff{}, detours: map[string]detour{}, direct: newDirectCalls()}
 }
 
-// Run ends unresponsive and idle links until ctx ends, and then all links.
+// Run replaces unresponsive links and ends idle ones until ctx ends, and then ends all links.
 func (p *Pool) Run(ctx context.Context) {
 	ticker := time.NewTicker(scanPeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			for _, l := range p.allLinks() {
-				l.end("this instance stops", nil)
-			}
+			p.stop()
 			return
 		case now := <-ticker.C:
 			p.scan(now)
@@ -66,19 +69,13 @@
 	}
 }
 
-// scan ends unresponsive and idle links. If more than half of the links are unresponsive,
-// the cause is this instance's own network, saturated or cut; links are kept then, because
-// opening new ones would add load.
+// scan replaces unresponsive links and ends idle ones.
 func (p *Pool) scan(now time.Time) {
 	all := p.allLinks()
-	unresponsive := slices.DeleteFunc(slices.Clone(all), func(l *Link) bool { return !l.unresponsive(now) })
-	for _, l := range unresponsive {
-		l.logSilence(len(unresponsive), len(all))
-	}
-	if 2*len(unresponsive) <= len(all) {
-		for _, l := range unresponsive {
-			l.end("silent", nil)
-		}
+	silent := slices.DeleteFunc(slices.Clone(all), func(l *Link) bool { return l.state(now) != linkSilent })
+	for _, l := range silent {
+		l.logSilence(len(silent), len(all))
+		p.replace(l, now)
 	}
 	for _, l := range all {
 		if l.idle(now) {
@@ -87,91 +84,114 @@
 	}
 }
 
+// stop ends all links.
+func (p *Pool) stop() {
+	p.mu.Lock()
+	all := slices.AppendSeq(slices.Collect(maps.Values(p.links)), maps.Values(p.replacements))
+	p.mu.Unlock()
+	for _, l := range all {
+		l.end("this instance stops", nil)
+	}
+}
+
 func (p *Pool) allLinks() []*Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := make([]*Link, 0, len(p.links))
-	for _, l := range p.links {
-		all = append(all, l)
-	}
-	return all
+	return slices.Collect(maps.Values(p.links))
 }
 
 // Poll implements runner.Client.
 func (p *Pool) Poll(ctx context.Context, w runner.Target, l runner.Poll) (runner.Report, error) {
-	got, done := p.viaRelay(ctx, w, &call{request: request{Poll: pollFrom(l)}})
-	if !done {
-		return p.workers.Poll(ctx, w, l)
-	}
+	got := p.reach(ctx, w, &call{request: request{Poll: pollFrom(l)}}, func(proven bool) result {
+		if !proven {
+			l.Wait = 0
+		}
+		report, err := p.workers.Poll(ctx, w, l)
+		return result{report: report, err: err}
+	})
 	return got.report, got.err
 }
 
 // Start implements runner.Client.
 func (p *Pool) Start(ctx context.Context, w runner.Target, s runner.Start) (runner.Answer, error) {
-	got, done := p.viaRelay(ctx, w, &call{request: request{Start: startFrom(s)}})
-	if !done {
-		return p.workers.Start(ctx, w, s)
-	}
+	got := p.reach(ctx, w, &call{request: request{Start: startFrom(s)}}, func(bool) result {
+		return answerOf(p.workers.Start(ctx, w, s))
+	})
 	return got.answer, got.err
 }
 
 // Stop implements runner.Client.
 func (p *Pool) Stop(ctx context.Context, w runner.Target, s runner.Stop) (runner.Answer, error) {
-	got, done := p.viaRelay(ctx, w, &call{request: request{Stop: &stop{Task: s.Task, Run: s.Run, Token: s.Token}}})
-	if !done {
-		return p.workers.Stop(ctx, w, s)
-	}
+	got := p.reach(ctx, w, &call{request: request{Stop: &stop{Task: s.Task, Run: s.Run, Token: s.Token}}}, func(bool) result {
+		return answerOf(p.workers.Stop(ctx, w, s))
+	})
 	return got.answer, got.err
 }
 
 // Throttle implements runner.Client.
 func (p *Pool) Throttle(ctx context.Context, w runner.Target, c runner.Throttle) (runner.Answer, error) {
-	got, done := p.viaRelay(ctx, w, &call{request: request{Throttle: &throttle{Task: c.Task, Run: c.Run, Token: c.Token, Percent: c.Percent}}})
-	if !done {
-		return p.workers.Throttle(ctx, w, c)
-	}
+	got := p.reach(ctx, w, &call{request: request{Throttle: &throttle{Task: c.Task, Run: c.Run, Token: c.Token, Percent: c.Percent}}}, func(bool) result {
+		return answerOf(p.workers.Throttle(ctx, w, c))
+	})
 	return got.answer, got.err
 }
 
-// viaRelay makes a call through a relay. done is false if this instance has to make the
-// call itself.
-func (p *Pool) viaRelay(ctx context.Context, w runner.Target, c *call) (got result, done bool) {
+func answerOf(a runner.Answer, err error) result { return result{answer: a, err: err} }
+
+// reach makes a call through a relay, or with direct from this instance. direct is told whether
+// calls from this instance are known to be answered.
+func (p *Pool) reach(ctx context.Context, w runner.Target, c *call, direct func(proven bool) result) result {
 	c.worker = w
-	for range maxRelayAttempts {
-		l := p.route(w, time.Now())
-		if l == nil {
-			return result{}, false
-		}
-		// Each link gets its own copy: a lost link may still be writing its copy.
-		attempt := *c
-		got = l.do(ctx, &attempt)
-		switch {
-		case errors.Is(got.err, errNotSent):
-			continue
-		case errors.Is(got.err, errLinkLost) && c.Poll != nil && ctx.Err() == nil:
-			// A poll is idempotent: a repeated one carries the same lease end, so it
-			// can be sent through another relay.
+	for attempts := 0; ; {
+		r := p.route(w, time.Now())
+		if r.link != nil && attempts < maxRelayAttempts {
+			attempts++
+			if got, done := p.callThrough(ctx, r.link, c); done {
+				return got
+			}
 			continue
-		case errors.Is(got.err, runner.ErrNoAnswer):
-			p.addDetour(w, l)
-			got.err = fmt.Errorf("%w (through %s)", got.err, l.peer.Name)
 		}
-		return got, true
+		if r.own {
+			return direct(true)
+		}
+		proven, admitted := p.direct.begin(time.Now())
+		if admitted {
+			got := direct(proven)
+			p.direct.end(got.err, time.Now())
+			return got
+		}
+		if err := p.direct.await(ctx); err != nil {
+			return result{err: fmt.Errorf("%w: no relay can be reached: %w", &runner.Refusal{Reason: runner.Unhealthy}, err)}
+		}
+	}
+}
+
+// callThrough makes a call through a link. done is false if the call can be made on another path.
+func (p *Pool) callThrough(ctx context.Context, l *Link, c *call) (got result, done bool) {
+	// Each link gets its own copy: a lost link may still be writing its copy.
+	attempt := *c
+	got = l.do(ctx, &attempt)
+	switch {
+	case errors.Is(got.err, errNotSent):
+		return got, false
+	case errors.Is(got.err, errLinkLost) && c.Poll != nil && ctx.Err() == nil:
+		// A poll is idempotent: a repeated one carries the same lease end, so it
+		// can be sent through another relay.
+		return got, false
+	case errors.Is(got.err, runner.ErrNoAnswer):
+		p.addDetour(c.worker, l)
+		got.err = fmt.Errorf("%w (through %s)", got.err, l.peer.Name)
 	}
-	return result{}, false
+	return got, true
 }
 
 // Ask requests tickets from the placement adviser through another instance, for the owner
 // of a term. sent is false if that instance accepts no calls over a link and was not asked.
 func (p *Pool) Ask(ctx context.Context, i cellpeer.Instance, term uint64, stage string, workers []string) (tickets []advice.Ticket, sent bool, err error) {
 	p.mu.Lock()
-	avoided := time.Now().Before(p.backoffs[i.Name].until)
-	var l *Link
-	if !avoided {
-		l = p.link(i)
-	}
+	l, state := p.link(i, time.Now())
 	p.mu.Unlock()
-	if l == nil {
+	if state != linkReady && state != linkOpening {
 		return nil, false, nil
 	}
 	got := l.do(ctx, &call{request: request{Advice: &adviceRequest{Token: term, Stage: stage}}, workerIDs: workers})
--- a/internal/relay/pool_routes.go
+++ b/internal/relay/pool_routes.go
@@ -15,11 +15,19 @@
 	p.detours[w.ID] = detour{l.peer.Name, time.Now().Add(detourPeriod)}
 }
 
-// route returns the link through which a worker is reached, or nil if this instance reaches
-// it directly. It prefers a link that is open or has just started to open over one that is
-// slow to open. An owner with a saturated network must not call all workers directly
-// instead, because that would keep the network saturated.
-func (p *Pool) route(w runner.Target, now time.Time) *Link {
+// route is how a worker is reached: through link, or, if that is nil, by this instance. own is set if
+// this instance is to call the worker itself, and not only because it reaches no relay of the worker.
+type route struct {
+	link *Link
+	own  bool
+}
+
+// route returns how a worker is reached. It prefers a link that works or has just started to open over
+// one that is slow to open, and that over calls from this instance: an owner with a saturated network
+// must not call all workers directly, because that would keep the network saturated. Calls do not
+// wait for a relay that was lost, whose link is opened in the background, nor, if there is one, for links
+// that are slow to open.
+func (p *Pool) route(w runner.Target, now time.Time) route {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now)
@@ -28,24 +36,35 @@
 		delete(p.detours, w.ID)
 		avoid.relay = ""
 	}
-	var opening *Link
+	// A worker without relays, or whose only relay got no answer from it, is called from here.
+	own := true
+	// unreachable reports that a relay of the worker was lost.
+	unreachable := false
+	var slow *Link
 	for _, i := range p.ranked(w) {
 		if i.Name == p.directory.Self().Name {
 			break
 		}
-		if i.Name == avoid.relay || now.Before(p.backoffs[i.Name].until) {
+		if i.Name == avoid.relay {
 			continue
 		}
-		l := p.link(i)
+		own = false
+		l, state := p.link(i, now)
 		switch {
-		case l == nil:
-		case !l.slowToOpen():
-			return l
-		case opening == nil:
-			opening = l
+		case state == linkReady:
+			return route{link: l}
+		case state == linkSilent || p.backoffs[i.Name].lost:
+			unreachable = true
+		case state == linkOpening:
+			return route{link: l}
+		case state == linkSlow && slow == nil:
+			slow = l
 		}
 	}
-	return opening
+	if unreachable {
+		return route{}
+	}
+	return route{link: slow, own: own}
 }
 
 // ranked returns the worker's relays, best first; p.mu must be held.
@@ -58,18 +77,28 @@
 	return ranked
 }
 
-// link returns the link to an instance, which may still be opening, or nil if it accepts no
-// calls; p.mu must be held.
-func (p *Pool) link(i cellpeer.Instance) *Link {
+// link returns the link to an instance and its state. It opens a link if there is none, unless the
+// instance was lost a short time ago; p.mu must be held.
+func (p *Pool) link(i cellpeer.Instance, now time.Time) (*Link, linkState) {
 	l := p.links[i.Name]
 	if l == nil {
-		l = openLink(i, p.dial, p.linkEnded, p.log)
+		if now.Before(p.backoffs[i.Name].until) {
+			return nil, linkClosed
+		}
+		l = openLink(i, p.dial, linkEvents{opened: p.linkOpened, ended: p.linkEnded}, p.log)
 		p.links[i.Name] = l
 	}
-	if !l.usable() {
-		return nil
+	return l, l.state(now)
+}
+
+// linkOpened makes calls wait for the next link to the relay again while it opens.
+func (p *Pool) linkOpened(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b, ok := p.backoffs[l.peer.Name]; ok {
+		b.lost = false
+		p.backoffs[l.peer.Name] = b
 	}
-	return l
 }
 
 // linkEnded removes a link that has ended, and starts a backoff for its relay if the relay
@@ -81,23 +110,11 @@
 	if p.links[name] == l {
 		delete(p.links, name)
 	}
-	if l.causesBackoff() && !(l.neverOpened() && p.mostOpening()) {
+	if l.causesBackoff() {
 		p.backoffs[name] = p.backoffs[name].next(l.wasStable(), time.Now())
 	}
 }
 
-// mostOpening reports whether at least half of the links are not open yet. In that case the
-// fault is likely to be this instance's own; p.mu must be held.
-func (p *Pool) mostOpening() bool {
-	opening := 0
-	for _, l := range p.links {
-		if l.neverOpened() {
-			opening++
-		}
-	}
-	return opening > 0 && 2*opening >= len(p.links)
-}
-
 // refresh reloads the list of instances every refreshPeriod, and drops routes and backoffs
 // that are out of date; p.mu must be held.
 func (p *Pool) refresh(now time.Time) {
--- /dev/null
+++ b/internal/relay/replacement.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"gentianstand/internal/cellpeer"
+)
+
+// replace opens a new link in place of a silent one, unless that was tried in vain a short time ago. The
+// silent link is kept until the new one is open: if frames are late because this instance's network
+// is saturated, they arrive before that.
+func (p *Pool) replace(silent *Link, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := silent.peer.Name
+	// The relay may have been replaced by a process at another address.
+	place := slices.IndexFunc(p.instances, func(i cellpeer.Instance) bool { return i.Name == name })
+	if place < 0 || p.links[name] != silent || p.replacements[name] != nil || now.Before(p.backoffs[name].until) {
+		return
+	}
+	p.replacements[name] = openLink(p.instances[place], p.dial, linkEvents{opened: p.replacementOpened, ended: p.replacementEnded}, p.log)
+}
+
+// replacementOpened puts a link that has been opened in the place of the silent one, unless frames arrive
+// there again.
+func (p *Pool) replacementOpened(l *Link) {
+	p.linkOpened(l)
+	old, replaced := p.exchange(l)
+	if !replaced {
+		l.endWithoutBackoff("not needed")
+	} else if old != nil {
+		old.endWithoutBackoff("silent")
+	}
+}
+
+// exchange puts a replacement in the place of the old link, if there is still one, that is silent.
+func (p *Pool) exchange(l *Link) (old *Link, replaced bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := l.peer.Name
+	delete(p.replacements, name)
+	old = p.links[name]
+	if old != nil && old.state(time.Now()) == linkReady {
+		return old, false
+	}
+	p.links[name] = l
+	return old, true
+}
+
+// replacementEnded handles the end of a replacement, which may have taken the place of the silent link.
+// The silent link ends if the relay's machine answers and the relay does not.
+func (p *Pool) replacementEnded(l *Link) {
+	p.mu.Lock()
+	name := l.peer.Name
+	failed := p.replacements[name] == l
+	old := p.links[name]
+	if failed {
+		delete(p.replacements, name)
+	}
+	p.mu.Unlock()
+	p.linkEnded(l)
+	if failed && old != nil && l.wasRefused() {
+		old.endWithoutBackoff("silent")
+	}
+}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -42,6 +42,13 @@
 	// detourPeriod is how long a worker that did not answer through a relay is reached
 	// through its next relay: the network between the two may be at fault.
 	detourPeriod = time.Second
+	// maxUnprovenCalls is how many direct calls are made at a time in place of calls through relays
+	// while no direct call has been answered for directProofPeriod.
+	maxUnprovenCalls  = 8
+	directProofPeriod = time.Second
+	// directRetryPeriod is how often a call that may not be made directly looks for a relay again:
+	// a heartbeat, with which a link works again, comes as often.
+	directRetryPeriod = heartbeatPeriod
 	// refreshPeriod is how often the list of instances is reloaded.
 	refreshPeriod = 500 * time.Millisecond
 	// maxRelayAttempts is how many times a call is sent through a relay before this
