cellpeer: adviser calls go to instances that work before those that are lost

What callers saw: six of nine instances lost power for good; a new owner reached all workers within 2 s, but 24 of 40 long-running tasks stayed down for the 45 s that were watched.

Cause: calls to the adviser are spread over all listed instances, and an instance whose call failed was avoided for a fixed 2 s. A call to a lost instance takes 1.2 s until it fails, so that with three lost ones before the first that works (in the order of names) the first was due again before the fourth had its turn: one call after the other went round among lost instances (35 advice_failed, no ticket in 42 s). Those that are left could also be the ones for quick calls, so that slow calls had none. It is the class of the links' fault: nothing of what is known about an instance itself was used.

Change: instances whose link is silent or could not be opened a short time ago take no calls; those whose last call failed take calls after all others. Instances for quick calls are chosen among those that work.

TestCallsGoToInstancesThatHaveNotFailedFirst and TestLostInstancesTakeNoCalls fail without the change.

--- a/internal/cellpeer/advice_pool.go
+++ b/internal/cellpeer/advice_pool.go
@@ -1,8 +1,10 @@
 package cellpeer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +51,8 @@
 	// not use it until they have ended, even if it now carries quick calls only.
 	slow       int
 	avoidUntil time.Time
+	// failed is set if the last call failed.
+	failed bool
 }
 
 // reservedCall is a call that occupies a concurrency slot at an instance.
@@ -61,8 +65,12 @@
 type adviceInstance struct {
 	Instance
 	quickOnly bool
+	// lost instances are not used. doubtful ones, whose last call failed, are used after all others.
+	lost, doubtful bool
 }
 
+func (i adviceInstance) works() bool { return !i.lost && !i.doubtful }
+
 // NewAdvicePool returns a pool over the instances of a directory. local makes calls from
 // this instance, links through others. If links is nil, others are reached by peer calls
 // only.
@@ -75,16 +83,15 @@
 
 // Slots returns the number of free concurrency slots, that is, of calls that may start now.
 func (p *AdvicePool) Slots() cell.AdviceSlots {
-	all := p.instances()
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	all := p.instances(now)
 	var s cell.AdviceSlots
-	now := time.Now()
-	p.markQuickOnly(all, now)
 	for _, i := range all {
 		l := p.state(i.Name)
 		switch {
-		case now.Before(l.avoidUntil):
+		case now.Before(l.avoidUntil) || i.lost:
 		case i.quickOnly && l.slow > 0:
 		case i.quickOnly:
 			s.Quick += max(0, quickConcurrency-l.calls)
@@ -100,15 +107,14 @@
 
 // Reserve chooses an instance for an order and occupies a concurrency slot there.
 func (p *AdvicePool) Reserve(o cell.AdviceOrder) {
-	all := p.instances()
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	p.markQuickOnly(all, now)
+	all := p.instances(now)
 	best := -1
 	for i, instance := range all {
 		l := p.state(instance.Name)
-		if now.Before(l.avoidUntil) || (o.Slow && instance.quickOnly && !o.MayUseQuick) || !o.Slow && l.slow > 0 {
+		if now.Before(l.avoidUntil) || instance.lost || (o.Slow && instance.quickOnly && !o.MayUseQuick) || !o.Slow && l.slow > 0 {
 			continue
 		}
 		if best < 0 || p.preferred(instance, all[best], o.Slow) {
@@ -137,9 +143,12 @@
 	}
 }
 
-// preferred reports whether a call should go to a rather than b. Quick calls prefer
-// instances that carry no slow calls, and every call prefers the instance with fewer calls.
+// preferred reports whether a call should go to a rather than b. No call prefers a doubtful instance, quick
+// calls prefer instances that carry no slow calls, and every call prefers the instance with fewer calls.
 func (p *AdvicePool) preferred(a, b adviceInstance, slow bool) bool {
+	if a.doubtful != b.doubtful {
+		return b.doubtful
+	}
 	x, y := p.state(a.Name).calls, p.state(b.Name).calls
 	if !slow && a.quickOnly != b.quickOnly {
 		if a.quickOnly {
@@ -161,9 +170,11 @@
 	defer p.mu.Unlock()
 	p.count(call, o, -1)
 	if err != nil {
-		p.state(call.Name).avoidUntil = time.Now().Add(failureBackoff)
+		s := p.state(call.Name)
+		s.failed, s.avoidUntil = true, time.Now().Add(failureBackoff)
 		return nil, fmt.Errorf("advice through %s: %w", call.Name, err)
 	}
+	p.state(call.Name).failed = false
 	return tickets, nil
 }
 
@@ -189,33 +200,38 @@
 	return tickets, nil
 }
 
-// instances returns all instances in order of their names.
-func (p *AdvicePool) instances() []adviceInstance {
-	others := p.directory.Others()
+// instances returns all instances, in order of their names, with those that carry quick calls only. These
+// are among the instances that work: if most instances are lost, slow calls would otherwise be left with
+// lost ones. p.mu must be held.
+func (p *AdvicePool) instances(now time.Time) []adviceInstance {
 	self := p.directory.Self()
-	all := make([]adviceInstance, 0, len(others)+1)
-	placed := false
-	for _, other := range others {
-		if !placed && self.Name < other.Name {
-			all = append(all, adviceInstance{Instance: self})
-			placed = true
-		}
-		all = append(all, adviceInstance{Instance: other})
-	}
-	if !placed {
-		all = append(all, adviceInstance{Instance: self})
+	all := []adviceInstance{{Instance: self}}
+	for _, other := range p.directory.Others() {
+		lost := p.links != nil && p.links.Lost(other.Name)
+		all = append(all, adviceInstance{Instance: other, lost: lost, doubtful: p.state(other.Name).failed})
 	}
+	slices.SortFunc(all, func(a, b adviceInstance) int { return cmp.Compare(a.Name, b.Name) })
+	p.markQuickOnly(all, now)
 	return all
 }
 
-// markQuickOnly marks the first instances, which carry quick calls only; p.mu must be held.
+// markQuickOnly marks the first instances that work, which carry quick calls only; p.mu must be held.
 func (p *AdvicePool) markQuickOnly(all []adviceInstance, now time.Time) {
-	quick := advicebudget.MostQuickInstances(len(all))
+	working := 0
+	for _, i := range all {
+		if i.works() {
+			working++
+		}
+	}
+	quick := advicebudget.MostQuickInstances(working)
 	if !p.fixedShare {
-		quick = p.quick.Instances(len(all), now)
+		quick = p.quick.Instances(working, now)
 	}
-	for i := range quick {
-		all[i].quickOnly = true
+	for i := range all {
+		if quick > 0 && all[i].works() {
+			all[i].quickOnly = true
+			quick--
+		}
 	}
 }
 
--- a/internal/cellpeer/advice_pool_test.go
+++ b/internal/cellpeer/advice_pool_test.go
@@ -56,3 +56,59 @@
 		t.Errorf("free slots %+v while each instance has a call", free)
 	}
 }
+
+// fakeLinks are links of which some are lost.
+type fakeLinks struct {
+	AdviceLinks
+	lost map[string]bool
+}
+
+func (f fakeLinks) Lost(instance string) bool { return f.lost[instance] }
+
+// advicePoolOf returns the pool of instance "y" beside instances "a" to "h".
+func advicePoolOf(links AdviceLinks) *AdvicePool {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := NewDirectory(Instance{Name: "y"}, &tableStore{}, log)
+	for name := 'a'; name <= 'h'; name++ {
+		d.others[string(name)] = instanceRow{Instance: Instance{Name: string(name)}}
+	}
+	return NewAdvicePool(d, NewClients(), nil, links)
+}
+
+// Guards against work without tickets because its calls go from one lost instance to the next, of which the
+// first is tried again before one that works has its turn.
+func TestCallsGoToInstancesThatHaveNotFailedFirst(t *testing.T) {
+	for _, slow := range []bool{true, false} {
+		p := advicePoolOf(nil)
+		for name := 'a'; name <= 'g'; name++ {
+			// The call failed longer ago than failureBackoff.
+			p.state(string(name)).failed = true
+		}
+		p.Reserve(cell.AdviceOrder{Stage: job.StageID{Step: 1}, Slow: slow})
+		if got := p.reserved[job.StageID{Step: 1}].Name; got != "h" && got != "y" {
+			t.Errorf("slow %v: the call goes to %s, which failed the last one", slow, got)
+		}
+	}
+}
+
+// Guards against slow calls without an instance because those that are left carry quick calls only.
+func TestLostInstancesTakeNoCalls(t *testing.T) {
+	lost := map[string]bool{}
+	p := advicePoolOf(fakeLinks{lost: lost})
+	before := p.Slots()
+	for name := 'd'; name <= 'h'; name++ {
+		lost[string(name)] = true
+	}
+	// Of a, b, c and y one carries quick calls only.
+	if got, want := p.Slots(), (cell.AdviceSlots{Quick: quickConcurrency, Any: 3, IdleQuick: 1}); got != want {
+		t.Errorf("free slots %+v, before the loss %+v, want %+v", got, before, want)
+	}
+	for step := range 3 {
+		stage := job.StageID{Step: step}
+		p.Reserve(cell.AdviceOrder{Stage: stage, Slow: true})
+		if name := p.reserved[stage].Name; lost[name] {
+			t.Errorf("slow call %d goes to %s, which is lost", step, name)
+		}
+	}
+}
