--- a/internal/cellpeer/advice_pool.go
+++ b/internal/cellpeer/advice_pool.go
@@ -143,9 +143,13 @@
 	}
 }
 
-// preferred reports whether a call should go to a rather than b. No call prefers a doubtful instance, quick
-// calls prefer instances that carry no slow calls, and every call prefers the instance with fewer calls.
+// preferred reports whether a call should go to a rather than b. Every call prefers an instance with a
+// free slot, then one that is not doubtful, then the one with fewer calls. Quick calls prefer instances that
+// carry no slow calls to those with fewer calls.
 func (p *AdvicePool) preferred(a, b adviceInstance, slow bool) bool {
+	if free := p.hasFreeSlot(a); free != p.hasFreeSlot(b) {
+		return free
+	}
 	if a.doubtful != b.doubtful {
 		return b.doubtful
 	}
@@ -159,6 +163,12 @@
 	return x < y
 }
 
+// hasFreeSlot reports whether an instance may take another call; p.mu must be held.
+func (p *AdvicePool) hasFreeSlot(i adviceInstance) bool {
+	calls := p.state(i.Name).calls
+	return calls == 0 || i.quickOnly && calls < quickConcurrency
+}
+
 // Ask makes a reserved call.
 func (p *AdvicePool) Ask(ctx context.Context, o cell.AdviceOrder) ([]advice.Ticket, error) {
 	p.mu.Lock()
--- a/internal/cellpeer/advice_pool_test.go
+++ b/internal/cellpeer/advice_pool_test.go
@@ -112,3 +112,19 @@
 		}
 	}
 }
+
+// Guards against calls that pile up at the few instances that have not failed a call, and time out there.
+func TestCallsGoToAFreeInstanceRatherThanToABusyOne(t *testing.T) {
+	p := advicePoolOf(nil)
+	for name := 'a'; name <= 'g'; name++ {
+		p.state(string(name)).failed = true
+	}
+	for step := range 9 {
+		p.Reserve(cell.AdviceOrder{Stage: job.StageID{Step: step}, Slow: true})
+	}
+	for name, s := range p.states {
+		if s.calls > 1 {
+			t.Errorf("%d calls at %s while others have none", s.calls, name)
+		}
+	}
+}
