relay: the session of a silent owner ends

What operators saw: after an owner had lost power, or the connections of an instance had gone silent, each relay kept a session for good, with its connection, two goroutines, its memory of workers and job texts, and a file descriptor.

Cause: reading has no deadline, and heartbeats of a few bytes fit the buffers of a connection that delivers nothing, so that writing does not fail, either.

Change: a session ends 15 s after its last request. Owners poll each worker with runs at least every second and end links that are unused for idleAfter (5 s), so a session without a request for three times as long has lost its owner.

Evidence: TestSessionOfASilentOwnerEnds failed before, the session went on after 10 minutes of the test's clock, with and without a first request. TestSessionOfAnOwnerWithFewRequestsGoesOn: a request each 6 s keeps the session.

--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -50,7 +50,7 @@
 	return &session{conn: conn, server: s, wake: make(chan struct{}, 1), workers: map[uint32]runner.Target{}}
 }
 
-// run carries out requests until the connection ends.
+// run carries out requests until the connection ends or the owner is silent.
 func (s *session) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var goroutines sync.WaitGroup
@@ -58,6 +58,9 @@
 	defer cancel()
 	in := cbor.NewDecoder(bufio.NewReader(s.conn))
 	for {
+		if err := s.conn.SetReadDeadline(time.Now().Add(ownerSilentAfter)); err != nil {
+			return err
+		}
 		var r request
 		if err := in.Decode(&r); err != nil {
 			return err
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -30,6 +30,9 @@
 	// idleAfter is how long a link without calls is kept. Workers with runs are polled
 	// every second.
 	idleAfter = 5 * time.Second
+	// ownerSilentAfter is how long a relay's end of a link is kept without a request. The owner
+	// ends a link after idleAfter, unless one of the two was lost.
+	ownerSilentAfter = 3 * idleAfter
 	// minBackoff is how long an instance is avoided after its link was lost. The time
 	// doubles with each consecutive loss, up to maxBackoff: either the process is back
 	// within 1 to 2 s, or the machine is gone and each attempt delays some calls by
