relay: a poll that is repeated after its link was lost does not wait

What callers saw: after the links between instances had gone silent, workers that answer counted as silent once their links had been replaced, and their leases were extended a second later than possible.

Cause: a poll whose link is lost is sent again over another path with its first wait of up to a second, in what is left of its time: 0.1 to 0.7 s, as a silent link is found after 1.05 s. The worker is still waiting when that is over. The poll fails, and the next one does not extend the lease.

Change: the repeated poll does not wait. The one made directly is derived from the same call.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -102,11 +102,13 @@
 
 // Poll implements runner.Client.
 func (p *Pool) Poll(ctx context.Context, w runner.Target, l runner.Poll) (runner.Report, error) {
-	got := p.reach(ctx, w, &call{request: request{Poll: pollFrom(l)}}, func(proven bool) result {
+	c := &call{request: request{Poll: pollFrom(l)}}
+	got := p.reach(ctx, w, c, func(proven bool) result {
+		own := c.Poll.toRunner()
 		if !proven {
-			l.Wait = 0
+			own.Wait = 0
 		}
-		report, err := p.workers.Poll(ctx, w, l)
+		report, err := p.workers.Poll(ctx, w, own)
 		return result{report: report, err: err}
 	})
 	return got.report, got.err
@@ -176,7 +178,11 @@
 		return got, false
 	case errors.Is(got.err, errLinkLost) && c.Poll != nil && ctx.Err() == nil:
 		// A poll is idempotent: a repeated one carries the same lease end, so it
-		// can be sent through another relay.
+		// can be sent through another relay. The time that is left may be too short for its wait.
+		// A lost link may still be writing the first poll.
+		repeated := *c.Poll
+		repeated.WaitMillis = 0
+		c.Poll = &repeated
 		return got, false
 	case errors.Is(got.err, runner.ErrNoAnswer):
 		p.addDetour(c.worker, l)
