relay: a link whose calls get no reply is replaced, and a relay that never replies is avoided

What callers would see: workers out of reach for good beside relays that work.

Cause, first: a relay that accepts links and sends nothing. Its link was replaced each second without a backoff, counted as working for the next, and a worker's single detour changed between two such relays, so that a third was never tried.

Change: a relay replies also when a worker does not answer, so three calls in a row without a reply show that the link or the relay fails, whatever frames arrive: the link is replaced. If one that ends as silent has never carried an answer, its relay is avoided for a time that doubles. A worker has a detour for each relay that got no answer from it.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -43,6 +43,10 @@
 	// lastFrameAt is when the last frame arrived or the first call was written, from when on the
 	// relay sends heartbeats. lastUsedAt is when the last call was made.
 	lastFrameAt, lastUsedAt time.Time
+	// answered reports that the relay has replied to a call, and unanswered counts the calls since then
+	// whose callers stopped waiting.
+	answered   bool
+	unanswered int
 	// silenceLogged reports that the current silence has been logged.
 	silenceLogged bool
 }
@@ -204,7 +208,8 @@
 	linkSlow
 	// linkReady means that the link is open and frames arrive.
 	linkReady
-	// linkSilent means that no frame, not even a heartbeat, has arrived for unresponsiveAfter.
+	// linkSilent means that no frame, not even a heartbeat, has arrived for unresponsiveAfter, or that
+	// maxUnanswered calls in a row got no reply.
 	linkSilent
 )
 
@@ -219,13 +224,27 @@
 		return linkSlow
 	case !l.opened:
 		return linkOpening
-	case l.number > 0 && now.Sub(l.lastFrameAt) > unresponsiveAfter:
+	case l.unanswered >= maxUnanswered || l.number > 0 && now.Sub(l.lastFrameAt) > unresponsiveAfter:
 		return linkSilent
 	}
 	return linkReady
 }
 
-// logSilence logs that the link has become unresponsive, as one of several.
+// hasAnswered reports whether the relay has replied to a call on this link.
+func (l *Link) hasAnswered() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answered
+}
+
+// endSilence lets the next silence be logged.
+func (l *Link) endSilence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silenceLogged = false
+}
+
+// logSilence logs that the link has become silent, as one of several.
 func (l *Link) logSilence(silentLinks, links int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -233,7 +252,7 @@
 		return
 	}
 	l.silenceLogged = true
-	l.log.WithFields(logrus.Fields{"silent_links": silentLinks, "links": links}).Warn("relay_link_silent")
+	l.log.WithFields(logrus.Fields{"silent_links": silentLinks, "links": links, "unanswered": l.unanswered}).Warn("relay_link_silent")
 }
 
 // idle reports whether the link has not been used for idleAfter.
--- a/internal/relay/link_calls.go
+++ b/internal/relay/link_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -54,5 +55,8 @@
 		c.deadline = time.Time{}
 		return result{err: fmt.Errorf("%w: %w", &runner.Refusal{Reason: runner.Unhealthy}, why)}
 	}
+	if errors.Is(why, context.DeadlineExceeded) {
+		l.unanswered++
+	}
 	return result{err: fmt.Errorf("%w: %w", runner.ErrNoAnswer, why)}
 }
--- a/internal/relay/link_frames.go
+++ b/internal/relay/link_frames.go
@@ -101,7 +101,10 @@
 	if l.ended {
 		return nil // end has already failed the pending calls
 	}
-	l.lastFrameAt, l.silenceLogged = time.Now(), false
+	l.lastFrameAt = time.Now()
+	if r.Number != 0 {
+		l.answered, l.unanswered = true, 0
+	}
 	if r.Leaving {
 		l.leaving = true
 		l.log.Info("relay_leaving")
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -33,25 +33,22 @@
 	links  map[string]*Link
 	// replacements holds, by instance, the links that are being opened in place of silent ones.
 	replacements map[string]*Link
-	// backoffs holds, by instance, the relays to which no link is opened at present, and detours,
-	// by worker, the relay that is temporarily unused for this worker.
+	// backoffs holds, by instance, the relays to which no link is opened at present, and detours
+	// until when one is not used for a worker.
 	backoffs map[string]backoff
-	detours  map[string]detour
+	detours  map[detour]time.Time
 	// direct limits the calls that this instance makes because it reaches no relay.
 	direct *directCalls
 }
 
-// detour is a relay through which one worker is temporarily not reached.
-type detour struct {
-	relay string
-	until time.Time
-}
+// detour names a relay through which one worker is temporarily not reached.
+type detour struct{ worker, relay string }
 
 // NewPool returns a pool that relays through the instances of a directory. workers reaches
 // workers directly from this instance.
 func NewPool(d Directory, workers runner.Client, log logrus.FieldLogger) *Pool {
 	return &Pool{directory: d, workers: workers, dial: dialRelay, log: log, routes: map[string][]cellpeer.Instance{},
-		links: map[string]*Link{}, replacements: map[string]*Link{}, backoffs: map[string]backoff{}, detours: map[string]detour{}, direct: newDirectCalls()}
+		links: map[string]*Link{}, replacements: map[string]*Link{}, backoffs: map[string]backoff{}, detours: map[detour]time.Time{}, direct: newDirectCalls()}
 }
 
 // Run replaces unresponsive links and ends idle ones until ctx ends, and then ends all links.
@@ -69,17 +66,19 @@
 	}
 }
 
-// scan replaces unresponsive links and ends idle ones.
+// scan replaces silent links and ends idle ones.
 func (p *Pool) scan(now time.Time) {
 	all := p.allLinks()
 	silent := slices.DeleteFunc(slices.Clone(all), func(l *Link) bool { return l.state(now) != linkSilent })
-	for _, l := range silent {
-		l.logSilence(len(silent), len(all))
-		p.replace(l, now)
-	}
 	for _, l := range all {
-		if l.idle(now) {
+		switch state := l.state(now); {
+		case l.idle(now):
 			l.endWithoutBackoff("unused")
+		case state == linkSilent:
+			l.logSilence(len(silent), len(all))
+			p.replace(l, now)
+		case state == linkReady:
+			l.endSilence()
 		}
 	}
 }
--- a/internal/relay/pool_routes.go
+++ b/internal/relay/pool_routes.go
@@ -12,7 +12,18 @@
 func (p *Pool) addDetour(w runner.Target, l *Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.detours[w.ID] = detour{l.peer.Name, time.Now().Add(detourPeriod)}
+	p.detours[detour{w.ID, l.peer.Name}] = time.Now().Add(detourPeriod)
+}
+
+// avoids reports whether a relay is temporarily not used for a worker; p.mu must be held.
+func (p *Pool) avoids(worker, relay string, now time.Time) bool {
+	d := detour{worker, relay}
+	until, ok := p.detours[d]
+	if ok && !now.Before(until) {
+		delete(p.detours, d)
+		return false
+	}
+	return ok
 }
 
 // route is how a worker is reached: through link, or, if that is nil, by this instance. own is set if
@@ -31,12 +42,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now)
-	avoid, ok := p.detours[w.ID]
-	if ok && !now.Before(avoid.until) {
-		delete(p.detours, w.ID)
-		avoid.relay = ""
-	}
-	// A worker without relays, or whose only relay got no answer from it, is called from here.
+	// A worker without relays, or whose relays got no answer from it, is called from here.
 	own := true
 	// unreachable reports that a relay of the worker was lost.
 	unreachable := false
@@ -45,7 +51,7 @@
 		if i.Name == p.directory.Self().Name {
 			break
 		}
-		if i.Name == avoid.relay {
+		if p.avoids(w.ID, i.Name, now) {
 			continue
 		}
 		own = false
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -22,15 +22,19 @@
 	p.replacements[name] = openLink(p.instances[place], p.dial, linkEvents{opened: p.replacementOpened, ended: p.replacementEnded}, p.log)
 }
 
-// replacementOpened puts a link that has been opened in the place of the silent one, unless frames arrive
-// there again.
+// replacementOpened puts a link that has been opened in the place of the silent one, unless that works
+// again. If the silent one has never carried an answer, the relay accepts links and does not serve them.
 func (p *Pool) replacementOpened(l *Link) {
 	p.linkOpened(l)
 	old, replaced := p.exchange(l)
-	if !replaced {
+	switch {
+	case !replaced:
 		l.endWithoutBackoff("not needed")
-	} else if old != nil {
+	case old == nil:
+	case old.hasAnswered():
 		old.endWithoutBackoff("silent")
+	default:
+		old.end("silent", nil)
 	}
 }
 
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -25,6 +25,9 @@
 	coalesceDelay = 4 * time.Millisecond
 	// unresponsiveAfter is how long a link may receive no frame: 2 heartbeats and a margin.
 	unresponsiveAfter = time.Second
+	// maxUnanswered is how many calls in a row may end without any reply, as a relay replies also when
+	// a worker does not answer.
+	maxUnanswered = 3
 	// scanPeriod is how often links are checked for being unresponsive or idle.
 	scanPeriod = 100 * time.Millisecond
 	// idleAfter is how long a link without calls is kept. Workers with runs are polled
