relay: a silent link that cannot be replaced ends

What callers would see: an order without a deadline, as those that throttle a run, waits for good on the silent link to a relay that was lost, and the run keeps its low speed, as the owner repeats the order only after an error.

Cause: a link is kept until its replacement is open, and is never unused while a call waits on it. A link to an instance that has left the list was never replaced.

Change: a link that has received nothing for 10 s and cannot be replaced ends, and so does the silent link to an instance that is not listed.

--- a/internal/relay/failing_links_test.go
+++ b/internal/relay/failing_links_test.go
@@ -134,6 +134,44 @@
 	}
 }
 
+// Guards against a call without a deadline, as throttle orders are, that waits for good on the silent link
+// to a relay that was lost. The owner then takes its order for carried out and never repeats it.
+func TestThrottleOrderOnALinkToALostRelayEnds(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("relay still listed %v", listed), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3)
+			f.runPool(t)
+			f.openLinks(t)
+			first := f.pool.route(w1, time.Now()).link
+			f.relays[first.peer.Name].proxy.SilenceOpen()
+			f.relays[first.peer.Name].proxy.Cut(true, true)
+			done := make(chan error, 1)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() {
+				_, err := f.pool.Throttle(ctx, w1, runner.Throttle{Task: "a", Run: 1, Token: 1, Percent: 100})
+				done <- err
+			}()
+			if !listed {
+				f.directory.mu.Lock()
+				f.directory.others = slices.DeleteFunc(f.directory.others, func(i cellpeer.Instance) bool { return i.Name == first.peer.Name })
+				f.directory.mu.Unlock()
+			}
+			for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				_ = f.pool.route(runner.Target{ID: "w-2", Zone: "a"}, time.Now()) // another worker's call
+				select {
+				case err := <-done:
+					t.Logf("ended with %v", err)
+					return
+				default:
+				}
+			}
+			t.Errorf("the call still waits after 15 s; the link is in state %d", first.state(time.Now()))
+		})
+	}
+}
+
 // partlyDead are workers of which some are lost: calls to these wait for their context.
 type partlyDead struct {
 	fakeWorkers
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -230,6 +230,13 @@
 	return linkReady
 }
 
+// silentFor reports whether no frame has arrived for d.
+func (l *Link) silentFor(d time.Duration, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.lastFrameAt) > d
+}
+
 // hasAnswered reports whether the relay has replied to a call on this link.
 func (l *Link) hasAnswered() bool {
 	l.mu.Lock()
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -11,15 +11,31 @@
 // silent link is kept until the new one is open: if frames are late because this instance's network
 // is saturated, they arrive before that.
 func (p *Pool) replace(silent *Link, now time.Time) {
+	if p.openReplacement(silent, now) || !silent.silentFor(maxSilence, now) {
+		return
+	}
+	silent.endWithoutBackoff("silent")
+}
+
+// openReplacement opens a new link in place of a silent one, and reports whether there is one that opens. A
+// link to an instance that is not listed any more is ended.
+func (p *Pool) openReplacement(silent *Link, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	name := silent.peer.Name
 	// The relay may have been replaced by a process at another address.
 	place := slices.IndexFunc(p.instances, func(i cellpeer.Instance) bool { return i.Name == name })
-	if place < 0 || p.links[name] != silent || p.replacements[name] != nil || now.Before(p.backoffs[name].until) {
-		return
+	switch {
+	case place < 0:
+		silent.endWithoutBackoff("not listed")
+		return false
+	case p.replacements[name] != nil:
+		return true
+	case p.links[name] != silent || now.Before(p.backoffs[name].until):
+		return false
 	}
 	p.replacements[name] = openLink(p.instances[place], p.dial, linkEvents{opened: p.replacementOpened, ended: p.replacementEnded}, p.log)
+	return true
 }
 
 // replacementOpened puts a link that has been opened in the place of the silent one, unless that works
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -28,6 +28,8 @@
 	// maxUnanswered is how many calls in a row may end without any reply, as a relay replies also when
 	// a worker does not answer.
 	maxUnanswered = 3
+	// maxSilence is how long a link is kept that receives nothing and cannot be replaced.
+	maxSilence = 10 * time.Second
 	// scanPeriod is how often links are checked for being unresponsive or idle.
 	scanPeriod = 100 * time.Millisecond
 	// idleAfter is how long a link without calls is kept. Workers with runs are polled
