relay: only answers of the relay's machine end a silent link, and old losses do not count

Found by a review. A replacement that was refused ended the old link also if frames arrived there again. An error of this instance's own machine, such as an unreachable network or too many open files, counted as the relay's refusal, so that an owner without a network ended all its links. Failed replacements were counted for good, so that one failure after an hour of work meant the longest backoff.

Change: the old link ends only while it is silent, on a refused or reset connection, an early end, or an answer other than the upgrade. Losses from before a link that has lasted do not count.

--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	if resp.StatusCode != http.StatusSwitchingProtocols {
-		return fmt.Errorf("upgrade to a relay link: status %d", resp.StatusCode)
+		return fmt.Errorf("%w: status %d", errLinkNotAccepted, resp.StatusCode)
 	}
 	return conn.SetDeadline(time.Time{})
 }
--- a/internal/relay/errors.go
+++ b/internal/relay/errors.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"syscall"
 
 	"gentianstand/internal/runner"
 )
@@ -12,8 +14,14 @@
 	errNotSent = errors.New("the request was not sent to the relay")
 	// errLinkLost reports that the link ended before the reply arrived.
 	errLinkLost = fmt.Errorf("%w: the link to the relay ended", runner.ErrNoAnswer)
+	// errLinkNotAccepted reports that an instance answered the request to open a link otherwise.
+	errLinkNotAccepted = errors.New("the instance accepts no link")
 )
 
+// refusals are the errors in opening a link that come from the relay's machine. Others may be this
+// instance's own.
+var refusals = []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF, errLinkNotAccepted}
+
 // outcomeOf maps the error of a call to a worker to an outcome, and to the reason if the
 // worker refused.
 func outcomeOf(err error) (outcome, runner.RefusalReason) {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -118,12 +119,11 @@
 	l.queue = nil
 }
 
-// markRefused records an error in opening that came from the relay's machine.
+// markRefused records whether an error in opening came from the relay's machine.
 func (l *Link) markRefused(err error) {
-	var timeout net.Error
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refused = !errors.Is(err, context.DeadlineExceeded) && !(errors.As(err, &timeout) && timeout.Timeout())
+	l.refused = slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) })
 }
 
 // wasRefused reports whether the relay's machine answered, but accepted no link.
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -74,13 +74,17 @@
 	p.mu.Lock()
 	name := l.peer.Name
 	failed := p.replacements[name] == l
-	old := p.links[name]
-	if failed {
-		delete(p.replacements, name)
+	if !failed {
+		p.mu.Unlock()
+		p.linkEnded(l)
+		return
 	}
+	delete(p.replacements, name)
+	old := p.links[name]
+	lasted := old != nil && old.wasStable()
+	p.backoffs[name] = p.backoffs[name].next(lasted, time.Now())
 	p.mu.Unlock()
-	p.linkEnded(l)
-	if failed && old != nil && l.wasRefused() {
+	if old != nil && l.wasRefused() && old.state(time.Now()) == linkSilent {
 		old.endWithoutBackoff("silent")
 	}
 }
