platform, relay, cell: a poll after a failed one opens a new connection

What callers saw: runs on sound workers lapsed after all open connections had gone silent at once, links between instances and connections to workers.

Cause: timeouts in series. The lease ends 3.5 s after the last poll that extended it, and a poll after a failed one does not extend it. At a slow owner each call may take 0.8 s beyond its wait. A poll that waits up to 1 s is lost in transit (1.8 s). The next one goes through the worker's next relay, or directly, and finds a connection there that is idle since an earlier detour and silent, too (0.8 s). The third one, 0.2 s later, is answered, and only the fourth one extends the lease: 3.8 s after the last that did. The poll that is repeated when its link is replaced finds a silent connection as well, so that it fails with the rest of its time.

Change: a poll that follows one without an answer, or repeats one whose link was lost, closes the instance's idle connections to that worker first. Earlier versions ignore the new field of the frame.

The poll repeated over another path did not ask for a new connection before.

Considered and not taken: a second poll over a new connection when a first one is unanswered for 0.25 s.

--- a/internal/cell/incarnation_state.go
+++ b/internal/cell/incarnation_state.go
@@ -27,6 +27,8 @@
 	unresponsiveSince time.Time
 	// failedPolls counts the unanswered polls since the last report.
 	failedPolls int
+	// unanswered is set if the last poll was not answered, not even with a refusal.
+	unanswered bool
 	// clock is the worker's clock at clockAt on the owner's clock.
 	clock   time.Duration
 	clockAt time.Time
--- a/internal/cell/lease_test.go
+++ b/internal/cell/lease_test.go
@@ -44,6 +44,30 @@
 	}
 }
 
+// Guards against a lease that expires on a sound worker because the poll after one without an answer takes
+// another connection that is silent, and against new connections to a worker that refuses polls.
+func TestPollAfterOneWithoutAnAnswerReconnects(t *testing.T) {
+	s := newSite(t, 1, usualWorker("a"))
+	s.report("a")
+	for _, test := range []struct {
+		err  error
+		want bool
+	}{
+		{fmt.Errorf("%w: timeout", runner.ErrNoAnswer), true},
+		{&runner.Refusal{Reason: runner.Unhealthy}, false},
+	} {
+		s.cell.PollFailed("a", test.err, s.now)
+		if _, poll, _ := s.cell.NextPoll("a", s.now); poll.Reconnect != test.want {
+			t.Errorf("%v: reconnect %v, want %v", test.err, poll.Reconnect, test.want)
+		}
+	}
+	s.cell.PollFailed("a", runner.ErrNoAnswer, s.now)
+	s.report("a")
+	if _, poll, _ := s.cell.NextPoll("a", s.now); poll.Reconnect {
+		t.Error("the poll after a report asks for a new connection")
+	}
+}
+
 // Guards against a task that runs twice at once: a start without an answer must be revoked before
 // the task is started again.
 func TestUnansweredStartIsRevokedBeforeTheNext(t *testing.T) {
--- a/internal/cell/poll.go
+++ b/internal/cell/poll.go
@@ -18,7 +18,7 @@
 	if w == nil || w.parked {
 		return target, poll, false
 	}
-	poll = runner.Poll{Token: c.settings.Term, Acknowledged: w.ackedEnd}
+	poll = runner.Poll{Token: c.settings.Term, Acknowledged: w.ackedEnd, Reconnect: w.unanswered}
 	if !w.reported || !w.unresponsiveSince.IsZero() {
 		// An unanswered poll may have been carried out. If each carried a later lease end, the
 		// lease of a lost worker would never expire. Nor would that of runs which cannot be
@@ -92,7 +92,7 @@
 		w.unresponsiveSince = time.Time{}
 	}
 	c.clearSuspects(w.ID)
-	w.failedPolls = 0
+	w.failedPolls, w.unanswered = 0, false
 	w.reportGap = now.Sub(w.lastReport)
 	w.lastReport, w.reportSentAt = now, sentAt
 	ended := map[runKey]bool{}
@@ -196,6 +196,7 @@
 		return
 	}
 	w.failedPolls++
+	w.unanswered = errors.Is(err, runner.ErrNoAnswer)
 	if w.unresponsiveSince.IsZero() {
 		w.unresponsiveSince = now
 		c.log.WithFields(workerFields(w)).WithError(err).Warn("worker_silent")
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -101,9 +101,9 @@
 
 // Poll implements runner.Client.
 func (p *Pool) Poll(ctx context.Context, w runner.Target, l runner.Poll) (runner.Report, error) {
-	c := &call{request: request{Poll: pollFrom(l)}}
+	c := &call{request: pollRequest(l)}
 	got := p.reach(ctx, w, c, func(proven bool) result {
-		own := c.Poll.toRunner()
+		own := c.runnerPoll()
 		if !proven {
 			own.Wait = 0
 		}
@@ -177,11 +177,12 @@
 		return got, false
 	case errors.Is(got.err, errLinkLost) && c.Poll != nil && ctx.Err() == nil:
 		// A poll is idempotent: a repeated one carries the same lease end, so it
-		// can be sent through another relay. The time that is left may be too short for its wait.
-		// A lost link may still be writing the first poll.
+		// can be sent through another relay. The time that is left may be too short for its wait,
+		// and the relay's connections to the worker may be lost like the link. The lost link may
+		// still be writing the first poll.
 		repeated := *c.Poll
 		repeated.WaitMillis = 0
-		c.Poll = &repeated
+		c.Poll, c.Reconnect = &repeated, true
 		return got, false
 	case errors.Is(got.err, runner.ErrNoAnswer):
 		p.addDetour(c.worker, l)
--- a/internal/relay/repeated_poll_test.go
+++ b/internal/relay/repeated_poll_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against runs whose lease expires because a poll whose link was lost is repeated with a wait that
-// is longer than the rest of its time.
+// is longer than the rest of its time, or over another silent connection.
 func TestPollThatIsRepeatedDoesNotWait(t *testing.T) {
 	for name, relays := range map[string]int{"through another relay": 2, "directly": 1} {
 		t.Run(name, func(t *testing.T) {
@@ -34,8 +34,8 @@
 				workers = f.used(t).workers
 			}
 			got := workers.lastPoll
-			if workers.polls != 1 || got.Wait != 0 || got.Token != 7 || got.Acknowledged != 3 || got.LeaseUntil == nil || *got.LeaseUntil != until {
-				t.Errorf("%d polls, the last is %+v; want one that differs from the first in its wait alone", workers.polls, got)
+			if workers.polls != 1 || got.Wait != 0 || !got.Reconnect || got.Token != 7 || got.Acknowledged != 3 || got.LeaseUntil == nil || *got.LeaseUntil != until {
+				t.Errorf("%d polls, the last is %+v; want one that does not wait, over a new connection", workers.polls, got)
 			}
 		})
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -1,6 +1,9 @@
 package relay
 
-import "gentianstand/internal/compressed"
+import (
+	"gentianstand/internal/compressed"
+	"gentianstand/internal/runner"
+)
 
 // request is one call to a worker or to the placement adviser, from the owner to a relay.
 // Exactly one of Poll, Start, Stop, Throttle and Advice is set.
@@ -22,6 +25,18 @@
 	Advice        *adviceRequest `cbor:"10,keyasint,omitempty"`
 	// IncarnationMillis is the incarnation of Target.
 	IncarnationMillis int64 `cbor:"11,keyasint,omitempty"`
+	// Reconnect is runner.Poll.Reconnect. Earlier versions ignore it.
+	Reconnect bool `cbor:"12,keyasint,omitempty"`
+}
+
+// pollRequest returns the request for a poll.
+func pollRequest(l runner.Poll) request { return request{Poll: pollFrom(l), Reconnect: l.Reconnect} }
+
+// runnerPoll returns the poll of a request that has one.
+func (r *request) runnerPoll() runner.Poll {
+	l := r.Poll.toRunner()
+	l.Reconnect = r.Reconnect
+	return l
 }
 
 // token returns the fencing token of the call.
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -172,7 +172,7 @@
 	switch {
 	case r.Poll != nil:
 		var full runner.Report
-		if full, err = client.Poll(ctx, w, r.Poll.toRunner()); err == nil {
+		if full, err = client.Poll(ctx, w, r.runnerPoll()); err == nil {
 			d.report = &full
 			answer.Clock = full.Clock
 		}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -13,4 +13,7 @@
 	Acknowledged uint64
 	// Wait is how long the worker may hold the answer until a task ends.
 	Wait time.Duration
+	// Reconnect requests a new connection, because an earlier poll was not answered: open
+	// connections may be silent.
+	Reconnect bool
 }
