cell: tasks that crash most workers at a time count their crashes

Cause: while more than half of the polled workers are unresponsive the owner takes its own network for the cause and records no suspects. A worker that comes back sooner than its lease (3.5 s) is found by its next answer, with its runs. After the lease the runs have been dropped, so that nothing is left to blame when the crash becomes known; a worker that comes back at another address was never a suspect's at all. The tasks start again without a count.

Change: the runs that were starting on a worker become suspects when its lease expires unanswered, however many others are unresponsive. That is when their tasks start elsewhere. They cease to be suspects, as before, when the worker answers again. Before the lease expires the share of unresponsive workers is still heeded, so that an owner with a saturated link suspects nobody for single late answers.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -19,7 +19,7 @@
 
 // reachesFewWorkers reports whether so many workers are unresponsive that this owner's own
 // connectivity is the likely cause, such as a saturated link. The runs that were starting are
-// then not recorded as suspects.
+// then not recorded as suspects before the lease of their worker has expired.
 func (c *Cell) reachesFewWorkers() bool {
 	unresponsive, polled := 0, 0
 	for _, w := range c.workers {
@@ -44,6 +44,14 @@
 	}
 }
 
+// recordLapsed records the suspects on a worker that has been unresponsive until its lease expired,
+// however many others are unresponsive. Its tasks are about to be started on other workers.
+func (c *Cell) recordLapsed(w *worker, now time.Time) {
+	if !w.unresponsiveSince.IsZero() && c.lostWorkers[w.ID] == nil {
+		c.recordSuspects(w, now)
+	}
+}
+
 // recordSuspects records the runs that may have crashed a worker: those that have not yet
 // worked there for survivedAfter. A worker that was draining or evacuating has no suspects.
 func (c *Cell) recordSuspects(w *worker, now time.Time) {
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -104,6 +104,7 @@
 	if len(w.attempts) > 0 {
 		c.log.WithFields(workerFields(w)).WithFields(logrus.Fields{"runs": len(w.attempts),
 			"report_age_ms": now.Sub(w.lastReport).Milliseconds()}).Warn("lease_over")
+		c.recordLapsed(w, now)
 		w.keepUnrevoked()
 		c.dropAllRuns(w, "lease_over", now)
 	}
