cellowner: throttle orders have a timeout

What callers see: a best-effort task runs beside a service that misses its response times, or stays suspended, for as long as the owner is the same.

Cause: of all orders and polls, the throttle orders alone were sent without a timeout, and the relay's link waits for the answer as long as the caller does. If the link is silent and its relay is gone, or if no relay of the worker can be reached, no answer and no error comes. The cell then takes the speed that it ordered for the one in force: at 0 it has no lower speed to order, at 100 no higher one, so that it sends no further order. Direct calls were bounded by the client of the worker (0.8 s).

Evidence (a trial on the relay package): 20 throttle calls without a deadline over links that go silent. With relays that accept new connections all end after 1.1 s; with relays that are gone none of the 20 has ended after 40 s.

TestThrottleOrderWithoutAnAnswerIsSentAgain failed before: nothing was sent again within a minute (simulated time).

--- a/internal/cellowner/orders.go
+++ b/internal/cellowner/orders.go
@@ -66,7 +66,9 @@
 }
 
 func (o *Owner) throttle(ctx context.Context, order cell.ThrottleOrder) {
-	_, err := o.deps.Runner.Throttle(ctx, order.Worker, order.Throttle)
+	callCtx, cancel := context.WithTimeout(ctx, o.orderTimeout.Limit())
+	defer cancel()
+	_, err := o.deps.Runner.Throttle(callCtx, order.Worker, order.Throttle)
 	o.checkFence(err)
 	o.cell.ThrottleAnswered(order, err, time.Now())
 }
