cellpeer: the list of instances drops dead ones beside outages of the store

What callers see: instances that are gone stay in the list while the store has an outage of 10 s or more at least once in 70 s. Each takeover waits for the stronger ones among them (2 s), and calls for advice, searches and links go to them.

Cause: a read that comes more than 10 s after the one before makes all rows count as renewed at that read, because no instance could renew its row in an outage. A row that is never renewed again gets 70 s more after each outage.

Change: of the time between two reads 10 s count towards the age of a row, and the rest does not. A row that is not renewed any more is passed over after 70 s of reads, or after seven reads that are 10 s or more apart. A live instance renews its row every 20 s, or within 6 s after an outage, so that an outage adds 10 s to an age of some 26 s, of 70 s.

TestDeadInstancesAreForgottenBesideOutages failed before: with outages of 20 s each minute the dead instance was still known after four of them. TestInstancesStayKnownThroughAnOutage (30 minutes) passes as before.

--- a/internal/cellpeer/directory.go
+++ b/internal/cellpeer/directory.go
@@ -36,7 +36,7 @@
 	staleAfter = 70 * time.Second
 	// removeAfter is how long a row may stay unchanged before it is removed.
 	removeAfter = 10 * time.Minute
-	// maxReadGap is the time between two reads above which the ages of all rows are reset:
+	// maxReadGap is how much of the time between two reads counts towards the ages of the rows:
 	// if the store was unavailable, no instance could renew its row.
 	maxReadGap = 10 * time.Second
 )
@@ -248,14 +248,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	if gap := now.Sub(d.readAt); d.read && gap > maxReadGap {
+		d.reduceAges(gap - maxReadGap)
+	}
 	before := d.others
 	if whole {
 		d.others = map[string]instanceRow{}
 	}
-	if now.Sub(d.readAt) > maxReadGap {
-		d.resetAges(now)
-		before = nil
-	}
 	d.version, d.read, d.readAt = version, true, now
 	for _, row := range rows {
 		if row.Key == d.self.Name {
@@ -278,10 +277,10 @@
 	}
 }
 
-// resetAges makes all rows count as changed now; d.mu must be held.
-func (d *Directory) resetAges(now time.Time) {
+// reduceAges makes all rows count as changed later by a duration; d.mu must be held.
+func (d *Directory) reduceAges(by time.Duration) {
 	for name, l := range d.others {
-		l.changedAt = now
+		l.changedAt = l.changedAt.Add(by)
 		d.others[name] = l
 	}
 }
--- a/internal/cellpeer/directory_test.go
+++ b/internal/cellpeer/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -140,3 +141,34 @@
 		}
 	})
 }
+
+// Guards against instances that are gone and stay in the list for good, because each short outage of the store
+// makes all rows count as renewed: takeovers, calls for advice and links wait for the dead ones.
+func TestDeadInstancesAreForgottenBesideOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &tableStore{rows: map[string]store.Row{}}
+		a, stopA := running(s, "a")
+		b, stopB := running(s, "b")
+		defer stopA()
+		defer stopB()
+		_, kill := running(s, "dead")
+		time.Sleep(time.Minute)
+		kill()
+		for range 4 {
+			s.setDown(true)
+			time.Sleep(20 * time.Second)
+			s.setDown(false)
+			time.Sleep(40 * time.Second)
+			if !lists(a, "b") || !lists(b, "a") {
+				t.Fatalf("a knows %v and b knows %v", a.Others(), b.Others())
+			}
+		}
+		if lists(a, "dead") || lists(b, "dead") {
+			t.Error("the dead instance is still known")
+		}
+	})
+}
+
+func lists(d *Directory, name string) bool {
+	return slices.ContainsFunc(d.Others(), func(i Instance) bool { return i.Name == name })
+}
