cellpeer: instances read the list although their registration is unanswered

What callers see: after a start of many instances while the store is slow, most of them know no other instance for as long as it is slow. The owner has no relays and calls all workers itself; an instance that loses the store finds no other one through which it could accept jobs.

Cause: an instance read the list only after the store had answered the write of its row, within 1 s, and sent the write again 0.3 s after each attempt without an answer. All rows are in one partition. With more instances than it writes in a second, repeated writes queue up before the first ones are answered, and then every answer comes too late, although the rows are written.

Change: the list is read whether or not the write is answered, and an instance that finds its own row there, written by its process, is registered. A write without an answer is repeated after 1.5 s instead of 0.3 s; one that was refused, as before, after 0.3 s.

The writes of the platform's store without an answer may take effect; whether it carries out all of them was not tried.

Not better: after an outage of the store in which calls get no answer, an instance that started in it registers up to 3.5 s after its end (by the timeouts; before up to 1.3 s).

--- a/internal/cellpeer/directory.go
+++ b/internal/cellpeer/directory.go
@@ -26,7 +26,8 @@
 	initialPhase      = 12 * time.Second
 	// directoryTimeout bounds a call to the store.
 	directoryTimeout = time.Second
-	// registerRetry is the pause before a failed registration is retried.
+	// registerRetry is the pause before a registration that the store refused is retried. After one
+	// without an answer, which may have taken effect, the pause is initialReadPeriod.
 	registerRetry = 300 * time.Millisecond
 	// renewPeriod is how often an instance rewrites its row to show other instances that it
 	// is alive.
@@ -57,10 +58,15 @@
 	read    bool
 	// readAt is when the list was last read.
 	readAt time.Time
-	// row is the transaction that writes this instance's row, and renewedAt is when it last
-	// succeeded. Only Run uses them.
-	row       store.Tx
-	renewedAt time.Time
+	// registered is set once this instance's row is known to be in the store, ownVersion is the version
+	// at which it was last read, and renewedAt is when it was last known to be renewed.
+	registered bool
+	ownVersion uint64
+	renewedAt  time.Time
+	// row is the transaction that writes this instance's row, and refused is set if the store refused the
+	// last attempt. Only Run uses them.
+	row     store.Tx
+	refused bool
 }
 
 // NewDirectory returns a directory that contains only this instance.
@@ -92,24 +98,30 @@
 	return others[:min(len(others), n)]
 }
 
-// Loaded reports whether the list was read at least once.
+// Loaded reports whether this instance has registered and the list was read at least once.
 func (d *Directory) Loaded() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.read
+	return d.registered && d.read
 }
 
-// Run registers this instance and keeps the list up to date until ctx ends.
+// Run registers this instance and keeps the list up to date until ctx ends. It reads the list whether or
+// not the registration is answered: while the store is slow, answers may always come too late.
 func (d *Directory) Run(ctx context.Context) {
+	value, err := cbor.Marshal(d.self)
+	if err != nil {
+		d.log.WithError(err).Error("instance_not_encoded")
+		return
+	}
+	d.row = store.Tx{Puts: []store.Put{{Table: tableInstances, Key: d.self.Name, Value: value}}}
 	began := time.Now()
-	d.register(ctx)
 	for ctx.Err() == nil {
-		d.follow(ctx)
 		d.renew(ctx)
+		d.follow(ctx)
 		d.removeStale(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(readPeriod(time.Since(began))):
+		case <-time.After(d.pause(time.Since(began))):
 		}
 	}
 }
@@ -127,41 +139,6 @@
 	s.ProbeRecovery(ctx, tableInstances, "", d.self.Name)
 }
 
-// register writes this instance's row, with retries until it succeeds or ctx ends.
-func (d *Directory) register(ctx context.Context) {
-	value, err := cbor.Marshal(d.self)
-	if err != nil {
-		d.log.WithError(err).Error("instance_not_encoded")
-		return
-	}
-	d.row = store.Tx{Puts: []store.Put{{Table: tableInstances, Key: d.self.Name, Value: value}}}
-	for ctx.Err() == nil && !d.writeRow(ctx) {
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetry):
-		}
-	}
-}
-
-// renew rewrites this instance's row if renewPeriod has passed.
-func (d *Directory) renew(ctx context.Context) {
-	if time.Since(d.renewedAt) >= renewPeriod {
-		d.writeRow(ctx)
-	}
-}
-
-// writeRow writes this instance's row and reports whether it succeeded.
-func (d *Directory) writeRow(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	if _, err := d.store.Commit(callCtx, d.row); err != nil {
-		d.log.WithError(err).Info("instance_not_registered")
-		return false
-	}
-	d.renewedAt = time.Now()
-	return true
-}
-
 // removeStale removes one row that was not renewed for removeAfter, unless the row has
 // changed since the last read.
 func (d *Directory) removeStale(ctx context.Context) {
@@ -258,6 +235,7 @@
 	d.version, d.read, d.readAt = version, true, now
 	for _, row := range rows {
 		if row.Key == d.self.Name {
+			d.recognize(row)
 			continue
 		}
 		if row.Removed {
