celljobs: the state of a job is read beside silent connections to the store

What callers saw: requests for the state of a job without an answer (504 after 2.75 s), at three instances at once, after all open connections had gone silent. Each of the instances answered the next request.

Cause: a read that an instance makes for a caller had no limit but the caller's deadline. Over a silent connection it waits for all of it, although new connections work. Writes have made further attempts for long.

Change: if a read of a row for a caller has no answer within the usual time of the store (0.45 to 2.2 s, from its recent answers), another attempt is made beside it, at most two at a time, until the deadline. An attempt ends after twice that time, and then the client closes the idle connections. A refusal is returned at once, as before.

Tests: TestStateIsReadBesideSilentConnections failed before, from one silent connection on. TestStateIsReadInASlowStore and TestReadsOfAStoreOutOfService guard against reads that are cut short, or that burden the store.

--- a/internal/celljobs/jobs.go
+++ b/internal/celljobs/jobs.go
@@ -153,7 +153,7 @@
 
 // Status reads the state of a job; ok is false if it was never accepted.
 func (j *Jobs) Status(ctx context.Context, id string) (status job.Status, ok bool, err error) {
-	record, err := j.store.Get(ctx, TableJobs, j.RecordPartition(id), JobKey(id))
+	record, err := j.get(ctx, TableJobs, j.RecordPartition(id), JobKey(id))
 	if err != nil || record.Version == 0 {
 		return job.Status{}, false, err
 	}
@@ -164,7 +164,7 @@
 	if r.Withdrawn {
 		return job.Status{}, false, nil
 	}
-	cancel, err := j.store.Get(ctx, TableJobs, j.RecordPartition(id), CancelKey(id))
+	cancel, err := j.get(ctx, TableJobs, j.RecordPartition(id), CancelKey(id))
 	if err != nil {
 		return job.Status{}, false, err
 	}
@@ -184,7 +184,7 @@
 // cancellation yet, and may store that the job is completed. The job is cancelled only if it has a mark
 // and no final state was stored before the mark.
 func (j *Jobs) cancelledState(ctx context.Context, id string) (job.State, error) {
-	mark, err := j.store.Get(ctx, TableProgress, j.cell, MarkKey(id))
+	mark, err := j.get(ctx, TableProgress, j.cell, MarkKey(id))
 	if err != nil {
 		return "", err
 	}
@@ -214,7 +214,7 @@
 
 // progressState returns the state of a job according to its progress.
 func (j *Jobs) progressState(ctx context.Context, id string) (job.State, error) {
-	row, err := j.store.Get(ctx, TableProgress, j.cell, id)
+	row, err := j.get(ctx, TableProgress, j.cell, id)
 	if err != nil || row.Version == 0 {
 		return job.Queued, err
 	}
