soak: connections that go silent for good, and the loss of most instances

The soak did not find that an owner keeps its silent links: each of its faults that drops data ended with a reset of the connections, so that none stayed silent.

New faults, at the end of the list: the open connections between instances, to the store, or to workers and the adviser (of one, several or all), or all of them go silent, without a reset; most instances are lost, the owner perhaps among them, for 3 to 6 s or for good. A lost instance is stopped behind proxies that deliver nothing, and killed later, so that the others see no end of a connection before. It is not asked by callers. Worlds with these faults have five instances, workers in two zones, and two jobs with a long-running task on each worker; older seeds keep their faults and their world.

Checks: the long-running tasks run within 20 s after the last fault, in TestSoakSilence after each one. The checks at the end stay as they were.

The program is built once for all tests.

--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -130,7 +130,7 @@
 }
 
 func (c *callers) send(method string, s submission, key *apiKey, body string, rnd *rand.Rand) (int, string) {
-	p := c.world.procs[rnd.Intn(len(c.world.procs))]
+	p := c.world.pick(rnd)
 	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:8161/%s/%s", p.ip, s.queue, s.id), strings.NewReader(body))
 	if err != nil {
 		return 0, ""
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"math/rand"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"gentianstand/platform/standin"
 )
 
 // fault injects a fault and ends it before it returns.
@@ -118,6 +121,50 @@
 			pause(rnd, 0, 200)
 		}
 	}},
+	{"connections between instances go silent", func(w *world, rnd *rand.Rand) { silence(some(rnd, w.peerProxies())) }},
+	{"connections to the store go silent", func(w *world, rnd *rand.Rand) { silence(some(rnd, w.storeAt)) }},
+	{"connections to workers and the adviser go silent", func(w *world, rnd *rand.Rand) { silence(some(rnd, w.serviceProxies())) }},
+	allSilent,
+	{"most instances are lost", func(w *world, rnd *rand.Rand) {
+		lost := w.loseMost(rnd)
+		pause(rnd, 3000, 6000)
+		// Until here, the other instances saw no end of a connection.
+		for _, p := range lost {
+			p.end()
+		}
+		if rnd.Intn(3) == 0 {
+			return // for good
+		}
+		for _, p := range lost {
+			w.bringBack(p)
+		}
+	}},
+}
+
+var allSilent = fault{"all connections go silent", func(w *world, _ *rand.Rand) {
+	silence(slices.Concat(w.peerProxies(), w.storeAt, w.serviceProxies()))
+}}
+
+// leaseTime is longer than an owner's lease: a run that is reached no more has ended after that.
+const leaseTime = 4 * time.Second
+
+// silence makes the open connections of proxies silent for good. It returns when the runs that are reached
+// no more have ended, so that they do not pass for running.
+func silence(proxies []*standin.Proxy) {
+	for _, p := range proxies {
+		p.SilenceOpen()
+	}
+	time.Sleep(leaseTime)
+}
+
+// some returns one, several or all elements of a list, each as often.
+func some[T any](rnd *rand.Rand, list []T) []T {
+	n := []int{1, 1 + rnd.Intn(len(list)), len(list)}[rnd.Intn(3)]
+	var chosen []T
+	for _, i := range rnd.Perm(len(list))[:n] {
+		chosen = append(chosen, list[i])
+	}
+	return chosen
 }
 
 // poison submits a job whose task crashes every worker on which it starts.
@@ -131,6 +178,10 @@
 // were added.
 const beforeRestarts = 19
 
+// beforeSilence is the number of faults in the list before silent connections and lost instances were
+// added.
+const beforeSilence = 21
+
 // poisonShare is how many times as likely as another fault a poison task is in TestSoakPoison, so
 // that each seed has several of them.
 const poisonShare = 6
@@ -140,7 +191,7 @@
 
 // injectFaults injects random faults until ctx ends, several at a time, and returns their names in
 // order.
-func injectFaults(ctx context.Context, w *world, rnd *rand.Rand, faults []fault) []string {
+func injectFaults(ctx context.Context, w *world, rnd *rand.Rand, faults []fault, _ func()) []string {
 	var wg sync.WaitGroup
 	var names []string
 	for ctx.Err() == nil {
@@ -154,18 +205,54 @@
 	return names
 }
 
+// injectInTurn injects allSilent and then random faults until ctx ends, one at a time, each after a calm
+// time, in which the owner opens its links, and followed by a call of recovered. It returns their names.
+func injectInTurn(ctx context.Context, w *world, rnd *rand.Rand, faults []fault, recovered func()) []string {
+	var names []string
+	for f := allSilent; ctx.Err() == nil; f = faults[rnd.Intn(len(faults))] {
+		pause(rnd, 2500, 3500)
+		names = append(names, f.name)
+		f.inject(w, rnd)
+		recovered()
+	}
+	return names
+}
+
 func pause(rnd *rand.Rand, fromMillis, toMillis int) {
 	time.Sleep(time.Duration(fromMillis+rnd.Intn(toMillis-fromMillis)) * time.Millisecond)
 }
 
-// pick returns a random process. Several faults may affect it at the same time.
-func (w *world) pick(rnd *rand.Rand) *process { return w.procs[rnd.Intn(len(w.procs))] }
+// pick returns a random process that is not lost. Several faults may affect it at the same time.
+func (w *world) pick(rnd *rand.Rand) *process {
+	first := rnd.Intn(len(w.procs))
+	at := slices.IndexFunc(slices.Concat(w.procs[first:], w.procs[:first]), func(p *process) bool { return !p.isLost() })
+	return w.procs[(first+at)%len(w.procs)]
+}
+
+// loseMost loses most of the processes that are not lost, but not all.
+func (w *world) loseMost(rnd *rand.Rand) []*process {
+	w.restarts.Lock()
+	defer w.restarts.Unlock()
+	left := slices.DeleteFunc(slices.Clone(w.procs), func(p *process) bool { return p.isLost() })
+	rnd.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
+	kept := 1 + rnd.Intn(max(1, (len(left)-1)/2))
+	for _, p := range left[kept:] {
+		p.lose()
+	}
+	return left[kept:]
+}
+
+// bringBack restarts a lost process.
+func (w *world) bringBack(p *process) {
+	p.setLost(false)
+	w.restart(p)
+}
 
-// restart restarts a process unless another fault has done so.
+// restart restarts a process unless it is lost or another fault has done so.
 func (w *world) restart(p *process) {
 	w.restarts.Lock()
 	defer w.restarts.Unlock()
-	if !p.ended() {
+	if p.isLost() || !p.ended() {
 		return
 	}
 	if err := p.start(); err != nil {
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -42,23 +42,27 @@
 type process struct {
 	name string
 	ip   string
-	// peer is the proxy through which the other instances reach this one.
+	// peer is the proxy through which the other instances reach this one, store the one through which
+	// this one reaches the store.
 	peer     *standin.Proxy
+	store    *standin.Proxy
 	settings string
 	binary   string
 	log      *os.File
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// lost is set while the machine of the process is lost.
+	lost bool
 	// done is closed when the process has ended.
 	done chan struct{}
 }
 
-func newProcess(t *testing.T, binary, dir string, index int, ip, store, adviser string) *process {
+func newProcess(t *testing.T, binary, dir string, index int, ip string, store *standin.Proxy, adviser string) *process {
 	t.Helper()
 	name := fmt.Sprintf("node-%d", index)
 	path := filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(settingsText, name, ip, index%2, store, adviser, revokeMillis)
+	text := fmt.Sprintf(settingsText, name, ip, index%2, store.Address(), adviser, revokeMillis)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -70,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &process{name: name, ip: ip, peer: peer, settings: path, binary: binary, log: log}
+	return &process{name: name, ip: ip, peer: peer, store: store, settings: path, binary: binary, log: log}
 }
 
 func (p *process) start() error {
@@ -90,10 +94,36 @@
 	return nil
 }
 
-// signal sends a signal to the process that start has started.
+// lose makes the process like one whose machine is lost: it does nothing more, and nobody sees an end of
+// its connections. It is not killed, as that would end those that it has opened itself.
+func (p *process) lose() {
+	p.setLost(true)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // it may have ended by itself
+}
+
+func (p *process) setLost(lost bool) {
+	p.peer.Vanish(lost)
+	p.store.Vanish(lost)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = lost
+}
+
+func (p *process) isLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost
+}
+
+// signal sends a signal to the process that start has started. A lost process can only be killed.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.lost && s != syscall.SIGKILL {
+		return
+	}
 	if p.cmd != nil {
 		_ = p.cmd.Process.Signal(s) // it may have ended by itself
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 )
@@ -22,16 +23,33 @@
 // far above the seconds that a take-over and a lease need.
 const settleTime = 60 * time.Second
 
+// longRunningRestartTime limits the wait for the long-running tasks after the last fault. A take-over, a
+// lease and a restarted worker take some 6 s.
+const longRunningRestartTime = 20 * time.Second
+
 // regressionTime is how long faults were injected when the seeds in regressions failed.
 const regressionTime = 12 * time.Second
 
 // TestSoak runs the seeds of the flags, one after the other.
 func TestSoak(t *testing.T) {
-	soakSeeds(t, faults)
+	soakSeeds(t, planFor(faults))
+}
+
+// plan is what a soak does.
+type plan struct {
+	faults []fault
+	shape  shape
+	// inject injects the faults until ctx ends and returns their names.
+	inject func(ctx context.Context, w *world, rnd *rand.Rand, faults []fault, recovered func()) []string
+}
+
+// planFor returns the plan for a list of faults, several at a time.
+func planFor(faults []fault) plan {
+	return plan{faults: faults, shape: shapeFor(len(faults)), inject: injectFaults}
 }
 
-// soakSeeds runs the seeds of the flags with a list of faults.
-func soakSeeds(t *testing.T, list []fault) {
+// soakSeeds runs the seeds of the flags with a plan.
+func soakSeeds(t *testing.T, p plan) {
 	var first, last int
 	if _, err := fmt.Sscanf(*seedRange, "%d-%d", &first, &last); err != nil {
 		t.Fatalf("-seeds %q: %v", *seedRange, err)
@@ -39,24 +57,31 @@
 	binary := build(t)
 	for seed := first; seed <= last; seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			soak(t, binary, int64(seed), time.Duration(*seconds)*time.Second, list)
+			soak(t, binary, int64(seed), time.Duration(*seconds)*time.Second, p)
 		})
 	}
 }
 
 // TestSoakRestarts runs the seeds with additional restarts of workers under their ids.
 func TestSoakRestarts(t *testing.T) {
-	soakSeeds(t, slices.Concat(faults, slices.Repeat(faults[beforeRestarts:], restartShare)))
+	soakSeeds(t, planFor(slices.Concat(faults, slices.Repeat(faults[beforeRestarts:beforeSilence], restartShare))))
+}
+
+// TestSoakSilence runs the seeds with silent connections and lost instances, one at a time, so that the
+// next one or the loss of the owner does not hide what the one before left behind. Guards against
+// connections that are kept although they are silent for good.
+func TestSoakSilence(t *testing.T) {
+	soakSeeds(t, plan{faults: faults[beforeSilence:], shape: shapeFor(len(faults)), inject: injectInTurn})
 }
 
 // TestSoakPoison runs the seeds with additional poison tasks.
 func TestSoakPoison(t *testing.T) {
-	soakSeeds(t, slices.Concat(faults, slices.Repeat([]fault{poison}, poisonShare)))
+	soakSeeds(t, planFor(slices.Concat(faults, slices.Repeat([]fault{poison}, poisonShare))))
 }
 
 // TestSoakWorkspaces runs the seeds with additional key replacements and quota changes.
 func TestSoakWorkspaces(t *testing.T) {
-	soakSeeds(t, slices.Concat(faults, slices.Repeat(workspaceFaults, workspaceShare)))
+	soakSeeds(t, planFor(slices.Concat(faults, slices.Repeat(workspaceFaults, workspaceShare))))
 }
 
 // regressions lists the seeds that have failed, with the number of faults that they drew from and
@@ -78,25 +103,51 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprintf("seed-%d", r.seed), func(t *testing.T) {
 			t.Logf("failed because: %s", r.cause)
-			soak(t, binary, r.seed, regressionTime, faults[:r.faults])
+			soak(t, binary, r.seed, regressionTime, planFor(faults[:r.faults]))
 		})
 	}
 }
 
+// buildDir holds the program that all tests run.
+var buildDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	buildDir = dir
+	status := m.Run()
+	if err := os.RemoveAll(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(status)
+}
+
+// buildOnce builds the program the first time.
+var buildOnce = sync.OnceValues(func() (string, error) {
+	binary := filepath.Join(buildDir, "gentianstand")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/gentianstand").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return binary, nil
+})
+
 func build(t *testing.T) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "gentianstand")
-	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/gentianstand").CombinedOutput()
+	binary, err := buildOnce()
 	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+		t.Fatal(err)
 	}
 	return binary
 }
 
-func soak(t *testing.T, binary string, seed int64, length time.Duration, faults []fault) {
+func soak(t *testing.T, binary string, seed int64, length time.Duration, p plan) {
 	rnd := rand.New(rand.NewSource(seed))
-	w := newWorld(t, binary, int(seed), len(faults) > beforeRestarts)
-	waitFor(t, "all processes are ready", func() bool {
+	w := newWorld(t, binary, int(seed), p.shape)
+	waitFor(t, "all processes are ready", settleTime, func() bool {
 		for _, p := range w.procs {
 			if !p.ready() {
 				return false
@@ -116,18 +167,24 @@
 		defer close(callersDone)
 		c.run(ctx, rand.New(rand.NewSource(callerSeed)))
 	}()
-	injected := injectFaults(ctx, w, rnd, faults)
+	longRunningTasksRun := func() bool { return c.longRunningTasksRun(longRunning, longRunningRnd) }
+	var back []time.Duration
+	recovered := func() {
+		back = append(back, waitFor(t, "the long-running tasks run again", longRunningRestartTime, longRunningTasksRun))
+	}
+	injected := p.inject(ctx, w, rnd, p.faults, recovered)
+	recovered()
 	<-callersDone
 	var left []string
-	waitFor(t, "all accepted jobs have ended", func() bool {
+	waitFor(t, "all accepted jobs have ended", settleTime, func() bool {
 		left = c.unfinished(rnd)
 		return len(left) == 0
 	})
-	waitFor(t, "the long-running tasks run", func() bool { return c.longRunningTasksRun(longRunning, longRunningRnd) })
+	waitFor(t, "the long-running tasks run", settleTime, longRunningTasksRun)
 	for _, line := range w.judge.Violations() {
 		t.Error(line)
 	}
-	t.Logf("seed %d: %d jobs, %d starts, faults %q", seed, len(c.jobs), w.judge.Starts(), injected)
+	t.Logf("seed %d: %d jobs, %d starts, long-running tasks back after %v, faults %q", seed, len(c.jobs), w.judge.Starts(), back, injected)
 	if t.Failed() {
 		for _, line := range left {
 			t.Log(line)
@@ -153,13 +210,16 @@
 	}
 }
 
-// waitFor waits until ok returns true. It fails the test after settleTime.
-func waitFor(t *testing.T, what string, ok func() bool) {
+// waitFor waits until ok returns true, and returns how long that took. It fails the test after limit.
+func waitFor(t *testing.T, what string, limit time.Duration, ok func() bool) time.Duration {
 	t.Helper()
-	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	began := time.Now()
+	for time.Since(began) < limit {
 		if ok() {
-			return
+			return time.Since(began).Round(time.Millisecond)
 		}
+		time.Sleep(100 * time.Millisecond)
 	}
-	t.Errorf("not within %v: %s", settleTime, what)
+	t.Errorf("not within %v: %s", limit, what)
+	return limit
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,7 +16,6 @@
 )
 
 const (
-	nodes       = 3
 	workers     = 4
 	workerCPU   = 8000
 	taskCPU     = 1000
@@ -26,6 +26,24 @@
 	smallWorkerCPU = 5000
 )
 
+// shape is what a world consists of. A seed keeps the shape that went with its list of faults.
+type shape struct {
+	instances int
+	// workerZones is the number of zones that have workers. The instances are in two zones.
+	workerZones int
+	// distinctIncarnations is set if workers report their incarnations.
+	distinctIncarnations bool
+	longRunning          longRunningWork
+}
+
+// shapeFor returns the shape that goes with a list of faults.
+func shapeFor(faults int) shape {
+	if faults <= beforeSilence {
+		return shape{instances: 3, workerZones: 1, distinctIncarnations: faults > beforeRestarts, longRunning: longRunningWork{jobs: 1, tasks: 2}}
+	}
+	return shape{instances: 5, workerZones: 2, distinctIncarnations: true, longRunning: longRunningWork{jobs: 2, tasks: workers, maxPerWorker: 1}}
+}
+
 // world is the environment of the processes.
 type world struct {
 	t       *testing.T
@@ -36,9 +54,9 @@
 	workspaces *workspaces
 	procs      []*process
 	storeAt    []*standin.Proxy
+	adviserAt  *standin.Proxy
+	shape      shape
 
-	// distinctIncarnations is set if workers report their incarnations.
-	distinctIncarnations bool
 	// restarts is held while a process is restarted, so that they are restarted one at a time.
 	restarts sync.Mutex
 
@@ -68,25 +86,23 @@
 }
 
 // newWorld starts the simulated platform and the processes.
-func newWorld(t *testing.T, binary string, number int, distinctIncarnations bool) *world {
+func newWorld(t *testing.T, binary string, number int, s shape) *world {
 	t.Helper()
-	w := &world{t: t, distinctIncarnations: distinctIncarnations, judge: standin.NewChecker(taskCPU), store: standin.NewStore()}
+	w := &world{t: t, shape: s, judge: standin.NewChecker(taskCPU), store: standin.NewStore()}
 	storeServer := httptest.NewServer(w.store)
 	t.Cleanup(storeServer.Close)
 	adviser := httptest.NewServer(http.HandlerFunc(advise))
 	t.Cleanup(adviser.Close)
+	w.adviserAt = w.newProxy(adviser)
 	for i := range workers {
 		w.addWorker(i)
 	}
 	w.workspaces = newWorkspaces(w)
 	dir := t.TempDir()
-	for i := range nodes {
-		proxy, err := standin.NewProxy("127.0.0.1:0", storeServer.Listener.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
+	for i := range s.instances {
+		proxy := w.newProxy(storeServer)
 		w.storeAt = append(w.storeAt, proxy)
-		p := newProcess(t, binary, dir, i, address(t, number, i), proxy.Address(), adviser.Listener.Addr().String())
+		p := newProcess(t, binary, dir, i, address(t, number, i), proxy, w.adviserAt.Address())
 		if err := p.start(); err != nil {
 			t.Fatal(err)
 		}
@@ -96,7 +112,31 @@
 	return w
 }
 
+// newProxy returns a proxy for a server.
+func (w *world) newProxy(s *httptest.Server) *standin.Proxy {
+	proxy, err := standin.NewProxy("127.0.0.1:0", s.Listener.Addr().String())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return proxy
+}
+
+// peerProxies returns the proxies through which instances reach one another.
+func (w *world) peerProxies() []*standin.Proxy {
+	var list []*standin.Proxy
+	for _, p := range w.procs {
+		list = append(list, p.peer)
+	}
+	return list
+}
+
+// serviceProxies returns the proxies through which instances reach workers and the adviser.
+func (w *world) serviceProxies() []*standin.Proxy {
+	return append(slices.Clone(w.workerAt), w.adviserAt)
+}
+
 func (w *world) close() {
+	w.adviserAt.Close()
 	for _, p := range w.procs {
 		p.end()
 		p.peer.Close()
@@ -119,12 +159,8 @@
 		w.mu.Unlock()
 		agent.ServeHTTP(rw, r)
 	}))
-	proxy, err := standin.NewProxy("127.0.0.1:0", server.Listener.Addr().String())
-	if err != nil {
-		w.t.Fatal(err)
-	}
 	w.servers = append(w.servers, server)
-	w.workerAt = append(w.workerAt, proxy)
+	w.workerAt = append(w.workerAt, w.newProxy(server))
 	w.agents = append(w.agents, nil)
 	w.replaceWorker(i, nil)
 }
@@ -188,7 +224,7 @@
 // newIncarnation puts an agent at a worker's address. Connections to its predecessor end.
 func (w *world) newIncarnation(i int, id string, cpu int64) *standin.Worker {
 	agent := standin.NewWorker(id, cpu, w.judge)
-	if w.distinctIncarnations {
+	if w.shape.distinctIncarnations {
 		agent.Incarnation = time.Now().UnixMilli()
 	}
 	agent.OnCrash = func() { time.AfterFunc(workerDowntime, func() { w.restartAfterCrash(i, agent) }) }
@@ -200,7 +236,7 @@
 // restartAfterCrash starts the incarnation after a crash, alternately under the old id and a new
 // one.
 func (w *world) restartAfterCrash(i int, crashed *standin.Worker) {
-	if w.distinctIncarnations && w.incarnationCount()%2 == 0 {
+	if w.shape.distinctIncarnations && w.incarnationCount()%2 == 0 {
 		w.restartWorker(i, workerDowntime, crashed)
 		return
 	}
@@ -216,7 +252,7 @@
 // rosterEntry returns a worker's entry in the roster.
 func (w *world) rosterEntry(i int, agent *standin.Worker) map[string]any {
 	entry := map[string]any{
-		"service": "desk", "address": w.workerAt[i].Address(), "zone": "zone-0", "state": "ready",
+		"service": "desk", "address": w.workerAt[i].Address(), "zone": fmt.Sprintf("zone-%d", i%w.shape.workerZones), "state": "ready",
 		"capacity": map[string]int64{"cpu": agent.CPU, "mem_mb": 32768, "gpu": 0}, "labels": []string{"a", "r1"},
 	}
 	if agent.Incarnation != 0 {
