--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -191,7 +191,7 @@
 
 // injectFaults injects random faults until ctx ends, several at a time, and returns their names in
 // order.
-func injectFaults(ctx context.Context, w *world, rnd *rand.Rand, faults []fault, _ func()) []string {
+func injectFaults(ctx context.Context, w *world, rnd *rand.Rand, faults []fault) []string {
 	var wg sync.WaitGroup
 	var names []string
 	for ctx.Err() == nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -39,13 +39,13 @@
 type plan struct {
 	faults []fault
 	shape  shape
-	// inject injects the faults until ctx ends and returns their names.
-	inject func(ctx context.Context, w *world, rnd *rand.Rand, faults []fault, recovered func()) []string
+	// inTurn is set if the faults are injected one at a time.
+	inTurn bool
 }
 
 // planFor returns the plan for a list of faults, several at a time.
 func planFor(faults []fault) plan {
-	return plan{faults: faults, shape: shapeFor(len(faults)), inject: injectFaults}
+	return plan{faults: faults, shape: shapeFor(len(faults))}
 }
 
 // soakSeeds runs the seeds of the flags with a plan.
@@ -71,7 +71,7 @@
 // next one or the loss of the owner does not hide what the one before left behind. Guards against
 // connections that are kept although they are silent for good.
 func TestSoakSilence(t *testing.T) {
-	soakSeeds(t, plan{faults: faults[beforeSilence:], shape: shapeFor(len(faults)), inject: injectInTurn})
+	soakSeeds(t, plan{faults: faults[beforeSilence:], shape: shapeFor(len(faults)), inTurn: true})
 }
 
 // TestSoakPoison runs the seeds with additional poison tasks.
@@ -172,7 +172,12 @@
 	recovered := func() {
 		back = append(back, waitFor(t, "the long-running tasks run again", longRunningRestartTime, longRunningTasksRun))
 	}
-	injected := p.inject(ctx, w, rnd, p.faults, recovered)
+	var injected []string
+	if p.inTurn {
+		injected = injectInTurn(ctx, w, rnd, p.faults, recovered)
+	} else {
+		injected = injectFaults(ctx, w, rnd, p.faults)
+	}
 	recovered()
 	<-callersDone
 	var left []string
