relay: a worker without an answer through any relay is called directly within the limit

Found in the read-through. What callers would see: an owner with a saturated network that calls workers directly without a limit, and so stays saturated.

Cause: since a worker has a detour for each relay without an answer, all relays of a worker can be skipped at once. The worker then counted as one without relays, and calls to it were neither limited nor short.

Change: only a worker that has no other instance as its relay is called without the limit.

Evidence: TestWorkersWithoutAnAnswerThroughAnyRelayAreNotAllCalledDirectly failed before; ./internal/relay passes.

--- a/internal/relay/pool_routes.go
+++ b/internal/relay/pool_routes.go
@@ -42,7 +42,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now)
-	// A worker without relays, or whose relays got no answer from it, is called from here.
 	own := true
 	// unreachable reports that a relay of the worker was lost.
 	unreachable := false
@@ -51,10 +50,10 @@
 		if i.Name == p.directory.Self().Name {
 			break
 		}
+		own = false
 		if p.avoids(w.ID, i.Name, now) {
 			continue
 		}
-		own = false
 		l, state := p.link(i, now)
 		switch {
 		case state == linkReady:
--- a/internal/relay/silent_links_test.go
+++ b/internal/relay/silent_links_test.go
@@ -206,6 +206,19 @@
 	f.awaitReached(t, groupOfWorkers(40))
 }
 
+// Guards against an owner with a saturated network that calls every worker directly, because no relay of a
+// worker has had an answer from it in time.
+func TestWorkersWithoutAnAnswerThroughAnyRelayAreNotAllCalledDirectly(t *testing.T) {
+	f := newFleet(t, 3)
+	links := f.openLinks(t)
+	for _, l := range links {
+		f.pool.addDetour(w1, l)
+	}
+	if r := f.pool.route(w1, time.Now()); r.link != nil || r.own {
+		t.Errorf("link %v, own %v, want a limited direct call", r.link, r.own)
+	}
+}
+
 // Guards against calls that wait for a relay that was lost each time its link is opened again.
 func TestCallsDoNotWaitForARelayThatWasLost(t *testing.T) {
 	f := newFleet(t, 1)
