--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -67,9 +67,8 @@
 	soakSeeds(t, planFor(slices.Concat(faults, slices.Repeat(faults[beforeRestarts:beforeSilence], restartShare))))
 }
 
-// TestSoakSilence runs the seeds with silent connections and lost instances, one at a time, so that the
-// next one or the loss of the owner does not hide what the one before left behind. Guards against
-// connections that are kept although they are silent for good.
+// Guards against connections that are kept although they are silent for good, with one fault at a time,
+// so that the next one does not hide what the one before left behind.
 func TestSoakSilence(t *testing.T) {
 	soakSeeds(t, plan{faults: faults[beforeSilence:], shape: shapeFor(len(faults)), inTurn: true})
 }
