callerlimit, callerconn: what an instance holds for all callers together is limited

What callers saw: clients outside our control sent many bodies of legal size at once, whole, in pieces, in large or very small chunks. Most stopped just short of their end and stayed open. The process ran out of memory, and its callers lost their connections.

Cause: the server read each body into memory up to max_body_bytes, and there was no limit for all of them together, for connections, or for the time in which a body must arrive. One that stopped short held its buffer, a goroutine and a descriptor for as long as its connection lived. Neither did a refusal end that: the server of the standard library reads the rest of a body before it sends a response, so a 404 to an unfinished chunked body was never sent. Each request in progress could open three connections to the store beside it, and the limit of the machine for descriptors was not read from the settings. The kernel's receive buffers, which count as memory of the machine, grow by themselves.

Fix: callerlimit keeps account of connections, bytes of bodies and requests in progress, with limits by the memory and the descriptors of the machine. At a limit a new caller takes the place of one that has stalled for 0.5 s, or a small body that of a larger one. Requests in progress are never interrupted, so a rejection (503, Retry-After) always means that the request has not run. callerconn carries that out: bodies take memory as they arrive, must be complete by the deadline of the request, and a response never waits for more than 0.5 s for a body that is not needed.

Why it holds: all that grows with the number of callers is counted before it is taken.

A body that breaks off is answered with 400 instead of 413, one that does not arrive in time with 503 (request_timeout).

--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -9,6 +9,7 @@
 	Unauthorized        Kind = "unauthorized"
 	UnknownKey          Kind = "unknown_key"
 	TooLarge            Kind = "too_large"
+	RequestTimeout      Kind = "request_timeout"
 	UnknownService      Kind = "unknown_service"
 	UnknownRun          Kind = "unknown_run"
 	UnknownPath         Kind = "unknown_path"
--- a/internal/fault/table.go
+++ b/internal/fault/table.go
@@ -12,6 +12,7 @@
 	Unauthorized:        {http.StatusUnauthorized, DidNotRun, 0, "The operator token is missing or wrong."},
 	UnknownKey:          {http.StatusUnauthorized, DidNotRun, 0, "The API key is missing, or no workspace has it."},
 	TooLarge:            {http.StatusRequestEntityTooLarge, DidNotRun, 0, "The body or a header exceeds its limit."},
+	RequestTimeout:      {http.StatusServiceUnavailable, DidNotRun, time.Second, "The body did not arrive in time."},
 	UnknownService:      {http.StatusNotFound, DidNotRun, 0, "No service of this name is in the configuration in force."},
 	UnknownRun:          {http.StatusNotFound, DidNotRun, 0, "No run of this id is known."},
 	UnknownPath:         {http.StatusNotFound, DidNotRun, 0, "The path belongs to no part of the interface."},
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -15,6 +15,8 @@
 	"go.uber.org/fx"
 
 	"gentianstand/internal/access"
+	"gentianstand/internal/callerconn"
+	"gentianstand/internal/callerlimit"
 	"gentianstand/internal/catalog"
 	"gentianstand/internal/cell"
 	"gentianstand/internal/celljobs"
@@ -166,7 +168,9 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.MemoryMiB<<20)))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := newServer("callers", traffic.Callers, p.Settings.CallerListen, connectionCloser{p.Adapters.Callers(p.Intake, p.Gate, p.Log), &p.State.stopping}, p.Log)
+	limits := callerlimit.LimitsFor(callerlimit.Machine{MemoryBytes: p.Settings.MemoryMiB << 20, Descriptors: p.Settings.MaxDescriptors})
+	callers := newServer("callers", traffic.Callers, p.Settings.CallerListen, connectionCloser{p.Adapters.Callers(p.Intake, p.Gate, p.Log), &p.State.stopping}, p.Log).
+		withGuard(callerconn.NewGuard(limits, p.Metrics, p.Log))
 	others := []*server{
 		newServer("ready", traffic.Peers, p.Settings.ReadyListen, readiness{p.Current, &p.State.stopping}, p.Log),
 		newServer("peers", traffic.Peers, p.Settings.PeerListen, peersHandler(p), p.Log),
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/callerconn"
 	"gentianstand/internal/traffic"
 )
 
@@ -30,7 +31,9 @@
 	name    string
 	purpose traffic.Purpose
 	http    *http.Server
-	log     logrus.FieldLogger
+	// guard, if not nil, limits what the server holds for its callers.
+	guard *callerconn.Guard
+	log   logrus.FieldLogger
 }
 
 func newServer(name string, p traffic.Purpose, address string, h http.Handler, log logrus.FieldLogger) *server {
@@ -39,16 +42,29 @@
 	}}
 }
 
+// withGuard makes the server apply the limits of a guard.
+func (s *server) withGuard(g *callerconn.Guard) *server {
+	s.guard = g
+	g.Install(s.http)
+	return s
+}
+
 // listen opens the address and serves it in the background.
 func (s *server) listen(ctx context.Context) error {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 	}}
+	if s.guard != nil {
+		config.Control = callerconn.LimitReceiveBuffer
+	}
 	listener, err := config.Listen(ctx, "tcp4", s.http.Addr)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", s.name, err)
 	}
 	listener = traffic.CounterFor(s.purpose).WrapListener(listener)
+	if s.guard != nil {
+		listener = s.guard.WrapListener(listener)
+	}
 	go func() {
 		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.log.WithField("server", s.name).WithError(err).Error("server_ended")
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -54,6 +54,8 @@
 	Cores float64
 	// MemoryMiB is the memory limit of the process; 0 means no limit.
 	MemoryMiB int64
+	// MaxDescriptors is the limit of the process for open descriptors; 0 means that it is not known.
+	MaxDescriptors int
 }
 
 // namedAddress is an address together with its purpose, which errors mention.
@@ -78,6 +80,9 @@
 			problems = append(problems, fmt.Errorf("%s: %w", a.name, err))
 		}
 	}
+	if s.MaxDescriptors < 0 {
+		problems = append(problems, fmt.Errorf("the limit for descriptors is %d; it must not be negative", s.MaxDescriptors))
+	}
 	if s.MaxLease <= 0 {
 		problems = append(problems, fmt.Errorf("the longest lease is %v; it must be positive", s.MaxLease))
 	}
