overload: the clients of a crowd encode their bodies once

Under the race detector the clients took up to 64 s to write 400 bodies in chunks of one byte, more than the tests wait for anything.

--- a/test/overload/bodies_test.go
+++ b/test/overload/bodies_test.go
@@ -13,9 +13,9 @@
 	return head + strings.Repeat(" ", size-len(head)-len(tail)) + tail
 }
 
-// submission returns the submission of a job by a client of a crowd.
-func submission(n int, body string, short bool) request {
-	return request{method: http.MethodPost, path: fmt.Sprintf("/plain/%016x", n+1), body: body, short: short}
+// submission returns the submission of a job by client n of a crowd, with a body of length bytes.
+func submission(n, length int, pieces []string) request {
+	return request{method: http.MethodPost, path: fmt.Sprintf("/plain/%016x", n+1), length: length, pieces: pieces}
 }
 
 // ordinaryID is the id of an ordinary caller's job.
@@ -28,7 +28,13 @@
 	for _, s := range shapes {
 		t.Run(s.name, func(t *testing.T) {
 			w := newWorld(t)
-			c := newCrowd(w.callersAddress(), crowdSize, s, func(n int) request { return submission(n, body, n%10 != 0) })
+			whole, short := s.encode(body, false), s.encode(body, true)
+			c := newCrowd(w.callersAddress(), crowdSize, s, func(n int) request {
+				if n%10 == 0 {
+					return submission(n, len(body), whole)
+				}
+				return submission(n, len(body), short)
+			})
 			c.waitSent()
 			w.serveOrdinary(ordinaryID)
 			answers := c.leave()
@@ -46,7 +52,8 @@
 	for _, s := range shapes {
 		t.Run(s.name, func(t *testing.T) {
 			w := newWorld(t)
-			c := newCrowd(w.callersAddress(), crowdSize, s, func(n int) request { return submission(n, body, false) })
+			whole := s.encode(body, false)
+			c := newCrowd(w.callersAddress(), crowdSize, s, func(n int) request { return submission(n, len(body), whole) })
 			c.waitSent()
 			w.serveOrdinary(ordinaryID)
 			answers := c.leave()
@@ -71,9 +78,10 @@
 	for _, s := range shapes {
 		t.Run(s.name, func(t *testing.T) {
 			w := newWorld(t)
+			short := s.encode(body, true)
 			c := newCrowd(w.callersAddress(), crowdSize, s, func(n int) request {
 				r := targets[n%len(targets)]
-				r.body, r.short = body, true
+				r.length, r.pieces = len(body), short
 				return r
 			})
 			c.waitSent()
@@ -102,7 +110,7 @@
 	body := paddedJob(maxBodyBytes)
 	w := newWorld(t)
 	for n, s := range shapes {
-		c := newCrowd(w.callersAddress(), 1, s, func(int) request { return submission(n, body, false) })
+		c := newCrowd(w.callersAddress(), 1, s, func(int) request { return submission(n, len(body), s.encode(body, false)) })
 		w.waitFor("the job is answered", func() bool { return c.answered() == 1 })
 		if a := c.leave()[0]; a.status != http.StatusOK {
 			t.Errorf("%s: status %d, want 200", s.name, a.status)
--- a/test/overload/crowd_test.go
+++ b/test/overload/crowd_test.go
@@ -13,9 +13,10 @@
 
 // request is what one member of a crowd sends.
 type request struct {
-	method, path, body string
-	// short is set if the body stops just short of its end, with the connection left open.
-	short bool
+	method, path string
+	// length is the length of the body, and pieces is what is sent of it, as shape.encode returns it.
+	length int
+	pieces []string
 }
 
 // answer is the status that a member of a crowd got, or 0 if its connection ended without one.
@@ -61,7 +62,7 @@
 	go func() {
 		defer c.sent.Done()
 		_ = conn.SetWriteDeadline(time.Now().Add(waitTimeout))
-		_ = s.send(conn, r.method, r.path, r.body, r.short) // the server may refuse the rest
+		_ = s.send(conn, r) // the server may refuse the rest
 	}()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/test/overload/shape_test.go
+++ b/test/overload/shape_test.go
@@ -1,9 +1,10 @@
 package overload
 
 import (
-	"bufio"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -26,42 +27,49 @@
 	{name: "small chunks", chunked: true, piece: 1},
 }
 
-// send writes a request. With short set, it leaves out the last byte of the body, or the last chunk.
-func (s shape) send(w io.Writer, method, path, body string, short bool) error {
-	out := bufio.NewWriterSize(w, 16<<10)
-	fmt.Fprintf(out, "%s %s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: 3000\r\n", method, path, callersHost)
-	if s.chunked {
-		fmt.Fprint(out, "Transfer-Encoding: chunked\r\n\r\n")
-	} else {
-		fmt.Fprintf(out, "Content-Length: %d\r\n\r\n", len(body))
-	}
+// encode returns the pieces of a body as they are sent. With short set, it leaves out the last byte of the
+// body, and the end of a chunked one.
+func (s shape) encode(body string, short bool) []string {
 	if short {
 		body = body[:len(body)-1]
 	}
+	var pieces []string
 	for len(body) > 0 {
 		n := min(s.piece, len(body))
-		s.writePiece(out, body[:n])
+		pieces = append(pieces, s.frame(body[:n]))
 		body = body[n:]
-		if s.pause > 0 {
-			if err := out.Flush(); err != nil {
-				return err
-			}
-			time.Sleep(s.pause)
-		}
 	}
 	if s.chunked && !short {
-		fmt.Fprint(out, "0\r\n\r\n")
+		pieces = append(pieces, "0\r\n\r\n")
+	}
+	if s.pause == 0 {
+		return []string{strings.Join(pieces, "")}
+	}
+	return pieces
+}
+
+// frame returns a piece of a body as it is sent.
+func (s shape) frame(piece string) string {
+	if !s.chunked {
+		return piece
 	}
-	return out.Flush()
+	return strconv.FormatInt(int64(len(piece)), 16) + "\r\n" + piece + "\r\n"
 }
 
-// writePiece writes a piece of the body. Errors of out are returned by its Flush.
-func (s shape) writePiece(out *bufio.Writer, piece string) {
-	if s.chunked {
-		fmt.Fprintf(out, "%x\r\n", len(piece))
+// send writes a request. Its body is in the pieces that encode has returned.
+func (s shape) send(w io.Writer, r request) error {
+	framing := "Transfer-Encoding: chunked"
+	if !s.chunked {
+		framing = fmt.Sprintf("Content-Length: %d", r.length)
 	}
-	_, _ = out.WriteString(piece)
-	if s.chunked {
-		_, _ = out.WriteString("\r\n")
+	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: 3000\r\n%s\r\n\r\n", r.method, r.path, callersHost, framing); err != nil {
+		return err
+	}
+	for _, piece := range r.pieces {
+		if _, err := io.WriteString(w, piece); err != nil {
+			return err
+		}
+		time.Sleep(s.pause)
 	}
+	return nil
 }
