jobmemory: accepted work is limited by the memory of the cell's owner

What callers saw: clients that submitted jobs of legal size, with many tasks or many dependencies, ended the process that owned the cell. The jobs were stored, so each instance that took over ended, too.

Cause: a job of 10,000 tasks, about 80 bytes of body, takes 3 MB at the owner until it ends, one of 256 steps that all depend on one another 1 MB. Jobs are refused for the time that workers need, and long-running, scheduled and impossible ones are not refused at all; nothing limited their memory.

Fix: the owner reports the estimated memory of its jobs and its limit, a quarter of its memory, with the view that instances have for admission anyway. An instance refuses a job that takes more than a quarter of what is left, so that small jobs are accepted beside large ones that never end.

Why it holds: a job counts from the verdict on.

Not covered: an instance with less memory than the previous owner's that takes the cell over.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/jobmemory"
 )
 
 // backlogTTL is how long a received backlog is used without workspaces. An instance without a
@@ -23,8 +24,13 @@
 	weights  Weights
 	instance string
 	admitted admittedJobs
-	arrivals arrivals
-	line     retryLine
+	// pending is the memory of jobs that are being stored, memory that of those that were stored since the
+	// view, and startLimit bounds both while there is no view.
+	pending    int64
+	memory     admittedMemory
+	startLimit int64
+	arrivals   arrivals
+	line       retryLine
 	// rounding is a number (0 to 1) that differs by view and instance; see classOfRegained.
 	rounding float64
 }
@@ -47,6 +53,7 @@
 	}
 	c.view, c.viewAt = v, computedAt
 	c.admitted = c.admitted.since(computedAt)
+	c.memory = c.memory.since(computedAt)
 	c.arrivals.update(&v, now)
 	c.rounding = roundingOf(c.instance, computedAt)
 }
@@ -78,15 +85,43 @@
 	return max(0, c.view.longest(service, priority, func(b Backlog) time.Duration { return b.Wait })-age)
 }
 
-// Judge decides on a job. Long-running and scheduled jobs have no limit. The other ones are
-// refused if their expected wait exceeds limitOf, which affects the less urgent queues first, and
+// LimitMemory sets how many bytes of jobs are admitted without a view. It must be called before the
+// controller is used.
+func (c *Controller) LimitMemory(bytes int64) { c.startLimit = bytes }
+
+// Judge decides on a job. It is refused if the owner has no memory for it. Otherwise long-running and
+// scheduled jobs have no limit, and the other ones are refused if their expected wait exceeds limitOf, which affects the less urgent queues first, and
 // in each queue the shortest jobs.
 func (c *Controller) Judge(r *job.Record, now time.Time) Verdict {
-	if r.Schedule != nil || r.LongRunning() {
-		return Verdict{Class: NoShare}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.fitsMemory(r, now) {
+		return Verdict{Class: NoShare, Refuse: true, NoMemory: true, ViewAge: now.Sub(c.viewAt)}
+	}
+	v := c.judgeWait(r, now)
+	if !v.Refuse {
+		v.bytes = jobmemory.Of(r)
+		c.pending += v.bytes
 	}
+	return v
+}
+
+// Settle ends the reservation of memory that goes with a verdict, once the job is stored, or not. In doubt
+// it counts as stored.
+func (c *Controller) Settle(v Verdict, stored bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.pending -= v.bytes
+	if stored && v.bytes > 0 {
+		c.memory = append(c.memory, admittedBytes{at: now.Add(learnedAfter), bytes: v.bytes})
+	}
+}
+
+// judgeWait decides on a job by its expected wait. c.mu must be held.
+func (c *Controller) judgeWait(r *job.Record, now time.Time) Verdict {
+	if r.Schedule != nil || r.LongRunning() {
+		return Verdict{Class: NoShare}
+	}
 	if c.weights != nil {
 		return c.judge(r, now)
 	}
--- a/internal/admission/verdict.go
+++ b/internal/admission/verdict.go
@@ -5,6 +5,10 @@
 // Verdict is the decision on a job, with what decided it.
 type Verdict struct {
 	Refuse bool
+	// NoMemory is set if the job is refused because the owner has no memory for it.
+	NoMemory bool
+	// bytes is the memory that was reserved for the job; see Controller.Settle.
+	bytes int64
 	// Late is set if the job is accepted although it is expected to be late.
 	Late  bool
 	Class Class
--- a/internal/admission/view.go
+++ b/internal/admission/view.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"gentianstand/internal/jobmemory"
+)
 
 // View is the state of the cell by which instances decide on new jobs, as the owner reports it.
 type View struct {
@@ -12,6 +16,8 @@
 	Loads    []Load
 	// Shares are those of workspaces that have used up theirs. The others have not.
 	Shares []Share
+	// Jobs is the memory of the jobs that have not ended.
+	Jobs jobmemory.Usage
 	// Age is how long before the report the view was computed.
 	Age time.Duration
 }
--- a/internal/cell/admission_view.go
+++ b/internal/cell/admission_view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gentianstand/internal/admission"
+	"gentianstand/internal/jobmemory"
 )
 
 const (
@@ -42,7 +43,7 @@
 // an owner that has reached only a few workers would cause submissions to be refused. For the same
 // reason an owner without workers reports nothing.
 func (c *Cell) newAdmissionView(now time.Time) admission.View {
-	view := admission.View{Term: c.settings.Term}
+	view := admission.View{Term: c.settings.Term, Jobs: c.jobMemory()}
 	if c.recovering && !c.enabled(WorkspaceAdmission) {
 		return view
 	}
@@ -63,6 +64,15 @@
 	return view
 }
 
+// jobMemory returns what the jobs that have not ended take.
+func (c *Cell) jobMemory() jobmemory.Usage {
+	usage := jobmemory.Usage{Limit: c.settings.JobBytesLimit}
+	for _, j := range c.active {
+		usage = usage.Plus(j.memoryBytes)
+	}
+	return usage
+}
+
 // contended reports whether new work of a service has to wait. Until all workers have reported, what
 // they run is not known; the work is then contended if not all of it can run at once.
 func (c *Cell) contended(p *pool) bool {
--- a/internal/cell/job_state.go
+++ b/internal/cell/job_state.go
@@ -4,12 +4,15 @@
 	"time"
 
 	"gentianstand/internal/job"
+	"gentianstand/internal/jobmemory"
 	"gentianstand/internal/quota"
 )
 
 // jobState is the scheduling state of one job.
 type jobState struct {
 	record *job.Record
+	// memoryBytes is the estimated memory of the job.
+	memoryBytes int64
 	// account is the quota account of the job's workspace, or nil if it has none.
 	account *quota.Account
 	// stages are those of the occurrences that were created, in their order.
@@ -49,7 +52,7 @@
 }
 
 func (c *Cell) newJobState(r *job.Record) *jobState {
-	j := &jobState{record: r}
+	j := &jobState{record: r, memoryBytes: jobmemory.Of(r)}
 	if r.Workspace != "" {
 		j.account = c.quotas.Account(r.Workspace)
 	}
--- a/internal/cell/settings.go
+++ b/internal/cell/settings.go
@@ -34,6 +34,8 @@
 	// MaxCommitBytes is the maximum size of one transaction, and RowBytes that of a value. 0 is no limit.
 	MaxCommitBytes int
 	RowBytes       int
+	// JobBytesLimit is how much memory jobs that have not ended may take; see jobmemory. 0 is no limit.
+	JobBytesLimit int64
 	// Disabled is the set of disabled mechanisms.
 	Disabled MechanismSet
 	// ObserveWait, if not nil, is called with a task's wait for its first start and the
--- a/internal/cell/stats.go
+++ b/internal/cell/stats.go
@@ -42,10 +42,12 @@
 	// IdleCoreSeconds sums up the free processors over the time in which tasks waited.
 	IdleCoreSeconds float64
 	ActiveJobs      int
-	Workers         int
-	Usable          int
-	Parked          int
-	WaitingTasks    int
+	// JobBytes is the estimated memory of the active jobs.
+	JobBytes     int64
+	Workers      int
+	Usable       int
+	Parked       int
+	WaitingTasks int
 	// FreeShare is the free share of the usable workers' CPU capacity.
 	FreeShare float64
 	// FreeMemoryShare is the free share of the usable workers' memory.
@@ -61,6 +63,7 @@
 	s := c.stats
 	s.PreemptionsRefused = maps.Clone(c.stats.PreemptionsRefused)
 	s.ActiveJobs = len(c.active)
+	s.JobBytes = c.jobMemory().Bytes
 	s.Workers = len(c.workers)
 	s.RejectedRows = len(c.rejectedRows.jobs) + len(c.rejectedRows.chunks)
 	s.Parked = c.parkedCount
--- a/internal/cellowner/metrics.go
+++ b/internal/cellowner/metrics.go
@@ -44,8 +44,9 @@
 	Preemptions        *metrics.Counter
 	PreemptionLost     *metrics.FloatCounter
 	PreemptionsRefused map[preemption.Refusal]*metrics.Counter
-	// FreeShare and WaitingTasks are the values of the last summary.
+	// FreeShare, WaitingTasks and JobBytes are the values of the last summary.
 	FreeShare    *metrics.Gauge
+	JobBytes     *metrics.Gauge
 	WaitingTasks *metrics.Gauge
 	// SlowWorkers and FastWorkers count the workers that are known to differ from the typical one.
 	SlowWorkers *metrics.Gauge
@@ -101,6 +102,7 @@
 		PreemptionLost:       set.NewFloatCounter("gentianstand_cell_preemption_lost_core_seconds_total"),
 		PreemptionsRefused:   newRefusalCounters(set),
 		FreeShare:            set.NewGauge("gentianstand_cell_free_share", nil),
+		JobBytes:             set.NewGauge("gentianstand_cell_job_bytes", nil),
 		WaitingTasks:         set.NewGauge("gentianstand_cell_waiting_tasks", nil),
 		SlowWorkers:          set.NewGauge(`gentianstand_cell_uneven_workers{speed="slow"}`, nil),
 		FastWorkers:          set.NewGauge(`gentianstand_cell_uneven_workers{speed="fast"}`, nil),
--- a/internal/cellowner/plan_loop.go
+++ b/internal/cellowner/plan_loop.go
@@ -74,7 +74,7 @@
 func (o *Owner) logSummary(now time.Time) {
 	s := o.cell.Stats(now)
 	jobsAge, workersAge := o.jobsAge.age(now), o.workersAge.age(now)
-	o.deps.Log.WithFields(logrus.Fields{"jobs": s.ActiveJobs, "waiting_tasks": s.WaitingTasks, "workers": s.Workers,
+	o.deps.Log.WithFields(logrus.Fields{"jobs": s.ActiveJobs, "job_bytes": s.JobBytes, "waiting_tasks": s.WaitingTasks, "workers": s.Workers,
 		"usable": s.Usable, "parked": s.Parked, "free_share": strconv.FormatFloat(s.FreeShare, 'f', 3, 64), "free_memory_share": strconv.FormatFloat(s.FreeMemoryShare, 'f', 3, 64), "starts": s.Starts, "done": s.Done,
 		"failed": s.Failed, "lost": s.Lost, "given_up": s.PoisonJobs, "stops": s.Stops, "preemptions": s.Preemptions, "preemption_lost_core_s": int64(s.PreemptionLost), "preemptions_refused": s.PreemptionsRefused, "reservations": s.Reservations, "moves": s.Moves, "copies": s.SpeculativeRuns,
 		"slack_starts": s.SlackStarts, "little_slack_starts": s.LittleSlackStarts, "faster_waits": s.FasterWaits,
@@ -85,6 +85,7 @@
 	o.logDownTasks(now)
 	o.logQuotaWaits(now)
 	o.deps.Metrics.FreeShare.Set(s.FreeShare)
+	o.deps.Metrics.JobBytes.Set(float64(s.JobBytes))
 	o.deps.Metrics.SlackStarts.Set(s.SlackStarts)
 	o.deps.Metrics.LittleSlackStarts.Set(s.LittleSlackStarts)
 	o.deps.Metrics.FasterWaits.Set(s.FasterWaits)
--- a/internal/cellpeer/view.go
+++ b/internal/cellpeer/view.go
@@ -6,12 +6,13 @@
 
 	"gentianstand/internal/admission"
 	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/jobmemory"
 	"gentianstand/internal/resource"
 )
 
 // viewMessage returns the message for an admission view.
 func viewMessage(v *admission.View) *cellpb.View {
-	m := &cellpb.View{Term: v.Term, Arrivals: v.Arrivals, AgeMillis: v.Age.Milliseconds()}
+	m := &cellpb.View{Term: v.Term, Arrivals: v.Arrivals, AgeMillis: v.Age.Milliseconds(), JobBytes: v.Jobs.Bytes, JobBytesLimit: v.Jobs.Limit}
 	for _, b := range v.Backlogs {
 		m.Backlogs = append(m.Backlogs, &cellpb.Backlog{Service: b.Service, Priority: int64(b.Priority),
 			WaitMillis: b.Wait.Milliseconds(), ShareWaitMillis: b.ShareWait.Milliseconds(), OverWaitMillis: b.OverWait.Milliseconds()})
@@ -31,7 +32,7 @@
 	if m == nil {
 		m = &cellpb.View{Backlogs: backlogs}
 	}
-	v := admission.View{Term: m.Term, Arrivals: m.Arrivals, Age: time.Duration(m.AgeMillis) * time.Millisecond}
+	v := admission.View{Term: m.Term, Arrivals: m.Arrivals, Age: millis(m.AgeMillis), Jobs: jobmemory.Usage{Bytes: m.JobBytes, Limit: m.JobBytesLimit}}
 	for _, b := range m.Backlogs {
 		v.Backlogs = append(v.Backlogs, admission.Backlog{Service: b.Service, Priority: int(b.Priority), Wait: millis(b.WaitMillis),
 			ShareWait: millis(b.ShareWaitMillis), OverWait: millis(b.OverWaitMillis)})
--- a/internal/cellpeer/view_test.go
+++ b/internal/cellpeer/view_test.go
@@ -10,6 +10,7 @@
 
 	"gentianstand/internal/admission"
 	"gentianstand/internal/cellpeer/cellpb"
+	"gentianstand/internal/jobmemory"
 	"gentianstand/internal/resource"
 )
 
@@ -18,7 +19,8 @@
 	want := admission.View{Term: 7, Arrivals: 1234, Age: 200 * time.Millisecond,
 		Backlogs: []admission.Backlog{{Service: "desk", Priority: 2, Wait: 3 * time.Second, ShareWait: time.Second, OverWait: 5 * time.Second}},
 		Loads:    []admission.Load{{Service: "desk", Capacity: resource.Amount{MilliCPU: 1, MemoryMiB: 2, Accelerators: 3}}},
-		Shares:   []admission.Share{{Workspace: "hot", Jobs: 0.25, Work: -1500 * time.Millisecond}}}
+		Shares:   []admission.Share{{Workspace: "hot", Jobs: 0.25, Work: -1500 * time.Millisecond}},
+		Jobs:     jobmemory.Usage{Bytes: 5, Limit: 6}}
 	if got := ViewFrom(viewMessage(&want), nil); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
--- a/internal/intake/admit.go
+++ b/internal/intake/admit.go
@@ -42,12 +42,18 @@
 	if v.Class == admission.BeyondShare {
 		i.metrics.RefusedBeyondShare.Inc()
 	}
+	if v.NoMemory {
+		i.metrics.RefusedForMemory.Inc()
+	}
 	if v.ViewAge > staleView {
 		i.metrics.StaleDecisions.Inc()
 	}
 	i.log.WithFields(logrus.Fields{"job": r.ID, "queue": r.Queue, "workspace": r.Workspace, "share": v.Class, "backlog_ms": v.Wait.Milliseconds(),
 		"limit_ms": v.Limit.Milliseconds(), "added_ms": v.Added.Milliseconds(), "view_age_ms": v.ViewAge.Milliseconds(),
-		"retry_after_ms": retryAfter.Milliseconds()}).Info("job_refused")
+		"no_memory": v.NoMemory, "retry_after_ms": retryAfter.Milliseconds()}).Info("job_refused")
+	if v.NoMemory {
+		return fault.New(fault.Overloaded, "the scheduler holds as much accepted work as its memory allows").WithRetryAfter(retryAfter)
+	}
 	if v.Class == admission.BeyondShare {
 		return fault.New(fault.Overloaded, "queue %s: workspace %s has used up its share, and the work before this job takes longer than its end is of use", r.Queue, r.Workspace).WithRetryAfter(retryAfter)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -87,6 +87,13 @@
 	return i
 }
 
+// WithStartLimit limits how many bytes of jobs an intake accepts before it knows what the owner of the cell
+// holds. It must be called after WithWorkspaces and before the intake is used.
+func (i *Intake) WithStartLimit(bytes int64) *Intake {
+	i.admission.LimitMemory(bytes)
+	return i
+}
+
 // Submit accepts a job: it is stored when Submit returns nil. An error of kind
 // PlatformUnavailable means that the job was not accepted and never runs. An error of kind
 // OutcomeUnknown means that it may have been accepted; the caller has to repeat the request to
@@ -100,12 +107,15 @@
 	if err != nil {
 		return err
 	}
+	stored := false
+	defer func() { i.admission.Settle(verdict, stored, time.Now()) }()
 	r.Spec = compressed.Pack(string(r.Spec))
 	r.Submission = rand.Uint64()
 	if err := celljobs.CheckSize(r); err != nil {
 		return fault.New(fault.BadRequest, "job %s: %w", r.ID, err)
 	}
 	created, err := i.create(ctx, r)
+	stored = !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, celljobs.ErrIDTaken)
 	i.metrics.SubmitSeconds.UpdateDuration(began)
 	if err != nil {
 		i.metrics.SubmitErrors.Inc()
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -13,6 +13,8 @@
 	// AdmittedLate the jobs that were accepted although they were expected to be late.
 	RefusedBeyondShare *metrics.Counter
 	AdmittedLate       *metrics.Counter
+	// RefusedForMemory counts the jobs for which the owner had no memory.
+	RefusedForMemory *metrics.Counter
 	// StaleDecisions counts the refusals by a view older than a second.
 	StaleDecisions *metrics.Counter
 }
@@ -24,6 +26,7 @@
 		SubmitErrors:       set.NewCounter("gentianstand_intake_submit_errors_total"),
 		Refused:            set.NewCounter("gentianstand_intake_refused_total"),
 		RefusedBeyondShare: set.NewCounter("gentianstand_intake_refused_beyond_share_total"),
+		RefusedForMemory:   set.NewCounter("gentianstand_intake_refused_for_memory_total"),
 		AdmittedLate:       set.NewCounter("gentianstand_intake_admitted_late_total"),
 		StaleDecisions:     set.NewCounter("gentianstand_intake_refused_by_stale_view_total"),
 		SubmitSeconds:      set.NewHistogram("gentianstand_intake_submit_seconds"),
--- a/internal/node/module.go
+++ b/internal/node/module.go
@@ -24,6 +24,7 @@
 	"gentianstand/internal/cellowner"
 	"gentianstand/internal/cellpeer"
 	"gentianstand/internal/intake"
+	"gentianstand/internal/jobmemory"
 	"gentianstand/internal/relay"
 	"gentianstand/internal/roster"
 	"gentianstand/internal/store"
@@ -107,7 +108,7 @@
 	}
 	newOwner := func(term uint64, previous cellleader.PreviousOwner, claim store.Check, l cellowner.Leadership) *cellowner.Owner {
 		settings := cell.Settings{Term: term, Lease: min(workerLease, s.MaxLease), PreviousOwnerStopped: previous.Stopped, PredecessorStopped: previous.PredecessorStopped, PreviousOwnerLimit: previous.Limit, StopGrace: s.StopGrace,
-			SpareWorkers: spareWorkers, RowBytes: s.RowBytes, EarlyStart: s.EarlyStart, RemoteDataFactor: s.RemoteDataFactor, Disabled: s.Disabled}
+			SpareWorkers: spareWorkers, RowBytes: s.RowBytes, JobBytesLimit: jobmemory.LimitFor(s.memoryBytes()), EarlyStart: s.EarlyStart, RemoteDataFactor: s.RemoteDataFactor, Disabled: s.Disabled}
 		return cellowner.New(settings, claim, cellowner.Deps{
 			Store: w, Jobs: jobs, Roster: roster.NewServiceFilter(o.Roster(w, log), serviceFilter(current)), Runner: r.runner(), Advisers: advisers, Catalog: current.Get,
 			Maintenance: newMaintenance(s, o, w, log), Leadership: l, Metrics: m, AcrossPartitions: s.AcrossPartitions, Log: log,
@@ -136,10 +137,10 @@
 
 func newIntake(s Settings, jobs *celljobs.Jobs, w *store.Monitored, l *cellleader.Leader, f *cellpeer.StoreFinder, c *cellpeer.Clients, current *catalog.Current, set *metrics.Set, log *logrus.Entry) *intake.Intake {
 	i := intake.New(jobs, w, l, f, c, intake.NewMetrics(set), log)
-	if s.Disabled.Has(cell.WorkspaceAdmission) {
-		return i
+	if !s.Disabled.Has(cell.WorkspaceAdmission) {
+		i.WithWorkspaces(current.Get, s.Name)
 	}
-	return i.WithWorkspaces(current.Get, s.Name)
+	return i.WithStartLimit(jobmemory.StartLimitFor(s.memoryBytes()))
 }
 
 // components are the parts of an instance that run starts and stops.
@@ -168,7 +169,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Settings.MemoryMiB<<20)))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	limits := callerlimit.LimitsFor(callerlimit.Machine{MemoryBytes: p.Settings.MemoryMiB << 20, Descriptors: p.Settings.MaxDescriptors})
+	limits := callerlimit.LimitsFor(callerlimit.Machine{MemoryBytes: p.Settings.memoryBytes(), Descriptors: p.Settings.MaxDescriptors})
 	callers := newServer("callers", traffic.Callers, p.Settings.CallerListen, connectionCloser{p.Adapters.Callers(p.Intake, p.Gate, p.Log), &p.State.stopping}, p.Log).
 		withGuard(callerconn.NewGuard(limits, p.Metrics, p.Log))
 	others := []*server{
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -58,6 +58,9 @@
 	MaxDescriptors int
 }
 
+// memoryBytes returns the memory limit in bytes; 0 means no limit.
+func (s *Settings) memoryBytes() int64 { return s.MemoryMiB << 20 }
+
 // namedAddress is an address together with its purpose, which errors mention.
 type namedAddress struct{ name, value string }
 
