instance, entry: serve limits what it holds for all callers, too

Bodies that never end held the slots of the workers, so that ordinary requests waited for 30 s, or for as long as the senders asked for, up to 10 minutes. Operators' texts were read without a time limit.

Cause: bodies of more than 64 KiB, and those in chunks, are passed on while the request holds a slot, without a limit for the time in which they stand still, and nothing limited connections or the memory of buffered bodies and texts.

Evidence: overload.TestManyBodiesToServices and overload.TestManyTextsThatStopShortOfTheirEnd, 400 clients, 96 MB and 400 descriptors.

Fix: the server for callers has the guard of the platform's instance. Its limits follow from -memory-mib and -max-descriptors. Texts are read within 10 s.

Why it holds: the same account of what is held is asked before anything is taken. What the tests of the development system expect of slow senders (400) and of large texts stays as it is.

--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -31,7 +31,7 @@
 		return nil, c.rejectBody(w, fault.New(fault.TooLarge, "the body has %d bytes; allowed: at most %d", r.ContentLength, limit))
 	}
 	if c == nil {
-		return readUnguarded(r, limit)
+		return readUnguarded(w, r, limit, deadline)
 	}
 	c.receiving.Store(true)
 	if err := c.slot.Receive(time.Now()); err != nil {
@@ -124,12 +124,16 @@
 	return err
 }
 
-// readUnguarded reads a body of a server that has no guard.
-func readUnguarded(r *http.Request, limit int64) ([]byte, error) {
+// readUnguarded reads a body of a server that has no guard. After an error the deadline stays in place:
+// without it, the server would wait for the rest of the body before it sends the response.
+func readUnguarded(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline) // not all writers support it
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, "the body broke off: %w", err)
 	}
+	_ = control.SetReadDeadline(time.Time{}) // as above
 	if int64(len(body)) > limit {
 		return nil, fault.New(fault.TooLarge, "%w", errTooLarge)
 	}
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -31,7 +31,11 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
+	observe := s.ConnState
 	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if observe != nil {
+			observe(c, state)
+		}
 		if own, ok := c.(*conn); ok && state == http.StateIdle {
 			own.slot.Wait(time.Now())
 		}
--- a/internal/callerconn/serve.go
+++ b/internal/callerconn/serve.go
@@ -23,15 +23,20 @@
 	if c == nil {
 		return nil
 	}
-	if r.ContentLength != 0 {
-		_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only on closed connections
-	}
+	SkipBody(r)
 	if err := c.slot.Serve(); err != nil {
 		return c.reject(w, err)
 	}
 	return nil
 }
 
+// SkipBody limits how long the response waits for the body of a request. ReadBody and StreamBody end that.
+func SkipBody(r *http.Request) {
+	if c := connOf(r); c != nil && r.ContentLength != 0 {
+		_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only on closed connections
+	}
+}
+
 // reject returns the error for the caller of a request that the limits do not admit.
 func (c *conn) reject(w http.ResponseWriter, cause error) error {
 	limit := limitMemory
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"gentianstand/internal/callerconn"
 	"gentianstand/internal/fault"
 	"gentianstand/internal/spec"
 )
@@ -54,7 +55,7 @@
 		return nil, err
 	}
 	c.deadline = now.Add(timeout)
-	return c, c.readBody(http.NewResponseController(w))
+	return c, c.readBody(w)
 }
 
 func timeoutOf(r *http.Request, service spec.Workload) (time.Duration, error) {
@@ -73,29 +74,23 @@
 	return time.Duration(seconds * float64(time.Second)), nil
 }
 
-// readBody buffers a small body. It fails after bodyTimeout if the sender stalls, which would
-// otherwise occupy a connection and memory indefinitely.
-func (c *call) readBody(control *http.ResponseController) error {
+// readBody buffers a small body. Others are streamed.
+func (c *call) readBody(w http.ResponseWriter) error {
 	length := c.request.ContentLength
 	switch {
 	case length > maxBodyBytes:
 		return fault.New(fault.TooLarge, "the body has %d bytes; allowed: at most %d", length, maxBodyBytes)
 	case length < 0 || length > replayBytes:
-		return nil
-	case length == 0:
-		c.replayable = true
-		return nil
+		body, err := callerconn.StreamBody(w, c.request)
+		c.request.Body = body
+		return err
 	}
-	body := make([]byte, length)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if _, err := io.ReadFull(c.request.Body, body); err != nil {
-		// The read deadline stays in place: without it, the server would wait for the
-		// rest of the body before it sends the response.
+	body, err := callerconn.ReadBody(w, c.request, replayBytes, time.Now().Add(bodyTimeout))
+	if fault.Is(err, fault.RequestTimeout) {
 		return fault.New(fault.BadRequest, "the body ended before its %d bytes were read: %w", length, err)
 	}
-	_ = control.SetReadDeadline(time.Time{})
-	c.body, c.replayable = body, true
-	return nil
+	c.body, c.replayable = body, err == nil
+	return err
 }
 
 // repeatable reports whether the request is idempotent, so that it may be executed twice.
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +10,7 @@
 	"github.com/gin-gonic/gin"
 
 	"gentianstand/internal/audit"
+	"gentianstand/internal/callerconn"
 	"gentianstand/internal/config"
 	"gentianstand/internal/fault"
 	"gentianstand/internal/spec"
@@ -43,7 +42,11 @@
 	return func(c *gin.Context) {
 		id := requestID(c.Request)
 		c.Header(HeaderRequestID, id)
-		body, err := f(c)
+		err := callerconn.Serve(c.Writer, c.Request)
+		var body any
+		if err == nil {
+			body, err = f(c)
+		}
 		if err != nil {
 			writeError(c.Writer, id, err)
 			return
@@ -83,13 +86,12 @@
 // readText reads and validates the text of a configuration. A text with an error is rejected as
 // a whole.
 func readText(c *gin.Context) (string, *spec.Text, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, spec.MaxTextBytes+1))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	data, err := callerconn.ReadBody(c.Writer, c.Request, spec.MaxTextBytes, time.Now().Add(bodyTimeout))
+	if fault.Is(err, fault.TooLarge) {
 		return "", nil, fault.New(fault.TooLarge, "the text is larger than %d bytes", spec.MaxTextBytes)
-	case err != nil:
-		return "", nil, fault.New(fault.BadRequest, "the text broke off: %w", err)
+	}
+	if err != nil {
+		return "", nil, err
 	}
 	text, err := spec.Parse(string(data))
 	if err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianstand/internal/audit"
+	"gentianstand/internal/callerconn"
 	"gentianstand/internal/config"
 	"gentianstand/internal/fault"
 	"gentianstand/internal/idempotency"
@@ -110,6 +111,7 @@
 
 // trackInFlight counts the requests in progress; a graceful stop waits for them.
 func (s *Server) trackInFlight(c *gin.Context) {
+	callerconn.SkipBody(c.Request)
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	c.Next()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/callerconn"
 	"gentianstand/internal/fault"
 	"gentianstand/internal/routing"
 	"gentianstand/internal/worker/httpwire"
@@ -30,7 +31,11 @@
 	id := requestID(r)
 	w.Header().Set(HeaderRequestID, id)
 	started := time.Now()
-	c, err := s.checkCall(w, r, id, service, path, started)
+	err := callerconn.Serve(w, r)
+	var c *call
+	if err == nil {
+		c, err = s.checkCall(w, r, id, service, path, started)
+	}
 	if err == nil {
 		err = s.serve(w, c)
 	}
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/sirupsen/logrus"
+
+	"gentianstand/internal/callerconn"
 )
 
 // server is an HTTP server on one address.
@@ -16,7 +18,9 @@
 	address     string
 	http        *http.Server
 	connections *connections
-	log         *logrus.Entry
+	// guard, if not nil, limits what the server holds for its callers.
+	guard *callerconn.Guard
+	log   *logrus.Entry
 }
 
 func newServer(name, address string, handler http.Handler, log *logrus.Entry) *server {
@@ -26,14 +30,25 @@
 	}}
 }
 
+// withGuard makes the server apply the limits of a guard.
+func (s *server) withGuard(g *callerconn.Guard) *server {
+	s.guard = g
+	g.Install(s.http)
+	return s
+}
+
 // listen opens the address and serves it in the background.
 func (s *server) listen() (net.Addr, error) {
 	listener, err := listen(s.address)
 	if err != nil {
 		return nil, err
 	}
+	address := listener.Addr()
+	if s.guard != nil {
+		listener = s.guard.WrapListener(listener)
+	}
 	go s.serve(listener)
-	return listener.Addr(), nil
+	return address, nil
 }
 
 func (s *server) serve(l net.Listener) {
--- a/internal/instance/servers.go
+++ b/internal/instance/servers.go
@@ -7,8 +7,11 @@
 	"net"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"gentianstand/internal/callerconn"
+	"gentianstand/internal/callerlimit"
 	"gentianstand/internal/entry"
 	"gentianstand/internal/peer"
 	"gentianstand/internal/peer/peerpb"
@@ -30,9 +33,10 @@
 	log    *logrus.Entry
 }
 
-func newServers(s Settings, e *entry.Server, p *peer.Server, log *logrus.Entry) *servers {
+func newServers(s Settings, e *entry.Server, p *peer.Server, set *metrics.Set, log *logrus.Entry) *servers {
+	guard := callerconn.NewGuard(callerlimit.LimitsFor(s.machine()), set, log)
 	return &servers{
-		caller: newServer("callers", s.Listen, e.Handler(), log),
+		caller: newServer("callers", s.Listen, e.Handler(), log).withGuard(guard),
 		peer:   newServer("peers", s.PeerListen, peerpb.NewPeerServer(p), log),
 		log:    log,
 	}
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -1,11 +1,14 @@
 package instance
 
 import (
+	"math"
 	"net"
 	"net/url"
 	"regexp"
+	"syscall"
 	"time"
 
+	"gentianstand/internal/callerlimit"
 	"gentianstand/internal/settings"
 )
 
@@ -24,6 +27,9 @@
 	OperatorToken   string
 	LogLevel        string
 	StopTimeout     time.Duration
+	// MemoryMiB and MaxDescriptors are the limits of the process; MaxDescriptors 0 is that of the system.
+	MemoryMiB      int
+	MaxDescriptors int
 }
 
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
@@ -42,6 +48,8 @@
 	s.StringVar(&c.OperatorToken, "operator-token", "", "bearer token that operators' requests must carry; empty: none")
 	s.StringVar(&c.LogLevel, "log-level", "info", "minimum severity of logged events: debug, info, warning or error")
 	s.DurationVar(&c.StopTimeout, "stop-timeout", 30*time.Second, "maximum duration of a graceful stop")
+	s.IntVar(&c.MemoryMiB, "memory-mib", 1024, "memory that the process may use, in `MiB`; the limits for callers follow from it")
+	s.IntVar(&c.MaxDescriptors, "max-descriptors", 0, "descriptors that the process may open, as for -memory-mib; 0: the limit of the system")
 	c.registerChecks(s)
 }
 
@@ -58,9 +66,21 @@
 	s.Check("platform", "an http URL with a host, such as http://10.0.0.2:9000", func() bool { return isURL(c.Platform) })
 	s.Check("platform-timeout", "50ms to 1m", func() bool { return c.PlatformTimeout >= 50*time.Millisecond && c.PlatformTimeout <= time.Minute })
 	s.Check("stop-timeout", "1s to 1h", func() bool { return c.StopTimeout >= time.Second && c.StopTimeout <= time.Hour })
+	s.Check("memory-mib", "64 to 1048576", func() bool { return c.MemoryMiB >= 64 && c.MemoryMiB <= 1<<20 })
+	s.Check("max-descriptors", "0, or 256 and more", func() bool { return c.MaxDescriptors == 0 || c.MaxDescriptors >= 256 })
 	s.Check("log-level", "debug, info, warning or error", func() bool { return isLevel(c.LogLevel) })
 }
 
+// machine returns the limits of the process.
+func (c *Settings) machine() callerlimit.Machine {
+	m := callerlimit.Machine{MemoryBytes: int64(c.MemoryMiB) << 20, Descriptors: c.MaxDescriptors}
+	var limit syscall.Rlimit
+	if m.Descriptors == 0 && syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
+		m.Descriptors = int(min(limit.Cur, math.MaxInt32))
+	}
+	return m
+}
+
 func isAddress(s string) bool {
 	host, port, err := net.SplitHostPort(s)
 	return err == nil && net.ParseIP(host) != nil && port != ""
--- a/test/overload/main_test.go
+++ b/test/overload/main_test.go
@@ -8,8 +8,9 @@
 	"testing"
 )
 
-// binary is the program under test, built without the race detector, which would multiply its memory.
-var binary string
+// The program under test and the stand-ins of its surroundings, built without the race detector, which would
+// multiply the memory.
+var binary, standinBinary string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
@@ -20,10 +21,12 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "gentianstand")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/gentianstand").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
-		return 1
+	binary, standinBinary = filepath.Join(dir, "gentianstand"), filepath.Join(dir, "standin")
+	for path, source := range map[string]string{binary: "../../cmd/gentianstand", standinBinary: "../standin"} {
+		if out, err := exec.Command("go", "build", "-o", path, source).CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", source, err, out)
+			return 1
+		}
 	}
 	return m.Run()
 }
--- a/test/overload/world_test.go
+++ b/test/overload/world_test.go
@@ -55,12 +55,16 @@
 address = "%[2]s"
 `
 
+// address returns a loopback address of this test process that no other world has.
+func address() string {
+	return fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, worlds.Add(1)%250)
+}
+
 // world is one instance with a simulated store and worker.
 type world struct {
+	*process
 	t     *testing.T
 	ip    string
-	cmd   *exec.Cmd
-	ended chan struct{}
 	usage *usageMonitor
 }
 
@@ -84,9 +88,9 @@
 	store.Put("op", "config", map[string]any{"version": 1, "services": []any{}, "limits": map[string]int{"max_body_bytes": maxBodyBytes},
 		"routes": []any{map[string]any{"name": "plain", "host": callersHost, "path_prefix": "/plain/", "type": "unsafe", "timeout_ms": 3000,
 			"target_duration_ms": 60000, "service": "desk", "max_attempts": 3, "stretch": 100}}})
-	w := &world{t: t, ip: fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, worlds.Add(1)%250)}
+	w := &world{t: t, ip: address()}
 	w.start(storeServer.Listener.Addr().String())
-	w.usage = monitorUsage(w.cmd.Process.Pid, w.callersAddress(), w.ip+":8167", w.ip+":7720", w.ip+":7735")
+	w.usage = monitorUsage(w.pid(), w.callersAddress(), w.ip+":8167", w.ip+":7720", w.ip+":7735")
 	w.waitFor("the instance is ready", func() bool {
 		resp, err := http.Get("http://" + w.ip + ":8167/ready")
 		if err != nil {
@@ -100,68 +104,31 @@
 
 func (w *world) callersAddress() string { return net.JoinHostPort(w.ip, "8161") }
 
-// start starts the process and kills it at the end of the test. Its log is shown if the test fails.
+// start starts the process of the instance.
 func (w *world) start(storeAddress string) {
 	w.t.Helper()
-	dir := w.t.TempDir()
-	path := filepath.Join(dir, "settings.toml")
+	path := filepath.Join(w.t.TempDir(), "settings.toml")
 	text := fmt.Sprintf(settingsText, w.ip, storeAddress, machineMemoryMB, machineDescriptors)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
-	log, err := os.Create(filepath.Join(dir, "log"))
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.cmd = exec.Command(binary, "instance", "-settings-file", path)
-	w.cmd.Stdout, w.cmd.Stderr = log, log
-	if err := w.cmd.Start(); err != nil {
-		w.t.Fatal(err)
-	}
-	w.ended = make(chan struct{})
-	go func() {
-		defer close(w.ended)
-		_ = w.cmd.Wait() // the exit status is irrelevant here
-	}()
-	w.t.Cleanup(func() {
-		_ = w.cmd.Process.Kill() // it may have ended by itself
-		<-w.ended
-		if w.t.Failed() {
-			w.logTail(log.Name())
-		}
-		_ = log.Close()
-	})
-}
-
-// logTail shows the end of the process's log.
-func (w *world) logTail(path string) {
-	const most = 4000
-	data, err := os.ReadFile(path)
-	if err != nil {
-		w.t.Log(err)
-		return
-	}
-	w.t.Logf("end of the log:\n%s", data[max(0, len(data)-most):])
+	w.process = startProcess(w.t, exec.Command(binary, "instance", "-settings-file", path))
 }
 
 func (w *world) waitFor(what string, ok func() bool) {
 	w.t.Helper()
+	waitFor(w.t, what, ok)
+}
+
+// waitFor waits until ok returns true, and fails the test after waitTimeout.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
 	for began := time.Now(); time.Since(began) < waitTimeout; time.Sleep(50 * time.Millisecond) {
 		if ok() {
 			return
 		}
 	}
-	w.t.Fatalf("not within %v: %s", waitTimeout, what)
-}
-
-// checkAlive fails the test if the process has ended.
-func (w *world) checkAlive() {
-	w.t.Helper()
-	select {
-	case <-w.ended:
-		w.t.Errorf("the process has ended: %v", w.cmd.ProcessState)
-	default:
-	}
+	t.Fatalf("not within %v: %s", waitTimeout, what)
 }
 
 // finish checks that the process lives, and its peak usage.
