callerconn: what the kernel keeps for callers is limited

What callers saw: a crowd that arrived while a process was busy with another one, or while its machine was suspended, took the process beyond its memory: bytes that have been received and not yet read count.

Cause: the kernel accepts up to somaxconn connections, here 4,096, before the process does, each with the bytes that fit into its receive buffer.

Why it holds: what the kernel may keep is bounded by the limit for connections and the queue before it, whatever the process does. Beyond the queue, a caller's connection is made a second later.

--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -39,11 +38,13 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	g := NewGuard(l, metrics.NewSet(), log)
-	config := net.ListenConfig{Control: LimitReceiveBuffer}
-	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	if err := errors.Join(LimitAcceptQueue(listener), LimitReceiveBuffer(listener)); err != nil {
+		t.Fatal(err)
+	}
 	s := &testServer{address: listener.Addr().String(), guard: g, release: make(chan struct{})}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, bodyTime) })}
 	g.Install(server)
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -45,6 +45,9 @@
 	}
 	address := listener.Addr()
 	if s.guard != nil {
+		if err := callerconn.LimitAcceptQueue(listener); err != nil {
+			s.log.WithField("server", s.name).WithError(err).Warn("kernel_limits_not_set")
+		}
 		listener = s.guard.WrapListener(listener)
 	}
 	go s.serve(listener)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -54,13 +54,16 @@
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
 	}}
-	if s.guard != nil {
-		config.Control = callerconn.LimitReceiveBuffer
-	}
 	listener, err := config.Listen(ctx, "tcp4", s.http.Addr)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", s.name, err)
 	}
+	if s.guard != nil {
+		// Without these limits the server works, too.
+		if err := errors.Join(callerconn.LimitAcceptQueue(listener), callerconn.LimitReceiveBuffer(listener)); err != nil {
+			s.log.WithField("server", s.name).WithError(err).Warn("kernel_limits_not_set")
+		}
+	}
 	listener = traffic.CounterFor(s.purpose).WrapListener(listener)
 	if s.guard != nil {
 		listener = s.guard.WrapListener(listener)
