--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -90,8 +90,9 @@
 func (c *Controller) LimitMemory(bytes int64) { c.startLimit = bytes }
 
 // Judge decides on a job. It is refused if the owner has no memory for it. Otherwise long-running and
-// scheduled jobs have no limit, and the other ones are refused if their expected wait exceeds limitOf, which affects the less urgent queues first, and
-// in each queue the shortest jobs.
+// scheduled jobs have no limit, and the other ones are refused if their expected wait exceeds limitOf,
+// which affects the less urgent queues first, and in each queue the shortest jobs. Settle must be called
+// with the verdict, unless the job is refused.
 func (c *Controller) Judge(r *job.Record, now time.Time) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -43,7 +44,8 @@
 	_ = c.SetReadDeadline(deadline) // fails only on closed connections
 	body, err := c.readBody(r, limit)
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		err = errors.Join(c.slot.Serve(), err)
+		// An eviction shows as a timeout, or only here if the body was complete before.
+		err = cmp.Or(c.slot.Serve(), err)
 	}
 	if err != nil {
 		return nil, c.rejectUnread(w, err)
@@ -72,7 +74,7 @@
 		body = body[:len(body)+n]
 		c.slot.Progress(time.Now())
 		switch {
-		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
 			return nil, err
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -1,7 +1,8 @@
 package callerconn
 
 import (
-	"io"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -10,7 +11,11 @@
 
 // rejection is the response to a connection that gets no place. It is sent before a request was read, so
 // no request has been executed.
-const rejection = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+const rejection = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n"
+
+// maxRejectionDelay is the longest retry delay after a rejection, in seconds. It is drawn, so that callers
+// that were rejected together do not come back together.
+const maxRejectionDelay = 2
 
 // logPeriod is the shortest time between two log lines about rejected connections.
 const logPeriod = time.Second
@@ -60,7 +65,7 @@
 
 // reject closes a connection that has no slot.
 func (l *listener) reject(raw net.Conn) {
-	_, _ = io.WriteString(raw, rejection) // the caller may be gone
+	_, _ = fmt.Fprintf(raw, rejection, 1+rand.IntN(maxRejectionDelay)) // the caller may be gone
 	_ = raw.Close()
 	l.guard.metrics.rejected(limitConnections)
 	l.rejected++
--- a/internal/callerlimit/ledger.go
+++ b/internal/callerlimit/ledger.go
@@ -25,13 +25,6 @@
 	waiting *list.List
 }
 
-// Usage is what an instance holds for its callers.
-type Usage struct {
-	Connections int
-	BodyBytes   int64
-	Requests    int
-}
-
 // NewLedger returns a ledger with the given limits.
 func NewLedger(l Limits) *Ledger {
 	return &Ledger{limits: l, waiting: list.New()}
