--- a/test/overload/world_test.go
+++ b/test/overload/world_test.go
@@ -55,9 +55,9 @@
 address = "%[2]s"
 `
 
-// address returns a loopback address of this test process that no other world has.
+// address returns a loopback address of this test process that no other world has, nor any of the soak.
 func address() string {
-	return fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, worlds.Add(1)%250)
+	return fmt.Sprintf("127.%d.%d.200", 64+os.Getpid()%128, worlds.Add(1)%250)
 }
 
 // world is one instance with a simulated store and worker.
